--- /dev/null
+++ b/mallowcrank/cli/__init__.py
@@ -0,0 +1,3 @@
+"""
+Command lines: one module a program.
+"""
--- /dev/null
+++ b/mallowcrank/cli/options.py
@@ -0,0 +1,82 @@
+"""
+Flags that several programs share.
+"""
+
+from typing import Annotated
+
+from typer import Context, Exit, Option, echo
+
+from mallowcrank import __version__
+from mallowcrank.context import Environment
+from mallowcrank.findings import Finding, format_findings
+from mallowcrank.status import ExitStatus
+
+
+def _print_version(wanted: bool) -> None:
+    if wanted:
+        echo(f'mallowcrank {__version__}')
+        raise Exit(ExitStatus.SUCCESS)
+
+
+Version = Annotated[
+    bool,
+    Option(
+        '--version',
+        callback=_print_version,
+        is_eager=True,
+        help='Print the version and exit.',
+    ),
+]
+HostName = Annotated[
+    str,
+    Option('--host', envvar='MALLOWCRANK_HOST', help="This host's name."),
+]
+AvailabilityZone = Annotated[
+    str,
+    Option(
+        '--availability-zone',
+        envvar='MALLOWCRANK_AVAILABILITY_ZONE',
+        help='The availability zone of this host.',
+    ),
+]
+Statsd = Annotated[
+    str,
+    Option(
+        '--statsd',
+        envvar='MALLOWCRANK_STATSD',
+        help='IP:PORT of statsd; empty for no metrics.',
+    ),
+]
+PeerKeys = Annotated[
+    str,
+    Option(
+        '--peer-keys',
+        envvar='MALLOWCRANK_PEER_KEYS',
+        help='NUMBER:HEX[,NUMBER:HEX], keys shared by all hosts. '
+        'The first one signs; all are accepted.',
+    ),
+]
+
+
+def environment_of(context: Context) -> Environment:
+    """
+    Return the environment that `main` passed in.
+    """
+    return context.obj or Environment()
+
+
+def require_no_findings(
+    environment: Environment, program: str, findings: tuple[Finding, ...]
+) -> None:
+    """
+    Report all findings together and exit, where there are any.
+
+    :raises Exit: with `BAD_SETTINGS`.
+    """
+    if not findings:
+        return
+    environment.stderr.write(
+        f'{program}: the settings have problems; nothing was started.\n'
+        f'{format_findings(findings)}\n'
+    )
+    raise Exit(ExitStatus.BAD_SETTINGS)
--- /dev/null
+++ b/mallowcrank/codec.py
@@ -0,0 +1,33 @@
+"""
+Frozen data classes to plain maps and back, for msgpack and JSON.
+"""
+
+from typing import Any, TypeVar
+
+from cattrs.preconf.msgpack import make_converter
+
+from mallowcrank.hlc import Timestamp
+
+Message = TypeVar('Message')
+
+_converter = make_converter()
+_converter.register_unstructure_hook(Timestamp, list)
+_converter.register_structure_hook(
+    Timestamp, lambda raw, _type: Timestamp(*raw)
+)
+
+
+def to_plain(message: Any) -> Any:
+    """
+    Turn a data class into maps, lists, numbers and strings.
+    """
+    return _converter.unstructure(message)
+
+
+def from_plain(plain: Any, kind: type[Message]) -> Message:
+    """
+    Build a data class out of plain maps.
+
+    :raises cattrs.BaseValidationError: when the shape is wrong.
+    """
+    return _converter.structure(plain, kind)
--- /dev/null
+++ b/mallowcrank/context.py
@@ -0,0 +1,25 @@
+"""
+The environment that a program runs in.
+"""
+
+import os
+import random
+import sys
+from collections.abc import Mapping
+from dataclasses import dataclass, field
+from typing import TextIO
+
+from mallowcrank.clock import Clock, SystemClock
+
+
+@dataclass(frozen=True)
+class Environment:
+    """
+    Streams, variables, clock and randomness. Tests pass their own.
+    """
+
+    stdout: TextIO = field(default_factory=lambda: sys.stdout)
+    stderr: TextIO = field(default_factory=lambda: sys.stderr)
+    variables: Mapping[str, str] = field(default_factory=lambda: os.environ)
+    clock: Clock = field(default_factory=SystemClock)
+    random: random.Random = field(default_factory=random.SystemRandom)
--- /dev/null
+++ b/mallowcrank/models/__init__.py
@@ -0,0 +1,3 @@
+"""
+Small specifications of the core protocols, checked exhaustively.
+"""
--- /dev/null
+++ b/mallowcrank/models/catalogue.py
@@ -0,0 +1,7 @@
+"""
+All specifications that `make models` checks.
+"""
+
+from mallowcrank.models.specification import Specification
+
+SPECIFICATIONS: tuple[Specification, ...] = ()
--- /dev/null
+++ b/mallowcrank/router/__init__.py
@@ -0,0 +1,3 @@
+"""
+The router: callers' requests in, answers out.
+"""
--- /dev/null
+++ b/mallowcrank/router/ports.py
@@ -0,0 +1,149 @@
+"""
+The ports inside the router, between the request path and its policies.
+"""
+
+from dataclasses import dataclass
+from typing import Protocol
+
+from mallowcrank.refusals import Refused
+from mallowcrank.view import View
+
+
+@dataclass(frozen=True, slots=True)
+class Ticket:
+    """
+    A request that asks to be admitted.
+
+    :param request: the request's id.
+    :param workspace: `BRANCH/WORKSPACE`.
+    :param deadline: steady time in seconds at which the caller gives up.
+    :param priority: order inside the branch; a higher number goes first.
+    :param tokens: estimate of the tokens that it will cost; 0 for a service.
+    :param serves: the model's or service's name.
+    :param is_service: whether it is a plain service's call.
+    """
+
+    request: str
+    workspace: str
+    deadline: float
+    priority: int
+    tokens: int
+    serves: str
+    is_service: bool = False
+
+
+class AdmissionPort(Protocol):
+    """
+    Decides when a request starts: limits, fair queues, reserved room.
+    """
+
+    def enter(self, ticket: Ticket) -> Refused | None:
+        """
+        Wait until the request may start, or refuse it in good time.
+        """
+
+    def leave(self, ticket: Ticket, tokens: int) -> None:
+        """
+        Give back what the request held.
+
+        :param tokens: what it really cost.
+        """
+
+    def apply_view(self, view: View) -> None:
+        """
+        Take over new settings and targets.
+        """
+
+
+@dataclass(frozen=True, slots=True)
+class Stage:
+    """
+    One engine's part of a route; the layers are inclusive.
+    """
+
+    target: str
+    incarnation: int
+    first_layer: int
+    last_layer: int
+
+
+@dataclass(frozen=True, slots=True)
+class Route:
+    """
+    A path of engines that covers a model's layers in order.
+    """
+
+    stages: tuple[Stage, ...]
+
+    def __str__(self) -> str:
+        return ','.join(
+            f'{stage.target}:{stage.first_layer}-{stage.last_layer}'
+            for stage in self.stages
+        )
+
+
+@dataclass(frozen=True, slots=True)
+class RouteDemand:
+    """
+    What a request needs a route for.
+
+    :param serves: the model's name.
+    :param prefix: hashes of the prompt's 16-token blocks, the first one first.
+    :param prompt_tokens: tokens to run before the first new one.
+    :param avoid: names of targets that just failed this stream.
+    """
+
+    stream: str
+    workspace: str
+    serves: str
+    prefix: tuple[str, ...] = ()
+    prompt_tokens: int = 0
+    avoid: frozenset[str] = frozenset()
+
+
+class RoutePort(Protocol):
+    """
+    Chooses targets, and learns from what became of them.
+    """
+
+    def choose_path(self, demand: RouteDemand) -> Route | Refused:
+        """
+        Choose a path of engines and count it as in flight.
+        """
+
+    def release_path(self, stream: str) -> None:
+        """
+        A stream no longer uses its path.
+        """
+
+    def choose_replica(
+        self, service: str, avoid: frozenset[str]
+    ) -> str | Refused:
+        """
+        Choose a replica of a plain service and count the call in flight.
+        """
+
+    def release_replica(self, target: str) -> None:
+        """
+        A call to a replica is over.
+        """
+
+    def succeeded(self, target: str, seconds: float) -> None:
+        """
+        A target answered a call.
+        """
+
+    def failed(self, target: str, incarnation: int, reason: str) -> None:
+        """
+        A target failed a call or went silent.
+        """
+
+    def may_retry(self, serves: str) -> bool:
+        """
+        Spend one retry out of the pool's budget, where one is left.
+        """
+
+    def apply_view(self, view: View) -> None:
+        """
+        Take over new settings and targets.
+        """
--- /dev/null
+++ b/mallowcrank/timeline.py
@@ -0,0 +1,120 @@
+"""
+The time line: a bounded ring of events in each process.
+"""
+
+import threading
+from collections import deque
+from collections.abc import Iterable
+from dataclasses import dataclass
+
+from mallowcrank.clock import HybridClock
+from mallowcrank.hlc import Timestamp
+
+RING_EVENTS = 8192  # kept by each process
+
+
+@dataclass(frozen=True, slots=True)
+class Event:
+    """
+    One event on the time line.
+
+    :param stamp: hybrid logical time.
+    :param host: the host's name.
+    :param part: the part that saw it, such as `router` or `config`.
+    :param what: a short sentence.
+    :param request: the request it belongs to, or an empty string.
+    :param target: the target it is about, or an empty string.
+    """
+
+    stamp: Timestamp
+    host: str
+    part: str
+    what: str
+    request: str = ''
+    target: str = ''
+
+
+@dataclass(frozen=True, slots=True)
+class Filter:
+    """
+    Which events to keep; an empty string matches all.
+    """
+
+    request: str = ''
+    host: str = ''
+    target: str = ''
+    part: str = ''
+
+    def matches(self, event: Event) -> bool:
+        """
+        Tell whether an event passes.
+        """
+        return (
+            self.request in {'', event.request}
+            and self.host in {'', event.host}
+            and self.target in {'', event.target}
+            and self.part in {'', event.part}
+        )
+
+
+class Timeline:
+    """
+    The process's ring of events. Safe to use from any thread.
+    """
+
+    def __init__(
+        self, host: str, clock: HybridClock, capacity: int = RING_EVENTS
+    ) -> None:
+        self._host = host
+        self._clock = clock
+        self._ring: deque[Event] = deque(maxlen=capacity)
+        self._lock = threading.Lock()
+
+    def record(
+        self, part: str, what: str, request: str = '', target: str = ''
+    ) -> None:
+        """
+        Add an event; the oldest one goes when the ring is full.
+        """
+        with self._lock:
+            stamp = self._clock.stamp()
+            self._ring.append(
+                Event(stamp, self._host, part, what, request, target)
+            )
+
+    def observe(self, remote: Timestamp) -> None:
+        """
+        Take in a timestamp that came with a peer's message.
+        """
+        with self._lock:
+            self._clock.observe(remote)
+
+    def stamp(self) -> Timestamp:
+        """
+        Return a timestamp to send with a message.
+        """
+        with self._lock:
+            return self._clock.stamp()
+
+    def events(self, wanted: Filter | None = None) -> tuple[Event, ...]:
+        """
+        Return the kept events that pass a filter, oldest first.
+        """
+        with self._lock:
+            kept = tuple(self._ring)
+        return select(kept, wanted or Filter())
+
+
+def select(events: Iterable[Event], wanted: Filter) -> tuple[Event, ...]:
+    """
+    Return the events that pass a filter.
+    """
+    return tuple(event for event in events if wanted.matches(event))
+
+
+def merge_rings(rings: Iterable[Iterable[Event]]) -> tuple[Event, ...]:
+    """
+    Merge the rings of several processes into one ordered list.
+    """
+    merged = (event for ring in rings for event in ring)
+    return tuple(sorted(merged, key=lambda event: (event.stamp, event.host)))
--- /dev/null
+++ b/mallowcrank/web.py
@@ -0,0 +1,195 @@
+"""
+A small HTTP server on cheroot: requests in, responses out.
+"""
+
+import json
+import threading
+from collections.abc import Callable, Iterable, Mapping
+from dataclasses import dataclass, field
+from http import HTTPStatus
+from typing import Any
+from urllib.parse import parse_qsl
+
+from cheroot.wsgi import Server
+
+MAX_BODY_BYTES = 4 * 1024 * 1024
+JSON_TYPE = ('Content-Type', 'application/json')
+
+Body = bytes | Iterable[bytes]
+
+
+@dataclass(frozen=True)
+class Request:
+    """
+    One HTTP request, read whole.
+
+    :param headers: by lower-case name.
+    :param too_large: whether the body was over the limit and was not read.
+    """
+
+    method: str
+    path: str
+    query: Mapping[str, str] = field(default_factory=dict)
+    headers: Mapping[str, str] = field(default_factory=dict)
+    body: bytes = b''
+    too_large: bool = False
+
+    def json(self) -> Any:
+        """
+        Return the body as JSON.
+
+        :raises ValueError: when it is malformed.
+        """
+        return json.loads(self.body)
+
+
+@dataclass(frozen=True)
+class Response:
+    """
+    One HTTP response; an iterable body is sent in chunks.
+    """
+
+    status: int
+    body: Body = b''
+    headers: tuple[tuple[str, str], ...] = ()
+
+
+Handler = Callable[[Request], Response]
+
+
+def json_response(
+    payload: Any,
+    status: int = HTTPStatus.OK,
+    headers: tuple[tuple[str, str], ...] = (),
+) -> Response:
+    """
+    Build a JSON response.
+    """
+    return Response(status, json.dumps(payload).encode(), (JSON_TYPE, *headers))
+
+
+class Routes:
+    """
+    Finds the handler of a request by method and longest path prefix.
+    """
+
+    def __init__(self) -> None:
+        self._handlers: list[tuple[str, str, Handler]] = []
+
+    def __call__(self, request: Request) -> Response:
+        """
+        Answer a request.
+        """
+        known = False
+        for method, prefix, handler in self._handlers:
+            if not _matches(prefix, request.path):
+                continue
+            known = True
+            if method in {'*', request.method}:
+                return handler(request)
+        status = HTTPStatus.METHOD_NOT_ALLOWED if known else 404
+        return json_response({'error': {'message': 'no such path'}}, status)
+
+    def add(self, method: str, prefix: str, handler: Handler) -> None:
+        """
+        Add a handler; `*` stands for any method.
+        """
+        self._handlers.append((method, prefix, handler))
+        self._handlers.sort(key=lambda entry: -len(entry[1]))
+
+
+def _matches(prefix: str, path: str) -> bool:
+    if prefix.endswith('/'):
+        return path.startswith(prefix)
+    return path == prefix
+
+
+class WebServer:
+    """
+    Serves a handler on an address from a pool of threads.
+
+    :param address: `IP:PORT`; port 0 takes a free one.
+    :param threads: concurrent requests.
+    """
+
+    def __init__(
+        self,
+        address: str,
+        handler: Handler,
+        threads: int = 16,
+        max_body: int = MAX_BODY_BYTES,
+    ) -> None:
+        self._handler = handler
+        self._max_body = max_body
+        host, _, port = address.rpartition(':')
+        self._server = Server(
+            (host, int(port)),
+            self._wsgi,
+            numthreads=threads,
+            server_name='mallowcrank',
+            request_queue_size=512,
+        )
+        self._thread: threading.Thread | None = None
+
+    @property
+    def address(self) -> str:
+        """
+        Return the address that is served.
+        """
+        host, port = self._server.bind_addr[:2]
+        return f'{host}:{port}'
+
+    def start(self) -> None:
+        """
+        Bind the address and serve in a thread.
+
+        :raises OSError: when the address can't be bound.
+        """
+        self._server.prepare()
+        self._thread = threading.Thread(target=self._server.serve, daemon=True)
+        self._thread.start()
+
+    def stop(self) -> None:
+        """
+        Stop accepting, let requests in flight finish, and close.
+        """
+        self._server.stop()
+
+    def _wsgi(
+        self, environ: dict[str, Any], start_response: Callable[..., Any]
+    ) -> Iterable[bytes]:
+        response = self._handler(self._read(environ))
+        start_response(_status_line(response.status), list(response.headers))
+        if isinstance(response.body, bytes):
+            return [response.body]
+        return response.body
+
+    def _read(self, environ: dict[str, Any]) -> Request:
+        length = int(environ.get('CONTENT_LENGTH') or 0)
+        too_large = length > self._max_body
+        body = b''
+        if not too_large:
+            body = environ['wsgi.input'].read(self._max_body + 1)
+            too_large = len(body) > self._max_body
+        return Request(
+            method=environ['REQUEST_METHOD'],
+            path=environ['PATH_INFO'],
+            query=dict(parse_qsl(environ.get('QUERY_STRING', ''))),
+            headers=_headers(environ),
+            body=b'' if too_large else body,
+            too_large=too_large,
+        )
+
+
+def _headers(environ: Mapping[str, Any]) -> dict[str, str]:
+    headers = {
+        name[5:].replace('_', '-').lower(): given
+        for name, given in environ.items()
+        if name.startswith('HTTP_')
+    }
+    headers['content-type'] = environ.get('CONTENT_TYPE', '')
+    return headers
+
+
+def _status_line(status: int) -> str:
+    return f'{status} {HTTPStatus(status).phrase}'
--- /dev/null
+++ b/mallowcrank/wire.py
@@ -0,0 +1,93 @@
+"""
+Authenticated msgpack frames between the system's own processes.
+
+A frame is one msgpack array: key number, MAC, body. The body is a msgpack map
+with a `type`. Two keys may be in force at a time, so that keys rotate.
+"""
+
+import hashlib
+import hmac
+from collections.abc import Iterator, Mapping
+from dataclasses import dataclass, field
+from typing import Any
+
+import msgpack
+
+MAX_FRAME_BYTES = 64 * 1024 * 1024
+MAC_BYTES = 16
+
+
+class BadFrameError(Exception):
+    """
+    A frame is malformed, too large, or not authentic.
+    """
+
+
+@dataclass(frozen=True)
+class KeyRing:
+    """
+    The shared keys of peers.
+
+    :param current: the number of the key that signs.
+    :param keys: key bytes by number; frames signed by any are accepted.
+    """
+
+    current: int = 0
+    keys: Mapping[int, bytes] = field(default_factory=lambda: {0: b''})
+
+    def sign(self, body: bytes) -> tuple[int, bytes]:
+        """
+        Return the key's number and the MAC of a body.
+        """
+        return self.current, _mac(self.keys[self.current], body)
+
+    def verify(self, number: int, mac: bytes, body: bytes) -> bool:
+        """
+        Tell whether a body was signed with one of the keys.
+        """
+        key = self.keys.get(number)
+        return key is not None and hmac.compare_digest(_mac(key, body), mac)
+
+
+def _mac(key: bytes, body: bytes) -> bytes:
+    return hashlib.blake2b(body, key=key, digest_size=MAC_BYTES).digest()
+
+
+def pack_frame(body: Mapping[str, Any], keys: KeyRing) -> bytes:
+    """
+    Encode one message.
+    """
+    packed = msgpack.packb(body)
+    number, mac = keys.sign(packed)
+    return msgpack.packb((number, mac, packed))
+
+
+class FrameReader:
+    """
+    Turns received bytes into message bodies.
+    """
+
+    def __init__(self, keys: KeyRing) -> None:
+        self._keys = keys
+        self._unpacker = msgpack.Unpacker(max_buffer_size=MAX_FRAME_BYTES)
+
+    def feed(self, received: bytes) -> Iterator[dict[str, Any]]:
+        """
+        Take in bytes; yield each body that is whole.
+
+        :raises BadFrameError: when the peer's bytes can't be trusted.
+        """
+        try:
+            self._unpacker.feed(received)
+        except msgpack.BufferFull as error:
+            raise BadFrameError('the frame is too large') from error
+        for frame in self._unpacker:
+            yield self._open(frame)
+
+    def _open(self, frame: Any) -> dict[str, Any]:
+        if not isinstance(frame, list) or len(frame) != 3:
+            raise BadFrameError('the frame is malformed')
+        number, mac, packed = frame
+        if not self._keys.verify(number, mac, packed):
+            raise BadFrameError('the frame is not authentic')
+        return msgpack.unpackb(packed)
--- /dev/null
+++ b/scripts/__init__.py
@@ -0,0 +1,3 @@
+"""
+Scripts that start the programs as plain processes, for demo, bench and tests.
+"""
--- /dev/null
+++ b/scripts/fleet.py
@@ -0,0 +1,186 @@
+"""
+Starts the programs as processes on loopback addresses of their own.
+
+Every fleet has a network 127.A.B.0/24 of its own, so that fleets that run at
+the same time never share an address. Hosts are numbered in it.
+"""
+
+import json
+import os
+import signal
+import subprocess
+import sys
+import tempfile
+import time
+from collections.abc import Mapping
+from pathlib import Path
+from typing import Any, Self
+
+from mallowcrank.calls import HttpCaller
+from mallowcrank.ports import Failure
+
+START_LIMIT_S = 20
+STOP_LIMIT_S = 30
+POLL_S = 0.05
+NETWORK_SIZE = 250  # values of one byte of the address that are used
+ROOT = Path(__file__).resolve().parent.parent
+
+
+class Process:
+    """
+    One running program.
+    """
+
+    def __init__(self, name: str, words: list[str], log: Path) -> None:
+        self.name = name
+        self.log = log
+        with log.open('ab') as out:
+            self._popen = subprocess.Popen(
+                [sys.executable, '-m', 'mallowcrank', *words],
+                cwd=ROOT,
+                stdout=out,
+                stderr=subprocess.STDOUT,
+            )
+
+    @property
+    def status(self) -> int | None:
+        """
+        Return the exit status, or `None` while the process runs.
+        """
+        return self._popen.poll()
+
+    def kill(self) -> None:
+        """
+        Crash the process.
+        """
+        self._popen.kill()
+        self._popen.wait(STOP_LIMIT_S)
+
+    def pause(self) -> None:
+        """
+        Freeze the process.
+        """
+        self._popen.send_signal(signal.SIGSTOP)
+
+    def resume(self) -> None:
+        """
+        Let a frozen process go on.
+        """
+        self._popen.send_signal(signal.SIGCONT)
+
+    def terminate(self) -> None:
+        """
+        Ask for a graceful stop.
+        """
+        self._popen.send_signal(signal.SIGTERM)
+
+    def wait(self, limit_s: float = STOP_LIMIT_S) -> int:
+        """
+        Wait for the end and return the exit status.
+        """
+        return self._popen.wait(limit_s)
+
+
+class Fleet:
+    """
+    The processes of one run; stops them all at the end.
+    """
+
+    def __init__(self) -> None:
+        number = os.getpid()
+        first = 1 + number % NETWORK_SIZE
+        second = 1 + number // NETWORK_SIZE % NETWORK_SIZE
+        self._network = f'127.{first}.{second}'
+        self._folder = tempfile.TemporaryDirectory(prefix='mallowcrank-')
+        self._processes: dict[str, Process] = {}
+
+    def __enter__(self) -> Self:
+        return self
+
+    def __exit__(self, *_: object) -> None:
+        self.close()
+
+    @property
+    def folder(self) -> Path:
+        """
+        Return the folder of logs and traces; it goes with the fleet.
+        """
+        return Path(self._folder.name)
+
+    def ip(self, number: int) -> str:
+        """
+        Return the address of a numbered host.
+        """
+        return f'{self._network}.{number}'
+
+    def start(self, name: str, *words: str) -> Process:
+        """
+        Start a program.
+
+        :param name: a name for the process in this fleet.
+        :param words: the program (`router`, `agent`, `standin`) and its flags.
+        """
+        process = Process(name, list(words), self.folder / f'{name}.log')
+        self._processes[name] = process
+        return process
+
+    def get(self, name: str) -> Process:
+        """
+        Return a process by name.
+        """
+        return self._processes[name]
+
+    def close(self) -> None:
+        """
+        Stop all processes, gracefully where they still can.
+        """
+        running = [
+            process
+            for process in reversed(self._processes.values())
+            if process.status is None
+        ]
+        for process in running:
+            process.resume()
+            process.terminate()
+        for process in running:
+            _stop(process)
+        self._folder.cleanup()
+
+
+def _stop(process: Process) -> None:
+    try:
+        process.wait()
+    except subprocess.TimeoutExpired:
+        process.kill()
+
+
+def get_json(address: str, path: str, limit_s: float = START_LIMIT_S) -> Any:
+    """
+    Ask an address for JSON until it answers.
+
+    :raises TimeoutError: when it doesn't within the limit.
+    """
+    caller = HttpCaller(address)
+    end = time.monotonic() + limit_s
+    while time.monotonic() < end:
+        reply = caller.call('GET', path, timeout_s=1)
+        if not isinstance(reply, Failure) and reply.status == 200:
+            return json.loads(reply.body)
+        time.sleep(POLL_S)
+    raise TimeoutError(f'{address}{path} did not answer in {limit_s} s')
+
+
+def post_json(address: str, path: str, payload: Mapping[str, Any]) -> Any:
+    """
+    Post JSON and return the answer's JSON.
+
+    :raises ConnectionError: when there is no answer of status 200.
+    """
+    reply = HttpCaller(address).call(
+        'POST', path, json.dumps(payload).encode(), timeout_s=10
+    )
+    if isinstance(reply, Failure):
+        raise ConnectionError(f'{address}{path}: {reply.reason}')
+    if reply.status != 200:
+        raise ConnectionError(f'{address}{path}: {reply.status} {reply.body!r}')
+    return json.loads(reply.body or b'null')
--- /dev/null
+++ b/tests/__init__.py
@@ -0,0 +1,3 @@
+"""
+Tests: one flat module a subject.
+"""
--- /dev/null
+++ b/tests/utils/__init__.py
@@ -0,0 +1,3 @@
+"""
+Helpers that several tests share.
+"""
