Pass routers' demand on to each other

Cause: limits across routers are shared by demand, and a router must hear what its peers' callers ask for. Change: Peer.demand, bounded to 32 workspaces, emptied for a peer that is not heard. Nothing measured yet.

--- a/mallowcrank/view.py
+++ b/mallowcrank/view.py
@@ -6,6 +6,8 @@
 from dataclasses import dataclass, field
 from enum import StrEnum, unique
 
+MAX_DEMANDS = 32  # workspaces in one router's demand
+
 
 @unique
 class TargetKind(StrEnum):
@@ -132,6 +134,10 @@
     :param address: `IP:PORT` of its callers' interface.
     :param incarnation: changes with each start.
     :param load: streams and calls in flight, as last reported.
+    :param demand: the workspaces that it uses most, at most
+        `MAX_DEMANDS` of them, each with the part of the workspace's limits
+        that the router's callers ask for (1 is all of them). Empty when the
+        agents can't hear the peer.
     """
 
     name: str
@@ -140,6 +146,7 @@
     incarnation: str
     leaving: bool = False
     load: int = 0
+    demand: Mapping[str, float] = field(default_factory=dict)
 
 
 @dataclass(frozen=True)
