--- /dev/null
+++ b/mallowcrank/fairness/__init__.py
@@ -0,0 +1,3 @@
+"""
+Fair queues along the tree of root, branches and workspaces.
+"""
--- /dev/null
+++ b/mallowcrank/limits/__init__.py
@@ -0,0 +1,3 @@
+"""
+Workspaces' limits, shared between routers.
+"""
--- /dev/null
+++ b/mallowcrank/overload/__init__.py
@@ -0,0 +1,3 @@
+"""
+Adaptive concurrency, retry budgets, ejection and slow start.
+"""
--- /dev/null
+++ b/mallowcrank/policy/__init__.py
@@ -0,0 +1,3 @@
+"""
+The router's admission and route policies.
+"""
--- /dev/null
+++ b/mallowcrank/routing/__init__.py
@@ -0,0 +1,3 @@
+"""
+Placement, the throughput bound, and the choice of paths and replicas.
+"""
--- /dev/null
+++ b/tests/test_placement.py
@@ -0,0 +1,187 @@
+"""
+Placement, planned overlap and the throughput bound, against brute force.
+"""
+
+from itertools import product
+from math import inf
+from random import Random
+from unittest import TestCase
+
+from mallowcrank.routing.bound import BoundEngine, throughput_bound
+from mallowcrank.routing.overlap import plan_overlap, survivable
+from mallowcrank.routing.placement import (
+    AcceleratorClass,
+    Links,
+    NoPlan,
+    split_layers,
+)
+
+LINKS = Links(0.5, {('a', 'b'): 2, ('b', 'a'): 5}, 50)
+
+
+def random_classes(random):
+    return [
+        AcceleratorClass(
+            name=f'k{number}',
+            availability_zone=random.choice('ab'),
+            count=random.randint(0, 2),
+            layer_ms=random.choice((0.5, 1, 1.5, 4)),
+            memory_layers=random.randint(1, 5),
+        )
+        for number in range(2)
+    ]
+
+
+def slowest_of_all(layers, classes, before=None, used=()):
+    """
+    Try every split over every order of accelerators.
+    """
+    if layers == 0:
+        return 0
+    best = inf
+    for kind in classes:
+        if used.count(kind.name) == kind.count:
+            continue
+        for taken in range(1, min(layers, kind.memory_layers) + 1):
+            mine = LINKS.transfer_ms(before, kind) + taken * kind.layer_ms
+            rest = slowest_of_all(
+                layers - taken, classes, kind, (*used, kind.name)
+            )
+            best = min(best, max(mine, rest))
+    return best
+
+
+def max_flow(layers, engines):
+    """
+    Augmenting paths over the graph of layers, one unit at a time.
+    """
+    left = {engine.name: round(engine.tokens_per_s) for engine in engines}
+    residual = {}
+    for engine in engines:
+        ports = (f'{engine.name}<', f'{engine.name}>')
+        residual[ports] = left[engine.name]
+        residual[(ports[1], engine.last_layer + 1)] = 10**6
+        for layer in range(engine.first_layer, engine.last_layer + 1):
+            residual[(layer, ports[0])] = 10**6
+    flow = 0
+    while augment(residual, layers):
+        flow += 1
+    return flow
+
+
+def augment(residual, sink):
+    came = {0: None}
+    queue = [0]
+    for node in queue:
+        for (start, end), room in residual.items():
+            if start == node and room > 0 and end not in came:
+                came[end] = node
+                queue.append(end)
+    node = sink
+    while node in came and came[node] is not None:
+        edge = (came[node], node)
+        residual[edge] -= 1
+        back = (node, came[node])
+        residual[back] = residual.get(back, 0) + 1
+        node = came[node]
+    return sink in came
+
+
+class TestSplitLayers(TestCase):
+    def test_as_fast_as_the_best_of_all_splits(self):
+        random = Random(20)
+        for _ in range(60):
+            classes = random_classes(random)
+            layers = random.randint(1, 9)
+            best = slowest_of_all(layers, classes)
+            plan = split_layers(layers, classes, LINKS)
+            with self.subTest(classes=classes, layers=layers):
+                if isinstance(plan, NoPlan):
+                    self.assertEqual(best, inf)
+                else:
+                    self.assertAlmostEqual(plan.slowest_ms, best)
+                    self.assertEqual(plan.stages[-1].last_layer, layers - 1)
+
+    def test_slow_link_is_passed_only_when_memory_asks_for_it(self):
+        near = AcceleratorClass('near', 'a', 2, 2, 8)
+        far = AcceleratorClass('far', 'c', 2, 1, 8)
+        plan = split_layers(12, [near, far], LINKS)
+        self.assertEqual({stage.kind for stage in plan.stages}, {'far'})
+        plan = split_layers(20, [near, far], LINKS)
+        self.assertEqual({stage.kind for stage in plan.stages}, {'near', 'far'})
+
+
+class TestOverlap(TestCase):
+    def test_each_loss_is_survived_where_neighbours_have_the_memory(self):
+        random = Random(21)
+        for _ in range(200):
+            sizes = [random.randint(1, 3) for _ in range(4)]
+            spares = [random.randint(0, 4) for _ in sizes]
+            firsts = [sum(sizes[:index]) for index in range(4)]
+            stages = [
+                (first, first + size - 1, size + spare)
+                for first, size, spare in zip(
+                    firsts, sizes, spares, strict=True
+                )
+            ]
+            with self.subTest(stages=stages):
+                if self._neighbours_can(sizes, spares):
+                    self.assertTrue(all(survivable(plan_overlap(stages))))
+
+    def test_memory_is_never_passed(self):
+        held = plan_overlap([(0, 3, 8), (4, 7, 6), (8, 11, 4)])
+        for stage in held:
+            self.assertLessEqual(
+                stage.held_last - stage.held_first + 1, stage.memory_layers
+            )
+
+    def _neighbours_can(self, sizes, spares):
+        choices = product(*(range(spare + 1) for spare in spares))
+        return any(
+            self._covers_losses(sizes, spares, lefts) for lefts in choices
+        )
+
+    def _covers_losses(self, sizes, spares, lefts):
+        rights = [
+            spare - left for spare, left in zip(spares, lefts, strict=True)
+        ]
+        from_left = [0, *rights[:-1]]
+        from_right = [*lefts[1:], 0]
+        return all(
+            before + after >= size
+            for size, before, after in zip(
+                sizes, from_left, from_right, strict=True
+            )
+        )
+
+
+class TestBound(TestCase):
+    def test_equals_the_maximum_flow_over_overlapping_ranges(self):
+        random = Random(22)
+        for _ in range(40):
+            layers = random.randint(1, 5)
+            engines = []
+            for number in range(random.randint(1, 6)):
+                first = random.randrange(layers)
+                last = random.randrange(first, layers)
+                rate = random.randint(1, 4)
+                engines.append(
+                    BoundEngine(f'e{number}', first, last, 1000, rate)
+                )
+            with self.subTest(engines=engines):
+                self.assertEqual(
+                    round(throughput_bound(layers, engines).tokens_per_s),
+                    max_flow(layers, engines),
+                )
+
+    def test_names_the_limiting_engines(self):
+        bound = throughput_bound(
+            4,
+            [
+                BoundEngine('slow', 0, 1, 10, 4, 1),
+                BoundEngine('fast', 2, 3, 5, 4, 1),
+            ],
+        )
+        self.assertEqual(bound.tokens_per_s, 400)
+        self.assertEqual(bound.limiting, ('slow',))
+        self.assertEqual(bound.token_ms, 17)
