Give steps a priority and reports a demand

Cause: engines honour priorities, so that a caller's own wish passed on to them could undo the fair queue; and peers need to hear the demand. Change: AdmissionPort.step_priority and AdmissionPort.demands.

--- a/mallowcrank/router/ports.py
+++ b/mallowcrank/router/ports.py
@@ -2,6 +2,7 @@
 The ports inside the router, between the request path and its policies.
 """
 
+from collections.abc import Mapping
 from dataclasses import dataclass
 from typing import Protocol
 
@@ -49,6 +50,19 @@
         :param tokens: what it really cost.
         """
 
+    def step_priority(self, ticket: Ticket) -> int:
+        """
+        Return the priority for a request's steps on engines.
+
+        It follows the branches' shares, never the caller's own wish, so that
+        the engines' order can't undo the fairness.
+        """
+
+    def demands(self) -> Mapping[str, float]:
+        """
+        Return the demand by workspace for the report to the agent.
+        """
+
     def apply_view(self, view: View) -> None:
         """
         Take over new settings and targets.
