--- /dev/null
+++ b/mallowcrank/limits/ledger.py
@@ -0,0 +1,170 @@
+"""
+The limits of all workspaces, as far as this router gives them out.
+"""
+
+from collections.abc import Mapping
+from dataclasses import dataclass
+
+from mallowcrank.limits.bucket import Bucket, depth
+from mallowcrank.limits.demand import DemandMeter
+from mallowcrank.limits.shares import (
+    Asked,
+    Hearing,
+    demands_to_report,
+    granted_part,
+)
+from mallowcrank.view import WorkspaceSettings
+
+IDLE_S = 60  # until a workspace without requests is forgotten
+STREAM_RETRY_S = 1
+
+
+@dataclass(frozen=True, slots=True)
+class OverLimit:
+    """
+    The sentinel for a request that passes a limit.
+
+    :param limit: which one, in words for the caller.
+    :param wait_s: seconds until it may pass.
+    """
+
+    limit: str
+    wait_s: float
+
+
+@dataclass(slots=True)
+class _Account:
+    requests: Bucket
+    tokens: Bucket
+    meter: DemandMeter
+    streams: int = 0
+
+
+class Ledger:
+    """
+    Takes requests out of the workspaces' limits.
+    """
+
+    def __init__(self) -> None:
+        self._accounts: dict[str, _Account] = {}
+        self._others: Mapping[str, float] = {}
+        self._hearing = Hearing(1, heard=True)
+
+    # Queries
+
+    def __len__(self) -> int:
+        """
+        Return the count of workspaces with a state.
+        """
+        return len(self._accounts)
+
+    def demands(self, now: float) -> dict[str, float]:
+        """
+        Return the demands to report to the agent.
+        """
+        asked: dict[str, float] = {}
+        for name, account in self._accounts.items():
+            account.meter.roll(now)
+            asked[name] = account.meter.now
+        return demands_to_report(asked, self._hearing.routers)
+
+    def granted(self, workspace: str) -> float:
+        """
+        Return the part of a workspace's limits that is granted here.
+        """
+        others = self._others.get(workspace, 0)
+        account = self._accounts.get(workspace)
+        if account is None:
+            return granted_part(Asked(others=others), self._hearing)
+        meter = account.meter
+        asked = Asked(meter.now, meter.settled, others)
+        return granted_part(asked, self._hearing)
+
+    # Commands
+
+    def hear(self, hearing: Hearing, others: Mapping[str, float]) -> None:
+        """
+        Take over what is known of the peers.
+
+        :param others: by workspace, the sum of the peers' demands.
+        """
+        self._hearing = hearing
+        self._others = others
+
+    def take(
+        self, workspace: WorkspaceSettings, tokens: int, now: float
+    ) -> OverLimit | None:
+        """
+        Take one request and its estimated tokens out of the limits.
+        """
+        account = self._account(workspace, now)
+        account.meter.add(_part(workspace, account, tokens), now)
+        granted = self.granted(workspace.name)
+        passed = _check(workspace, account, granted, now)
+        if passed is None:
+            account.requests.left -= 1
+            account.tokens.left -= tokens
+            account.streams += 1
+        return passed
+
+    def give_back(self, workspace: str, unused_tokens: int) -> None:
+        """
+        End a stream and settle its tokens; a negative number takes more.
+        """
+        account = self._accounts.get(workspace)
+        if account is not None:
+            account.streams -= 1
+            account.tokens.left += unused_tokens
+
+    def forget_idle(self, now: float) -> None:
+        """
+        Forget workspaces that have had no request for a while.
+        """
+        idle = [
+            name
+            for name, account in self._accounts.items()
+            if not account.streams and now - account.requests.updated > IDLE_S
+        ]
+        for name in idle:
+            self._accounts.pop(name)
+
+    def _account(self, workspace: WorkspaceSettings, now: float) -> _Account:
+        known = self._accounts.get(workspace.name)
+        if known is None:
+            part = self.granted(workspace.name)
+            known = _Account(
+                requests=Bucket(depth(workspace.request_rate * part), now),
+                tokens=Bucket(depth(workspace.token_rate * part), now),
+                meter=DemandMeter(now),
+            )
+            self._accounts[workspace.name] = known
+        return known
+
+
+def _part(
+    workspace: WorkspaceSettings, account: _Account, tokens: int
+) -> float:
+    streams = 0
+    if not account.meter.running:
+        streams = account.streams / max(1, workspace.streams)
+    return max(
+        1 / max(workspace.request_rate, 0.001),
+        tokens / max(workspace.token_rate, 0.001),
+        streams,
+    )
+
+
+def _check(
+    workspace: WorkspaceSettings, account: _Account, part: float, now: float
+) -> OverLimit | None:
+    request_rate = workspace.request_rate * part
+    token_rate = workspace.token_rate * part
+    account.requests.refill(request_rate, now)
+    account.tokens.refill(token_rate, now)
+    if account.streams >= max(1, workspace.streams * part):
+        return OverLimit('concurrent streams', STREAM_RETRY_S)
+    if account.requests.left < 1:
+        wait_s = (1 - account.requests.left) / max(request_rate, 0.001)
+        return OverLimit('requests a second', wait_s)
+    wait_s = account.tokens.wait_s(token_rate)
+    return OverLimit('tokens a second', wait_s) if wait_s else None
--- /dev/null
+++ b/mallowcrank/limits/shares.py
@@ -0,0 +1,84 @@
+"""
+Which part of a workspace's limits each router may give out.
+
+Every router is silently granted a small part, so that few of them need to be
+heard of. The rest goes to the routers that report demand, in proportion. A
+demand counts for its own router only once its peers have had time to hear of
+it; until then the router may give out an even share. A grant lasts only as
+long as the agents are heard; without them, each router falls back to an even
+share among the most routers that it has known.
+"""
+
+from collections.abc import Mapping
+from dataclasses import dataclass
+
+from mallowcrank.view import MAX_DEMANDS
+
+SILENT_PART = 0.2  # of a limit, split evenly between all routers
+SETTLED_S = 2  # seconds until all peers have heard of a demand
+REPORT_ABOVE = 0.5  # of the silent grant; less demand is not reported
+
+
+@dataclass(frozen=True, slots=True)
+class Hearing:
+    """
+    What a router hears of its peers.
+
+    :param routers: how many routers there are, itself included; where they
+        can't be heard, the most that it has known.
+    :param heard: whether its peers can be heard.
+    """
+
+    routers: int
+    heard: bool
+
+
+@dataclass(frozen=True, slots=True)
+class Asked:
+    """
+    What callers ask for, in parts of a workspace's limits (1 is all).
+
+    :param now: of this router, lately.
+    :param settled: of this router, heard of by its peers.
+    :param others: the sum that the peers report.
+    """
+
+    now: float = 0
+    settled: float = 0
+    others: float = 0
+
+
+def granted_part(asked: Asked, hearing: Hearing) -> float:
+    """
+    Return the part of a limit that this router may give out.
+    """
+    even = 1 / max(1, hearing.routers)
+    if not hearing.heard or hearing.routers <= 1:
+        return even
+    floor = report_floor(hearing.routers)
+    settled = asked.settled if asked.settled > floor else 0
+    if not settled + asked.others:
+        return even
+    granted = SILENT_PART * even
+    granted += (1 - SILENT_PART) * settled / (settled + asked.others)
+    is_new = asked.now > max(floor, 2 * settled)
+    return max(granted, even) if is_new else granted
+
+
+def report_floor(routers: int) -> float:
+    """
+    Return the demand below which a router does not report.
+    """
+    return REPORT_ABOVE * SILENT_PART / max(1, routers)
+
+
+def demands_to_report(
+    demands: Mapping[str, float], routers: int
+) -> dict[str, float]:
+    """
+    Return the greatest demands that pass the floor.
+    """
+    floor = report_floor(routers)
+    above = [(asked, name) for name, asked in demands.items() if asked > floor]
+    above.sort(reverse=True)
+    return {name: round(asked, 4) for asked, name in above[:MAX_DEMANDS]}
--- /dev/null
+++ b/mallowcrank/overload/retries.py
@@ -0,0 +1,39 @@
+"""
+Retry budgets: retries are a part of the first tries, whatever fails.
+"""
+
+from dataclasses import dataclass
+
+RETRIES_PER_TRY = 0.1
+BURST = 10  # retries that a quiet pool may spend at once
+REFILL_PER_S = 1  # so that a pool with few calls can retry
+
+
+@dataclass(slots=True)
+class RetryBudget:
+    """
+    The retries that one pool of targets may still spend.
+
+    :param updated: steady time of the last refill, in seconds.
+    """
+
+    updated: float
+    left: float = BURST
+
+    def tried(self) -> None:
+        """
+        Take in a first try.
+        """
+        self.left = min(BURST, self.left + RETRIES_PER_TRY)
+
+    def spend(self, now: float) -> bool:
+        """
+        Spend one retry, where one is left.
+        """
+        refill = (now - self.updated) * REFILL_PER_S
+        self.left = min(BURST, self.left + max(0, refill))
+        self.updated = now
+        if self.left < 1:
+            return False
+        self.left -= 1
+        return True
--- a/mallowcrank/routing/bound.py
+++ b/mallowcrank/routing/bound.py
@@ -1,20 +1,24 @@
 """
 The throughput bound of a model over engines with overlapping layer ranges.
 
-An engine may run any part of its range, so tokens that reached layer `p` may
-take any engine that holds `p`. By max-flow min-cut the bound is the smallest
-sum, over all layers, of the rates of the engines that hold the layer: a set of
-places that is closed towards the first layer is a prefix, and the engines that
-leave a prefix are those that hold its border layer. It is exact, in
-O(engines + layers).
+An engine may run any part of its range and spends time in proportion. So each
+engine has a budget of layers a second, and each layer of the model needs the
+same rate. By Hall's condition the bound is the smallest ratio, over all sets
+of layers, of the budgets of the engines that hold some of them to the size of
+the set. Engines that hold none of a set lie within the gaps between its
+layers, so that the worst set for a given rate is found by dynamic programming
+over the gaps. Starting above the bound, each round lowers the rate to the
+ratio of the worst set, until no set is worse (Dinkelbach's method). It is
+exact: O(rounds * layers * layers + engines), with few rounds.
 """
 
 from collections.abc import Sequence
 from dataclasses import dataclass
-from itertools import accumulate, repeat
+from itertools import pairwise, repeat
 from math import inf
 
 MS_PER_S = 1000
+ROUNDING = 1e-9  # relative, of rates that are compared
 
 
 @dataclass(frozen=True, slots=True)
@@ -22,8 +26,8 @@
     """
     One engine, as the bound sees it. Layers are inclusive.
 
-    :param step_ms: milliseconds of a batch of up to `slots` streams; larger
-        batches take `step_ms * batch / slots`.
+    :param step_ms: milliseconds of a batch of up to `slots` streams through
+        all layers held; larger batches take `step_ms * batch / slots`.
     :param link_ms: round trip between router and engine, in milliseconds.
     :param link_tokens_per_s: tokens a second that its link carries.
     """
@@ -37,12 +41,42 @@
     link_tokens_per_s: float = inf
 
     @property
-    def tokens_per_s(self) -> float:
+    def layers(self) -> int:
         """
-        Return the rate at full batches.
+        Return how many layers it holds.
         """
-        rate = self.slots * MS_PER_S / max(self.step_ms, 0.001)
-        return min(rate, self.link_tokens_per_s)
+        return self.last_layer - self.first_layer + 1
+
+    @property
+    def layers_per_s(self) -> float:
+        """
+        Return the layers that it runs in a second, over full batches.
+        """
+        rate = self.slots * MS_PER_S / max(self.step_ms, ROUNDING)
+        return self.layers * min(rate, self.link_tokens_per_s)
+
+
+@dataclass(frozen=True, slots=True)
+class Work:
+    """
+    What requests are like on average.
+
+    :param prompt_units: what a prompt costs beyond its first new token, in
+        steps of one token, after what caches save.
+    :param answer_tokens: tokens of an answer.
+    :param streams: concurrent streams; few of them can't fill the engines.
+    """
+
+    prompt_units: float = 0
+    answer_tokens: float = 1
+    streams: float = inf
+
+    @property
+    def units_per_token(self) -> float:
+        """
+        Return the steps that one generated token costs.
+        """
+        return 1 + self.prompt_units / self.answer_tokens
 
 
 @dataclass(frozen=True, slots=True)
@@ -51,73 +85,147 @@
     What a set of engines can reach at most.
 
     :param tokens_per_s: generated tokens a second, over all streams.
-    :param limiting_layer: the first layer that limits, or -1 for no layers.
-    :param limiting: names of the engines that hold it.
+    :param limiting_layers: the layers that limit.
+    :param limiting: names of the engines that hold any of them.
     :param token_ms: milliseconds of one token on the fastest idle path;
         infinite where no path covers the layers.
-    :param streams: concurrent streams that reach the bound, by Little's law.
+    :param full_streams: concurrent streams that reach the bound, by Little's
+        law.
     """
 
     tokens_per_s: float
-    limiting_layer: int
+    limiting_layers: tuple[int, ...]
     limiting: tuple[str, ...]
     token_ms: float
-    streams: float
+    full_streams: float
 
 
 def throughput_bound(
-    layers: int, engines: Sequence[BoundEngine], streams: float = inf
+    layers: int, engines: Sequence[BoundEngine], work: Work | None = None
 ) -> Bound:
     """
     Compute the bound.
 
     :param layers: the model's count of layers.
-    :param streams: concurrent streams; few of them can't fill the engines.
     """
-    rates = layer_rates(layers, engines)
-    if not rates:
-        return Bound(0, -1, (), inf, 0)
-    slowest = min(rates)
-    layer = rates.index(slowest)
+    asked = work or Work()
     token_ms = fastest_token_ms(layers, engines)
+    if token_ms == inf:
+        return Bound(0, (), (), inf, 0)
+    rate, limiting = _limiting_set(layers, engines)
+    streams_rate = asked.streams * MS_PER_S / token_ms
     return Bound(
-        tokens_per_s=min(slowest, streams * MS_PER_S / token_ms),
-        limiting_layer=layer,
+        tokens_per_s=min(rate / asked.units_per_token, streams_rate),
+        limiting_layers=limiting,
         limiting=tuple(
-            engine.name
-            for engine in engines
-            if engine.first_layer <= layer <= engine.last_layer
+            engine.name for engine in engines if _holds_any(engine, limiting)
         ),
         token_ms=token_ms,
-        streams=slowest * token_ms / MS_PER_S if slowest else 0,
+        full_streams=rate * token_ms / MS_PER_S,
     )
 
 
-def layer_rates(layers: int, engines: Sequence[BoundEngine]) -> list[float]:
-    """
-    Return for each layer the sum of the rates of its engines.
-    """
-    changes = list(repeat(float(0), layers + 1))
-    held = list(repeat(0, layers + 1))
-    for engine in engines:
-        end = min(engine.last_layer + 1, layers)
-        changes[engine.first_layer] += engine.tokens_per_s
-        changes[end] -= engine.tokens_per_s
-        held[engine.first_layer] += 1
-        held[end] -= 1
-    pairs = zip(accumulate(changes), accumulate(held), strict=True)
-    return [rate if count else float(0) for rate, count in pairs][:layers]
-
-
 def fastest_token_ms(layers: int, engines: Sequence[BoundEngine]) -> float:
     """
     Return the time of one token on the fastest path of idle engines.
     """
     best = list(repeat(inf, layers + 1))
     best[0] = 0
-    for engine in sorted(engines, key=lambda each: each.last_layer):
-        end = min(engine.last_layer + 1, layers)
-        reached = min(best[engine.first_layer : end], default=inf)
-        taken = reached + engine.step_ms + engine.link_ms
-        best[end] = min(best[end], taken)
+    running: dict[str, float] = {}
+    for layer in range(layers):
+        running = {
+            engine.name: _layer_done(engine, best[layer], running)
+            for engine in engines
+            if engine.first_layer <= layer <= engine.last_layer
+        }
+        best[layer + 1] = min(running.values(), default=inf)
     return best[layers]
+
+
+def _layer_done(
+    engine: BoundEngine, reached: float, running: dict[str, float]
+) -> float:
+    entered = min(reached + engine.link_ms, running.get(engine.name, inf))
+    return entered + engine.step_ms / engine.layers
+
+
+def _holds_any(engine: BoundEngine, layers: Sequence[int]) -> bool:
+    return any(
+        engine.first_layer <= layer <= engine.last_layer for layer in layers
+    )
+
+
+def _limiting_set(
+    layers: int, engines: Sequence[BoundEngine]
+) -> tuple[float, tuple[int, ...]]:
+    inside = _budgets_inside(layers, engines)
+    total = sum(engine.layers_per_s for engine in engines)
+    rate = total / layers
+    limiting = tuple(range(layers))
+    while True:
+        worst = _worst_set(layers, inside, rate)
+        held = total - _inside_gaps(layers, inside, worst)
+        lower = held / len(worst) if worst else rate
+        if lower >= rate * (1 - ROUNDING):
+            return rate, limiting
+        rate, limiting = lower, worst
+
+
+def _budgets_inside(
+    layers: int, engines: Sequence[BoundEngine]
+) -> list[list[float]]:
+    """
+    Return the budgets of engines within each gap, by its start and end.
+
+    The end is the first layer after the gap.
+    """
+    size = layers + 1
+    inside = [list(repeat(float(0), size)) for _ in range(size)]
+    for engine in engines:
+        end = min(engine.last_layer + 1, layers)
+        inside[engine.first_layer][end] += engine.layers_per_s
+    for start in range(layers - 1, -1, -1):
+        wider = inside[start + 1]
+        along = float(0)
+        for end in range(start, size):
+            along += inside[start][end]
+            inside[start][end] = along + wider[end]
+    return inside
+
+
+def _worst_set(
+    layers: int, inside: list[list[float]], rate: float
+) -> tuple[int, ...]:
+    """
+    Return the set of layers that lacks most at a rate.
+    """
+    gain = list(repeat(float(0), layers + 1))
+    gap_start = list(range(layers + 1))
+    for end in range(1, layers + 1):
+        gain[end] = gain[end - 1]
+        gap_start[end] = end
+        for start in range(end):
+            saved = inside[start][end] - rate * (end - start)
+            if gain[start] + saved > gain[end]:
+                gain[end] = gain[start] + saved
+                gap_start[end] = start
+    return _outside_gaps(layers, gap_start)
+
+
+def _outside_gaps(layers: int, gap_start: list[int]) -> tuple[int, ...]:
+    chosen: list[int] = []
+    end = layers
+    while end:
+        if gap_start[end] == end:
+            chosen.append(end - 1)
+            end -= 1
+        else:
+            end = gap_start[end]
+    return tuple(reversed(chosen))
+
+
+def _inside_gaps(
+    layers: int, inside: list[list[float]], chosen: tuple[int, ...]
+) -> float:
+    borders = (-1, *chosen, layers)
+    return sum(inside[before + 1][after] for before, after in pairwise(borders))
--- /dev/null
+++ b/mallowcrank/routing/engines.py
@@ -0,0 +1,117 @@
+"""
+Engines by model and layer range, kept up to date by differences.
+"""
+
+from collections.abc import Mapping
+from dataclasses import replace
+from typing import NamedTuple
+
+from mallowcrank.view import Target, TargetKind, TargetState
+
+USABLE = frozenset((TargetState.LIVE, TargetState.SUSPECT))
+
+
+class LayerRange(NamedTuple):
+    """
+    A range of layers, inclusive.
+    """
+
+    first: int
+    last: int
+
+
+class EngineIndex:
+    """
+    The usable targets: engines by model and range, replicas by service.
+
+    Suspect ones are kept: routers judge by their own calls as well.
+    """
+
+    def __init__(self) -> None:
+        self._targets: dict[str, Target] = {}
+        self._engines: dict[str, dict[LayerRange, list[str]]] = {}
+        self._replicas: dict[str, list[str]] = {}
+        self._changed: set[str] = set()
+
+    @property
+    def targets(self) -> Mapping[str, Target]:
+        """
+        Return all targets by name.
+        """
+        return self._targets
+
+    def ranges(self, model: str) -> Mapping[LayerRange, list[str]]:
+        """
+        Return the names of a model's engines by the range that they hold.
+        """
+        return self._engines.get(model, {})
+
+    def replicas(self, service: str) -> list[str]:
+        """
+        Return the names of a service's replicas.
+        """
+        return self._replicas.get(service, [])
+
+    def engines_of(self, model: str) -> tuple[Target, ...]:
+        """
+        Return a model's engines.
+        """
+        return tuple(
+            self._targets[name]
+            for names in self.ranges(model).values()
+            for name in names
+        )
+
+    def apply(self, targets: Mapping[str, Target]) -> frozenset[str]:
+        """
+        Take over the targets of a view.
+
+        :returns: the models and services whose targets changed.
+        """
+        self._changed = set()
+        gone = [name for name in self._targets if name not in targets]
+        for name in gone:
+            self._remove(self._targets.pop(name))
+        for target in targets.values():
+            known = self._targets.get(target.name)
+            if known is not target:
+                self._replace(known, target)
+        return frozenset(self._changed)
+
+    def _replace(self, known: Target | None, target: Target) -> None:
+        self._targets[target.name] = target
+        if known is not None and _place(known) == _place(target):
+            return
+        if known is not None:
+            self._remove(known)
+        if target.state in USABLE:
+            self._names_beside(target).append(target.name)
+            self._changed.add(target.serves)
+
+    def _remove(self, known: Target) -> None:
+        if known.state not in USABLE:
+            return
+        self._changed.add(known.serves)
+        names = self._names_beside(known)
+        names.remove(known.name)
+        if not names and known.kind is TargetKind.ENGINE:
+            self._engines[known.serves].pop(_range_of(known))
+
+    def _names_beside(self, target: Target) -> list[str]:
+        if target.kind is TargetKind.SERVICE:
+            return self._replicas.setdefault(target.serves, [])
+        ranges = self._engines.setdefault(target.serves, {})
+        return ranges.setdefault(_range_of(target), [])
+
+
+def _range_of(target: Target) -> LayerRange:
+    return LayerRange(target.first_layer, target.last_layer)
+
+
+def _place(target: Target) -> Target:
+    """
+    Return a target without what changes often.
+    """
+    usable = target.state in USABLE
+    state = TargetState.LIVE if usable else TargetState.GONE
+    return replace(target, load=0, state=state, address='', incarnation=0)
--- /dev/null
+++ b/mallowcrank/routing/hints.py
@@ -0,0 +1,105 @@
+"""
+Hints on which engines hold which prompt prefixes.
+
+Cache events come late and with gaps, so that a hint is worth a saving and
+nothing depends on it. The table is bounded; the oldest hints go first.
+"""
+
+from collections import OrderedDict
+from collections.abc import Iterable, Sequence
+from dataclasses import dataclass
+
+MAX_HINTS = 65536  # pairs of target and prefix
+DOUBTFUL = 0.5  # worth of a hint that is older than a gap in the events
+
+
+@dataclass(frozen=True, slots=True)
+class CacheEvent:
+    """
+    One of an engine's cache events.
+
+    :param number: grows by one with each event, told or not.
+    :param kind: `stored` or `evicted`.
+    :param prefix: the hash of a prompt's blocks up to one block.
+    """
+
+    number: int
+    kind: str
+    prefix: str
+
+
+class HintTable:
+    """
+    The hints of one router.
+    """
+
+    def __init__(self, capacity: int = MAX_HINTS) -> None:
+        self._capacity = capacity
+        self._hints: OrderedDict[tuple[str, str], int] = OrderedDict()
+        self._next: dict[str, int] = {}
+        self._gap_at: dict[str, int] = {}
+
+    def __len__(self) -> int:
+        """
+        Return the count of hints.
+        """
+        return len(self._hints)
+
+    def next_number(self, target: str) -> int:
+        """
+        Return the number of the first event that is not known yet.
+        """
+        return self._next.get(target, 0)
+
+    def cached_part(self, target: str, prefix: Sequence[str]) -> float:
+        """
+        Return the part of a prompt's blocks that an engine should hold.
+        """
+        worth: float = 0
+        for block in prefix:
+            number = self._hints.get((target, block))
+            if number is None:
+                break
+            doubtful = number < self._gap_at.get(target, 0)
+            worth += DOUBTFUL if doubtful else 1
+        return worth / len(prefix) if prefix else 0
+
+    def sent(self, target: str, prefix: Sequence[str]) -> None:
+        """
+        Expect an engine to hold a prompt that was just sent to it.
+        """
+        number = self.next_number(target)
+        for block in prefix:
+            self._keep(target, block, number)
+
+    def learn(
+        self, target: str, events: Iterable[CacheEvent], next_number: int
+    ) -> None:
+        """
+        Take in events; a gap makes the target's older hints doubtful.
+        """
+        expected = self.next_number(target)
+        for event in events:
+            if event.number > expected and expected:
+                self._gap_at[target] = event.number
+            expected = event.number + 1
+            if event.kind == 'stored':
+                self._keep(target, event.prefix, event.number)
+            else:
+                self._hints.pop((target, event.prefix), None)
+        self._next[target] = max(expected, next_number)
+
+    def forget(self, target: str) -> None:
+        """
+        Drop what is known of the events of a target that restarted.
+
+        Its old hints are doubtful until they age out.
+        """
+        self._gap_at[target] = self._next.pop(target, 0) + 1
+
+    def _keep(self, target: str, block: str, number: int) -> None:
+        key = (target, block)
+        self._hints[key] = number
+        self._hints.move_to_end(key)
+        if len(self._hints) > self._capacity:
+            self._hints.popitem(last=False)
--- /dev/null
+++ b/mallowcrank/routing/path.py
@@ -0,0 +1,116 @@
+"""
+The cheapest path over a model's layers.
+
+Costs are linear in the layers run, and an engine may run any part of its
+range, so that a path changes engines only where some candidate's range begins
+or ends. O(borders * candidates).
+"""
+
+from collections.abc import Sequence
+from dataclasses import dataclass
+from math import inf
+
+from mallowcrank.router.ports import Stage
+
+
+@dataclass(frozen=True, slots=True)
+class Candidate:
+    """
+    An engine that a path may use; its range is inclusive.
+
+    :param enter_ms: cost of going to it: link, and prompt that it must run.
+    :param layer_ms: cost of each layer.
+    """
+
+    target: str
+    incarnation: int
+    first_layer: int
+    last_layer: int
+    enter_ms: float
+    layer_ms: float
+
+
+@dataclass(frozen=True, slots=True)
+class _Run:
+    """
+    A path so far: its cost and its last stage.
+    """
+
+    cost_ms: float
+    candidate: Candidate | None = None
+    first_layer: int = 0
+    before: '_Run | None' = None
+
+
+def cheapest_path(
+    layers: int, candidates: Sequence[Candidate]
+) -> tuple[Stage, ...]:
+    """
+    Return the stages of the cheapest path.
+
+    :returns: no stages where the candidates don't cover all layers.
+    """
+    borders = _borders(layers, candidates)
+    best: _Run | None = _Run(0)
+    running: dict[str, _Run] = {}
+    for start, end in zip(borders, borders[1:], strict=False):
+        running = {
+            candidate.target: _advance(
+                candidate, best, running.get(candidate.target), start, end
+            )
+            for candidate in candidates
+            if candidate.first_layer <= start
+            and end <= candidate.last_layer + 1
+        }
+        if not running:
+            return ()
+        best = min(running.values(), key=_cost)
+    return _stages_of(best, layers)
+
+
+def _borders(layers: int, candidates: Sequence[Candidate]) -> list[int]:
+    inner = {0, layers}
+    for candidate in candidates:
+        inner.add(candidate.first_layer)
+        inner.add(min(layers, candidate.last_layer + 1))
+    return sorted(inner)
+
+
+def _cost(run: _Run) -> float:
+    return run.cost_ms
+
+
+def _advance(
+    candidate: Candidate,
+    best: _Run,
+    running: _Run | None,
+    start: int,
+    end: int,
+) -> _Run:
+    ran_ms = (end - start) * candidate.layer_ms
+    entered_ms = best.cost_ms + candidate.enter_ms
+    kept_ms = running.cost_ms if running else inf
+    if running and kept_ms <= entered_ms:
+        return _Run(
+            kept_ms + ran_ms, candidate, running.first_layer, running.before
+        )
+    return _Run(entered_ms + ran_ms, candidate, start, best)
+
+
+def _stages_of(end: _Run | None, layers: int) -> tuple[Stage, ...]:
+    stages: list[Stage] = []
+    last = layers - 1
+    run = end
+    while run is not None and run.candidate is not None:
+        stages.append(
+            Stage(
+                run.candidate.target,
+                run.candidate.incarnation,
+                run.first_layer,
+                last,
+            )
+        )
+        last = run.first_layer - 1
+        run = run.before
+    stages.reverse()
+    return tuple(stages)
