Show the time line over all processes, and drain them

Cause: one request's way over several processes could not be read. Change: `mallowcrank timeline` merges the rings by hybrid logical time, names processes that don't answer; `drain` asks for a graceful stop.

--- /dev/null
+++ b/mallowcrank/cli/operator_processes.py
@@ -0,0 +1,94 @@
+"""
+The operators' commands that ask processes directly: timeline and drain.
+"""
+
+from typing import Annotated
+
+from typer import Argument, Context, Option, Typer
+
+from mallowcrank.cli.options import environment_of, require_no_findings
+from mallowcrank.findings import format_findings
+from mallowcrank.operators.drain import drain
+from mallowcrank.operators.timeline import collect, format_json, format_text
+from mallowcrank.settings import Checker
+from mallowcrank.status import ExitStatus
+from mallowcrank.timeline import Filter
+
+Processes = Annotated[
+    str,
+    Option(
+        '--processes',
+        envvar='MALLOWCRANK_PROCESSES',
+        help='Admin addresses of routers and agents: IP:PORT,IP:PORT,...',
+    ),
+]
+
+
+def register(app: Typer) -> None:
+    """
+    Add the commands to the operators' client.
+    """
+    app.command('timeline')(show_timeline)
+    app.command('drain')(drain_processes)
+
+
+def show_timeline(
+    context: Context,
+    processes: Processes = '',
+    request: Annotated[str, Option(help='Only events of this request.')] = '',
+    host: Annotated[str, Option(help='Only events of this host.')] = '',
+    target: Annotated[str, Option(help='Only events about this target.')] = '',
+    part: Annotated[str, Option(help='Only events of this part.')] = '',
+    as_json: Annotated[
+        bool, Option('--json', help='Print one JSON object a line.')
+    ] = False,
+) -> int:
+    """
+    Merge the events of all processes into one ordered list.
+
+    Each process keeps its last 8,192 events. A request's id stands in the
+    answer's X-Mallowcrank-Request header.
+    """
+    environment = environment_of(context)
+    addresses = _check_addresses(context, processes)
+    found = collect(addresses, Filter(request, host, target, part))
+    lay_out = format_json if as_json else format_text
+    environment.stdout.write(f'{lay_out(found.events)}\n')
+    if found.findings:
+        environment.stderr.write(f'{format_findings(found.findings)}\n')
+        return ExitStatus.ERROR
+    return ExitStatus.SUCCESS
+
+
+def drain_processes(
+    context: Context,
+    processes: Annotated[
+        str, Argument(help='Admin addresses: IP:PORT,IP:PORT,...')
+    ],
+) -> int:
+    """
+    Ask routers or agents to finish what they have and stop.
+
+    The same as SIGTERM: leaving is announced, kept addresses are served until
+    their time is over, everything in flight finishes, and the exit status is 0.
+    """
+    environment = environment_of(context)
+    findings = drain(_check_addresses(context, processes))
+    if findings:
+        environment.stderr.write(f'{format_findings(findings)}\n')
+        return ExitStatus.ERROR
+    environment.stdout.write('All of them are draining.\n')
+    return ExitStatus.SUCCESS
+
+
+def _check_addresses(context: Context, raw: str) -> tuple[str, ...]:
+    checker = Checker()
+    addresses = checker.addresses('--processes', raw)
+    if not addresses and not checker.findings:
+        checker.report(
+            '--processes', 'no address is given', 'give IP:PORT,IP:PORT,...'
+        )
+    require_no_findings(
+        environment_of(context), 'mallowcrank', checker.findings
+    )
+    return addresses
--- a/mallowcrank/context.py
+++ b/mallowcrank/context.py
@@ -3,10 +3,10 @@
 """
 
 import os
-import random
 import sys
 from collections.abc import Mapping
 from dataclasses import dataclass, field
+from random import Random, SystemRandom
 from typing import TextIO
 
 from mallowcrank.clock import Clock, SystemClock
@@ -22,4 +22,4 @@
     stderr: TextIO = field(default_factory=lambda: sys.stderr)
     variables: Mapping[str, str] = field(default_factory=lambda: os.environ)
     clock: Clock = field(default_factory=SystemClock)
-    random: random.Random = field(default_factory=random.SystemRandom)
+    random: Random = field(default_factory=SystemRandom)
--- /dev/null
+++ b/mallowcrank/operators/timeline.py
@@ -0,0 +1,102 @@
+"""
+The time line over all processes: each one's ring, merged into one list.
+"""
+
+import json
+from collections.abc import Iterable, Sequence
+from dataclasses import dataclass
+from datetime import UTC, datetime
+from urllib.parse import urlencode
+
+from cattrs import BaseValidationError
+
+from mallowcrank.calls import HttpCaller
+from mallowcrank.codec import from_plain, to_plain
+from mallowcrank.findings import Finding
+from mallowcrank.hlc import MICROSECONDS
+from mallowcrank.ports import Failure
+from mallowcrank.timeline import Event, Filter, merge_rings
+
+FETCH_TIMEOUT_S = 3
+OK = 200
+
+
+@dataclass(frozen=True)
+class Collected:
+    """
+    The merged time line.
+
+    :param events: ordered by hybrid logical time.
+    :param findings: processes whose events are missing, each with the reason.
+    """
+
+    events: tuple[Event, ...]
+    findings: tuple[Finding, ...]
+
+
+def collect(processes: Sequence[str], wanted: Filter) -> Collected:
+    """
+    Ask each process for its events and merge them.
+
+    :param processes: admin addresses, `IP:PORT`.
+    """
+    rings: list[tuple[Event, ...]] = []
+    findings: list[Finding] = []
+    for address in processes:
+        ring = _fetch(address, wanted)
+        if isinstance(ring, Finding):
+            findings.append(ring)
+        else:
+            rings.append(ring)
+    return Collected(merge_rings(rings), tuple(findings))
+
+
+def _fetch(address: str, wanted: Filter) -> tuple[Event, ...] | Finding:
+    query = urlencode(to_plain(wanted))
+    reply = HttpCaller(address).call(
+        'GET', f'/admin/timeline?{query}', timeout_s=FETCH_TIMEOUT_S
+    )
+    advice = 'its events are missing; ask again when it is back'
+    if isinstance(reply, Failure):
+        return Finding(address, reply.reason, advice)
+    if reply.status != OK:
+        return Finding(address, f'answered {reply.status}', advice)
+    try:
+        return read_events(reply.body)
+    except (ValueError, KeyError, BaseValidationError):
+        return Finding(address, 'its answer is malformed', advice)
+
+
+def read_events(body: bytes) -> tuple[Event, ...]:
+    """
+    Read the answer of `/admin/timeline`.
+
+    :raises ValueError: when it is not JSON.
+    :raises KeyError: when it has no events.
+    :raises cattrs.BaseValidationError: when an event has another shape.
+    """
+    return tuple(
+        from_plain(plain, Event) for plain in json.loads(body)['events']
+    )
+
+
+def format_text(events: Iterable[Event]) -> str:
+    """
+    Lay out events one a line, with UTC times to the microsecond.
+    """
+    return '\n'.join(_format_line(event) for event in events)
+
+
+def format_json(events: Iterable[Event]) -> str:
+    """
+    Lay out events as JSON objects, one a line.
+    """
+    return '\n'.join(json.dumps(to_plain(event)) for event in events)
+
+
+def _format_line(event: Event) -> str:
+    seconds = event.stamp.micros / MICROSECONDS
+    time = datetime.fromtimestamp(seconds, UTC).strftime('%H:%M:%S.%f')
+    about = ' '.join(name for name in (event.request, event.target) if name)
+    tail = f'  [{about}]' if about else ''
+    return f'{time}+{event.stamp.count} {event.host} {event.part}: {event.what}{tail}'
