Admit and route by the policies

Cause: the router needs its admission and routes behind the ports. Change: the desk (limits, room, fair queues, early refusals) and the target book (corrected loads, health, hints) behind two locked facades, and a pykka actor that follows cache events.

--- /dev/null
+++ b/mallowcrank/fairness/pool.py
@@ -0,0 +1,162 @@
+"""
+The requests of one model or service: those that wait and those that run.
+
+A branch that runs less than its share may start even where the pool is full
+with lent share, so that its share comes back at once and not only when the
+borrowers' streams end.
+"""
+
+from collections import Counter
+from dataclasses import dataclass
+
+from mallowcrank.fairness.queue import Entry, FairQueue
+from mallowcrank.overload.concurrency import PoolLimit
+
+OVERCOMMIT = 2  # times the limit that run while lent share comes back
+SMOOTHING = 0.1  # weight of the newest request in the means
+TIGHT = 1  # part of a request's usual time that must be left, in a queue
+LOOSE = 0.5  # the same, where nothing waits
+
+
+@dataclass(slots=True)
+class HoldMeter:
+    """
+    How long requests run.
+
+    :param mean_s: seconds of a request, or 0 while none has ended.
+    :param token_s: seconds for each token of its estimate.
+    """
+
+    mean_s: float = 0
+    token_s: float = 0
+
+    def ended(self, seconds: float, tokens: int) -> None:
+        """
+        Take in a request that ended.
+        """
+        token_s = seconds / max(1, tokens)
+        if not self.mean_s:
+            self.mean_s = seconds
+            self.token_s = token_s
+            return
+        self.mean_s += SMOOTHING * (seconds - self.mean_s)
+        self.token_s += SMOOTHING * (token_s - self.token_s)
+
+
+class Pool:
+    """
+    Starts requests within an adaptive limit, in fair order.
+    """
+
+    def __init__(self, limit: PoolLimit) -> None:
+        self.limit = limit
+        self.queue = FairQueue()
+        self.holds = HoldMeter()
+        self._running: Counter[str] = Counter()
+        self._shares: dict[str, float] = {}
+        self._total = 0
+
+    # Queries
+
+    @property
+    def running(self) -> int:
+        """
+        Return how many requests run.
+        """
+        return self._total
+
+    def wait_s(self, entry: Entry) -> float:
+        """
+        Estimate the seconds until a request starts.
+        """
+        if not self.queue and self._may_start(entry.workspace.branch):
+            return 0
+        ahead = 1 + self.queue.ahead_of(entry)
+        return ahead * self.holds.mean_s / max(1, self.limit.limit)
+
+    def is_hopeless(self, entry: Entry, now: float) -> bool:
+        """
+        Tell whether a request can't be answered before its deadline.
+        """
+        wait_s = self.wait_s(entry)
+        part = TIGHT if wait_s else LOOSE
+        needed_s = wait_s + part * self.holds.token_s * entry.cost
+        return now + needed_s > entry.ticket.deadline
+
+    def is_below_share(self, branch: str) -> bool:
+        """
+        Tell whether a branch runs less than its share while others run more.
+        """
+        mine = self._running[branch] < self._guaranteed(branch)
+        return mine and any(
+            self._running[other] > self._guaranteed(other)
+            for other in self._shares
+            if other != branch
+        )
+
+    # Commands
+
+    def push(self, entry: Entry) -> None:
+        """
+        Let a request wait.
+        """
+        branch = entry.workspace.branch
+        self._shares[branch] = max(entry.workspace.branch_share, 0.001)
+        self.queue.push(entry)
+
+    def pop(self) -> Entry | None:
+        """
+        Start the request that goes next, where there is room.
+        """
+        entry = self.queue.pop(self._may_start)
+        if entry is not None:
+            self._running[entry.workspace.branch] += 1
+            self._total += 1
+        return entry
+
+    def ended(self, entry: Entry, seconds: float, tokens: int) -> None:
+        """
+        Take in the end of a request.
+
+        :param tokens: what it really cost.
+        """
+        branch = entry.workspace.branch
+        self._running[branch] -= 1
+        self._total -= 1
+        if tokens or entry.ticket.is_service:
+            self.holds.ended(seconds, entry.cost)
+        self.queue.settle(entry.workspace, entry.cost - max(1, tokens))
+        if not self._running[branch]:
+            self._running.pop(branch)
+
+    def forget_idle(self) -> None:
+        """
+        Forget branches that neither wait nor run.
+        """
+        waiting = {entry.workspace.branch for entry in self.queue}
+        active = waiting | self._running.keys()
+        self._shares = {
+            branch: share
+            for branch, share in self._shares.items()
+            if branch in active
+        }
+        self.queue.forget_idle()
+
+    def _may_start(self, branch: str) -> bool:
+        limit = self.limit.limit
+        if self._total < limit:
+            return True
+        below = self._running[branch] + 1 <= self._guaranteed(branch)
+        return below and self._total < OVERCOMMIT * limit
+
+    def _guaranteed(self, branch: str) -> float:
+        share = self._shares.get(branch, 1)
+        others = sum(
+            other_share
+            for other, other_share in self._shares.items()
+            if other != branch and self._is_active(other)
+        )
+        return self.limit.limit * share / (share + others)
+
+    def _is_active(self, branch: str) -> bool:
+        return self._running[branch] > 0 or self.queue.has(branch)
--- a/mallowcrank/fairness/queue.py
+++ b/mallowcrank/fairness/queue.py
@@ -98,6 +98,13 @@
                 for _, _, entry in queue.entries:
                     yield entry
 
+    def has(self, branch: str) -> bool:
+        """
+        Tell whether a branch waits.
+        """
+        known = self._branches.get(branch)
+        return known is not None and known.waiting > 0
+
     def ahead_of(self, entry: Entry) -> float:
         """
         Estimate how many requests start before one that waits or comes.
--- a/mallowcrank/limits/ledger.py
+++ b/mallowcrank/limits/ledger.py
@@ -116,6 +116,15 @@
             account.streams -= 1
             account.tokens.left += unused_tokens
 
+    def withdraw(self, workspace: str, tokens: int) -> None:
+        """
+        Put back all that a request took, since it did not start.
+        """
+        account = self._accounts.get(workspace)
+        if account is not None:
+            account.requests.left += 1
+        self.give_back(workspace, tokens)
+
     def forget_idle(self, now: float) -> None:
         """
         Forget workspaces that have had no request for a while.
--- a/mallowcrank/limits/shares.py
+++ b/mallowcrank/limits/shares.py
@@ -16,6 +16,7 @@
 
 SILENT_PART = 0.2  # of a limit, split evenly between all routers
 SETTLED_S = 2  # seconds until all peers have heard of a demand
+REMEMBERED_S = 600  # how long missing routers count
 REPORT_ABOVE = 0.5  # of the silent grant; less demand is not reported
 
 
@@ -33,6 +34,29 @@
     heard: bool
 
 
+class Census:
+    """
+    Remembers the most routers known lately, to notice when most are missing.
+    """
+
+    def __init__(self) -> None:
+        self._most = 1
+        self._seen: float = 0
+
+    def count(self, routers: int, now: float) -> Hearing:
+        """
+        Take in a count of the routers that are heard, this one included.
+
+        Where no more than half are left, this side counts as cut off.
+        """
+        if routers >= self._most or now - self._seen > REMEMBERED_S:
+            self._most = routers
+            self._seen = now
+        if self._most > 1 and routers * 2 <= self._most:
+            return Hearing(self._most, heard=False)
+        return Hearing(routers, heard=True)
+
+
 @dataclass(frozen=True, slots=True)
 class Asked:
     """
--- a/mallowcrank/overload/ejection.py
+++ b/mallowcrank/overload/ejection.py
@@ -2,6 +2,7 @@
 Ejection of targets that fail, their careful return, and slow start.
 """
 
+from collections.abc import Callable
 from dataclasses import dataclass, replace
 
 FIRST_EJECTION_S = 1
@@ -94,19 +95,44 @@
 
     def __init__(self) -> None:
         self._health: dict[str, Health] = {}
+        self._ejected: set[str] = set()
         self._fresh = Health()
 
+    @property
+    def blocked(self) -> bool:
+        """
+        Tell whether any target was ejected and has not answered since.
+        """
+        return bool(self._ejected)
+
     def get(self, name: str) -> Health:
         """
         Return a target's health.
         """
         return self._health.get(name, self._fresh)
 
+    def blocked_now(
+        self, now: float, in_flight: Callable[[str], float]
+    ) -> frozenset[str]:
+        """
+        Return the targets that get no new work.
+
+        One that is on trial gets one piece of work at a time.
+
+        :param in_flight: returns what this router has at a target.
+        """
+        return frozenset(
+            name
+            for name in self._ejected
+            if is_ejected(self.get(name), now) or in_flight(name)
+        )
+
     def appeared(self, name: str, incarnation: int, now: float) -> None:
         """
         Begin the slow start of a target that is new or restarted.
         """
         self._health[name] = Health(incarnation=incarnation, began=now)
+        self._ejected.discard(name)
 
     def failed(
         self, name: str, incarnation: int, now: float, reason: str
@@ -117,7 +143,10 @@
         known = self.get(name)
         if incarnation < known.incarnation:
             return
-        self._health[name] = after_failure(known, now, reason)
+        health = after_failure(known, now, reason)
+        self._health[name] = health
+        if health.on_trial:
+            self._ejected.add(name)
 
     def succeeded(self, name: str, now: float) -> None:
         """
@@ -125,10 +154,14 @@
         """
         known = self._health.get(name)
         if known is not None:
-            self._health[name] = after_success(known, now)
+            health = after_success(known, now)
+            self._health[name] = health
+            if not health.on_trial:
+                self._ejected.discard(name)
 
     def forget(self, name: str) -> None:
         """
         Forget a target that is gone.
         """
         self._health.pop(name, None)
+        self._ejected.discard(name)
--- a/mallowcrank/overload/retries.py
+++ b/mallowcrank/overload/retries.py
@@ -37,3 +37,31 @@
             return False
         self.left -= 1
         return True
+
+
+class RetryBudgets:
+    """
+    The budgets of all pools.
+    """
+
+    def __init__(self) -> None:
+        self._budgets: dict[str, RetryBudget] = {}
+
+    def tried(self, serves: str, now: float) -> None:
+        """
+        Take in a first try.
+        """
+        self._budget(serves, now).tried()
+
+    def spend(self, serves: str, now: float) -> bool:
+        """
+        Spend one retry, where one is left.
+        """
+        return self._budget(serves, now).spend(now)
+
+    def _budget(self, serves: str, now: float) -> RetryBudget:
+        known = self._budgets.get(serves)
+        if known is None:
+            known = RetryBudget(now)
+            self._budgets[serves] = known
+        return known
--- /dev/null
+++ b/mallowcrank/policy/desk.py
@@ -0,0 +1,218 @@
+"""
+Admission as a state machine: limits, room, fair queues, early refusals.
+"""
+
+from collections.abc import Callable, Iterator
+from dataclasses import dataclass
+
+from mallowcrank.fairness.pool import Pool
+from mallowcrank.fairness.queue import Entry
+from mallowcrank.fairness.room import Room, RoomSettings
+from mallowcrank.limits.ledger import Ledger
+from mallowcrank.overload.concurrency import adjust
+from mallowcrank.policy import refusing
+from mallowcrank.policy.pools import Pools
+from mallowcrank.refusals import Refused
+from mallowcrank.router.ports import Ticket
+from mallowcrank.view import ServiceSettings, View
+
+HOUSEKEEPING_S = 10
+PLAIN = ServiceSettings('')
+
+
+@dataclass(frozen=True, slots=True)
+class Outcome:
+    """
+    What became of a request.
+
+    :param refused: why it may not start, or `None` where it starts.
+    """
+
+    request: str
+    refused: Refused | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class _Held:
+    """
+    A request that waits or runs.
+
+    :param entry: its entry, or `None` for a reserved call.
+    :param started: steady time in seconds, or `None` while it waits.
+    """
+
+    entry: Entry
+    in_room: bool = True
+    started: float | None = None
+
+
+class Desk:
+    """
+    Decides when requests start. Each command returns the requests whose fate
+    it decided.
+
+    :param slowdown: returns the slowdown of a pool's targets.
+    """
+
+    def __init__(
+        self, threads: int, router: str, slowdown: Callable[[str], float]
+    ) -> None:
+        self.ledger = Ledger()
+        self.pools = Pools(router)
+        self._view = View()
+        self._slowdown = slowdown
+        self._room = Room(RoomSettings(threads))
+        self._held: dict[str, _Held] = {}
+        self._number = 0
+        self._housekept: float = 0
+
+    # Queries
+
+    def step_priority(self, ticket: Ticket) -> int:
+        """
+        Return 1 for a branch that waits for its share to come back, else 0.
+        """
+        held = self._held.get(ticket.request)
+        if held is None:
+            return 0
+        pool = self.pools.get(ticket.serves)
+        return int(pool.is_below_share(held.entry.workspace.branch))
+
+    # Commands
+
+    def apply_view(self, view: View, now: float) -> None:
+        """
+        Take over new settings and targets.
+        """
+        self._view = view
+        self.pools.apply_view(view)
+        hearing, others = self.pools.hear(view, now)
+        self.ledger.hear(hearing, others)
+        reserved = sum(each.reserved for each in view.services.values())
+        threads = self._room.settings.threads
+        self._room.settings = RoomSettings(threads, reserved)
+        if now - self._housekept > HOUSEKEEPING_S:
+            self._housekept = now
+            self.ledger.forget_idle(now)
+            self.pools.forget_idle()
+
+    def arrive(self, ticket: Ticket, now: float) -> Iterator[Outcome]:
+        """
+        Take in a request.
+        """
+        workspace = self._view.workspaces.get(ticket.workspace)
+        if workspace is None:
+            yield Outcome(ticket.request, refusing.unknown_workspace(ticket))
+            return
+        self._number += 1
+        entry = Entry(ticket, workspace, self._number)
+        if self._is_reserved(ticket):
+            self._held[ticket.request] = _Held(
+                entry, in_room=False, started=now
+            )
+            yield Outcome(ticket.request)
+            return
+        over = self.ledger.take(workspace, ticket.tokens, now)
+        if over:
+            yield Outcome(ticket.request, refusing.over_limit(over))
+            return
+        yield from self._queue(entry, now)
+
+    def recheck(self, request: str, now: float) -> Iterator[Outcome]:
+        """
+        Look again at a request that waits.
+        """
+        held = self._held.get(request)
+        if held is None or held.started is not None:
+            return
+        pool = self.pools.get(held.entry.ticket.serves)
+        yield from self._start(pool, held.entry.ticket.serves, now)
+        if self._held[request].started is None:
+            if pool.is_hopeless(held.entry, now):
+                yield self._drop(held.entry, pool)
+
+    def leave(
+        self, ticket: Ticket, tokens: int, now: float
+    ) -> Iterator[Outcome]:
+        """
+        Take in the end of a request.
+
+        :param tokens: what it really cost.
+        """
+        held = self._held.pop(ticket.request, None)
+        if held is None or held.started is None or not held.in_room:
+            return
+        self._room.give_back(held.entry.workspace.branch)
+        self.ledger.give_back(ticket.workspace, ticket.tokens - tokens)
+        pool = self.pools.get(ticket.serves)
+        pool.ended(held.entry, now - held.started, tokens)
+        yield from self._start(pool, ticket.serves, now)
+
+    def _is_reserved(self, ticket: Ticket) -> bool:
+        service = self._view.services.get(ticket.serves, PLAIN)
+        if not ticket.is_service or not service.reserved and not service.urgent:
+            return False
+        if service.urgent:
+            return True
+        running = sum(
+            held.entry.ticket.serves == ticket.serves and not held.in_room
+            for held in self._held.values()
+        )
+        return running < service.reserved
+
+    def _queue(self, entry: Entry, now: float) -> Iterator[Outcome]:
+        ticket = entry.ticket
+        pool = self.pools.get(ticket.serves)
+        if pool.is_hopeless(entry, now):
+            self.ledger.withdraw(ticket.workspace, ticket.tokens)
+            refused = refusing.too_late(pool.wait_s(entry))
+            yield Outcome(ticket.request, refused)
+            return
+        if self._room.is_full:
+            displaced = self._displace(entry)
+            if displaced is None:
+                self.ledger.withdraw(ticket.workspace, ticket.tokens)
+                refused = refusing.overloaded(pool.wait_s(entry))
+                yield Outcome(ticket.request, refused)
+                return
+            yield displaced
+        self._room.take(entry.workspace.branch)
+        self._held[ticket.request] = _Held(entry)
+        pool.push(entry)
+        yield from self._start(pool, ticket.serves, now)
+
+    def _start(self, pool: Pool, serves: str, now: float) -> Iterator[Outcome]:
+        if self.pools.is_adaptive(serves):
+            pool.limit = adjust(
+                pool.limit, self._slowdown(serves), len(pool.queue), now
+            )
+        for entry in iter(pool.pop, None):
+            request = entry.ticket.request
+            self._held[request] = _Held(entry, started=now)
+            yield Outcome(request)
+
+    def _displace(self, entry: Entry) -> Outcome | None:
+        share = self.pools.share_of(entry.workspace)
+        holder = self._room.largest_holder(entry.workspace.branch, share)
+        waiting = [
+            held.entry
+            for held in self._held.values()
+            if held.started is None and held.entry.workspace.branch == holder
+        ]
+        if holder is None or not waiting:
+            return None
+        last = min(waiting, key=_rank)
+        return self._drop(last, self.pools.get(last.ticket.serves))
+
+    def _drop(self, entry: Entry, pool: Pool) -> Outcome:
+        ticket = entry.ticket
+        wait_s = pool.wait_s(entry)
+        pool.queue.remove(entry)
+        self._held.pop(ticket.request)
+        self._room.give_back(entry.workspace.branch)
+        self.ledger.withdraw(ticket.workspace, ticket.tokens)
+        return Outcome(ticket.request, refusing.too_late(wait_s))
+
+
+def _rank(entry: Entry) -> tuple[int, int]:
+    return entry.urgency, -entry.number
--- /dev/null
+++ b/mallowcrank/policy/hint_follower.py
@@ -0,0 +1,120 @@
+"""
+Follows the cache events of the engines in use, once a second.
+"""
+
+import json
+import threading
+from dataclasses import dataclass
+from typing import Any
+
+from pykka import ActorRef, ThreadingActor
+
+from mallowcrank.calls import HttpCaller, Reply
+from mallowcrank.logs import PartLog
+from mallowcrank.policy.routes import Routes
+from mallowcrank.routing.hints import CacheEvent
+from mallowcrank.view import Target
+
+PERIOD_S = 1
+MAX_CALLS = 32  # engines asked in one period
+TIMEOUT_S = 0.5
+HTTP_OK = 200
+
+_log = PartLog('routes')
+
+
+@dataclass(frozen=True, slots=True)
+class Poll:
+    """
+    Asks the actor to look for new events.
+    """
+
+
+class HintActor(ThreadingActor):
+    """
+    Asks engines for their cache events, a few in turn.
+    """
+
+    def __init__(self, routes: Routes) -> None:
+        super().__init__()
+        self._routes = routes
+        self._callers: dict[str, HttpCaller] = {}
+        self._turn = 0
+
+    def on_receive(self, message: Poll) -> None:
+        """
+        Take in a message.
+        """
+        targets = self._routes.hinted_targets()
+        self._callers = {
+            target.address: self._caller(target) for target, _ in targets
+        }
+        start = self._turn % max(1, len(targets))
+        turned = (*targets[start:], *targets[:start])[:MAX_CALLS]
+        self._turn = start + len(turned)
+        for target, number in turned:
+            self._ask(target, number)
+
+    def _caller(self, target: Target) -> HttpCaller:
+        known = self._callers.get(target.address)
+        return known or HttpCaller(target.address, connections=1)
+
+    def _ask(self, target: Target, number: int) -> None:
+        path = f'/cache-events?from={number}'
+        reply = self._callers[target.address].call(
+            'GET', path, timeout_s=TIMEOUT_S
+        )
+        if not isinstance(reply, Reply) or reply.status != HTTP_OK:
+            return
+        try:
+            told = _read(json.loads(reply.body))
+        except (KeyError, TypeError, ValueError):
+            _log.say('Cache events are malformed', target=target.name)
+            return
+        self._routes.learn_hints(target.name, told.events, told.following)
+
+
+@dataclass(frozen=True, slots=True)
+class _Told:
+    events: tuple[CacheEvent, ...]
+    following: int
+
+
+def _read(answer: dict[str, Any]) -> _Told:
+    events = tuple(
+        CacheEvent(int(raw['number']), str(raw['kind']), str(raw['prefix']))
+        for raw in answer['events']
+    )
+    return _Told(events, int(answer['next']))
+
+
+class HintFollower:
+    """
+    Runs the actor and reminds it of its work.
+    """
+
+    def __init__(self, routes: Routes) -> None:
+        self._routes = routes
+        self._stopped = threading.Event()
+        self._actor: ActorRef[HintActor] | None = None
+
+    def start(self) -> None:
+        """
+        Start to follow.
+        """
+        self._actor = HintActor.start(self._routes)
+        threading.Thread(target=self._remind, daemon=True).start()
+
+    def stop(self) -> None:
+        """
+        Stop to follow.
+        """
+        self._stopped.set()
+        if self._actor is not None:
+            self._actor.stop(block=False)
+
+    def _remind(self) -> None:
+        while not self._stopped.wait(PERIOD_S):
+            if self._actor is None or not self._actor.is_alive():
+                return
+            self._actor.tell(Poll())
--- /dev/null
+++ b/mallowcrank/policy/pools.py
@@ -0,0 +1,146 @@
+"""
+The pools of all models and services, sized by the targets of the view.
+"""
+
+from collections import Counter
+from collections.abc import Mapping
+
+from mallowcrank.fairness.pool import Pool
+from mallowcrank.limits.shares import Census, Hearing
+from mallowcrank.overload.concurrency import PoolLimit, first_limit, resize
+from mallowcrank.routing.bound import Bound, BoundEngine, throughput_bound
+from mallowcrank.routing.engines import EngineIndex
+from mallowcrank.view import Target, View, WorkspaceSettings
+
+LINK_MS = 1  # round trip that is reckoned with, in milliseconds
+CALL_MS = 2  # the router's and the engine's own time for a call
+LOWEST_SERVICE_LIMIT = 4
+
+
+class Pools:
+    """
+    Holds a pool for each model and service.
+
+    :param router: this router's name among the peers.
+    """
+
+    def __init__(self, router: str) -> None:
+        self._router = router
+        self._pools: dict[str, Pool] = {}
+        self._bounds: dict[str, Bound] = {}
+        self._index = EngineIndex()
+        self._view = View()
+        self._census = Census()
+
+    # Queries
+
+    def bound(self, model: str) -> Bound | None:
+        """
+        Return a model's throughput bound.
+        """
+        return self._bounds.get(model)
+
+    def is_adaptive(self, serves: str) -> bool:
+        """
+        Tell whether the targets' slowdown says something of a pool.
+        """
+        return serves in self._view.models
+
+    def share_of(self, workspace: WorkspaceSettings) -> float:
+        """
+        Return the share of a workspace's branch among all branches.
+        """
+        shares = {
+            each.branch: each.branch_share
+            for each in self._view.workspaces.values()
+        }
+        total = sum(shares.values())
+        return workspace.branch_share / total if total else 1
+
+    # Commands
+
+    def get(self, serves: str) -> Pool:
+        """
+        Return a pool, made at its first use.
+        """
+        known = self._pools.get(serves)
+        if known is None:
+            known = Pool(self._limit(serves))
+            self._pools[serves] = known
+        return known
+
+    def apply_view(self, view: View) -> None:
+        """
+        Take over new targets; resize the pools that they change.
+        """
+        changed = set(self._index.apply(view.targets))
+        routers = _count_routers(view, self._router)
+        if routers != _count_routers(self._view, self._router):
+            changed.update(self._pools)
+        changed.update(
+            name
+            for name in view.models
+            if self._view.models.get(name) != view.models[name]
+        )
+        self._view = view
+        for serves in changed:
+            self._measure(serves)
+            known = self._pools.get(serves)
+            if known is not None:
+                known.limit = resize(known.limit, self._limit(serves))
+
+    def hear(
+        self, view: View, now: float
+    ) -> tuple[Hearing, Mapping[str, float]]:
+        """
+        Return what is heard of the peers, and the sums of their demands.
+        """
+        hearing = self._census.count(_count_routers(view, self._router), now)
+        others: Counter[str] = Counter()
+        for peer in view.peers.values():
+            if peer.name != self._router:
+                others.update(peer.demand)
+        return hearing, others
+
+    def forget_idle(self) -> None:
+        """
+        Forget branches that neither wait nor run.
+        """
+        for pool in self._pools.values():
+            pool.forget_idle()
+
+    def _measure(self, serves: str) -> None:
+        model = self._view.models.get(serves)
+        if model is None:
+            self._bounds.pop(serves, None)
+            return
+        engines = [
+            _bound_engine(target) for target in self._index.engines_of(serves)
+        ]
+        self._bounds[serves] = throughput_bound(model.layers, engines)
+
+    def _limit(self, serves: str) -> PoolLimit:
+        bound = self._bounds.get(serves)
+        if bound is not None:
+            routers = _count_routers(self._view, self._router)
+            return first_limit(bound.full_streams, routers)
+        names = self._index.replicas(serves)
+        slots = sum(self._index.targets[name].slots for name in names)
+        limit = max(LOWEST_SERVICE_LIMIT, slots)
+        return PoolLimit(limit=limit, lowest=limit, highest=limit)
+
+
+def _bound_engine(target: Target) -> BoundEngine:
+    return BoundEngine(
+        name=target.name,
+        first_layer=target.first_layer,
+        last_layer=target.last_layer,
+        step_ms=target.step_ms,
+        slots=target.slots,
+        link_ms=LINK_MS + CALL_MS,
+    )
+
+
+def _count_routers(view: View, router: str) -> int:
+    live = {peer.name for peer in view.peers.values() if not peer.leaving}
+    return len(live | {router})
--- /dev/null
+++ b/mallowcrank/policy/refusing.py
@@ -0,0 +1,63 @@
+"""
+The refusals of admission. None of these requests ran.
+"""
+
+from math import ceil
+
+from mallowcrank.limits.ledger import OverLimit
+from mallowcrank.refusals import Ran, Reason, Refused
+from mallowcrank.router.ports import Ticket
+
+MAX_RETRY_AFTER_S = 30
+
+
+def unknown_workspace(ticket: Ticket) -> Refused:
+    """
+    Refuse a request of a workspace that the settings don't have.
+    """
+    return Refused(
+        Reason.UNKNOWN_WORKSPACE,
+        Ran.NO,
+        f'workspace {ticket.workspace} is not in the settings in force',
+        field='X-Mallowcrank-Workspace',
+    )
+
+
+def over_limit(over: OverLimit) -> Refused:
+    """
+    Refuse a request beyond its workspace's limits.
+    """
+    return Refused(
+        Reason.RATE_LIMITED,
+        Ran.NO,
+        f'the workspace is at its limit of {over.limit}; retry later',
+        retry_after_s=_whole(over.wait_s),
+    )
+
+
+def too_late(wait_s: float) -> Refused:
+    """
+    Refuse a request that can't be answered before its deadline.
+    """
+    return Refused(
+        Reason.OVERLOADED,
+        Ran.NO,
+        'the queue is too long for the deadline; retry later',
+        retry_after_s=_whole(wait_s),
+    )
+
+
+def overloaded(wait_s: float) -> Refused:
+    """
+    Refuse a request that finds no room on this router.
+    """
+    return Refused(
+        Reason.OVERLOADED,
+        Ran.NO,
+        'this router is full; retry later or use another address',
+        retry_after_s=_whole(wait_s),
+    )
+
+
+def _whole(seconds: float) -> float:
+    return min(MAX_RETRY_AFTER_S, max(1, ceil(seconds)))
--- /dev/null
+++ b/mallowcrank/routing/book.py
@@ -0,0 +1,126 @@
+"""
+All that a router knows of targets: what agents say, and its own calls.
+"""
+
+from collections.abc import Mapping
+
+from mallowcrank.overload.ejection import HealthBook, weight
+from mallowcrank.routing.costs import LinkTimes, Standing
+from mallowcrank.routing.engines import EngineIndex
+from mallowcrank.routing.hints import HintTable
+from mallowcrank.routing.loads import LoadBook
+from mallowcrank.view import Target
+
+
+class TargetBook:
+    """
+    Joins the index of targets with their loads, health and hints.
+
+    :param availability_zone: the router's own.
+    """
+
+    def __init__(self, links: LinkTimes, availability_zone: str) -> None:
+        self.index = EngineIndex()
+        self.loads = LoadBook()
+        self.health = HealthBook()
+        self.hints = HintTable()
+        self._links = links
+        self._zone = availability_zone
+
+    # Queries
+
+    def target(self, name: str) -> Target:
+        """
+        Return a target by name.
+
+        :raises KeyError: when there is none.
+        """
+        return self.index.targets[name]
+
+    def standing(self, target: Target, now: float) -> Standing:
+        """
+        Return how a target stands at the moment.
+        """
+        return Standing(
+            load=self.loads.estimate(target),
+            weight=weight(self.health.get(target.name), now),
+            link_ms=self._links.to(target, self._zone),
+        )
+
+    def usable(
+        self, names: list[str], avoid: frozenset[str], now: float
+    ) -> list[str]:
+        """
+        Leave out what is ejected or to be avoided.
+        """
+        blocked = self.health.blocked_now(now, self.loads.own)
+        if not blocked and not avoid:
+            return names
+        return without(without(names, avoid), blocked)
+
+    def slowdown(self, serves: str) -> float:
+        """
+        Return by how much the busiest layer range of a pool has slowed down.
+        """
+        ranges = tuple(self.index.ranges(serves).values())
+        pools = ranges or (self.index.replicas(serves),)
+        return max(map(self._mean_slowdown, pools), default=1)
+
+    # Commands
+
+    def apply(
+        self, targets: Mapping[str, Target], now: float
+    ) -> frozenset[str]:
+        """
+        Take over the targets of a view.
+
+        :returns: the models and services whose targets changed.
+        """
+        before = dict(self.index.targets)
+        changed = self.index.apply(targets)
+        for name in before.keys() - targets.keys():
+            self._forget(name)
+        for target in targets.values():
+            known = before.get(target.name)
+            if known is not target:
+                self._meet(known, target)
+                if before and not _is_same_life(known, target):
+                    self.health.appeared(target.name, target.incarnation, now)
+        return changed
+
+    def answered(self, name: str, seconds: float, now: float) -> None:
+        """
+        Take in an answered call.
+        """
+        known = self.index.targets.get(name)
+        if known is None:
+            return
+        self.loads.answered(known, seconds, self._links.to(known, self._zone))
+        self.health.succeeded(name, now)
+
+    def _mean_slowdown(self, names: list[str]) -> float:
+        used = [name for name in names if self.loads.own(name)]
+        if not used:
+            return 1
+        return sum(map(self.loads.slowdown, used)) / len(used)
+
+    def _meet(self, known: Target | None, target: Target) -> None:
+        self.loads.report(target)
+        if known is not None and not _is_same_life(known, target):
+            self.hints.forget(target.name)
+
+    def _forget(self, name: str) -> None:
+        self.loads.forget(name)
+        self.health.forget(name)
+        self.hints.forget(name)
+
+
+def without(names: list[str], left_out: frozenset[str]) -> list[str]:
+    """
+    Return names without some.
+    """
+    return [name for name in names if name not in left_out]
+
+
+def _is_same_life(known: Target | None, target: Target) -> bool:
+    return known is not None and known.incarnation == target.incarnation
--- a/mallowcrank/routing/hints.py
+++ b/mallowcrank/routing/hints.py
@@ -36,6 +36,7 @@
     def __init__(self, capacity: int = MAX_HINTS) -> None:
         self._capacity = capacity
         self._hints: OrderedDict[tuple[str, str], int] = OrderedDict()
+        self._holders: dict[str, set[str]] = {}
         self._next: dict[str, int] = {}
         self._gap_at: dict[str, int] = {}
 
@@ -64,6 +65,16 @@
             worth += DOUBTFUL if doubtful else 1
         return worth / len(prefix) if prefix else 0
 
+    def holders(self, prefix: Sequence[str]) -> tuple[str, ...]:
+        """
+        Return the engines that should hold the longest part of a prompt.
+        """
+        for block in reversed(prefix):
+            holders = self._holders.get(block)
+            if holders:
+                return tuple(sorted(holders))
+        return ()
+
     def sent(self, target: str, prefix: Sequence[str]) -> None:
         """
         Expect an engine to hold a prompt that was just sent to it.
@@ -85,8 +96,8 @@
             expected = event.number + 1
             if event.kind == 'stored':
                 self._keep(target, event.prefix, event.number)
-            else:
-                self._hints.pop((target, event.prefix), None)
+            elif (target, event.prefix) in self._hints:
+                self._drop((target, event.prefix))
         self._next[target] = max(expected, next_number)
 
     def forget(self, target: str) -> None:
@@ -101,5 +112,14 @@
         key = (target, block)
         self._hints[key] = number
         self._hints.move_to_end(key)
+        self._holders.setdefault(block, set()).add(target)
         if len(self._hints) > self._capacity:
-            self._hints.popitem(last=False)
+            self._drop(next(iter(self._hints)))
+
+    def _drop(self, key: tuple[str, str]) -> None:
+        target, block = key
+        self._hints.pop(key)
+        holders = self._holders[block]
+        holders.discard(target)
+        if not holders:
+            self._holders.pop(block)
--- /dev/null
+++ b/tests/test_overload_targets.py
@@ -0,0 +1,78 @@
+"""
+Ejection, slow start, retry budgets and adaptive concurrency.
+"""
+
+from unittest import TestCase
+
+from mallowcrank.overload.concurrency import adjust, first_limit, resize
+from mallowcrank.overload.ejection import (
+    Health,
+    after_failure,
+    after_success,
+    is_ejected,
+    weight,
+)
+from mallowcrank.overload.retries import RetryBudget
+
+
+class TestEjection(TestCase):
+    def test_one_refused_step_does_not_eject(self):
+        health = after_failure(Health(), 0, 'refused')
+        self.assertFalse(is_ejected(health, 0))
+
+    def test_failures_of_one_event_count_once(self):
+        health = Health()
+        for _ in range(50):
+            health = after_failure(health, 1, 'refused')
+        self.assertFalse(is_ejected(health, 1))
+
+    def test_silence_ejects_at_once_and_longer_each_time(self):
+        first = after_failure(Health(), 0, 'silent')
+        again = after_failure(first, 2, 'silent')
+        self.assertEqual(first.ejected_until, 1)
+        self.assertEqual(again.ejected_until, 4)
+
+    def test_return_is_on_trial_then_slow(self):
+        health = after_failure(Health(), 0, 'silent')
+        self.assertEqual(weight(health, 2), 0.1)
+        health = after_success(health, 2)
+        self.assertAlmostEqual(weight(health, 4.5), 0.5)
+        self.assertEqual(weight(health, 10), 1)
+
+
+class TestRetryBudget(TestCase):
+    def test_retries_are_a_part_of_tries_when_all_fail(self):
+        budget = RetryBudget(0)
+        spent = 0
+        for number in range(1000):
+            budget.tried()
+            spent += budget.spend(number / 1000)
+        self.assertLessEqual(spent, 10 + 100 + 1)
+
+    def test_quiet_pool_may_retry(self):
+        budget = RetryBudget(0)
+        spent = [budget.spend(0) for _ in range(20)]
+        self.assertFalse(spent[-1])
+        self.assertTrue(budget.spend(2))
+
+
+class TestPoolLimit(TestCase):
+    def test_grows_only_while_requests_wait_and_targets_keep_up(self):
+        limit = first_limit(full_streams=32, routers=4)
+        self.assertEqual(adjust(limit, 1, 0, now=1).limit, limit.limit)
+        self.assertGreater(adjust(limit, 1, 5, now=1).limit, limit.limit)
+        self.assertLess(adjust(limit, 9, 5, now=1).limit, limit.limit)
+
+    def test_stays_within_its_bounds(self):
+        limit = first_limit(full_streams=32, routers=4)
+        for step in range(1, 200):
+            limit = adjust(limit, 1, 5, now=step)
+        self.assertEqual(limit.limit, limit.highest)
+        for step in range(200, 400):
+            limit = adjust(limit, 9, 5, now=step)
+        self.assertEqual(limit.limit, limit.lowest)
+
+    def test_follows_a_pool_that_shrinks(self):
+        limit = first_limit(full_streams=32, routers=2)
+        half = resize(limit, first_limit(full_streams=16, routers=2))
+        self.assertAlmostEqual(half.limit, limit.limit / 2)
--- /dev/null
+++ b/tests/test_routing_paths.py
@@ -0,0 +1,254 @@
+"""
+Path choice: cheapest paths, corrected loads, hints, and no herd.
+"""
+
+from collections import Counter
+from math import inf
+from random import Random
+from unittest import TestCase
+
+from mallowcrank.clock import FakeClock
+from mallowcrank.policy.routes import Routes
+from mallowcrank.policy.settings import PolicySettings
+from mallowcrank.refusals import Ran, Refused
+from mallowcrank.router.ports import RouteDemand
+from mallowcrank.routing.hints import CacheEvent, HintTable
+from mallowcrank.routing.path import Candidate, cheapest_path
+from mallowcrank.settings import HostSettings, RouterSettings
+from mallowcrank.view import ModelSettings, Target, TargetKind, View
+from mallowcrank.wire import KeyRing
+
+LAYERS = 4
+
+
+def engine(name, first=0, last=LAYERS - 1, **more):
+    fields = {'step_ms': 10, 'slots': 4, **more}
+    return Target(
+        name=name,
+        kind=TargetKind.ENGINE,
+        address='',
+        availability_zone='a',
+        serves='m',
+        first_layer=first,
+        last_layer=last,
+        **fields,
+    )
+
+
+def view_of(*targets):
+    return View(
+        version=1,
+        targets={target.name: target for target in targets},
+        models={'m': ModelSettings('m', LAYERS)},
+    )
+
+
+def router(seed=1, clock=None):
+    settings = RouterSettings(HostSettings('r', 'a'), '', '', '', KeyRing())
+    steady = (clock or FakeClock()).steady
+    return Routes(PolicySettings(settings, steady, Random(seed)))
+
+
+def cheapest_of_all(layers, candidates):
+    """
+    Try every engine at every layer.
+    """
+    best = inf
+    paths = [((), 0)]
+    for layer in range(layers):
+        holders = [
+            each
+            for each in candidates
+            if each.first_layer <= layer <= each.last_layer
+        ]
+        paths = [
+            (
+                each,
+                cost + each.layer_ms + each.enter_ms * (each is not last),
+            )
+            for last, cost in paths
+            for each in holders
+        ]
+    for _, cost in paths:
+        best = min(best, cost)
+    return best
+
+
+def cost_of(stages, candidates):
+    by_name = {each.target: each for each in candidates}
+    return sum(
+        by_name[stage.target].enter_ms
+        + by_name[stage.target].layer_ms
+        * (stage.last_layer - stage.first_layer + 1)
+        for stage in stages
+    )
+
+
+class TestCheapestPath(TestCase):
+    def test_as_cheap_as_the_best_of_all_paths(self):
+        random = Random(30)
+        for _ in range(150):
+            candidates = []
+            for number in range(random.randint(1, 5)):
+                first = random.randrange(LAYERS)
+                last = random.randrange(first, LAYERS)
+                candidates.append(
+                    Candidate(
+                        f'e{number}',
+                        1,
+                        first,
+                        last,
+                        random.randint(0, 5),
+                        random.randint(1, 5),
+                    )
+                )
+            stages = cheapest_path(LAYERS, candidates)
+            best = cheapest_of_all(LAYERS, candidates)
+            with self.subTest(candidates=candidates):
+                if not stages:
+                    self.assertEqual(best, inf)
+                else:
+                    self.assertEqual(cost_of(stages, candidates), best)
+                    self._assert_each_layer_once(stages)
+
+    def _assert_each_layer_once(self, stages):
+        ran = [
+            layer
+            for stage in stages
+            for layer in range(stage.first_layer, stage.last_layer + 1)
+        ]
+        self.assertEqual(ran, list(range(LAYERS)))
+
+
+class TestRoutes(TestCase):
+    def setUp(self):
+        self.clock = FakeClock()
+        self.routes = router(clock=self.clock)
+
+    def choose(self, stream, **more):
+        return self.routes.choose_path(RouteDemand(stream, 'b/w', 'm', **more))
+
+    def test_loss_of_an_engine_leaves_a_path_over_overlapping_ranges(self):
+        self.routes.apply_view(
+            view_of(engine('x', 0, 1), engine('y', 1, 3), engine('z', 0, 3))
+        )
+        for lost in 'xyz':
+            route = self.choose(f's{lost}', avoid=frozenset(lost))
+            if lost == 'z':
+                self.assertEqual(
+                    [stage.target for stage in route.stages], ['x', 'y']
+                )
+            else:
+                self.assertNotIn(lost, str(route).split(':')[0])
+
+    def test_no_path_is_refused_and_did_not_run(self):
+        self.routes.apply_view(view_of(engine('x', 0, 1)))
+        refused = self.choose('s')
+        self.assertIsInstance(refused, Refused)
+        self.assertIs(refused.ran, Ran.NO)
+
+    def test_own_streams_count_before_any_report_shows_them(self):
+        self.routes.apply_view(
+            view_of(*(engine(f'e{number}') for number in range(4)))
+        )
+        chosen = Counter(
+            self.choose(f's{number}').stages[0].target for number in range(40)
+        )
+        self.assertLessEqual(max(chosen.values()) - min(chosen.values()), 4)
+
+    def test_report_that_shows_own_streams_does_not_count_them_twice(self):
+        engines = [engine('e0'), engine('e1', load=3)]
+        self.routes.apply_view(view_of(*engines))
+        for number in range(8):
+            self.choose(f's{number}')
+        self.routes.apply_view(
+            view_of(engine('e0', load=6), engine('e1', load=6))
+        )
+        chosen = Counter(
+            self.choose(f't{number}').stages[0].target for number in range(8)
+        )
+        self.assertEqual(chosen['e0'], 4)
+
+    def test_many_routers_with_one_stale_report_do_not_herd(self):
+        engines = [
+            engine(f'e{number}', load=5 + number % 3) for number in range(12)
+        ]
+        engines.append(engine('idle', load=0))
+        chosen = Counter()
+        for seed in range(100):
+            each = router(seed)
+            each.apply_view(view_of(*engines))
+            demand = RouteDemand('s', 'b/w', 'm')
+            chosen[each.choose_path(demand).stages[0].target] += 1
+        self.assertLess(chosen['idle'], 30)
+
+    def test_failed_target_gets_nothing_and_comes_back_with_care(self):
+        self.routes.apply_view(view_of(engine('bad'), engine('good')))
+        self.routes.failed('bad', 0, 'silent')
+        self.assertEqual(set(self._targets(20)), {'good'})
+        self.clock.advance(2)
+        self.assertEqual(self._targets(20).count('bad'), 1)
+        self.routes.succeeded('bad', 0.01)
+        self.clock.advance(10)
+        self.assertGreater(self._targets(40).count('bad'), 5)
+
+    def test_ejected_target_is_used_where_nothing_else_covers(self):
+        self.routes.apply_view(view_of(engine('only')))
+        self.routes.failed('only', 0, 'silent')
+        self.assertEqual(self._targets(1), ['only'])
+
+    def test_restarted_target_is_used_again_at_once_but_slowly(self):
+        self.routes.apply_view(view_of(engine('bad'), engine('good')))
+        self.routes.failed('bad', 0, 'silent')
+        self.routes.apply_view(
+            view_of(engine('bad', incarnation=2), engine('good'))
+        )
+        self.clock.advance(0.1)
+        chosen = self._targets(40)
+        self.assertGreater(chosen.count('good'), chosen.count('bad'))
+        self.assertIn('bad', chosen)
+
+    def test_prompt_goes_where_its_prefix_is_cached(self):
+        self.routes.apply_view(
+            view_of(*(engine(f'e{number}') for number in range(8)))
+        )
+        prompt = tuple(f'{block:016x}' for block in range(20))
+        chosen = {
+            self.choose(f's{number}', prefix=prompt, prompt_tokens=320)
+            .stages[0]
+            .target
+            for number in range(4)
+        }
+        self.assertLessEqual(len(chosen), 2)
+
+    def _targets(self, count):
+        chosen = []
+        for number in range(count):
+            stage = self.choose(f'{self.clock.steady()}.{number}').stages[0]
+            chosen.append(stage.target)
+        for number in range(count):
+            self.routes.release_path(f'{self.clock.steady()}.{number}')
+        return chosen
+
+
+class TestHints(TestCase):
+    def test_gap_makes_older_hints_doubtful(self):
+        hints = HintTable()
+        hints.learn('e', [CacheEvent(1, 'stored', 'aa')], 2)
+        self.assertEqual(hints.cached_part('e', ('aa',)), 1)
+        hints.learn('e', [CacheEvent(7, 'stored', 'bb')], 8)
+        self.assertEqual(hints.cached_part('e', ('aa',)), 0.5)
+        self.assertEqual(hints.cached_part('e', ('bb',)), 1)
+
+    def test_evicted_prefix_is_forgotten(self):
+        hints = HintTable()
+        hints.sent('e', ('aa', 'bb'))
+        hints.learn('e', [CacheEvent(1, 'evicted', 'bb')], 2)
+        self.assertEqual(hints.cached_part('e', ('aa', 'bb')), 0.5)
+        self.assertEqual(hints.holders(('aa', 'bb')), ('e',))
+
+    def test_table_is_bounded(self):
+        hints = HintTable(capacity=10)
+        for number in range(100):
+            hints.sent(f'e{number % 3}', (f'{number}',))
+        self.assertEqual(len(hints), 10)
