--- /dev/null
+++ b/mallowcrank/requests/__init__.py
@@ -0,0 +1,3 @@
+"""
+Requests: what callers ask, retry decisions, keys and outcomes.
+"""
--- /dev/null
+++ b/mallowcrank/requests/completion_intake.py
@@ -0,0 +1,126 @@
+"""
+Reads callers' completions and chats.
+"""
+
+import json
+from collections.abc import Mapping
+from typing import Any
+
+from mallowcrank.refusals import Reason, Refused
+from mallowcrank.requests.calls import Completion
+from mallowcrank.requests.intake import (
+    find_workspace,
+    read_terms,
+    refuse_input,
+    refuse_size,
+)
+from mallowcrank.view import View
+from mallowcrank.web import Request
+
+UNBOUNDED = 1 << 30  # tokens, where the caller gives no bound
+
+
+def read_completion(
+    request: Request, view: View, *, chat: bool
+) -> Completion | Refused:
+    """
+    Read a completion or a chat.
+    """
+    body = _read_json(request)
+    if isinstance(body, Refused):
+        return body
+    workspace = find_workspace(request, view)
+    if isinstance(workspace, Refused):
+        return workspace
+    problem = _find_problem(body, chat=chat)
+    if problem is not None:
+        return problem
+    settings = view.models.get(body['model'])
+    if settings is None or settings.name not in workspace.models:
+        return refuse_input(
+            f'no model {body["model"]!r} in workspace {workspace.name}',
+            'model',
+            Reason.UNKNOWN_MODEL,
+        )
+    terms = read_terms(request, workspace, workspace.timeout_s, default=True)
+    if isinstance(terms, Refused):
+        return terms
+    return Completion(
+        terms=terms,
+        model=settings.name,
+        prompt=_read_prompt(body, chat=chat),
+        max_tokens=min(_read_limit(body), settings.max_tokens),
+        chat=chat,
+        streamed=bool(body.get('stream', False)),
+    )
+
+
+def _read_json(request: Request) -> dict[str, Any] | Refused:
+    if request.too_large:
+        return refuse_size()
+    try:
+        body = json.loads(request.body)
+    except (ValueError, RecursionError) as error:
+        return refuse_input(f'the body is not JSON: {error}', 'body')
+    if not isinstance(body, dict):
+        return refuse_input('the body is not a JSON object', 'body')
+    return body
+
+
+def _find_problem(body: Mapping[str, Any], *, chat: bool) -> Refused | None:
+    if not isinstance(body.get('model'), str):
+        return refuse_input('model must be a string', 'model')
+    if chat and not _are_messages(body.get('messages')):
+        return refuse_input(
+            'messages must be a list of objects with a role and a content',
+            'messages',
+        )
+    if not chat and not isinstance(body.get('prompt'), str):
+        return refuse_input('prompt must be a string', 'prompt')
+    for name in ('max_tokens', 'max_completion_tokens'):
+        if not _is_count(body.get(name)):
+            return refuse_input(f'{name} must be a whole number from 1', name)
+    if body.get('n') not in {None, 1}:
+        return refuse_input('n must be 1', 'n')
+    if not isinstance(body.get('stream') or False, bool):
+        return refuse_input('stream must be true or false', 'stream')
+    return None
+
+
+def _is_count(given: Any) -> bool:
+    if given is None:
+        return True
+    return isinstance(given, int) and not isinstance(given, bool) and given > 0
+
+
+def _are_messages(messages: Any) -> bool:
+    if not isinstance(messages, list) or not messages:
+        return False
+    return all(
+        isinstance(message, dict)
+        and isinstance(message.get('role'), str)
+        and isinstance(message.get('content'), str | list)
+        for message in messages
+    )
+
+
+def _read_limit(body: Mapping[str, Any]) -> int:
+    given = body.get('max_completion_tokens') or body.get('max_tokens')
+    return given or UNBOUNDED
+
+
+def _read_prompt(body: Mapping[str, Any], *, chat: bool) -> str:
+    if not chat:
+        return body['prompt']
+    lines = (
+        f'{message["role"]}: {_text_of(message["content"])}\n'
+        for message in body['messages']
+    )
+    return f'{"".join(lines)}assistant: '
+
+
+def _text_of(parts: str | list[Any]) -> str:
+    if isinstance(parts, str):
+        return parts
+    texts = (part.get('text') for part in parts if isinstance(part, dict))
+    return ''.join(text for text in texts if isinstance(text, str))
--- /dev/null
+++ b/mallowcrank/router/addresses.py
@@ -0,0 +1,99 @@
+"""
+Which routers a caller should use, and the prefix of its keys.
+"""
+
+import math
+from collections.abc import Iterable
+from dataclasses import dataclass
+
+from mallowcrank.requests.key_names import key_prefix
+from mallowcrank.requests.keys import KEY_LIFE_S
+from mallowcrank.router.parts import RouterParts
+from mallowcrank.view import Peer
+from mallowcrank.web import Request, Response, json_response
+
+MAX_ADDRESSES = 4
+
+
+@dataclass(frozen=True, slots=True)
+class AddressQuestion:
+    """
+    What decides the order of addresses.
+
+    :param availability_zone: the caller's; may be empty.
+    :param seed: spreads callers over equal routers; any number.
+    """
+
+    availability_zone: str
+    seed: int = 0
+
+
+def order_routers(
+    routers: Iterable[Peer], question: AddressQuestion
+) -> tuple[Peer, ...]:
+    """
+    Return the routers for a caller: its own availability zone first, then the
+    less loaded; none that is leaving.
+    """
+    live = sorted(
+        (peer for peer in routers if not peer.leaving),
+        key=lambda peer: peer.name,
+    )
+    if not live:
+        return ()
+    turn = question.seed % len(live)
+    spread = live[turn:] + live[:turn]
+    ordered = sorted(
+        spread,
+        key=lambda peer: (
+            peer.availability_zone != question.availability_zone,
+            _load_class(peer.load),
+        ),
+    )
+    return tuple(ordered[:MAX_ADDRESSES])
+
+
+def answer_addresses(request: Request, parts: RouterParts) -> Response:
+    """
+    Answer `GET /v1/addresses`.
+    """
+    zone = request.headers.get('x-mallowcrank-availability-zone', '')
+    seed = sum(request.headers.get('x-mallowcrank-workspace', '').encode())
+    question = AddressQuestion(zone, seed + parts.in_flight.count)
+    ordered = order_routers(_all_routers(parts), question)
+    first = ordered[0] if ordered else _myself(parts)
+    keep_s = parts.settings.keep_s
+    expiry = math.ceil(parts.epoch_now() + keep_s + KEY_LIFE_S)
+    return json_response(
+        {
+            'addresses': [peer.address for peer in ordered or (first,)],
+            'keep_s': keep_s,
+            'key_prefix': key_prefix(first.name, first.incarnation, expiry),
+        }
+    )
+
+
+def _all_routers(parts: RouterParts) -> tuple[Peer, ...]:
+    peers = parts.known.view.peers.values()
+    others = (peer for peer in peers if peer.name != parts.me.name)
+    return (*others, _myself(parts))
+
+
+def _myself(parts: RouterParts) -> Peer:
+    settings, me = parts.settings, parts.me
+    return Peer(
+        name=me.name,
+        address=settings.listen,
+        availability_zone=settings.on.availability_zone,
+        incarnation=me.incarnation,
+        leaving=parts.in_flight.leaving_since is not None,
+        load=parts.in_flight.count,
+    )
+
+
+def _load_class(load: int) -> int:
+    """
+    Return the load's order of magnitude, so that callers don't all run to the
+    router that has one request less.
+    """
+    return load.bit_length()
--- /dev/null
+++ b/mallowcrank/router/api.py
@@ -0,0 +1,235 @@
+"""
+The callers' interface: reads requests, admits them and runs them.
+"""
+
+from collections.abc import Callable, Iterator
+from dataclasses import replace
+from functools import partial
+
+from mallowcrank.logs import PartLog
+from mallowcrank.refusals import Ran, Reason, Refused
+from mallowcrank.requests.calls import Completion, ServiceCall, Terms
+from mallowcrank.requests.completion_intake import read_completion
+from mallowcrank.requests.intake import (
+    find_workspace,
+    read_service_call,
+)
+from mallowcrank.requests.outcomes import refusal_response
+from mallowcrank.router.addresses import answer_addresses
+from mallowcrank.router.completion_calls import Admitted, run_completion
+from mallowcrank.router.keyed_calls import Guard, KeyedCalls, KeyedRequest
+from mallowcrank.router.parts import RouterParts
+from mallowcrank.router.ports import Ticket
+from mallowcrank.router.service_calls import AdmittedCall, ServiceLink
+from mallowcrank.streams.tokens import tokenize
+from mallowcrank.web import Body, Request, Response, Routes, json_response
+
+PART = 'router'
+KEPT_MARGIN_S = 1  # kept addresses are served a little longer than stated
+ReadCall = Callable[[Request], Completion | ServiceCall | Refused]
+
+
+class CallersApi:
+    """
+    Answers callers.
+    """
+
+    def __init__(self, parts: RouterParts) -> None:
+        self._parts = parts
+        self._log = PartLog(PART)
+        self._services = ServiceLink(parts)
+        self._keyed = KeyedCalls(parts)
+
+    def routes(self) -> Routes:
+        """
+        Return the handlers of all paths.
+        """
+        routes = Routes()
+        for path, chat in (('chat/completions', True), ('completions', False)):
+            read = partial(self._read_completion, chat=chat)
+            routes.add('POST', f'/v1/{path}', partial(self._answer, read))
+        routes.add(
+            '*', '/v1/services/', partial(self._answer, self._read_service)
+        )
+        routes.add('GET', '/v1/models', self._models)
+        routes.add('GET', '/v1/addresses', self._addresses)
+        return routes
+
+    # Queries
+
+    def _addresses(self, request: Request) -> Response:
+        return answer_addresses(request, self._parts)
+
+    def _models(self, request: Request) -> Response:
+        workspace = find_workspace(request, self._parts.known.view)
+        if isinstance(workspace, Refused):
+            return refusal_response(workspace)
+        known = self._parts.known.view.models
+        listed = [
+            {
+                'id': name,
+                'object': 'model',
+                'created': 0,
+                'owned_by': 'mallowcrank',
+            }
+            for name in workspace.models
+            if name in known
+        ]
+        return json_response({'object': 'list', 'data': listed})
+
+    def _read_completion(
+        self, request: Request, *, chat: bool
+    ) -> Completion | Refused:
+        return read_completion(request, self._parts.known.view, chat=chat)
+
+    def _read_service(self, request: Request) -> ServiceCall | Refused:
+        return read_service_call(request, self._parts.known.view)
+
+    # Commands
+
+    def _answer(self, read: ReadCall, request: Request) -> Response:
+        """
+        Answer a request; nothing that goes wrong ends the thread.
+        """
+        parts = self._parts
+        parts.in_flight.enter()
+        name = parts.names.make()
+        try:
+            response = self._run(read, request, name)
+        except Exception as error:
+            self._log.say('Request failed', request=name, error=repr(error))
+            response = refusal_response(
+                Refused(
+                    Reason.INTERNAL,
+                    Ran.UNKNOWN,
+                    'the router failed; see its log',
+                )
+            )
+        return self._track(response, name)
+
+    def _run(self, read: ReadCall, request: Request, name: str) -> Response:
+        parts = self._parts
+        arrived = parts.clock.steady()
+        parts.timeline.record(PART, f'{request.path} arrived', name)
+        call = read(request)
+        if isinstance(call, Refused):
+            return self._refuse(call, name)
+        refused = self._check_leaving(call.terms, arrived)
+        if refused is not None:
+            return self._refuse(refused, name)
+        deadline = arrived + call.terms.timeout_s
+        ticket = _make_ticket(call, name, deadline)
+        runner = partial(self._admit, call, ticket)
+        if call.terms.repeatable:
+            return runner(lambda: None)
+        keyed = KeyedRequest(request, call.terms, deadline)
+        return self._keyed.run(keyed, runner)
+
+    def _admit(
+        self, call: Completion | ServiceCall, ticket: Ticket, guard: Guard
+    ) -> Response:
+        parts = self._parts
+        refused = parts.admission.enter(ticket)
+        if refused is not None:
+            return self._refuse(refused, ticket.request)
+        parts.timeline.record(PART, 'request admitted', ticket.request)
+        if isinstance(call, ServiceCall):
+            settings = parts.known.view.services[call.service]
+            return self._services.run(
+                AdmittedCall(call, ticket, ticket.deadline, settings, guard)
+            )
+        refused = guard()
+        if refused is not None:
+            parts.admission.leave(ticket, 0)
+            return self._refuse(refused, ticket.request)
+        return run_completion(Admitted(call, ticket, ticket.deadline), parts)
+
+    def _check_leaving(self, terms: Terms, now: float) -> Refused | None:
+        """
+        Refuse new requests once no caller keeps this router's address.
+        """
+        since = self._parts.in_flight.leaving_since
+        if since is None or terms.forwarded_by:
+            return None
+        if now < since + self._parts.settings.keep_s + KEPT_MARGIN_S:
+            return None
+        return Refused(
+            Reason.LEAVING,
+            Ran.NO,
+            'this router is leaving; ask /v1/addresses again',
+            retry_after_s=1,
+        )
+
+    def _refuse(self, refused: Refused, name: str) -> Response:
+        self._parts.timeline.record(
+            PART, f'refused: {refused.reason} ran={refused.ran}', name
+        )
+        self._parts.metrics.incr(f'refused.{refused.reason}')
+        return refusal_response(refused)
+
+    def _track(self, response: Response, name: str) -> Response:
+        """
+        Name the request in the answer, and count it until its body has ended.
+        """
+        given = {header.lower() for header, _ in response.headers}
+        own = (
+            ('X-Mallowcrank-Request', name),
+            ('X-Mallowcrank-Router', self._parts.me.name),
+        )
+        added = (each for each in own if each[0].lower() not in given)
+        headers = (*response.headers, *added)
+        self._parts.metrics.incr('requests')
+        if isinstance(response.body, bytes):
+            self._parts.in_flight.leave()
+            return replace(response, headers=headers)
+        body = TrackedBody(response.body, self._parts.in_flight.leave)
+        return replace(response, headers=headers, body=body)
+
+
+class TrackedBody:
+    """
+    A streamed body that tells when it has ended.
+    """
+
+    def __init__(self, body: Body, ended: Callable[[], None]) -> None:
+        self._body = body
+        self._pieces = iter(body)
+        self._ended = ended
+        self._closed = False
+
+    def __iter__(self) -> Iterator[bytes]:
+        return self
+
+    def __next__(self) -> bytes:
+        return next(self._pieces)
+
+    def close(self) -> None:
+        """
+        Close the body; called by the server in any case.
+        """
+        if self._closed:
+            return
+        self._closed = True
+        try:
+            getattr(self._body, 'close', lambda: None)()
+        finally:
+            self._ended()
+
+
+def _make_ticket(
+    call: Completion | ServiceCall, name: str, deadline: float
+) -> Ticket:
+    is_service = isinstance(call, ServiceCall)
+    return Ticket(
+        request=name,
+        workspace=call.terms.workspace,
+        deadline=deadline,
+        priority=call.terms.priority,
+        tokens=0 if is_service else _estimate_tokens(call),
+        serves=call.service if is_service else call.model,
+        is_service=is_service,
+    )
+
+
+def _estimate_tokens(call: Completion) -> int:
+    return len(tokenize(call.prompt)) + call.max_tokens
--- /dev/null
+++ b/mallowcrank/router/daemon.py
@@ -0,0 +1,156 @@
+"""
+The router's life: start all parts, serve, and stop gracefully.
+"""
+
+import secrets
+import threading
+
+from mallowcrank.codec import to_plain
+from mallowcrank.context import Environment
+from mallowcrank.logs import PartLog
+from mallowcrank.requests.keepers import RouterId
+from mallowcrank.router.admin import admin_routes
+from mallowcrank.router.api import CallersApi
+from mallowcrank.router.assembly import Policies, assemble
+from mallowcrank.router.feed import FeedLink, FeedPorts
+from mallowcrank.router.parts import RouterParts
+from mallowcrank.router.suspects import ReportingRoutes
+from mallowcrank.settings import RouterSettings
+from mallowcrank.status import ExitStatus
+from mallowcrank.streams.alarm import Alarm
+from mallowcrank.streams.orders import TakeView
+from mallowcrank.view import View
+from mallowcrank.web import WebServer
+
+INCARNATION_BYTES = 8
+ADMIN_THREADS = 4
+CUT_GRACE_S = 3  # for error events to reach callers after a hard stop
+KEPT_MARGIN_S = 1
+
+
+class Router:
+    """
+    One router process.
+    """
+
+    def __init__(
+        self,
+        settings: RouterSettings,
+        policies: Policies,
+        environment: Environment,
+    ) -> None:
+        self._settings = settings
+        self._log = PartLog('router')
+        self._clock = environment.clock
+        incarnation = secrets.token_hex(INCARNATION_BYTES)
+        self._me = RouterId(settings.on.host, incarnation)
+        self._alarm = Alarm(self._clock)
+        self._routes = ReportingRoutes(policies.routes, self._report_now)
+        self._parts = assemble(
+            settings,
+            self._me,
+            Policies(policies.admission, self._routes),
+            self._alarm,
+        )
+        self._feed = FeedLink(
+            settings,
+            self._me,
+            FeedPorts(self._parts.known, self._take_view, self._make_report),
+        )
+        self._stop_asked = threading.Event()
+        self._callers = WebServer(
+            settings.listen, CallersApi(self._parts).routes(), settings.threads
+        )
+        self._operators = WebServer(
+            settings.admin,
+            admin_routes(self._parts, self.ask_to_stop),
+            ADMIN_THREADS,
+        )
+
+    @property
+    def parts(self) -> RouterParts:
+        """
+        Return the router's parts.
+        """
+        return self._parts
+
+    def start(self) -> None:
+        """
+        Start to serve.
+
+        :raises OSError: when an address can't be bound.
+        """
+        self._alarm.start()
+        self._feed.start()
+        self._operators.start()
+        self._callers.start()
+        self._log.say(
+            'Serving',
+            address=self._callers.address,
+            admin=self._operators.address,
+        )
+
+    def ask_to_stop(self) -> None:
+        """
+        Start a graceful stop; asked again, cut what is in flight.
+        """
+        if self._stop_asked.is_set():
+            self._parts.in_flight.cut()
+        self._stop_asked.set()
+
+    def run(self) -> ExitStatus:
+        """
+        Serve until a stop is asked for, then stop.
+        """
+        self._stop_asked.wait()
+        in_flight = self._parts.in_flight
+        started = self._clock.steady()
+        in_flight.start_leaving(started)
+        self._parts.timeline.record('router', 'leaving')
+        self._log.say('Leaving', in_flight=in_flight.count)
+        self._feed.report_now()
+        self._wait_kept(started)
+        left = started + self._settings.drain_limit_s - self._clock.steady()
+        is_whole = in_flight.wait_idle(left)
+        if not is_whole:
+            in_flight.cut()
+            in_flight.wait_ended(CUT_GRACE_S)
+        self._close()
+        self._log.say('Stopped', whole=is_whole)
+        return ExitStatus.SUCCESS if is_whole else ExitStatus.HARD_STOP
+
+    def _wait_kept(self, started: float) -> None:
+        """
+        Serve until no caller keeps this router's address any more.
+        """
+        end = started + self._settings.keep_s + KEPT_MARGIN_S
+        end = min(end, started + self._settings.drain_limit_s)
+        self._parts.in_flight.wait_cut(end - self._clock.steady())
+
+    def _close(self) -> None:
+        self._callers.stop()
+        self._operators.stop()
+        self._feed.stop()
+        self._alarm.stop()
+        self._parts.driver.stop(block=False)
+        self._parts.keeper.stop(block=False)
+
+    def _report_now(self) -> None:
+        self._feed.report_now()
+
+    def _take_view(self, view: View) -> None:
+        parts = self._parts
+        parts.known.apply(view)
+        parts.admission.apply_view(view)
+        parts.routes.apply_view(view)
+        parts.driver.tell(TakeView(view))
+
+    def _make_report(self) -> dict[str, object]:
+        in_flight = self._parts.in_flight
+        return {
+            'load': in_flight.count,
+            'in_flight': in_flight.count,
+            'leaving': in_flight.leaving_since is not None,
+            'suspects': to_plain(list(self._routes.take_suspects())),
+            'demand': dict(self._parts.admission.demands()),
+        }
--- /dev/null
+++ b/mallowcrank/router/feed.py
@@ -0,0 +1,138 @@
+"""
+The router's end of the agent's feed: views in, reports out.
+"""
+
+import socket
+import threading
+from collections.abc import Callable, Iterator
+from dataclasses import dataclass
+from typing import Any
+
+from cattrs import BaseValidationError
+
+from mallowcrank.logs import PartLog
+from mallowcrank.requests.keepers import RouterId
+from mallowcrank.router.folding import fold_change, read_snapshot
+from mallowcrank.router.known import KnownView
+from mallowcrank.settings import RouterSettings
+from mallowcrank.view import View
+from mallowcrank.wire import BadFrameError, FrameReader, pack_frame
+
+CONNECT_TIMEOUT_S = 1
+SILENCE_S = 3  # beats come each second
+RECONNECT_S = 0.2
+REPORT_S = 1
+RECEIVE_BYTES = 64 * 1024
+
+
+@dataclass(frozen=True)
+class FeedPorts:
+    """
+    What the feed works with.
+
+    :param take_view: hands a new view to all parts.
+    :param make_report: returns the report without its type.
+    """
+
+    known: KnownView
+    take_view: Callable[[View], None]
+    make_report: Callable[[], dict[str, Any]]
+
+
+class FeedLink:
+    """
+    Keeps a connection to the agent, and connects again where it is lost. The
+    router goes on with the last view meanwhile.
+    """
+
+    def __init__(
+        self, settings: RouterSettings, me: RouterId, ports: FeedPorts
+    ) -> None:
+        self._settings = settings
+        self._me = me
+        self._ports = ports
+        self._log = PartLog('router')
+        self._socket: socket.socket | None = None
+        self._stopped = threading.Event()
+        self._wake = threading.Event()
+
+    def start(self) -> None:
+        """
+        Start to read and to report, each in a thread.
+        """
+        for loop in (self._read_loop, self._report_loop):
+            threading.Thread(target=loop, daemon=True).start()
+
+    def stop(self) -> None:
+        """
+        Stop both.
+        """
+        self._stopped.set()
+        self._wake.set()
+
+    def report_now(self) -> None:
+        """
+        Send a report at once.
+        """
+        self._wake.set()
+
+    def _read_loop(self) -> None:
+        while not self._stopped.is_set():
+            try:
+                self._follow()
+            except (OSError, BadFrameError, BaseValidationError) as error:
+                self._log.say('Feed is lost', error=str(error))
+            self._socket = None
+            self._stopped.wait(RECONNECT_S)
+
+    def _follow(self) -> None:
+        host, _, port = self._settings.feed.rpartition(':')
+        with socket.create_connection(
+            (host, int(port)), CONNECT_TIMEOUT_S
+        ) as connection:
+            connection.settimeout(SILENCE_S)
+            connection.sendall(pack_frame(self._hello(), self._settings.keys))
+            self._socket = connection
+            self._wake.set()
+            for message in self._messages(connection):
+                self._take(message)
+
+    def _messages(self, connection: socket.socket) -> Iterator[dict[str, Any]]:
+        reader = FrameReader(self._settings.keys)
+        while not self._stopped.is_set():
+            received = connection.recv(RECEIVE_BYTES)
+            if not received:
+                raise ConnectionError('the agent closed the feed')
+            yield from reader.feed(received)
+
+    def _take(self, message: dict[str, Any]) -> None:
+        kind = message.get('type')
+        if kind == 'snapshot':
+            self._ports.take_view(read_snapshot(message))
+        elif kind == 'change':
+            view = self._ports.known.view
+            self._ports.take_view(fold_change(view, message))
+        else:
+            self._ports.known.hear()
+
+    def _report_loop(self) -> None:
+        while not self._stopped.is_set():
+            self._wake.wait(REPORT_S)
+            self._wake.clear()
+            connection = self._socket
+            if connection is None:
+                continue
+            report = {'type': 'report', **self._ports.make_report()}
+            try:
+                connection.sendall(pack_frame(report, self._settings.keys))
+            except OSError as error:
+                self._log.say('Report was not sent', error=str(error))
+
+    def _hello(self) -> dict[str, str]:
+        return {
+            'type': 'hello',
+            'router': self._me.name,
+            'incarnation': self._me.incarnation,
+            'address': self._settings.listen,
+            'availability_zone': self._settings.on.availability_zone,
+        }
--- /dev/null
+++ b/mallowcrank/router/keyed_calls.py
@@ -0,0 +1,264 @@
+"""
+Runs requests that may not repeat: each key at most once.
+"""
+
+from collections.abc import Callable, Iterable, Iterator
+from concurrent.futures import TimeoutError as FutureTimeoutError
+from dataclasses import dataclass, replace
+
+from xxhash import xxh128_hexdigest
+
+from mallowcrank.calls import HttpCaller
+from mallowcrank.ports import Failure
+from mallowcrank.refusals import Ran, Reason, Refused
+from mallowcrank.requests.calls import Terms
+from mallowcrank.requests.intake import (
+    DEADLINE,
+    FORWARDED_BY,
+    MILLISECONDS,
+    passed_headers,
+)
+from mallowcrank.requests.keeper import Answer, FinishKey, Running
+from mallowcrank.requests.keepers import (
+    OWNED_KEY_LIFE_S,
+    Forward,
+    find_keeper,
+    find_owner,
+    keeper_gone,
+)
+from mallowcrank.requests.key_names import read_key
+from mallowcrank.requests.keys import KEY_FIELD, Claim, may_send
+from mallowcrank.requests.outcomes import refusal_response
+from mallowcrank.router.parts import RouterParts
+from mallowcrank.router.service_calls import HOP_HEADERS
+from mallowcrank.view import Peer
+from mallowcrank.web import Request, Response
+
+MAX_KEPT_BYTES = 256 * 1024  # of one answer
+REPLAYED = ('X-Mallowcrank-Replayed', 'yes')
+RAN_HEADER = 'x-mallowcrank-ran'
+KEEPER_LIMIT_S = 5  # for the keeper's actor to decide a claim
+
+Guard = Callable[[], Refused | None]
+Runner = Callable[[Guard], Response]
+
+
+@dataclass(frozen=True)
+class KeyedRequest:
+    """
+    A request with a key.
+
+    :param deadline: steady time in seconds.
+    """
+
+    request: Request
+    terms: Terms
+    deadline: float
+
+    @property
+    def scoped_key(self) -> str:
+        """
+        Return the key in its workspace, so that two can't meet in one key.
+        """
+        return f'{self.terms.workspace}\0{self.terms.key}'
+
+    @property
+    def fingerprint(self) -> str:
+        """
+        Return a hash of what is asked.
+        """
+        asked = self.request
+        query = sorted(asked.query.items())
+        head = f'{asked.method}\0{asked.path}\0{query}\0'
+        return xxh128_hexdigest(head.encode() + asked.body)
+
+
+class KeyedCalls:
+    """
+    Finds a key's keeper, and runs the request where that is this router.
+    """
+
+    def __init__(self, parts: RouterParts) -> None:
+        self._parts = parts
+
+    def run(self, keyed: KeyedRequest, runner: Runner) -> Response:
+        """
+        Run the request, give its answer again, pass it on, or refuse it.
+
+        :param runner: runs the request, with a check right before the send.
+        """
+        forwarded = bool(keyed.terms.forwarded_by)
+        known = self._parts.known.whereabouts(forwarded=forwarded)
+        name = read_key(keyed.terms.key)
+        if name is None:
+            found = find_owner(keyed.scoped_key, known)
+            expiry = self._parts.epoch_now() + OWNED_KEY_LIFE_S
+        else:
+            found = find_keeper(name, known)
+            expiry = name.expiry
+        if isinstance(found, Refused):
+            return refusal_response(found)
+        if isinstance(found, Forward):
+            return self._forward(found.peer, keyed)
+        return self._keep(keyed, expiry, runner)
+
+    def _keep(
+        self, keyed: KeyedRequest, expiry: float, runner: Runner
+    ) -> Response:
+        wanted = Claim(
+            key=keyed.scoped_key,
+            fingerprint=keyed.fingerprint,
+            expiry=expiry,
+            now=self._parts.epoch_now(),
+        )
+        reply = self._parts.keeper.ask(wanted, timeout=KEEPER_LIMIT_S)
+        if isinstance(reply, Refused):
+            return refusal_response(reply)
+        if isinstance(reply, Answer):
+            return _replay(reply)
+        if isinstance(reply, Running):
+            return self._join(reply, keyed)
+        return self._start(keyed, expiry, runner)
+
+    def _join(self, running: Running, keyed: KeyedRequest) -> Response:
+        left = keyed.deadline - self._parts.clock.steady()
+        try:
+            return _replay(running.answer.result(max(0, left)))
+        except FutureTimeoutError:
+            return refusal_response(
+                Refused(
+                    Reason.KEY_IN_FLIGHT,
+                    Ran.UNKNOWN,
+                    'the request of this key is still running',
+                    retry_after_s=1,
+                    field=KEY_FIELD,
+                )
+            )
+
+    def _start(
+        self, keyed: KeyedRequest, expiry: float, runner: Runner
+    ) -> Response:
+        def guard() -> Refused | None:
+            left = keyed.deadline - self._parts.clock.steady()
+            return may_send(expiry, self._parts.epoch_now(), left)
+
+        try:
+            response = runner(guard)
+        except Exception:
+            failed = Refused(
+                Reason.INTERNAL, Ran.UNKNOWN, 'the router failed; see its log'
+            )
+            self._finish(keyed, refusal_response(failed), b'')
+            raise
+        if isinstance(response.body, bytes):
+            self._finish(keyed, response, response.body)
+            return response
+        recorded = RecordedBody(
+            response.body, lambda body: self._finish(keyed, response, body)
+        )
+        return replace(response, body=recorded)
+
+    def _finish(
+        self, keyed: KeyedRequest, response: Response, body: bytes
+    ) -> None:
+        headers = dict(response.headers)
+        ran = Ran(
+            next(
+                given
+                for name, given in headers.items()
+                if name.lower() == RAN_HEADER
+            )
+        )
+        if isinstance(response.body, bytes):
+            body = response.body
+        answer = _bound(Answer(response.status, response.headers, body, ran))
+        self._parts.keeper.tell(FinishKey(keyed.scoped_key, answer))
+
+    def _forward(self, peer: Peer, keyed: KeyedRequest) -> Response:
+        """
+        Pass the request on to the key's keeper, once.
+        """
+        left = keyed.deadline - self._parts.clock.steady()
+        headers = passed_headers(keyed.request.headers)
+        headers[FORWARDED_BY] = self._parts.me.name
+        headers[DEADLINE] = str(int(left * MILLISECONDS))
+        reply = HttpCaller(peer.address, connections=1).call(
+            keyed.request.method,
+            keyed.request.target,
+            keyed.request.body,
+            headers,
+            left,
+        )
+        if isinstance(reply, Failure):
+            # An earlier try may have reached the keeper.
+            return refusal_response(replace(keeper_gone(), retry_after_s=1))
+        passed = tuple(
+            (name, given)
+            for name, given in reply.headers.items()
+            if name.lower() not in HOP_HEADERS
+        )
+        return Response(reply.status, reply.body, passed)
+
+
+class RecordedBody:
+    """
+    A streamed body that is recorded. Where the caller goes away, the rest is
+    taken all the same, so that a retry of the key gets the whole answer.
+    """
+
+    def __init__(
+        self, body: Iterable[bytes], finish: Callable[[bytes], None]
+    ) -> None:
+        self._body = body
+        self._pieces = iter(body)
+        self._finish = finish
+        self._taken: list[bytes] = []
+        self._finished = False
+
+    def __iter__(self) -> Iterator[bytes]:
+        return self
+
+    def __next__(self) -> bytes:
+        piece = next(self._pieces, None)
+        if piece is None:
+            self._end()
+            raise StopIteration
+        self._taken.append(piece)
+        return piece
+
+    def close(self) -> None:
+        """
+        Take the rest, keep the answer, and close the body.
+        """
+        self._taken.extend(self._pieces)
+        self._end()
+        close = getattr(self._body, 'close', None)
+        if close is not None:
+            close()
+
+    def _end(self) -> None:
+        if not self._finished:
+            self._finished = True
+            self._finish(b''.join(self._taken))
+
+
+def _replay(answer: Answer) -> Response:
+    headers = (*answer.headers, REPLAYED)
+    return Response(answer.status, answer.body, headers)
+
+
+def _bound(answer: Answer) -> Answer:
+    """
+    Put a short refusal in the place of an answer that is too large to keep.
+    """
+    if answer.size <= MAX_KEPT_BYTES:
+        return answer
+    refused = Refused(
+        Reason.KEY_REUSED,
+        answer.ran,
+        'the request ran; its answer was too large to keep',
+        field=KEY_FIELD,
+    )
+    short = refusal_response(refused)
+    body = short.body if isinstance(short.body, bytes) else b''
+    return Answer(short.status, short.headers, body, answer.ran)
--- /dev/null
+++ b/mallowcrank/router/suspects.py
@@ -0,0 +1,110 @@
+"""
+Passes what the routes learn on to the agent: targets that failed.
+"""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from threading import Lock
+
+from mallowcrank.refusals import Refused
+from mallowcrank.router.ports import Route, RouteDemand, RoutePort
+from mallowcrank.view import View
+
+MAX_SUSPECTS = 256  # between two reports
+
+
+@dataclass(frozen=True, slots=True)
+class Suspect:
+    """
+    A target that failed this router.
+    """
+
+    target: str
+    incarnation: int
+    reason: str
+
+
+class ReportingRoutes:
+    """
+    A policy of routes whose failures are reported too.
+
+    :param report_now: called for a target that is newly suspected.
+    """
+
+    def __init__(
+        self, routes: RoutePort, report_now: Callable[[], None]
+    ) -> None:
+        self._routes = routes
+        self._report_now = report_now
+        self._lock = Lock()
+        self._suspects: dict[str, Suspect] = {}
+
+    # Queries
+
+    def choose_path(self, demand: RouteDemand) -> Route | Refused:
+        """
+        Choose a path of engines and count it as in flight.
+        """
+        return self._routes.choose_path(demand)
+
+    def choose_replica(
+        self, service: str, avoid: frozenset[str]
+    ) -> str | Refused:
+        """
+        Choose a replica of a plain service and count the call in flight.
+        """
+        return self._routes.choose_replica(service, avoid)
+
+    def may_retry(self, serves: str) -> bool:
+        """
+        Spend one retry out of the pool's budget, where one is left.
+        """
+        return self._routes.may_retry(serves)
+
+    # Commands
+
+    def take_suspects(self) -> tuple[Suspect, ...]:
+        """
+        Return the suspects since the last report.
+        """
+        with self._lock:
+            suspects = tuple(self._suspects.values())
+            self._suspects.clear()
+        return suspects
+
+    def failed(self, target: str, incarnation: int, reason: str) -> None:
+        """
+        A target failed a call or went silent.
+        """
+        self._routes.failed(target, incarnation, reason)
+        suspect = Suspect(target, incarnation, reason)
+        with self._lock:
+            is_new = target not in self._suspects
+            if len(self._suspects) < MAX_SUSPECTS:
+                self._suspects[target] = suspect
+        if is_new:
+            self._report_now()
+
+    def release_path(self, stream: str) -> None:
+        """
+        A stream no longer uses its path.
+        """
+        self._routes.release_path(stream)
+
+    def release_replica(self, target: str) -> None:
+        """
+        A call to a replica is over.
+        """
+        self._routes.release_replica(target)
+
+    def succeeded(self, target: str, seconds: float) -> None:
+        """
+        A target answered a call.
+        """
+        self._routes.succeeded(target, seconds)
+
+    def apply_view(self, view: View) -> None:
+        """
+        Take over new settings and targets.
+        """
+        self._routes.apply_view(view)
--- /dev/null
+++ b/mallowcrank/streams/__init__.py
@@ -0,0 +1,3 @@
+"""
+Streams: each layer once for each token, over stages that fail.
+"""
--- /dev/null
+++ b/mallowcrank/streams/alarm.py
@@ -0,0 +1,79 @@
+"""
+Tells actors a message at a given time.
+"""
+
+import heapq
+import threading
+from collections.abc import Callable
+from itertools import count
+
+from mallowcrank.clock import Clock
+
+
+class Alarm:
+    """
+    One thread that calls back at due times.
+
+    Callbacks must be short and must not raise.
+    """
+
+    def __init__(self, clock: Clock) -> None:
+        self._clock = clock
+        self._due: list[tuple[float, int, Callable[[], None]]] = []
+        self._numbers = count()
+        self._changed = threading.Condition()
+        self._thread = threading.Thread(target=self._run, daemon=True)
+        self._stopped = False
+
+    @property
+    def clock(self) -> Clock:
+        """
+        Return the clock that it follows.
+        """
+        return self._clock
+
+    def start(self) -> None:
+        """
+        Start the thread.
+        """
+        self._thread.start()
+
+    def stop(self) -> None:
+        """
+        Stop the thread; what is due later is dropped.
+        """
+        with self._changed:
+            self._stopped = True
+            self._changed.notify()
+
+    def ring(self, delay_s: float, callback: Callable[[], None]) -> None:
+        """
+        Call back after some seconds.
+        """
+        due = self._clock.steady() + delay_s
+        with self._changed:
+            heapq.heappush(self._due, (due, next(self._numbers), callback))
+            if self._due[0][0] == due:
+                self._changed.notify()
+
+    def _run(self) -> None:
+        while True:
+            with self._changed:
+                callbacks = self._collect()
+                if self._stopped:
+                    return
+            for callback in callbacks:
+                callback()
+
+    def _collect(self) -> list[Callable[[], None]]:
+        """
+        Wait until something is due, and take it.
+        """
+        callbacks: list[Callable[[], None]] = []
+        while not self._stopped and not callbacks:
+            now = self._clock.steady()
+            while self._due and self._due[0][0] <= now:
+                callbacks.append(heapq.heappop(self._due)[2])
+            if not callbacks:
+                self._changed.wait(self._due[0][0] - now if self._due else None)
+        return callbacks
--- /dev/null
+++ b/mallowcrank/streams/carrying.py
@@ -0,0 +1,124 @@
+"""
+Carries out what a stream's state machine asks for.
+"""
+
+from dataclasses import replace
+from functools import singledispatch
+
+from mallowcrank.refusals import Ran, Refused
+from mallowcrank.requests.retry import Again, Situation, decide_retry
+from mallowcrank.streams.actions import (
+    Action,
+    Emit,
+    Fail,
+    FindRoute,
+    Finish,
+    Forget,
+    Note,
+    SendStep,
+    Suspect,
+    Transfer,
+    Wait,
+)
+from mallowcrank.streams.events import Event, NoRoute, RouteFound
+from mallowcrank.streams.orders import RouteWaitOver
+from mallowcrank.streams.outlet import Ended
+from mallowcrank.streams.recovery import is_import_sooner
+from mallowcrank.streams.table import Running, StreamTable
+
+ROUTE_WAIT_S = 0.1  # between looks for a path where there is none
+REPLACEMENT_PATIENCE_S = 10  # for a target to take a lost stage's place
+
+
+@singledispatch
+def carry_out(
+    action: Action, running: Running, table: StreamTable
+) -> Event | None:
+    """
+    Carry out an action.
+
+    :returns: the event that follows from it at once, if any.
+    """
+    raise TypeError(f'no such action: {action!r}')
+
+
+@carry_out.register
+def _(action: SendStep, running: Running, table: StreamTable) -> None:
+    table.pool.add_step(action.target, action.step)
+
+
+@carry_out.register
+def _(action: Emit, running: Running, table: StreamTable) -> None:
+    running.opened.outlet.put(action.token)
+
+
+@carry_out.register
+def _(action: FindRoute, running: Running, table: StreamTable) -> Event:
+    opened, routes = running.opened, table.ports.routes
+    if running.state.used:
+        routes.release_path(opened.task.stream)
+    tokens = running.state.total
+    demand = replace(opened.demand, prompt_tokens=tokens, avoid=action.avoid)
+    found = routes.choose_path(demand)
+    if isinstance(found, Refused):
+        return NoRoute(found, _is_patient(running, table.now))
+    running.waiting_since = None
+    opened.outlet.route = str(found)
+    sooner = is_import_sooner(table.ports.cost, tokens)
+    return RouteFound(found, allow_import=sooner)
+
+
+@carry_out.register
+def _(action: Wait, running: Running, table: StreamTable) -> None:
+    table.ring(ROUTE_WAIT_S, RouteWaitOver(running.opened.task.stream))
+
+
+@carry_out.register
+def _(action: Forget, running: Running, table: StreamTable) -> None:
+    stream = running.opened.task.stream
+    table.pool.add_forget(action.target, stream, action.attempt)
+
+
+@carry_out.register
+def _(action: Suspect, running: Running, table: StreamTable) -> None:
+    table.ports.routes.failed(action.target, action.incarnation, action.reason)
+
+
+@carry_out.register
+def _(action: Note, running: Running, table: StreamTable) -> None:
+    table.note(running.opened.request, action.what, action.target)
+
+
+@carry_out.register
+def _(action: Transfer, running: Running, table: StreamTable) -> None:
+    table.start_transfer(running.opened.task.stream, action)
+
+
+@carry_out.register
+def _(action: Finish, running: Running, table: StreamTable) -> None:
+    table.end(running, Ended(finish=action.reason))
+
+
+@carry_out.register
+def _(action: Fail, running: Running, table: StreamTable) -> None:
+    table.end(running, Ended(refused=action.refused))
+
+
+def _is_patient(running: Running, now: float) -> bool:
+    """
+    Tell whether there is time to wait for a target in a lost one's place.
+    """
+    if running.waiting_since is None:
+        running.waiting_since = now
+    patience_ends = running.waiting_since + REPLACEMENT_PATIENCE_S
+    ends = min(running.opened.deadline, patience_ends)
+    situation = Situation(
+        # A fresh KV state never runs a token twice in its lineage.
+        ran=Ran.NO,
+        repeatable=True,
+        attempts=0,
+        budget=True,
+        seconds_left=ends - now,
+        needed_s=ROUTE_WAIT_S,
+    )
+    return isinstance(decide_retry(situation), Again)
--- /dev/null
+++ b/mallowcrank/streams/engine_http.py
@@ -0,0 +1,97 @@
+"""
+The engine port over HTTP and msgpack.
+"""
+
+from collections.abc import Sequence
+from types import MappingProxyType
+from typing import Any
+
+import msgpack
+from cattrs import BaseValidationError
+
+from mallowcrank.calls import HttpCaller
+from mallowcrank.codec import from_plain, to_plain
+from mallowcrank.ports import Failure, Step, StepResult
+from mallowcrank.refusals import Ran
+
+HTTP_OK = 200
+CONTROL_TIMEOUT_S = 2
+MSGPACK = MappingProxyType({'Content-Type': 'application/msgpack'})
+# A connection that was idle for longer is not trusted with a step.
+FRESH_AFTER_S = 2
+
+
+class HttpEngine:
+    """
+    One engine, called over kept connections.
+    """
+
+    def __init__(self, address: str, connections: int = 4) -> None:
+        self._caller = HttpCaller(address, connections, FRESH_AFTER_S)
+
+    def run(
+        self, steps: Sequence[Step], timeout_s: float
+    ) -> tuple[StepResult, ...] | Failure:
+        """
+        Run the steps of many streams in one call.
+        """
+        packed = msgpack.packb({'steps': [to_plain(step) for step in steps]})
+        answer = self._post('/steps', packed, timeout_s)
+        if isinstance(answer, Failure):
+            return answer
+        return _read_results(answer)
+
+    def cancel(self, streams: Sequence[tuple[str, int]]) -> Failure | None:
+        """
+        Forget the KV states of streams, each with its last attempt.
+        """
+        packed = msgpack.packb({'streams': list(streams)})
+        answer = self._post('/cancel', packed, CONTROL_TIMEOUT_S)
+        return answer if isinstance(answer, Failure) else None
+
+    def export(
+        self, stream: str, attempt: int, layers: tuple[int, int]
+    ) -> bytes | Failure:
+        """
+        Return the KV state of a stream for a range of layers.
+        """
+        wanted = {
+            'stream': stream,
+            'attempt': attempt,
+            'first_layer': layers[0],
+            'last_layer': layers[1],
+        }
+        return self._post('/export', msgpack.packb(wanted), CONTROL_TIMEOUT_S)
+
+    def import_(
+        self, stream: str, attempt: int, exported: bytes
+    ) -> Failure | None:
+        """
+        Take over an exported KV state.
+        """
+        packed = msgpack.packb(
+            {'stream': stream, 'attempt': attempt, 'exported': exported}
+        )
+        answer = self._post('/import', packed, CONTROL_TIMEOUT_S)
+        return answer if isinstance(answer, Failure) else None
+
+    def _post(
+        self, path: str, packed: bytes, timeout_s: float
+    ) -> bytes | Failure:
+        reply = self._caller.call('POST', path, packed, MSGPACK, timeout_s)
+        if isinstance(reply, Failure):
+            return reply
+        if reply.status != HTTP_OK:
+            return Failure(f'{path} answered {reply.status}', Ran.UNKNOWN)
+        return reply.body
+
+
+def _read_results(packed: bytes) -> tuple[StepResult, ...] | Failure:
+    try:
+        answer: Any = msgpack.unpackb(packed)
+    except (ValueError, msgpack.UnpackException) as error:
+        return Failure(f'the answer is malformed: {error}', Ran.UNKNOWN)
+    try:
+        return from_plain(answer['results'], tuple[StepResult, ...])
+    except (BaseValidationError, KeyError, TypeError) as error:
+        return Failure(f'the answer is malformed: {error}', Ran.UNKNOWN)
--- /dev/null
+++ b/mallowcrank/streams/machine.py
@@ -0,0 +1,172 @@
+"""
+The state machine of one stream: events in, actions out.
+
+Each token goes through the stages in order, one step in flight at a time. An
+answer counts only if its target, attempt, token and layers are those of the
+step in flight. A stage that is lost is replaced; its KV state is built again
+under a new attempt number, from the inputs that the stage had been given.
+"""
+
+from dataclasses import replace
+from functools import singledispatch
+
+from mallowcrank.refusals import Ran
+from mallowcrank.requests.retry import combine
+from mallowcrank.streams.actions import FindRoute, Note, SendStep, Suspect, Wait
+from mallowcrank.streams.events import (
+    Answered,
+    Cancelled,
+    Event,
+    Leaving,
+    Lost,
+    NoRoute,
+    RouteFound,
+    Started,
+    Transferred,
+    WaitOver,
+)
+from mallowcrank.streams.recovery import (
+    find_transfer,
+    finish_transfer,
+    take_route,
+)
+from mallowcrank.streams.state import Phase, StreamState, step_in_flight
+from mallowcrank.streams.transitions import (
+    Outcome,
+    fail,
+    replace_stage,
+    run_on,
+    take_outputs,
+    take_refusal,
+)
+
+MAX_DOUBTS = 2  # calls without an answer until a target is given up
+
+
+def apply_event(state: StreamState, event: Event) -> Outcome:
+    """
+    Return the stream's next state and what has to be done.
+    """
+    if state.phase is Phase.ENDED:
+        return state, ()
+    return _apply(event, state)
+
+
+@singledispatch
+def _apply(event: Event, state: StreamState) -> Outcome:
+    raise TypeError(f'no such event: {event!r}')
+
+
+@_apply.register
+def _(event: Started, state: StreamState) -> Outcome:
+    begun = replace(state, phase=Phase.ROUTING, inputs={0: state.task.prompt})
+    return begun, (FindRoute(state.avoid),)
+
+
+@_apply.register
+def _(event: RouteFound, state: StreamState) -> Outcome:
+    if state.phase is not Phase.ROUTING:
+        return state, ()
+    routed = take_route(state, event.route)
+    note = Note(f'route {event.route}')
+    transfer = find_transfer(routed) if event.allow_import else None
+    if transfer is not None:
+        return replace(routed, phase=Phase.TRANSFERRING), (note, transfer)
+    return run_on(routed, (note,))
+
+
+@_apply.register
+def _(event: NoRoute, state: StreamState) -> Outcome:
+    if state.phase is not Phase.ROUTING:
+        return state, ()
+    if state.fallback:
+        staying = replace(
+            state, stages=state.fallback, fallback=(), source=None
+        )
+        return run_on(staying, ())
+    if event.patient and state.used:
+        return replace(state, phase=Phase.WAITING), (Wait(),)
+    return fail(state, event.refused)
+
+
+@_apply.register
+def _(event: WaitOver, state: StreamState) -> Outcome:
+    if state.phase is not Phase.WAITING:
+        return state, ()
+    # A target that failed before may be the only one, and be back.
+    again = replace(state, phase=Phase.ROUTING, avoid=frozenset())
+    return again, (FindRoute(frozenset()),)
+
+
+@_apply.register
+def _(event: Answered, state: StreamState) -> Outcome:
+    if not _is_expected(state, event):
+        return state, ()
+    if event.result.refused:
+        return take_refusal(state, event.result.refused)
+    return take_outputs(state, event.result)
+
+
+@_apply.register
+def _(event: Lost, state: StreamState) -> Outcome:
+    if not _is_in_flight(state, event):
+        return state, ()
+    doubts = state.doubts + 1
+    known = replace(state, doubts=doubts, ran=combine(state.ran, event.ran))
+    target = event.target
+    if event.ran is Ran.UNKNOWN and doubts < MAX_DOUBTS:
+        # The step may have run; sent again it is then refused as repeated.
+        return known, (
+            Note('step sent again', target),
+            SendStep(target, event.step),
+        )
+    suspect = Suspect(target, state.active.stage.incarnation, 'no answer')
+    return replace_stage(known, None, (suspect,))
+
+
+@_apply.register
+def _(event: Transferred, state: StreamState) -> Outcome:
+    if state.phase is not Phase.TRANSFERRING or event.attempt != state.attempt:
+        return state, ()
+    note = Note('state imported' if event.done else 'import failed')
+    return run_on(finish_transfer(state, done=event.done), (note,))
+
+
+@_apply.register
+def _(event: Leaving, state: StreamState) -> Outcome:
+    return replace(state, moving=state.moving | {event.target}), ()
+
+
+@_apply.register
+def _(event: Cancelled, state: StreamState) -> Outcome:
+    return fail(state, event.refused)
+
+
+def _is_expected(state: StreamState, event: Answered) -> bool:
+    if state.phase is not Phase.RUNNING:
+        return False
+    active, answer = state.active, event.result
+    stage = active.stage
+    return (
+        event.target,
+        answer.stream,
+        answer.attempt,
+        answer.token,
+        answer.first_layer,
+        answer.last_layer,
+    ) == (
+        stage.target,
+        state.task.stream,
+        active.attempt,
+        active.held,
+        stage.first_layer,
+        stage.last_layer,
+    )
+
+
+def _is_in_flight(state: StreamState, event: Lost) -> bool:
+    if state.phase is not Phase.RUNNING:
+        return False
+    if state.active.stage.target != event.target:
+        return False
+    return event.step == step_in_flight(state)
--- /dev/null
+++ b/mallowcrank/streams/orders.py
@@ -0,0 +1,85 @@
+"""
+Messages to the driver of streams.
+"""
+
+from dataclasses import dataclass
+
+from mallowcrank.refusals import Refused
+from mallowcrank.router.ports import RouteDemand
+from mallowcrank.streams.outlet import Outlet
+from mallowcrank.streams.state import Task
+from mallowcrank.view import View
+
+
+@dataclass(frozen=True)
+class Open:
+    """
+    Start a stream.
+
+    :param request: the request's id, for the time line.
+    :param demand: what it needs a route for.
+    :param deadline: steady time in seconds.
+    """
+
+    task: Task
+    request: str
+    demand: RouteDemand
+    deadline: float
+    outlet: Outlet
+
+
+@dataclass(frozen=True, slots=True)
+class Close:
+    """
+    The caller no longer wants a stream.
+    """
+
+    stream: str
+    refused: Refused
+
+
+@dataclass(frozen=True, slots=True)
+class DeadlineDue:
+    """
+    A stream's deadline has come.
+    """
+
+    stream: str
+
+
+@dataclass(frozen=True, slots=True)
+class RouteWaitOver:
+    """
+    Look for a path again.
+    """
+
+    stream: str
+
+
+@dataclass(frozen=True, slots=True)
+class TransferEnded:
+    """
+    A KV transfer was done, or failed.
+    """
+
+    stream: str
+    attempt: int
+    done: bool
+
+
+@dataclass(frozen=True)
+class TakeView:
+    """
+    Targets or settings have changed.
+    """
+
+    view: View
+
+
+@dataclass(frozen=True, slots=True)
+class LeaveTarget:
+    """
+    Streams should move off a target now.
+    """
+
+    target: str
--- /dev/null
+++ b/mallowcrank/streams/outlet.py
@@ -0,0 +1,51 @@
+"""
+The way of a stream's tokens from the driver to the caller's thread.
+"""
+
+from dataclasses import dataclass
+from queue import Empty, SimpleQueue
+
+from mallowcrank.refusals import Refused
+
+
+@dataclass(frozen=True, slots=True)
+class Ended:
+    """
+    The end of a stream.
+
+    :param finish: `stop` or `length`, or an empty string.
+    :param refused: why it broke, or `None`.
+    """
+
+    finish: str = ''
+    refused: Refused | None = None
+
+
+class Outlet:
+    """
+    A queue of tokens; it holds no more than the answer's bound of tokens.
+    """
+
+    def __init__(self) -> None:
+        self._queue: SimpleQueue[int | Ended] = SimpleQueue()
+        self.route = ''
+
+    def put(self, given: int | Ended) -> None:
+        """
+        Add a token, or the end.
+        """
+        self._queue.put(given)
+
+    def take(self, timeout_s: float) -> list[int | Ended]:
+        """
+        Wait for the next token; return it with all that came after it.
+
+        :returns: an empty list where nothing came in time.
+        """
+        try:
+            taken = [self._queue.get(timeout=timeout_s)]
+        except Empty:
+            return []
+        while not self._queue.empty():
+            taken.append(self._queue.get())
+        return taken
--- /dev/null
+++ b/mallowcrank/streams/recovery.py
@@ -0,0 +1,123 @@
+"""
+How a stream goes over to another path: which stages keep their KV state, and
+how the others get theirs.
+"""
+
+from dataclasses import dataclass, replace
+
+from mallowcrank.router.ports import Route, Stage
+from mallowcrank.streams.actions import Transfer
+from mallowcrank.streams.state import StageState, StreamState
+
+
+@dataclass(frozen=True, slots=True)
+class RebuildCost:
+    """
+    Measured speeds, for the choice between the ways to rebuild KV state.
+
+    :param step_s: seconds of one step.
+    :param prefill_s: seconds for each further token of one step.
+    :param call_s: seconds of one call without work.
+    :param bytes_per_token: bytes of exported state for each token.
+    :param bytes_per_s: rate of a transfer.
+    """
+
+    step_s: float = 0.02
+    prefill_s: float = 0.001
+    call_s: float = 0.002
+    bytes_per_token: float = 1024
+    bytes_per_s: float = 50_000_000
+
+
+def rerun_seconds(cost: RebuildCost, tokens: int) -> float:
+    """
+    Estimate the time to run all tokens again on a fresh state.
+    """
+    return cost.call_s + cost.step_s + cost.prefill_s * tokens
+
+
+def import_seconds(cost: RebuildCost, tokens: int) -> float:
+    """
+    Estimate the time of an export and an import.
+    """
+    moved = 2 * tokens * cost.bytes_per_token / cost.bytes_per_s
+    return 2 * cost.call_s + moved
+
+
+def is_import_sooner(cost: RebuildCost, tokens: int) -> bool:
+    """
+    Tell whether importing is estimated to be sooner than running again.
+    """
+    return import_seconds(cost, tokens) < rerun_seconds(cost, tokens)
+
+
+def take_route(state: StreamState, route: Route) -> StreamState:
+    """
+    Put a stream on a path.
+
+    Stages that it shares with the old path go on with their KV state. The
+    others start fresh ones under a new attempt number. Where the inputs of a
+    fresh stage are not known, the stage before runs all tokens again too.
+    """
+    attempt = state.attempt + 1
+    stages = [_carry(state, stage, attempt) for stage in route.stages]
+    for index in range(len(stages) - 1, 0, -1):
+        boundary = stages[index].stage.first_layer
+        if not stages[index].held and boundary not in state.inputs:
+            before = stages[index - 1].stage
+            stages[index - 1] = StageState(before, attempt)
+    return replace(
+        state,
+        attempt=attempt,
+        stages=tuple(stages),
+        fallback=(),
+        position=0,
+        doubts=0,
+        used=state.used | {stage.target for stage in route.stages},
+    )
+
+
+def find_transfer(state: StreamState) -> Transfer | None:
+    """
+    Find the fresh stage that can take over the state of the stage given up.
+    """
+    source = state.source
+    if source is None:
+        return None
+    fresh = [each for each in state.stages if not each.held]
+    if len(fresh) != 1 or _layers(fresh[0].stage) != _layers(source.stage):
+        return None
+    return Transfer(
+        source=source.stage.target,
+        attempt=source.attempt,
+        stage=fresh[0].stage,
+        new_attempt=state.attempt,
+    )
+
+
+def finish_transfer(state: StreamState, *, done: bool) -> StreamState:
+    """
+    Go on after a transfer, or with a fresh state where it failed.
+    """
+    attempt = state.attempt
+    held = state.source.held if state.source else 0
+    if not done:
+        # The import may have taken effect all the same: use another number.
+        attempt += 1
+        held = 0
+    stages = tuple(
+        each if each.held else StageState(each.stage, attempt, held)
+        for each in state.stages
+    )
+    return replace(state, attempt=attempt, stages=stages)
+
+
+def _carry(state: StreamState, stage: Stage, attempt: int) -> StageState:
+    for old in state.stages:
+        if old.stage == stage:
+            return old
+    return StageState(stage, attempt)
+
+
+def _layers(stage: Stage) -> tuple[int, int]:
+    return stage.first_layer, stage.last_layer
--- /dev/null
+++ b/mallowcrank/streams/transitions.py
@@ -0,0 +1,217 @@
+"""
+How a stream goes on: the next step, the next token, another stage, the end.
+"""
+
+from dataclasses import replace
+
+from mallowcrank.ports import StepResult
+from mallowcrank.refusals import Ran, Reason, Refused
+from mallowcrank.requests.retry import combine
+from mallowcrank.streams.actions import (
+    Action,
+    Emit,
+    Fail,
+    FindRoute,
+    Finish,
+    Forget,
+    Note,
+    SendStep,
+)
+from mallowcrank.streams.state import (
+    Phase,
+    StageState,
+    StreamState,
+    step_in_flight,
+)
+
+END_TOKEN = 256  # the tokenizer's id that ends an answer
+MAX_REBUILDS = 2  # fresh states in a row on one target
+MAX_RECOVERIES = 64  # of one stream
+# Refusals after which the same target can start on a fresh state. A repeated
+# step has run, but its outputs are lost.
+STATE_LOST = ('repeated', 'cancelled', 'there is no', 'the state holds')
+
+Outcome = tuple[StreamState, tuple[Action, ...]]
+
+
+def ran_so_far(state: StreamState) -> Ran:
+    """
+    Return what is known to have run of the stream.
+    """
+    if state.phase is Phase.RUNNING:
+        return combine(state.ran, Ran.UNKNOWN)
+    return state.ran
+
+
+def take_outputs(state: StreamState, answer: StepResult) -> Outcome:
+    """
+    Go on with what the active stage gave.
+    """
+    is_last = state.position == len(state.stages) - 1
+    if len(answer.outputs) != _count_outputs(state, is_last=is_last):
+        malformed = Note('malformed answer', state.active.stage.target)
+        return replace_stage(state, None, (malformed,))
+    stages = list(state.stages)
+    active = state.active
+    stages[state.position] = StageState(
+        active.stage, active.attempt, state.total
+    )
+    fields = {
+        'stages': tuple(stages),
+        'ran': Ran.YES,
+        'doubts': 0,
+        'rebuilds': 0,
+    }
+    if is_last:
+        return _take_token(replace(state, **fields), answer.outputs[-1])
+    boundary = active.stage.last_layer + 1
+    before = state.inputs.get(boundary, ())[: answer.token]
+    inputs = {**state.inputs, boundary: before + answer.outputs}
+    position = state.position + 1
+    return _send(replace(state, inputs=inputs, position=position, **fields))
+
+
+def _count_outputs(state: StreamState, *, is_last: bool) -> int:
+    return 1 if is_last else state.total - state.active.held
+
+
+def _take_token(state: StreamState, token: int) -> Outcome:
+    if token == END_TOKEN:
+        return _finish(state, 'stop', ())
+    given = replace(
+        state,
+        answer=(*state.answer, token),
+        inputs={**state.inputs, 0: (*state.inputs[0], token)},
+        position=0,
+    )
+    emit = Emit(token)
+    if len(given.answer) >= state.task.max_tokens:
+        return _finish(given, 'length', (emit,))
+    if given.moving:
+        return _move_off(given, emit)
+    sent, actions = _send(given)
+    return sent, (emit, *actions)
+
+
+def _move_off(state: StreamState, emit: Emit) -> Outcome:
+    moving = [
+        each for each in state.stages if each.stage.target in state.moving
+    ]
+    still = replace(state, moving=frozenset())
+    if not moving:
+        sent, actions = _send(still)
+        return sent, (emit, *actions)
+    routing = replace(
+        still,
+        phase=Phase.ROUTING,
+        source=moving[0] if len(moving) == 1 else None,
+        fallback=state.stages,
+        stages=tuple(each for each in state.stages if each not in moving),
+    )
+    return routing, (emit, FindRoute(state.avoid | state.moving))
+
+
+def take_refusal(state: StreamState, reason: str) -> Outcome:
+    """
+    Go on after the active stage's target refused the step.
+    """
+    target = state.active.stage.target
+    note = Note(f'step refused: {reason}', target)
+    if reason.startswith(STATE_LOST) and state.rebuilds < MAX_REBUILDS:
+        return _rebuild_stage(state, note)
+    return replace_stage(state, state.active, (note,))
+
+
+def _rebuild_stage(state: StreamState, note: Note) -> Outcome:
+    """
+    Run all tokens of a stage again on a fresh state of the same target.
+    """
+    attempt = state.attempt + 1
+    stages = list(state.stages)
+    stages[state.position] = StageState(state.active.stage, attempt)
+    rebuilt = replace(
+        state,
+        attempt=attempt,
+        stages=tuple(stages),
+        doubts=0,
+        rebuilds=state.rebuilds + 1,
+        recoveries=state.recoveries + 1,
+    )
+    return _send(rebuilt, (note,))
+
+
+def replace_stage(
+    state: StreamState,
+    source: StageState | None,
+    actions: tuple[Action, ...],
+) -> Outcome:
+    """
+    Look for a path without the active stage's target.
+    """
+    target = state.active.stage.target
+    if state.recoveries >= MAX_RECOVERIES:
+        refused = Refused(
+            Reason.TARGET_FAILED,
+            Ran.YES,
+            f'the stream failed {MAX_RECOVERIES} times',
+            retry_after_s=1,
+        )
+        return fail(state, refused)
+    avoid = state.avoid | {target}
+    routing = replace(
+        state,
+        phase=Phase.ROUTING,
+        avoid=avoid,
+        source=source if source and source.held else None,
+        stages=tuple(
+            each for each in state.stages if each.stage.target != target
+        ),
+        recoveries=state.recoveries + 1,
+    )
+    note = Note('stage failed', target)
+    return routing, (*actions, note, FindRoute(avoid))
+
+
+def run_on(state: StreamState, actions: tuple[Action, ...]) -> Outcome:
+    """
+    Go on along a path, freeing the state of the stage that was given up.
+    """
+    source = state.source
+    running = replace(state, phase=Phase.RUNNING, source=None, position=0)
+    if source is not None:
+        left = Forget(source.stage.target, source.attempt)
+        actions = (*actions, left)
+    return _send(running, actions)
+
+
+def _send(state: StreamState, before: tuple[Action, ...] = ()) -> Outcome:
+    """
+    Send the step of the next stage that has not run all tokens.
+    """
+    position = state.position
+    while state.stages[position].held >= state.total:
+        position += 1
+    if position != state.position:
+        state = replace(state, position=position)
+    send = SendStep(state.active.stage.target, step_in_flight(state))
+    return state, (*before, send)
+
+
+def _finish(
+    state: StreamState, reason: str, actions: tuple[Action, ...]
+) -> Outcome:
+    ended = replace(state, phase=Phase.ENDED)
+    return ended, (*actions, *_forget_all(state), Finish(reason))
+
+
+def fail(state: StreamState, refused: Refused) -> Outcome:
+    """
+    End the stream without its answer.
+    """
+    ended = replace(state, phase=Phase.ENDED)
+    honest = replace(refused, ran=ran_so_far(state))
+    return ended, (*_forget_all(state), Fail(honest))
+
+
+def _forget_all(state: StreamState) -> tuple[Forget, ...]:
+    return tuple(Forget(target, state.attempt) for target in sorted(state.used))
--- a/mallowcrank/web.py
+++ b/mallowcrank/web.py
@@ -8,7 +8,7 @@
 from dataclasses import dataclass, field
 from http import HTTPStatus
 from typing import Any
-from urllib.parse import parse_qsl
+from urllib.parse import parse_qsl, urlsplit
 
 from cheroot.wsgi import Server
 
@@ -23,6 +23,7 @@
     """
     One HTTP request, read whole.
 
+    :param target: the path and query, as they were sent.
     :param headers: by lower-case name.
     :param too_large: whether the body was over the limit and was not read.
     """
@@ -33,6 +34,7 @@
     headers: Mapping[str, str] = field(default_factory=dict)
     body: bytes = b''
     too_large: bool = False
+    target: str = ''
 
     def json(self) -> Any:
         """
@@ -178,9 +180,15 @@
             headers=_headers(environ),
             body=b'' if too_large else body,
             too_large=too_large,
+            target=_target(environ),
         )
 
 
+def _target(environ: Mapping[str, Any]) -> str:
+    parts = urlsplit(environ.get('REQUEST_URI', ''))
+    return f'{parts.path}?{parts.query}' if parts.query else parts.path
+
+
 def _headers(environ: Mapping[str, Any]) -> dict[str, str]:
     headers = {
         name[5:].replace('_', '-').lower(): given
--- /dev/null
+++ b/tests/utils/local_router.py
@@ -0,0 +1,253 @@
+"""
+A router in this process, with a fake agent.
+"""
+
+import json
+import socket
+import threading
+import time
+from contextlib import closing
+from dataclasses import replace
+from http.client import HTTPConnection
+
+from mallowcrank.codec import to_plain
+from mallowcrank.context import Environment
+from mallowcrank.router.assembly import Policies
+from mallowcrank.router.daemon import Router
+from mallowcrank.router.simple_policy import LeastInFlight, OpenAdmission
+from mallowcrank.settings import HostSettings, RouterSettings
+from mallowcrank.view import (
+    ModelSettings,
+    ServiceSettings,
+    Target,
+    TargetKind,
+    View,
+    WorkspaceSettings,
+)
+from mallowcrank.wire import FrameReader, KeyRing, pack_frame
+from tests.utils.fake_engine import LAYERS
+
+WORKSPACE = 'klang/quotes'
+LIMIT_S = 20
+
+
+def make_view(targets=(), services=(), peers=()):
+    """
+    Return a view with one workspace, one model `m` and some services.
+    """
+    return View(
+        version=1,
+        targets={target.name: target for target in targets},
+        models={'m': ModelSettings('m', LAYERS, max_tokens=64)},
+        services={service.name: service for service in services},
+        workspaces={
+            WORKSPACE: WorkspaceSettings(
+                WORKSPACE,
+                'klang',
+                models=('m',),
+                services=tuple(service.name for service in services),
+            )
+        },
+        peers={peer.name: peer for peer in peers},
+    )
+
+
+def service_target(name, address, serves):
+    """
+    Return a replica of a service.
+    """
+    return Target(name, TargetKind.SERVICE, address, 'a', serves, incarnation=1)
+
+
+def service(name='stock', **given):
+    """
+    Return a service's settings.
+    """
+    return ServiceSettings(name, **given)
+
+
+class FakeAgent:
+    """
+    Sends views to the router, and takes its reports.
+    """
+
+    def __init__(self, view):
+        self.view = view
+        self.reports = []
+        self._keys = KeyRing()
+        self._listener = socket.create_server(('127.0.0.1', 0))
+        self.address = address_of(self._listener)
+        self._connections = []
+        self._stopped = threading.Event()
+        threading.Thread(target=self._accept, daemon=True).start()
+
+    def send_view(self, view):
+        self.view = view
+        for connection in self._connections:
+            connection.sendall(self._snapshot())
+
+    def stop(self):
+        self._stopped.set()
+        self._listener.close()
+        for connection in self._connections:
+            connection.close()
+
+    def _snapshot(self):
+        message = {'type': 'snapshot', 'view': to_plain(self.view)}
+        return pack_frame(message, self._keys)
+
+    def _accept(self):
+        while not self._stopped.is_set():
+            try:
+                connection, _ = self._listener.accept()
+            except OSError:
+                return
+            self._connections.append(connection)
+            connection.sendall(self._snapshot())
+            for loop in (self._read, self._beat):
+                threading.Thread(
+                    target=loop, args=(connection,), daemon=True
+                ).start()
+
+    def _read(self, connection):
+        reader = FrameReader(self._keys)
+        while not self._stopped.is_set():
+            try:
+                received = connection.recv(65536)
+            except OSError:
+                return
+            self.reports.extend(reader.feed(received))
+
+    def _beat(self, connection):
+        beat = pack_frame({'type': 'beat'}, self._keys)
+        while not self._stopped.wait(1):
+            try:
+                connection.sendall(beat)
+            except OSError:
+                return
+
+
+class LocalRouter:
+    """
+    A router, its agent and a caller.
+    """
+
+    def __init__(self, view, name='r1', keep_s=0.2, threads=24, **given):
+        self.agent = FakeAgent(view)
+        settings = RouterSettings(
+            on=HostSettings(name, 'a'),
+            listen=free_address(),
+            admin=free_address(),
+            feed=self.agent.address,
+            keys=KeyRing(),
+            keep_s=keep_s,
+            drain_limit_s=LIMIT_S,
+            threads=threads,
+        )
+        self.address = settings.listen
+        self.router = Router(
+            replace(settings, **given),
+            Policies(OpenAdmission(), LeastInFlight()),
+            Environment(),
+        )
+        self.router.start()
+        self.wait_view(view)
+
+    def wait_view(self, view):
+        wait_until(lambda: self.router.parts.known.view == view)
+
+    def stop(self):
+        self.router.ask_to_stop()
+        self.router.ask_to_stop()
+        self.router.run()
+        self.agent.stop()
+
+    def send(self, method, path, body=None, **headers):
+        """
+        Send a request; return the response with its body read.
+        """
+        named = {
+            'x-mallowcrank-workspace': WORKSPACE,
+            **{
+                name.replace('_', '-'): given for name, given in headers.items()
+            },
+        }
+        payload = body if isinstance(body, bytes | None) else json.dumps(body)
+        with closing(self.connect()) as connection:
+            connection.request(method, path, payload, named)
+            response = connection.getresponse()
+            response.whole = response.read()
+        return response
+
+    def chat(self, prompt='hat', count=8, stream=False, **headers):
+        """
+        Send a completion.
+        """
+        body = {
+            'model': 'm',
+            'prompt': prompt,
+            'max_tokens': count,
+            'stream': stream,
+        }
+        return self.send('POST', '/v1/completions', body, **headers)
+
+    def connect(self):
+        return HTTPConnection(self.address, timeout=LIMIT_S)
+
+
+def text_of(response):
+    """
+    Return the text of a whole answer, streamed or not.
+
+    :raises AssertionError: when a stream is not whole.
+    """
+    if not response.headers['content-type'].startswith('text/event-stream'):
+        return json.loads(response.whole)['choices'][0]['text']
+    events = events_of(response.whole)
+    if events[-1] != '[DONE]':
+        raise AssertionError(f'the stream is broken: {events[-1]}')
+    parts = [
+        event['choices'][0]['text'] for event in events[:-1] if event['choices']
+    ]
+    return ''.join(parts)
+
+
+def events_of(body):
+    """
+    Return the events of a stream.
+    """
+    events = []
+    for line in body.decode().splitlines():
+        if line.startswith('data: '):
+            given = line.removeprefix('data: ')
+            events.append(given if given == '[DONE]' else json.loads(given))
+    return events
+
+
+def free_address():
+    """
+    Return an address that was free a moment ago.
+    """
+    with socket.create_server(('127.0.0.1', 0)) as probe:
+        return address_of(probe)
+
+
+def address_of(bound):
+    """
+    Return the address that a socket is bound to.
+    """
+    host, port = bound.getsockname()
+    return f'{host}:{port}'
+
+
+def wait_until(condition, limit_s=LIMIT_S):
+    """
+    Wait until something holds.
+
+    :raises TimeoutError: when it doesn't within the limit.
+    """
+    end = time.monotonic() + limit_s
+    while not condition():
+        if time.monotonic() > end:
+            raise TimeoutError('the condition did not come to hold')
+        time.sleep(0.005)
