--- a/mallowcrank/web.py
+++ b/mallowcrank/web.py
@@ -25,6 +25,7 @@
 
     :param target: the path and query, as they were sent.
     :param headers: by lower-case name.
+    :param peer: `IP:PORT` of the other end of the connection.
     :param too_large: whether the body was over the limit and was not read.
     """
 
@@ -35,6 +36,7 @@
     body: bytes = b''
     too_large: bool = False
     target: str = ''
+    peer: str = ''
 
     def json(self) -> Any:
         """
@@ -181,6 +183,7 @@
             body=b'' if too_large else body,
             too_large=too_large,
             target=_target(environ),
+            peer=f'{environ["REMOTE_ADDR"]}:{environ["REMOTE_PORT"]}',
         )
 
 
