Add stand-ins: log, host list, weights, engines and services

Cause: every other part needs the platform's and the targets' side to run against. Change: the five stand-ins of docs/PROTOCOLS.md with faults by order, a deterministic model and a trace.

--- /dev/null
+++ b/mallowcrank/standins/registration.py
@@ -0,0 +1,51 @@
+"""
+Keeps a target in the host-list stand-in.
+"""
+
+import json
+
+from mallowcrank.calls import HttpCaller
+from mallowcrank.clock import Clock
+from mallowcrank.standins.program import run_periodically
+from mallowcrank.standins.settings import TargetSettings
+
+PERIOD_S = 1
+
+
+class Registration:
+    """
+    Registers a target each second, and says so when it leaves.
+
+    :param kind: `engine` or `service`.
+    """
+
+    def __init__(self, settings: TargetSettings, kind: str) -> None:
+        self._caller = HttpCaller(settings.hosts) if settings.hosts else None
+        self._body = json.dumps(
+            {
+                'name': settings.on.name,
+                'address': settings.on.listen,
+                'availability_zone': settings.availability_zone,
+                'kind': kind,
+            }
+        ).encode()
+        self._leaving = False
+
+    def start(self, clock: Clock) -> None:
+        """
+        Go on registering.
+        """
+        if self._caller:
+            run_periodically(self._send, PERIOD_S, clock)
+
+    def leave(self) -> None:
+        """
+        Say that the target is leaving.
+        """
+        self._leaving = True
+        if self._caller:
+            self._send()
+
+    def _send(self) -> None:
+        path = '/leave' if self._leaving else '/register'
+        self._caller.call('POST', path, self._body, timeout_s=1)
--- /dev/null
+++ b/mallowcrank/standins/service.py
@@ -0,0 +1,139 @@
+"""
+The plain-service stand-in: stock lookups, alerts and the like.
+"""
+
+import json
+import threading
+from http import HTTPStatus
+
+from xxhash import xxh64_hexdigest
+
+from mallowcrank.clock import Clock
+from mallowcrank.standins.faults import FaultOrder, Faults
+from mallowcrank.standins.registration import Registration
+from mallowcrank.standins.settings import ServiceSettings
+from mallowcrank.standins.trace import Trace
+from mallowcrank.web import Request, Response, Routes, json_response
+
+FINISH_LIMIT_S = 30
+QUIET_S = 2
+POLL_S = 0.05
+MS_PER_S = 1000
+
+
+class Service:
+    """
+    One replica of a service; it counts what it ran.
+    """
+
+    def __init__(self, settings: ServiceSettings, clock: Clock) -> None:
+        self._settings = settings
+        self._clock = clock
+        self._name = settings.target.on.name
+        self._incarnation = int(clock.now() * MS_PER_S)
+        self._lock = threading.Lock()
+        self._ran = 0
+        self._in_flight = 0
+        self._last_call = clock.steady()
+        self._leaving = False
+        self._trace = Trace(settings.target, self._incarnation, clock)
+        self._registration = Registration(settings.target, 'service')
+        routes = Routes()
+        routes.add('GET', '/status', self.status)
+        routes.add('*', '/', self.work)
+        self.answer = routes
+
+    def status(self, _request: Request) -> Response:
+        """
+        Answer `GET /status`.
+        """
+        return json_response(
+            {
+                'name': self._name,
+                'kind': 'service',
+                'availability_zone': self._settings.target.availability_zone,
+                'incarnation': self._incarnation,
+                'serves': self._settings.target.serves,
+                'load': self._in_flight,
+                'leaving': self._leaving,
+                'ran': self._ran,
+            }
+        )
+
+    def start(self, _faults: Faults) -> None:
+        """
+        Start to register.
+        """
+        self._registration.start(self._clock)
+        self._trace.note('start')
+
+    def work(self, request: Request) -> Response:
+        """
+        Run one call.
+        """
+        self._trace.note(
+            'call',
+            request=request.headers.get('x-mallowcrank-request', ''),
+            key=request.headers.get('idempotency-key', ''),
+            method=request.method,
+            path=request.path,
+            body=xxh64_hexdigest(request.body),
+        )
+        number = self._begin()
+        self._clock.sleep(self._settings.work_ms / MS_PER_S)
+        self._end()
+        return json_response(
+            {
+                'name': self._name,
+                'service': self._settings.target.serves,
+                'number': number,
+                'path': request.path,
+                'body': _readable(request.body),
+            },
+            HTTPStatus.OK,
+        )
+
+    def take_fault(self, order: FaultOrder) -> None:
+        """
+        Do nothing: a service has no faults of its own.
+        """
+
+    def leave(self) -> None:
+        """
+        Say that the replica is leaving.
+        """
+        if not self._leaving:
+            self._leaving = True
+            self._trace.note('leaving')
+            self._registration.leave()
+
+    def finish(self) -> None:
+        """
+        Wait until no call is in flight and none has come for a while.
+        """
+        end = self._clock.steady() + FINISH_LIMIT_S
+        while self._clock.steady() < end and not self._is_quiet():
+            self._clock.sleep(POLL_S)
+        self._trace.note('stop')
+
+    def _begin(self) -> int:
+        with self._lock:
+            self._ran += 1
+            self._in_flight += 1
+            self._last_call = self._clock.steady()
+            return self._ran
+
+    def _end(self) -> None:
+        with self._lock:
+            self._in_flight -= 1
+
+    def _is_quiet(self) -> bool:
+        idle = self._clock.steady() - self._last_call
+        return idle > QUIET_S and not self._in_flight
+
+
+def _readable(body: bytes) -> object:
+    try:
+        return json.loads(body)
+    except ValueError:
+        return body.decode(errors='replace')
--- /dev/null
+++ b/mallowcrank/standins/stepping.py
@@ -0,0 +1,154 @@
+"""
+Runs steps on an engine's KV states, with its prefix cache.
+"""
+
+import threading
+from collections.abc import Sequence
+from dataclasses import replace
+
+from mallowcrank.clock import Clock
+from mallowcrank.ports import Step, StepResult
+from mallowcrank.standins.accelerator import Accelerator
+from mallowcrank.standins.holding import Holder
+from mallowcrank.standins.kv import ExportedKv, KvStates
+from mallowcrank.standins.prefix_cache import CacheEvent, PrefixCache
+from mallowcrank.standins.settings import EngineSettings
+from mallowcrank.standins.trace import Trace
+
+IDLE_STATE_S = 60  # a state unused for longer is freed
+QUIET_S = 2  # without a step, once leaving, until the engine may stop
+
+
+class Stepper:
+    """
+    The states, the cache and the accelerator of one engine.
+
+    :param prefix: starts the names of its states.
+    """
+
+    def __init__(
+        self,
+        settings: EngineSettings,
+        holder: Holder,
+        trace: Trace,
+        prefix: str,
+        clock: Clock,
+    ) -> None:
+        self._settings = settings
+        self._holder = holder
+        self._trace = trace
+        self._clock = clock
+        self._lock = threading.Lock()
+        self._states = KvStates(prefix)
+        self._cache = PrefixCache(settings.cache_blocks, settings.cache_late_s)
+        self._last_step = clock.steady()
+        self._accelerator = Accelerator(
+            settings.step_ms, settings.slots, self._run_step, clock
+        )
+
+    @property
+    def load(self) -> int:
+        """
+        Return the steps that wait or run.
+        """
+        return self._accelerator.load
+
+    @property
+    def is_quiet(self) -> bool:
+        """
+        Tell whether no step has run for a while and none waits.
+        """
+        idle = self._clock.steady() - self._last_step
+        return idle > QUIET_S and not self.load
+
+    def cache_events(self, number: int) -> tuple[int, tuple[CacheEvent, ...]]:
+        """
+        Return the next number to ask for, and the events that are told.
+        """
+        with self._lock:
+            return self._cache.events_from(number, self._clock.steady())
+
+    def export(
+        self, stream: str, attempt: int, layers: range
+    ) -> ExportedKv | None:
+        """
+        Return a copy of some layers of a state, where all are held.
+        """
+        with self._lock:
+            return self._states.export(stream, attempt, layers)
+
+    def start(self) -> None:
+        """
+        Start the accelerator.
+        """
+        self._accelerator.start()
+
+    def run(self, steps: Sequence[Step]) -> tuple[StepResult, ...]:
+        """
+        Run steps and wait for their results.
+        """
+        return self._accelerator.run([self._cost(step) for step in steps])
+
+    def import_(self, stream: str, attempt: int, exported: ExportedKv) -> bool:
+        """
+        Take over a state; tell whether it could be.
+        """
+        now = self._clock.steady()
+        with self._lock:
+            state = self._states.import_(stream, attempt, exported, now)
+            if state is None:
+                return False
+            self._trace.note_import(stream, attempt, state.name, exported)
+        return True
+
+    def cancel(self, stream: str, last_attempt: int) -> None:
+        """
+        Free a stream's states and refuse its later steps.
+        """
+        with self._lock:
+            self._states.cancel(stream, last_attempt)
+
+    def drop_events(self, count: int) -> None:
+        """
+        Lose the next cache events.
+        """
+        with self._lock:
+            self._cache.drop_events(count)
+
+    def expire(self) -> None:
+        """
+        Free states that nobody has used for long.
+        """
+        with self._lock:
+            self._states.expire(self._clock.steady() - IDLE_STATE_S)
+
+    def _cost(self, step: Step) -> tuple[Step, int, float]:
+        layers = step.last_layer - step.first_layer + 1
+        share = layers / self._holder.holding.count
+        if step.token or step.first_layer:
+            return step, step.count, share
+        with self._lock:
+            cached = self._cache.cached_tokens(step.inputs)
+            self._cache.store(step.inputs, self._clock.steady())
+        return step, max(1, step.count - cached), share
+
+    def _run_step(self, step: Step) -> StepResult:
+        outcome = StepResult(
+            step.stream,
+            step.attempt,
+            step.token,
+            step.first_layer,
+            step.last_layer,
+        )
+        held = self._holder.holding.layers
+        now = self._clock.steady()
+        with self._lock:
+            refusal = self._states.find_refusal(step, held)
+            if refusal:
+                return replace(outcome, refused=refusal)
+            self._last_step = now
+            outputs, state = self._states.run(
+                step, self._settings.total_layers, now
+            )
+            self._trace.note_step(step, outputs, state)
+        return replace(outcome, outputs=outputs, state=state)
--- /dev/null
+++ b/mallowcrank/standins/trace.py
@@ -0,0 +1,92 @@
+"""
+The trace of engines and services: one JSON object a line.
+"""
+
+import json
+import threading
+from pathlib import Path
+
+from mallowcrank.clock import Clock
+from mallowcrank.ports import Step
+from mallowcrank.standins.kv import ExportedKv
+from mallowcrank.standins.settings import TargetSettings
+
+
+class Trace:
+    """
+    Writes one target's trace, each line flushed at once.
+
+    :param incarnation: changes with each start of the target.
+    """
+
+    def __init__(
+        self, settings: TargetSettings, incarnation: int, clock: Clock
+    ) -> None:
+        self._target = settings.on.name
+        self._incarnation = incarnation
+        self._clock = clock
+        self._lock = threading.Lock()
+        self._file = (
+            Path(settings.trace).open('a', encoding='utf-8')
+            if settings.trace
+            else None
+        )
+
+    def note(self, event: str, **fields: object) -> None:
+        """
+        Write one line.
+        """
+        if self._file is None:
+            return
+        with self._lock:
+            line = json.dumps(
+                {
+                    'event': event,
+                    'time': self._clock.now(),
+                    'target': self._target,
+                    'incarnation': self._incarnation,
+                    **fields,
+                }
+            )
+            self._file.write(f'{line}\n')
+            self._file.flush()
+
+    def note_step(
+        self, step: Step, outputs: tuple[int, ...], state: str
+    ) -> None:
+        """
+        Write a line for a step that ran.
+        """
+        self.note(
+            'step',
+            request=step.stream,
+            stream=step.stream,
+            attempt=step.attempt,
+            token=step.token,
+            count=step.count,
+            first_layer=step.first_layer,
+            last_layer=step.last_layer,
+            state=state,
+            input=str(step.inputs[-1]),
+            output=str(outputs[-1]),
+        )
+
+    def note_import(
+        self, stream: str, attempt: int, state: str, exported: ExportedKv
+    ) -> None:
+        """
+        Write a line for a KV state that was taken over.
+        """
+        layers = [layer for layer, _ in exported.counts]
+        self.note(
+            'import',
+            request=stream,
+            stream=stream,
+            attempt=attempt,
+            token=0,
+            count=exported.counts[0][1],
+            first_layer=min(layers),
+            last_layer=max(layers),
+            state=state,
+            parent=exported.state,
+        )
