--- /dev/null
+++ b/mallowcrank/membership/__init__.py
@@ -0,0 +1,3 @@
+"""
+Membership: which agents and targets there are, agreed by gossip.
+"""
--- /dev/null
+++ b/mallowcrank/membership/endings.py
@@ -0,0 +1,65 @@
+"""
+When facts are forgotten.
+"""
+
+from functools import singledispatch
+
+from mallowcrank.membership.facts import (
+    Fact,
+    Hold,
+    Listing,
+    Load,
+    Member,
+    MemberState,
+    Observation,
+    TargetFact,
+)
+
+FORGET_S = 3600  # until what ended is forgotten
+OPINION_S = 30  # how long an observation counts
+NEVER = float('inf')
+
+
+@singledispatch
+def ends_at(fact: Fact) -> float:
+    """
+    Return the seconds since the epoch at which a fact is forgotten.
+    """
+    return NEVER
+
+
+@ends_at.register
+def _(fact: Member) -> float:
+    return fact.stamp + FORGET_S if fact.state == MemberState.DEAD else NEVER
+
+
+@ends_at.register
+def _(fact: TargetFact) -> float:
+    return fact.stamp + FORGET_S if fact.gone else NEVER
+
+
+@ends_at.register
+def _(fact: Listing) -> float:
+    return NEVER if fact.present else fact.stamp + FORGET_S
+
+
+@ends_at.register
+def _(fact: Hold) -> float:
+    return fact.until + FORGET_S
+
+
+@ends_at.register
+def _(fact: Observation) -> float:
+    return fact.stamp + OPINION_S
+
+
+@ends_at.register
+def _(fact: Load) -> float:
+    return fact.stamp + FORGET_S
+
+
+def is_lasting(fact: Fact) -> bool:
+    """
+    Tell whether digests cover a fact; observations and loads pass by.
+    """
+    return not isinstance(fact, (Observation, Load))
--- /dev/null
+++ b/mallowcrank/membership/gossip.py
@@ -0,0 +1,220 @@
+"""
+The gossip between agents, as a state machine with no socket or clock in it.
+
+Every agent keeps connections to a few others. What is news is passed on over
+all of them but the one that it came by; heartbeats carry a digest, by which
+two ends find what either missed.
+"""
+
+from collections.abc import Iterable
+from dataclasses import replace
+
+from mallowcrank.membership.answering import answer
+from mallowcrank.membership.events import (
+    Close,
+    Effect,
+    Instant,
+    Learnt,
+    Send,
+)
+from mallowcrank.membership.facts import (
+    AGENT_PREFIX,
+    Fact,
+    Load,
+    Member,
+    Observation,
+    Verdict,
+)
+from mallowcrank.membership.links import Link
+from mallowcrank.membership.messages import Delta, Digest, Hello, Message
+from mallowcrank.membership.spread import Spread
+from mallowcrank.membership.store import FactStore
+from mallowcrank.membership.suspicion import PeerSuspicion
+from mallowcrank.membership.weaving import Weaver
+
+FORGET_EVERY_S = 10
+
+
+class Gossip:
+    """
+    One agent's part in the gossip.
+
+    Every command returns what has to be done, in order.
+
+    :param me: this agent.
+    :param seeds: addresses of agents to start from.
+    """
+
+    def __init__(self, me: Member, seeds: tuple[str, ...]) -> None:
+        self._me = me
+        self._store = FactStore()
+        self._spread = Spread(self._store)
+        self._suspicion = PeerSuspicion(me.name, self._store)
+        self._weaver = Weaver(me, seeds, self._store)
+        self._forget_at: float = 0
+
+    @property
+    def me(self) -> Member:
+        """
+        Return this agent as it makes itself known.
+        """
+        return self._me
+
+    @property
+    def store(self) -> FactStore:
+        """
+        Return the facts that are known.
+        """
+        return self._store
+
+    @property
+    def links(self) -> tuple[Link, ...]:
+        """
+        Return the open connections.
+        """
+        return self._spread.links
+
+    def publish(self, facts: Iterable[Fact], now: Instant) -> list[Effect]:
+        """
+        Spread facts of this agent's own.
+        """
+        return self._learn(facts, None, now)
+
+    def change_me(self, member: Member, now: Instant) -> list[Effect]:
+        """
+        Spread a change of this agent itself, or make it known at the start.
+        """
+        self._me = replace(member, version=self._me.version + 1, stamp=now.wall)
+        return self.publish((self._me,), now)
+
+    def opened(self, number: int, address: str, now: Instant) -> list[Effect]:
+        """
+        A connection is open.
+
+        :param address: where it was opened to; empty for an accepted one.
+        """
+        steady = now.steady
+        self._weaver.answered(address)
+        self._spread.open(Link(number, address, steady, steady, steady))
+        return [greeting(self._me, number)] if address else []
+
+    def unreachable(self, address: str, now: Instant) -> list[Effect]:
+        """
+        A connection could not be opened.
+        """
+        self._weaver.answered(address)
+        return self.publish(self._suspicion.lost(address, now), now)
+
+    def closed(self, number: int, now: Instant) -> list[Effect]:
+        """
+        A connection ended, by either end.
+        """
+        link = self._spread.drop(number)
+        if link is None or link.peer or not link.is_outgoing:
+            return []
+        return self.publish(self._suspicion.lost(link.address, now), now)
+
+    def received(
+        self, number: int, message: Message, now: Instant
+    ) -> list[Effect]:
+        """
+        A message came in.
+        """
+        link = self._spread.get(number)
+        if link is None:
+            return []
+        link.heard = now.steady
+        if isinstance(message, Hello):
+            return self._greet(message, link, now)
+        if isinstance(message, Delta):
+            return self._learn(message.facts, link, now)
+        return answer(message, link, self._store, now)
+
+    def tick(self, now: Instant) -> list[Effect]:
+        """
+        Do what is due; to be called a few times a second.
+        """
+        effects: list[Effect] = []
+        for silent in self._spread.silent(now):
+            effects.append(Close(silent.number, 'the connection is silent'))
+            effects.extend(self.closed(silent.number, now))
+        effects.extend(self._spread.flush())
+        effects.extend(self._spread.beat(now))
+        for effect in self._weaver.weave(self.links, now):
+            if isinstance(effect, Close):
+                self._spread.drop(effect.link)
+            effects.append(effect)
+        effects.extend(self.publish(self._suspicion.confirm(now), now))
+        if now.steady >= self._forget_at:
+            self._forget_at = now.steady + FORGET_EVERY_S
+            self._store.forget(now.wall)
+        return effects
+
+    def _greet(self, message: Hello, link: Link, now: Instant) -> list[Effect]:
+        if message.name == self._me.name:
+            self._spread.drop(link.number)
+            return [Close(link.number, 'the agent called itself')]
+        is_first = not self._spread.peers
+        link.peer = message.name
+        link.agreed = now.steady
+        effects: list[Effect] = [Send(link.number, Delta((self._me,)))]
+        if not link.is_outgoing:
+            effects.insert(0, greeting(self._me, link.number))
+        elif is_first:
+            effects.append(Send(link.number, Digest(self._store.digest)))
+        reached = self._suspicion.reached(message.name, now)
+        return [*effects, *self.publish(reached, now)]
+
+    def _learn(
+        self, facts: Iterable[Fact], source: Link | None, now: Instant
+    ) -> list[Effect]:
+        effects: list[Effect] = []
+        is_urgent = False
+        for fact in facts:
+            if self._spread.merge(fact, source, now):
+                effects.append(Learnt(fact))
+                effects.extend(self._react(fact, now))
+                is_urgent = is_urgent or not isinstance(fact, Load)
+        if is_urgent:
+            effects.extend(self._spread.flush())
+        return effects
+
+    def _react(self, fact: Fact, now: Instant) -> list[Effect]:
+        if isinstance(fact, Member):
+            self._weaver.members_changed()
+        if is_accused(self._me, fact):
+            newer = max(fact.incarnation, self._me.incarnation) + 1
+            return self.change_me(replace(self._me, incarnation=newer), now)
+        name = suspected_agent(fact)
+        if not name or name == self._me.name:
+            return []
+        hears = self._spread.hears(name, now)
+        return self.publish(self._suspicion.doubt(name, hears, now), now)
+
+
+def greeting(me: Member, number: int) -> Send:
+    """
+    Return the first message on a connection.
+    """
+    return Send(number, Hello(me.name, me.incarnation, me.address))
+
+
+def is_accused(me: Member, fact: Fact) -> bool:
+    """
+    Tell whether a fact says of this agent what is not so.
+    """
+    if isinstance(fact, Member):
+        return fact.name == me.name and fact != me
+    return (
+        suspected_agent(fact) == me.name and fact.incarnation >= me.incarnation
+    )
+
+
+def suspected_agent(fact: Fact) -> str:
+    """
+    Return the agent that an observer can't reach, or an empty string.
+    """
+    if not isinstance(fact, Observation) or fact.verdict != Verdict.FAILED:
+        return ''
+    name = fact.subject.removeprefix(AGENT_PREFIX)
+    return '' if name == fact.subject else name
--- /dev/null
+++ b/mallowcrank/membership/judgement.py
@@ -0,0 +1,88 @@
+"""
+What to believe of a subject from what several observers found.
+"""
+
+from collections.abc import Iterable
+
+from mallowcrank.membership.endings import OPINION_S
+from mallowcrank.membership.facts import Observation, Verdict
+
+NEEDED_OBSERVERS = 2  # independent ones, to take a subject from all
+ENOUGH_OBSERVERS = 3  # further ones add nothing
+VOUCH_S = 5  # how much older than the newest failure a vote may be
+CONFIRM_S = 1  # in which others may vouch for a suspected subject
+
+
+def failures(
+    seen: Iterable[Observation], incarnation: int
+) -> tuple[Observation, ...]:
+    """
+    Return the observations that an incarnation failed.
+
+    What was seen of an older incarnation doesn't hold against it.
+    """
+    return tuple(
+        each
+        for each in seen
+        if each.incarnation >= incarnation and each.verdict == Verdict.FAILED
+    )
+
+
+def is_repeated(
+    seen: Observation, before: Observation | None, others: Iterable[Observation]
+) -> bool:
+    """
+    Tell whether an observer has said the same thing a short time ago.
+
+    A vote for a subject is given anew after each newer failure.
+
+    :param before: what the observer said last.
+    :param others: what all say of the subject.
+    """
+    if before is None or before.verdict != seen.verdict:
+        return False
+    if before.incarnation != seen.incarnation:
+        return False
+    newest = max(
+        (each.stamp for each in failures(others, seen.incarnation)), default=0
+    )
+    if seen.verdict == Verdict.ALIVE and before.stamp < newest:
+        return False
+    return seen.stamp - before.stamp < OPINION_S / 2
+
+
+def is_vouched_for(seen: Iterable[Observation], incarnation: int) -> bool:
+    """
+    Tell whether someone still reaches a subject that others don't.
+    """
+    kept = tuple(seen)
+    newest = max(
+        (each.stamp for each in failures(kept, incarnation)), default=0
+    )
+    return any(
+        each.verdict == Verdict.ALIVE
+        and each.incarnation >= incarnation
+        and each.stamp >= newest - VOUCH_S
+        for each in kept
+    )
+
+
+def is_gone(
+    seen: Iterable[Observation], incarnation: int, observers: int
+) -> bool:
+    """
+    Tell whether a subject is gone for all.
+
+    One observer may be cut off itself, so that its word alone counts only
+    where there is no other; and whoever still reaches the subject outvotes
+    those that don't.
+
+    :param seen: observations that still count.
+    :param incarnation: the subject's.
+    :param observers: how many could observe it at all.
+    """
+    kept = tuple(seen)
+    if is_vouched_for(kept, incarnation):
+        return False
+    needed = max(1, min(NEEDED_OBSERVERS, observers))
+    return len(failures(kept, incarnation)) >= needed
--- /dev/null
+++ b/mallowcrank/membership/keys.py
@@ -0,0 +1,62 @@
+"""
+What each fact is about.
+"""
+
+from functools import singledispatch
+
+from mallowcrank.membership.facts import (
+    Fact,
+    Hold,
+    Listing,
+    Load,
+    Member,
+    Observation,
+    TargetFact,
+)
+
+Key = tuple[str, ...]
+
+
+def observations_of(subject: str) -> str:
+    """
+    Return the first part of the keys of a subject's observations.
+    """
+    return f'o/{subject}'
+
+
+@singledispatch
+def key_of(fact: Fact) -> Key:
+    """
+    Return what a fact is about.
+    """
+    raise TypeError(f'not a fact: {fact!r}')
+
+
+@key_of.register
+def _(fact: Member) -> Key:
+    return ('m', fact.name)
+
+
+@key_of.register
+def _(fact: TargetFact) -> Key:
+    return ('t', fact.name)
+
+
+@key_of.register
+def _(fact: Listing) -> Key:
+    return ('h', fact.name)
+
+
+@key_of.register
+def _(fact: Hold) -> Key:
+    return ('x', fact.name)
+
+
+@key_of.register
+def _(fact: Observation) -> Key:
+    return (observations_of(fact.subject), fact.observer)
+
+
+@key_of.register
+def _(fact: Load) -> Key:
+    return ('l', fact.name)
--- /dev/null
+++ b/mallowcrank/membership/links.py
@@ -0,0 +1,90 @@
+"""
+The connections of one agent, as its state machine sees them.
+"""
+
+from dataclasses import dataclass, field
+
+from mallowcrank.membership.facts import Fact
+from mallowcrank.membership.keys import Key
+from mallowcrank.membership.ranks import is_newer
+
+BEAT_S = 1  # between heartbeats on a connection
+SILENCE_S = 2.5  # without a byte until a connection is replaced
+HELLO_S = 1  # until a new connection has to be greeted
+STABLE_BEATS = 3  # with the same two digests until they are compared
+FORCED_S = 60  # of differing digests until they are compared in any case
+RESYNC_S = 15  # between comparisons on one connection
+
+
+@dataclass(slots=True)
+class Link:
+    """
+    One connection.
+
+    :param address: where it was opened to, or an empty string for one that
+        was accepted.
+    :param opened: steady time in seconds, as are all times here.
+    :param peer: the name of the other end, once it greeted.
+    :param pending: facts that the other end has yet to be told.
+    """
+
+    number: int
+    address: str
+    opened: float
+    heard: float
+    beaten: float
+    peer: str = ''
+    pending: dict[Key, Fact] = field(default_factory=dict)
+    roots: tuple[int, int] = (0, 0)
+    stable: int = 0
+    agreed: float = 0
+    synced: float = 0
+
+    @property
+    def is_outgoing(self) -> bool:
+        """
+        Tell whether this end opened it.
+        """
+        return bool(self.address)
+
+    def is_silent(self, steady: float) -> bool:
+        """
+        Tell whether nothing was heard for too long.
+        """
+        limit = SILENCE_S if self.peer else HELLO_S
+        return steady - self.heard > limit
+
+    def queue(self, key: Key, fact: Fact) -> None:
+        """
+        Have a fact sent with the next flush.
+        """
+        self.pending[key] = fact
+
+    def unqueue(self, key: Key, fact: Fact) -> None:
+        """
+        The other end knows this fact; don't send it the same or an older one.
+        """
+        waiting = self.pending.get(key)
+        if waiting is not None and not is_newer(waiting, fact):
+            self.pending.pop(key)
+
+    def compare(self, mine: int, theirs: int, steady: float) -> bool:
+        """
+        Take in a heartbeat's digest.
+
+        :returns: whether the digests' buckets should be compared: where both
+            stay as they are and differ, something was missed.
+        """
+        if mine == theirs:
+            self.agreed = steady
+            self.stable = 0
+            return False
+        same = self.roots == (mine, theirs)
+        self.stable = self.stable + 1 if same else 1
+        self.roots = (mine, theirs)
+        stuck = self.stable >= STABLE_BEATS
+        overdue = steady - self.agreed > FORCED_S
+        if not (stuck or overdue) or steady - self.synced < RESYNC_S:
+            return False
+        self.synced = steady
+        return True
--- /dev/null
+++ b/mallowcrank/membership/membership.py
@@ -0,0 +1,205 @@
+"""
+All of one agent's membership as one state machine.
+"""
+
+from collections.abc import Iterable, Mapping
+from dataclasses import replace
+from typing import Any
+
+from mallowcrank.membership import queries
+from mallowcrank.membership.events import (
+    Effect,
+    Instant,
+    Learnt,
+    ReadList,
+    StartProbe,
+)
+from mallowcrank.membership.facts import (
+    Fact,
+    Load,
+    Member,
+    MemberState,
+    TargetFact,
+)
+from mallowcrank.membership.gossip import Gossip
+from mallowcrank.membership.joining import (
+    Findings,
+    list_changes,
+    peer_of,
+    target_of,
+)
+from mallowcrank.membership.probing import ProbeSchedule
+from mallowcrank.membership.reports import ProbeResult, read_suspects
+from mallowcrank.membership.sharing import Sharing
+from mallowcrank.membership.watch import TargetWatch, is_load_news
+from mallowcrank.ports import ListedHost
+from mallowcrank.view import Peer, Target
+
+ROUTER_SILENCE_S = 5  # without a report until a router counts as leaving
+ROUTER_LINGER_S = 60  # that the router of a dead agent stays known
+
+
+class Membership:
+    """
+    Joins gossip, probing, the host list and the router's reports.
+
+    :param me: this agent.
+    :param seeds: addresses of agents to start from.
+    """
+
+    def __init__(self, me: Member, seeds: tuple[str, ...]) -> None:
+        self.gossip = Gossip(me, seeds)
+        self._schedule = ProbeSchedule(me.name)
+        self._watch = TargetWatch(me.name, self.gossip.store, self._schedule)
+        self._sharing = Sharing(me.name, self.gossip.store, self._schedule)
+        self._reported: float | None = None
+
+    # Queries
+
+    def targets(self, wall: float) -> dict[str, Target]:
+        """
+        Return the targets as this host's router is told of them.
+
+        :param wall: seconds since the epoch.
+        """
+        return {
+            fact.name: self.target(fact, wall)
+            for fact in queries.targets(self.gossip.store)
+        }
+
+    def target(self, fact: TargetFact, wall: float) -> Target:
+        """
+        Return one target as this host's router is told of it.
+        """
+        store = self.gossip.store
+        known = Findings(
+            fact,
+            queries.listing(store, fact.name),
+            queries.hold(store, fact.name),
+            self._watch.suspects(fact.name, fact.incarnation),
+        )
+        return target_of(known, queries.load(store, fact.name), wall)
+
+    def peers(self, wall: float) -> dict[str, Peer]:
+        """
+        Return the routers that are known, this host's among them.
+        """
+        store = self.gossip.store
+        return {
+            known.router: peer_of(
+                known, queries.load(store, f'router:{known.router}')
+            )
+            for known in queries.members(store)
+            if known.router and not _is_long_dead(known, wall)
+        }
+
+    # Commands
+
+    def start(self, now: Instant) -> list[Effect]:
+        """
+        Make this agent known.
+        """
+        me = self.gossip.me
+        return self.follow(self.gossip.change_me(me, now), now)
+
+    def leave(self, now: Instant) -> list[Effect]:
+        """
+        Tell the others that this host is leaving.
+        """
+        leaving = replace(
+            self.gossip.me, state=MemberState.LEAVING, router_leaving=True
+        )
+        return self.follow(self.gossip.change_me(leaving, now), now)
+
+    def publish(self, facts: Iterable[Fact], now: Instant) -> list[Effect]:
+        """
+        Spread facts of this agent's own.
+        """
+        return self.follow(self.gossip.publish(facts, now), now)
+
+    def probed(self, outcome: ProbeResult, now: Instant) -> list[Effect]:
+        """
+        A probe is over.
+        """
+        return self.publish(self._watch.probed(outcome, now), now)
+
+    def listed(self, hosts: Iterable[ListedHost], now: Instant) -> list[Effect]:
+        """
+        The platform's host list was read.
+        """
+        changes = list_changes(self.gossip.store, hosts, now.wall)
+        return self.publish(tuple(changes), now)
+
+    def reported(self, report: Mapping[str, Any], now: Instant) -> list[Effect]:
+        """
+        This host's router said hello, or reported.
+        """
+        self._reported = now.steady
+        before = self.gossip.me
+        me = _with_router(before, report)
+        effects: list[Effect] = []
+        if me != before:
+            effects.extend(self.gossip.change_me(me, now))
+        for suspect in read_suspects(report):
+            found = self._watch.reported(suspect, now)
+            effects.extend(self.gossip.publish(found, now))
+        known: Load | None = self.gossip.store.get(('l', f'router:{me.router}'))
+        load = int(report.get('load') or 0)
+        if me.router and is_load_news(
+            known, load, len(self._sharing.live), now.wall
+        ):
+            fact = Load(f'router:{me.router}', now.wall, load)
+            effects.extend(self.gossip.publish((fact,), now))
+        return self.follow(effects, now)
+
+    def tick(self, now: Instant) -> list[Effect]:
+        """
+        Do what is due; to be called a few times a second.
+        """
+        effects = self.gossip.tick(now)
+        confirmed = self._watch.confirm(now)
+        effects.extend(self.gossip.publish(confirmed, now))
+        effects.extend(self._check_router(now))
+        effects = self.follow(effects, now)
+        self._sharing.refresh(now)
+        if self._sharing.take_list_turn(now):
+            effects.append(ReadList())
+        for probe in self._schedule.take_due(now.wall):
+            effects.append(StartProbe(probe.name, probe.address))
+        return effects
+
+    def follow(self, effects: list[Effect], now: Instant) -> list[Effect]:
+        """
+        Take what was learnt into the watch over targets; return the effects.
+        """
+        for effect in effects:
+            if isinstance(effect, Learnt):
+                self._watch.learnt(effect.fact, now)
+                self._sharing.learnt(effect.fact, now)
+        return effects
+
+    def _check_router(self, now: Instant) -> list[Effect]:
+        me = self.gossip.me
+        if self._reported is None or me.router_leaving:
+            return []
+        if now.steady - self._reported < ROUTER_SILENCE_S:
+            return []
+        return self.gossip.change_me(replace(me, router_leaving=True), now)
+
+
+def _with_router(me: Member, report: Mapping[str, Any]) -> Member:
+    if report.get('type') == 'hello':
+        return replace(
+            me,
+            router=str(report['router']),
+            router_address=str(report['address']),
+            router_incarnation=str(report['incarnation']),
+            router_leaving=False,
+        )
+    return replace(me, router_leaving=bool(report.get('leaving')))
+
+
+def _is_long_dead(known: Member, wall: float) -> bool:
+    return (
+        known.state == MemberState.DEAD and wall - known.stamp > ROUTER_LINGER_S
+    )
--- /dev/null
+++ b/mallowcrank/membership/overlay.py
@@ -0,0 +1,82 @@
+"""
+Who talks with whom, and who probes what: both by hash, with no agreement.
+"""
+
+from bisect import bisect
+from collections.abc import Iterable, Iterator, Mapping
+from functools import lru_cache
+from itertools import chain
+
+from mallowcrank.membership.hashing import hash_name
+
+RINGS = 4  # connections that an agent opens, and as many that it accepts
+MAX_CACHED_HASHES = 65536
+POINTS = 16  # of each agent on the ring that shares targets out
+MAX_WALK = 24  # agents of known zones that are passed over at most
+
+
+@lru_cache(maxsize=MAX_CACHED_HASHES)
+def _place(ring: int, name: str) -> int:
+    return hash_name(name, ring)
+
+
+def neighbours(name: str, live: Iterable[str], rings: int = RINGS) -> set[str]:
+    """
+    Return the successors of an agent on each ring.
+
+    Each ring orders the agents by another hash, so that the connections
+    together reach everyone in a few hops, and every agent is watched by
+    several that have nothing to do with each other.
+    """
+    others = [each for each in live if each != name]
+    return {_successor(ring, name, others) for ring in range(rings) if others}
+
+
+def _successor(ring: int, name: str, others: list[str]) -> str:
+    own = _place(ring, name)
+    after = [each for each in others if _place(ring, each) > own]
+    return min(after or others, key=lambda each: _place(ring, each))
+
+
+class ObserverRing:
+    """
+    Shares subjects out among agents by consistent hashing.
+
+    A rendezvous hash shares out as well, but costs a hash for each pair of
+    agent and target at every change; the ring costs one search for a target.
+
+    :param live: agents with their availability zones.
+    """
+
+    def __init__(self, live: Mapping[str, str]) -> None:
+        self._zones = dict(live)
+        self._points = sorted(
+            (_place(point, name), name)
+            for name in live
+            for point in range(POINTS)
+        )
+
+    def observers(self, subject: str, wanted: int) -> tuple[str, ...]:
+        """
+        Return the observers of a subject, the first one first.
+
+        Each availability zone comes once before any comes twice, so that
+        observers fail apart from each other.
+        """
+        firsts: dict[str, str] = {}
+        others: list[str] = []
+        for name in self._walk(subject):
+            if firsts.setdefault(self._zones[name], name) != name:
+                others.append(name)
+            if len(firsts) == wanted or len(others) > MAX_WALK:
+                break
+        return (*firsts.values(), *others)[:wanted]
+
+    def _walk(self, subject: str) -> Iterator[str]:
+        start = bisect(self._points, (hash_name(subject), ''))
+        seen: set[str] = set()
+        for place in chain(range(start, len(self._points)), range(start)):
+            name = self._points[place][1]
+            if name not in seen:
+                seen.add(name)
+                yield name
--- /dev/null
+++ b/mallowcrank/membership/probing.py
@@ -0,0 +1,153 @@
+"""
+Which targets this agent probes, and when.
+
+The targets are shared out, so that each is probed by two agents at a rate of
+its own however many routers there are.
+"""
+
+from dataclasses import dataclass
+
+from mallowcrank.membership.hashing import hash_name
+from mallowcrank.membership.overlay import ObserverRing
+
+PROBE_EVERY_S = 3  # by each of a target's probers, in turns
+PROBERS = 2
+CONFIRMERS = 4  # agents that look for themselves when one fails to reach it
+RETRY_PROBE_S = 0.2  # after a failed probe
+PROBE_TIMEOUT_S = 0.6  # without an answer until a probe has failed
+PHASES = 1000
+
+
+@dataclass(frozen=True, slots=True)
+class Probe:
+    """
+    A probe that is due.
+    """
+
+    name: str
+    address: str
+
+
+class ProbeSchedule:
+    """
+    One agent's share of the probing.
+
+    :param name: this agent's name.
+    """
+
+    def __init__(self, name: str) -> None:
+        self._name = name
+        self._ring = ObserverRing({})
+        self._observers: dict[str, tuple[str, ...]] = {}
+        self._addresses: dict[str, str] = {}
+        self._due: dict[str, float] = {}
+        self._running: set[str] = set()
+
+    # Queries
+
+    def observers(self, target: str) -> tuple[str, ...]:
+        """
+        Return the agents that may look after a target, the probers first.
+        """
+        return self._observers.get(target, ())
+
+    def confirms(self, target: str) -> bool:
+        """
+        Tell whether this agent looks for itself when another one can't reach
+        a target.
+        """
+        return self._name in self.observers(target)
+
+    def is_prober(self, target: str) -> bool:
+        """
+        Tell whether this agent probes a target all the time.
+        """
+        return self._name in self.observers(target)[:PROBERS]
+
+    # Commands
+
+    def share_out(self, ring: ObserverRing, wall: float) -> None:
+        """
+        Share all targets out afresh, after a change of agents.
+
+        :param wall: seconds since the epoch.
+        """
+        self._ring = ring
+        for name in self._addresses:
+            self._assign(name, wall)
+
+    def know(self, target: str, address: str, wall: float) -> None:
+        """
+        Take in a target or its new address.
+        """
+        is_new = target not in self._addresses
+        self._addresses[target] = address
+        if is_new:
+            self._assign(target, wall)
+
+    def forget(self, target: str) -> None:
+        """
+        Stop probing a target.
+        """
+        for kept in (self._addresses, self._observers, self._due):
+            kept.pop(target, None)
+
+    def hurry(self, target: str, wall: float) -> None:
+        """
+        Probe a target at once, out of turn.
+        """
+        if target in self._addresses:
+            self._due[target] = wall
+
+    def done(self, target: str, wall: float, again_s: float | None) -> None:
+        """
+        A probe is over.
+
+        :param again_s: seconds until the next one out of turn, or `None`.
+        """
+        self._running.discard(target)
+        if again_s is not None and target in self._addresses:
+            self._due[target] = wall + again_s
+
+    def take_due(self, wall: float) -> tuple[Probe, ...]:
+        """
+        Return the probes to start now.
+        """
+        due = tuple(
+            Probe(name, self._addresses[name])
+            for name, when in self._due.items()
+            if when <= wall and name not in self._running
+        )
+        for probe in due:
+            self._schedule(probe.name, wall)
+            self._running.add(probe.name)
+        return due
+
+    def _assign(self, target: str, wall: float) -> None:
+        self._observers[target] = self._ring.observers(target, CONFIRMERS)
+        if self.is_prober(target):
+            self._due.setdefault(target, next_turn(target, 0, wall))
+        else:
+            self._due.pop(target, None)
+
+    def _schedule(self, target: str, wall: float) -> None:
+        if not self.is_prober(target):
+            self._due.pop(target)
+            return
+        turn = self.observers(target).index(self._name)
+        self._due[target] = next_turn(target, turn, wall)
+
+
+def next_turn(target: str, turn: int, wall: float) -> float:
+    """
+    Return when a prober's next turn comes, in seconds since the epoch.
+
+    The probers of a target take turns by the wall clock, spread over the
+    period by the target's hash.
+
+    :param turn: 0 for the first prober.
+    """
+    part = hash_name(target) % PHASES / PHASES
+    phase = (part + turn / PROBERS) * PROBE_EVERY_S
+    passed = (wall - phase) % PROBE_EVERY_S
+    return wall + PROBE_EVERY_S - passed
--- /dev/null
+++ b/mallowcrank/membership/queries.py
@@ -0,0 +1,90 @@
+"""
+Questions to a store of facts.
+"""
+
+from mallowcrank.membership.facts import (
+    Hold,
+    Listing,
+    Load,
+    Member,
+    MemberState,
+    Observation,
+    TargetFact,
+)
+from mallowcrank.membership.keys import observations_of
+from mallowcrank.membership.store import FactStore
+
+
+def member(store: FactStore, name: str) -> Member | None:
+    """
+    Return an agent by name.
+    """
+    return store.get(('m', name))
+
+
+def members(store: FactStore) -> tuple[Member, ...]:
+    """
+    Return all known agents.
+    """
+    return store.of_kind('m')
+
+
+def live_agents(store: FactStore) -> dict[str, str]:
+    """
+    Return the agents that work, with their availability zones.
+    """
+    return {
+        each.name: each.availability_zone
+        for each in members(store)
+        if each.state == MemberState.ALIVE
+    }
+
+
+def target(store: FactStore, name: str) -> TargetFact | None:
+    """
+    Return a target's own description.
+    """
+    return store.get(('t', name))
+
+
+def targets(store: FactStore) -> tuple[TargetFact, ...]:
+    """
+    Return all targets that described themselves.
+    """
+    return store.of_kind('t')
+
+
+def listing(store: FactStore, name: str) -> Listing | None:
+    """
+    Return what the host list said of a target.
+    """
+    return store.get(('h', name))
+
+
+def listings(store: FactStore) -> tuple[Listing, ...]:
+    """
+    Return what the host list said of all targets.
+    """
+    return store.of_kind('h')
+
+
+def hold(store: FactStore, name: str) -> Hold | None:
+    """
+    Return the order at work on a target.
+    """
+    return store.get(('x', name))
+
+
+def load(store: FactStore, name: str) -> int:
+    """
+    Return the last known load of a target, or of a `router:NAME`.
+    """
+    known: Load | None = store.get(('l', name))
+    return known.load if known else 0
+
+
+def observations(store: FactStore, subject: str) -> tuple[Observation, ...]:
+    """
+    Return what observers say of a subject.
+    """
+    return store.of_kind(observations_of(subject))
--- /dev/null
+++ b/mallowcrank/membership/ranks.py
@@ -0,0 +1,76 @@
+"""
+Which of two facts is newer.
+
+Facts about the same key form a total order, so that all agents end with the
+same one whatever order they heard them in.
+"""
+
+from dataclasses import astuple
+from functools import singledispatch
+
+from mallowcrank.membership.facts import (
+    Fact,
+    Hold,
+    Listing,
+    Load,
+    Member,
+    MemberState,
+    Observation,
+    TargetFact,
+)
+
+Rank = tuple[float, ...]
+
+_SEVERITY = (MemberState.ALIVE, MemberState.LEAVING, MemberState.DEAD)
+
+
+@singledispatch
+def rank_of(fact: Fact) -> Rank:
+    """
+    Return the place of a fact in the order of its key.
+    """
+    raise TypeError(f'not a fact: {fact!r}')
+
+
+@rank_of.register
+def _(fact: Member) -> Rank:
+    return (fact.incarnation, _SEVERITY.index(fact.state), fact.version)
+
+
+@rank_of.register
+def _(fact: TargetFact) -> Rank:
+    return (fact.incarnation, fact.leaving, fact.version, fact.gone)
+
+
+@rank_of.register
+def _(fact: Listing) -> Rank:
+    return (fact.stamp,)
+
+
+@rank_of.register
+def _(fact: Hold) -> Rank:
+    return (fact.fence, fact.number)
+
+
+@rank_of.register
+def _(fact: Observation) -> Rank:
+    return (fact.incarnation, fact.stamp)
+
+
+@rank_of.register
+def _(fact: Load) -> Rank:
+    return (fact.stamp,)
+
+
+def is_newer(fact: Fact, than: Fact | None) -> bool:
+    """
+    Tell whether a fact replaces another one of the same key.
+
+    Facts of the same rank that differ are ordered by what they say.
+    """
+    if than is None:
+        return True
+    rank, other = rank_of(fact), rank_of(than)
+    if rank != other:
+        return rank > other
+    return fact != than and astuple(fact) > astuple(than)
--- /dev/null
+++ b/mallowcrank/membership/reports.py
@@ -0,0 +1,85 @@
+"""
+What is found out about targets: by probes, by routers, by the host list.
+"""
+
+from collections.abc import Mapping
+from dataclasses import dataclass
+from typing import Any
+
+from mallowcrank.membership.facts import TargetFact
+from mallowcrank.view import TargetKind
+
+MAX_REASON = 80  # characters of a reason that are passed on
+LEAVING_REASON = 'leaving'  # a router was told so by the target itself
+
+
+@dataclass(frozen=True, slots=True)
+class ProbeResult:
+    """
+    The outcome of one probe.
+
+    :param found: the target's own description, or `None` where it failed.
+    :param load: streams in its batch, as it reported.
+    :param reason: why the probe failed, or an empty string.
+    """
+
+    name: str
+    found: TargetFact | None = None
+    load: int = 0
+    reason: str = ''
+
+
+@dataclass(frozen=True, slots=True)
+class Suspect:
+    """
+    A target that this host's router can't work with.
+    """
+
+    target: str
+    incarnation: int
+    reason: str
+
+
+def read_status(
+    name: str, address: str, status: Mapping[str, Any]
+) -> ProbeResult:
+    """
+    Read a target's answer to `GET /status`.
+
+    :raises ValueError: when a field can't be read.
+    :raises KeyError: when a required field is missing.
+    """
+    found = TargetFact(
+        name=name,
+        incarnation=int(status['incarnation']),
+        leaving=bool(status.get('leaving')),
+        version=0,
+        gone=False,
+        kind=TargetKind(status['kind']),
+        address=address,
+        availability_zone=str(status['availability_zone']),
+        serves=str(status['serves']),
+        first_layer=int(status.get('first_layer') or 0),
+        last_layer=int(status.get('last_layer') or 0),
+        step_ms=float(status.get('step_ms') or 1),
+        slots=int(status.get('slots') or 1),
+        model_version=str(status.get('version') or ''),
+        fencing=str(status.get('fencing') or 'unstated'),
+    )
+    return ProbeResult(name, found, int(status.get('load') or 0))
+
+
+def read_suspects(report: Mapping[str, Any]) -> tuple[Suspect, ...]:
+    """
+    Read the suspects of a router's report; malformed ones are left out.
+    """
+    suspects = report.get('suspects') or ()
+    return tuple(
+        Suspect(
+            str(each['target']),
+            int(each.get('incarnation') or 0),
+            str(each.get('reason') or '')[:MAX_REASON],
+        )
+        for each in suspects
+        if isinstance(each, Mapping) and each.get('target')
+    )
--- /dev/null
+++ b/mallowcrank/membership/sharing.py
@@ -0,0 +1,88 @@
+"""
+How the agents share out the work on targets and on the host list.
+"""
+
+from collections.abc import Mapping
+
+from mallowcrank.membership import queries
+from mallowcrank.membership.events import Instant
+from mallowcrank.membership.facts import Fact, Listing, Member, TargetFact
+from mallowcrank.membership.overlay import ObserverRing
+from mallowcrank.membership.probing import ProbeSchedule
+from mallowcrank.membership.store import FactStore
+
+SHARE_EVERY_S = 1  # between times that targets are shared out afresh
+LIST_EVERY_S = 1  # between reads of the host list by all agents together
+
+
+class Sharing:
+    """
+    Keeps one agent's share up to date with what it learns.
+
+    :param name: this agent's name.
+    """
+
+    def __init__(
+        self, name: str, store: FactStore, schedule: ProbeSchedule
+    ) -> None:
+        self._name = name
+        self._store = store
+        self._schedule = schedule
+        self._live: Mapping[str, str] = {}
+        self._ring = ObserverRing({})
+        self._list_turn = 0
+        self._is_stale = False
+        self._shared: float = 0
+
+    @property
+    def live(self) -> Mapping[str, str]:
+        """
+        Return the agents that work, with their availability zones.
+        """
+        return self._live
+
+    def learnt(self, fact: Fact, now: Instant) -> None:
+        """
+        A fact was news to this agent.
+        """
+        if isinstance(fact, Member):
+            self._is_stale = True
+        elif isinstance(fact, (Listing, TargetFact)):
+            if self._is_over(fact.name):
+                self._schedule.forget(fact.name)
+            else:
+                self._schedule.know(fact.name, fact.address, now.wall)
+
+    def take_list_turn(self, now: Instant) -> bool:
+        """
+        Tell whether it is this agent's turn to read the host list.
+
+        The list of a large fleet is long; so that no agent spends much on it,
+        the agents take turns by hash and pass on what has changed.
+        """
+        turn = int(now.wall // LIST_EVERY_S)
+        if turn == self._list_turn:
+            return False
+        self._list_turn = turn
+        return self._ring.observers(f'list/{turn}', 1) == (self._name,)
+
+    def refresh(self, now: Instant) -> None:
+        """
+        Share out afresh after changes of agents, many of them at once.
+        """
+        if not self._is_stale or now.steady - self._shared < SHARE_EVERY_S:
+            return
+        self._is_stale = False
+        self._shared = now.steady
+        live = queries.live_agents(self._store)
+        if live != self._live:
+            self._live = live
+            self._ring = ObserverRing(live)
+            self._schedule.share_out(self._ring, now.wall)
+
+    def _is_over(self, name: str) -> bool:
+        known = queries.target(self._store, name)
+        if known is not None and not known.gone:
+            return False
+        listed = queries.listing(self._store, name)
+        return listed is None or not listed.present
--- /dev/null
+++ b/mallowcrank/membership/spread.py
@@ -0,0 +1,116 @@
+"""
+The connections of one agent and what has yet to be told on each.
+"""
+
+from collections.abc import Iterator
+
+from mallowcrank.membership.events import Effect, Instant, Send
+from mallowcrank.membership.facts import Fact
+from mallowcrank.membership.keys import key_of
+from mallowcrank.membership.links import BEAT_S, Link
+from mallowcrank.membership.messages import Beat, Delta
+from mallowcrank.membership.store import FactStore
+
+DELTA_FACTS = 400  # in one message
+
+
+class Spread:
+    """
+    Passes on what is news over every connection but the one it came by.
+    """
+
+    def __init__(self, store: FactStore) -> None:
+        self._store = store
+        self._links: dict[int, Link] = {}
+
+    @property
+    def links(self) -> tuple[Link, ...]:
+        """
+        Return the open connections.
+        """
+        return tuple(self._links.values())
+
+    @property
+    def peers(self) -> frozenset[str]:
+        """
+        Return the names of the connected agents.
+        """
+        return frozenset(
+            link.peer for link in self._links.values() if link.peer
+        )
+
+    def get(self, number: int) -> Link | None:
+        """
+        Return a connection.
+        """
+        return self._links.get(number)
+
+    def hears(self, name: str, now: Instant) -> bool:
+        """
+        Tell whether an agent is connected and not silent.
+        """
+        return any(
+            link.peer == name and not link.is_silent(now.steady)
+            for link in self._links.values()
+        )
+
+    def silent(self, now: Instant) -> tuple[Link, ...]:
+        """
+        Return the connections on which nothing was heard for too long.
+        """
+        return tuple(link for link in self.links if link.is_silent(now.steady))
+
+    def open(self, link: Link) -> None:
+        """
+        Add a connection.
+        """
+        self._links[link.number] = link
+
+    def drop(self, number: int) -> Link | None:
+        """
+        Take out a connection.
+        """
+        return self._links.pop(number, None)
+
+    def merge(self, fact: Fact, source: Link | None, now: Instant) -> bool:
+        """
+        Take in a fact; tell whether it was news.
+
+        :param source: the connection that it came by.
+        """
+        key = key_of(fact)
+        if source is not None:
+            source.unqueue(key, fact)
+        if not self._store.merge(fact, now.wall):
+            return False
+        for link in self._links.values():
+            if link is not source and link.peer:
+                link.queue(key, fact)
+        return True
+
+    def flush(self) -> Iterator[Effect]:
+        """
+        Yield the messages that tell the other ends what they don't know.
+        """
+        for link in self._links.values():
+            facts = tuple(link.pending.values())
+            link.pending.clear()
+            for part in split(facts):
+                yield Send(link.number, Delta(part))
+
+    def beat(self, now: Instant) -> Iterator[Effect]:
+        """
+        Yield the heartbeats that are due.
+        """
+        for link in self._links.values():
+            if link.peer and now.steady - link.beaten >= BEAT_S:
+                link.beaten = now.steady
+                yield Send(link.number, Beat(self._store.root))
+
+
+def split(facts: tuple[Fact, ...]) -> Iterator[tuple[Fact, ...]]:
+    """
+    Yield facts in parts that fit one message.
+    """
+    for start in range(0, len(facts), DELTA_FACTS):
+        yield facts[start : start + DELTA_FACTS]
--- /dev/null
+++ b/mallowcrank/membership/store.py
@@ -0,0 +1,120 @@
+"""
+The facts that one agent knows, with digests to compare them by.
+"""
+
+from collections.abc import Iterator
+from typing import Any
+
+import msgpack
+from xxhash import xxh64_intdigest
+
+from mallowcrank.membership.endings import ends_at, is_lasting
+from mallowcrank.membership.facts import Fact
+from mallowcrank.membership.hashing import hash_name
+from mallowcrank.membership.keys import Key, key_of
+from mallowcrank.membership.ranks import is_newer
+from mallowcrank.membership.rows import write_row
+
+BUCKETS = 256  # of a digest
+
+
+class FactStore:
+    """
+    Keeps the newest fact of each key.
+
+    A digest is the exclusive or of the hashes of its facts, so that it changes
+    with each fact at a constant cost.
+    """
+
+    def __init__(self) -> None:
+        self._facts: dict[str, dict[Key, Fact]] = {}
+        self._buckets = [0 for _ in range(BUCKETS)]
+        self._root = 0
+
+    @property
+    def root(self) -> int:
+        """
+        Return the digest of all lasting facts.
+        """
+        return self._root
+
+    @property
+    def digest(self) -> tuple[int, ...]:
+        """
+        Return the digest of each bucket.
+        """
+        return tuple(self._buckets)
+
+    def get(self, key: Key) -> Any:
+        """
+        Return the newest fact of a key.
+        """
+        return self._facts.get(key[0], {}).get(key)
+
+    def of_kind(self, tag: str) -> tuple[Any, ...]:
+        """
+        Return all facts of a kind, by the first part of their keys.
+        """
+        return tuple(self._facts.get(tag, {}).values())
+
+    def differing(self, digest: tuple[int, ...]) -> Iterator[Fact]:
+        """
+        Yield the lasting facts in buckets that differ from a peer's.
+        """
+        places = {
+            place
+            for place, (mine, theirs) in enumerate(
+                zip(self._buckets, digest, strict=True)
+            )
+            if mine != theirs
+        }
+        for facts in self._facts.values():
+            for key, fact in facts.items():
+                if is_lasting(fact) and _bucket_of(key) in places:
+                    yield fact
+
+    def merge(self, fact: Fact, wall: float) -> bool:
+        """
+        Take in a fact; tell whether it was news.
+
+        :param wall: seconds since the epoch.
+        """
+        if ends_at(fact) <= wall:
+            return False
+        key = key_of(fact)
+        kept = self.get(key)
+        if not is_newer(fact, kept):
+            return False
+        self._flip(key, kept)
+        self._flip(key, fact)
+        self._facts.setdefault(key[0], {})[key] = fact
+        return True
+
+    def forget(self, wall: float) -> tuple[Fact, ...]:
+        """
+        Drop what ended; return it.
+
+        :param wall: seconds since the epoch.
+        """
+        ended = [
+            fact
+            for facts in self._facts.values()
+            for fact in facts.values()
+            if ends_at(fact) <= wall
+        ]
+        for fact in ended:
+            key = key_of(fact)
+            self._flip(key, fact)
+            self._facts[key[0]].pop(key)
+        return tuple(ended)
+
+    def _flip(self, key: Key, fact: Fact | None) -> None:
+        if fact is None or not is_lasting(fact):
+            return
+        mark = xxh64_intdigest(msgpack.packb(write_row(fact)))
+        self._buckets[_bucket_of(key)] ^= mark
+        self._root ^= mark
+
+
+def _bucket_of(key: Key) -> int:
+    return hash_name('/'.join(key)) % BUCKETS
--- /dev/null
+++ b/mallowcrank/membership/suspicion.py
@@ -0,0 +1,103 @@
+"""
+Suspicion of other agents: who counts as dead, and why.
+"""
+
+from collections.abc import Iterator
+from dataclasses import replace
+
+from mallowcrank.membership import queries
+from mallowcrank.membership.events import Instant
+from mallowcrank.membership.facts import (
+    AGENT_PREFIX,
+    Fact,
+    MemberState,
+    Observation,
+    Verdict,
+)
+from mallowcrank.membership.judgement import CONFIRM_S, is_gone, is_repeated
+from mallowcrank.membership.keys import key_of
+from mallowcrank.membership.store import FactStore
+
+TRIES = 2  # failed connections until an agent is observed as failed
+
+
+class PeerSuspicion:
+    """
+    Turns failed connections into observations, and those into deaths.
+
+    :param name: this agent's name.
+    """
+
+    def __init__(self, name: str, store: FactStore) -> None:
+        self._name = name
+        self._store = store
+        self._failures: dict[str, int] = {}
+        self._doubts: dict[str, float] = {}
+
+    def lost(self, address: str, now: Instant) -> Iterator[Fact]:
+        """
+        A connection could not be made.
+        """
+        for each in queries.members(self._store):
+            if each.address == address and each.state != MemberState.DEAD:
+                count = self._failures.get(each.name, 0) + 1
+                self._failures[each.name] = count
+                if count >= TRIES:
+                    yield from self.observe(each.name, Verdict.FAILED, now)
+
+    def reached(self, name: str, now: Instant) -> Iterator[Fact]:
+        """
+        A connection was made.
+        """
+        if self._failures.pop(name, 0) >= TRIES:
+            yield from self.observe(name, Verdict.ALIVE, now)
+
+    def doubt(self, name: str, hears: bool, now: Instant) -> Iterator[Fact]:
+        """
+        Someone observed that an agent failed.
+
+        :param hears: whether this agent still hears it.
+        """
+        self._doubts[name] = now.steady
+        if hears:
+            yield from self.observe(name, Verdict.ALIVE, now)
+
+    def observe(
+        self, name: str, verdict: Verdict, now: Instant
+    ) -> Iterator[Observation]:
+        """
+        Yield this agent's own observation, unless it was just said.
+        """
+        known = queries.member(self._store, name)
+        if known is None or known.state == MemberState.DEAD:
+            return
+        seen = Observation(
+            AGENT_PREFIX + name,
+            self._name,
+            known.incarnation,
+            now.wall,
+            verdict,
+        )
+        before = self._store.get(key_of(seen))
+        others = queries.observations(self._store, seen.subject)
+        if not is_repeated(seen, before, others):
+            yield seen
+
+    def confirm(self, now: Instant) -> Iterator[Fact]:
+        """
+        Yield the deaths that nobody contradicted in time.
+        """
+        for name, since in tuple(self._doubts.items()):
+            if now.steady - since >= CONFIRM_S:
+                yield from self._judge(name, now)
+
+    def _judge(self, name: str, now: Instant) -> Iterator[Fact]:
+        known = queries.member(self._store, name)
+        seen = queries.observations(self._store, AGENT_PREFIX + name)
+        if known is None or known.state == MemberState.DEAD or not seen:
+            self._doubts.pop(name)
+            return
+        others = len(queries.live_agents(self._store)) - 1
+        if is_gone(seen, known.incarnation, others):
+            self._doubts.pop(name)
+            yield replace(known, state=MemberState.DEAD, stamp=now.wall)
--- /dev/null
+++ b/mallowcrank/membership/watch.py
@@ -0,0 +1,229 @@
+"""
+One agent's watch over targets: findings in, facts to spread out.
+"""
+
+from collections.abc import Iterator
+from dataclasses import replace
+
+from mallowcrank.membership import queries
+from mallowcrank.membership.events import Instant
+from mallowcrank.membership.facts import (
+    Fact,
+    Load,
+    Observation,
+    TargetFact,
+    Verdict,
+)
+from mallowcrank.membership.judgement import (
+    CONFIRM_S,
+    ENOUGH_OBSERVERS,
+    failures,
+    is_gone,
+    is_repeated,
+)
+from mallowcrank.membership.keys import key_of
+from mallowcrank.membership.probing import RETRY_PROBE_S, ProbeSchedule
+from mallowcrank.membership.reports import (
+    LEAVING_REASON,
+    ProbeResult,
+    Suspect,
+)
+from mallowcrank.membership.store import FactStore
+
+TRIES = 2  # failed probes until a target is observed as failed
+STEP_CHANGE = 0.2  # part by which a step's time must change to be passed on
+LOADS_PER_S = 40  # loads that all agents together pass on in a second
+
+
+class TargetWatch:
+    """
+    Joins what probes, routers, the host list and other agents find.
+
+    :param name: this agent's name.
+    """
+
+    def __init__(
+        self, name: str, store: FactStore, schedule: ProbeSchedule
+    ) -> None:
+        self._name = name
+        self._store = store
+        self._schedule = schedule
+        self._failures: dict[str, int] = {}
+        self._suspects: dict[str, int] = {}
+        self._doubts: dict[str, float] = {}
+
+    # Queries
+
+    def suspects(self, target: str, incarnation: int) -> bool:
+        """
+        Tell whether this agent itself finds a target failed.
+        """
+        suspected = self._suspects.get(target)
+        return suspected is not None and suspected >= incarnation
+
+    # Commands
+
+    def probed(self, outcome: ProbeResult, now: Instant) -> Iterator[Fact]:
+        """
+        A probe is over.
+        """
+        name = outcome.name
+        if outcome.found is None:
+            yield from self._probe_failed(outcome, now)
+            return
+        self._schedule.done(name, now.wall, None)
+        self._failures.pop(name, None)
+        suspected = self._suspects.pop(name, None) is not None
+        yield from self._described(outcome.found, now)
+        seen = queries.observations(self._store, name)
+        doubted = failures(seen, outcome.found.incarnation)
+        if suspected or doubted:
+            yield from self._observe(outcome.found, Verdict.ALIVE, '', now)
+        yield from self._load(outcome, now)
+
+    def reported(self, suspect: Suspect, now: Instant) -> Iterator[Fact]:
+        """
+        This host's router can't work with a target.
+        """
+        known = queries.target(self._store, suspect.target)
+        if known is None or suspect.incarnation < known.incarnation:
+            return
+        if suspect.reason == LEAVING_REASON:
+            if not known.leaving:
+                yield replace(known, leaving=True, stamp=now.wall)
+            return
+        self._suspects[known.name] = known.incarnation
+        self._schedule.hurry(known.name, now.wall)
+        yield from self._observe(known, Verdict.FAILED, suspect.reason, now)
+
+    def learnt(self, fact: Fact, now: Instant) -> None:
+        """
+        A fact was news to this agent, its own or another's.
+        """
+        if isinstance(fact, TargetFact):
+            if self._suspects.get(fact.name, fact.incarnation) < (
+                fact.incarnation
+            ):
+                self._suspects.pop(fact.name)
+        if not isinstance(fact, Observation):
+            return
+        if fact.verdict == Verdict.FAILED:
+            self._doubts[fact.subject] = now.steady
+            if self._schedule.confirms(fact.subject):
+                self._schedule.hurry(fact.subject, now.wall)
+
+    def confirm(self, now: Instant) -> Iterator[Fact]:
+        """
+        Yield the targets that are gone, where nobody contradicted in time.
+        """
+        for name, since in tuple(self._doubts.items()):
+            if now.steady - since >= CONFIRM_S:
+                yield from self._judge(name, now)
+
+    def _judge(self, name: str, now: Instant) -> Iterator[Fact]:
+        known = queries.target(self._store, name)
+        seen = queries.observations(self._store, name)
+        if known is None or known.gone or not seen:
+            self._doubts.pop(name)
+            return
+        listed = queries.listing(self._store, name)
+        is_listed = listed is None or listed.present
+        observers = len(self._schedule.observers(name)) if is_listed else 1
+        if is_gone(seen, known.incarnation, observers):
+            self._doubts.pop(name)
+            yield replace(
+                known, gone=True, version=known.version + 1, stamp=now.wall
+            )
+
+    def _probe_failed(
+        self, outcome: ProbeResult, now: Instant
+    ) -> Iterator[Fact]:
+        name = outcome.name
+        count = self._failures.get(name, 0) + 1
+        self._failures[name] = count
+        known = queries.target(self._store, name)
+        retried = count < TRIES and not self._is_doubted(known)
+        self._schedule.done(name, now.wall, RETRY_PROBE_S if retried else None)
+        if known is None or known.gone or retried:
+            return
+        self._suspects[name] = known.incarnation
+        yield from self._observe(known, Verdict.FAILED, outcome.reason, now)
+
+    def _is_doubted(self, known: TargetFact | None) -> bool:
+        if known is None:
+            return True
+        seen = queries.observations(self._store, known.name)
+        return bool(failures(seen, known.incarnation))
+
+    def _described(self, found: TargetFact, now: Instant) -> Iterator[Fact]:
+        known = queries.target(self._store, found.name)
+        if known is None or known.incarnation < found.incarnation:
+            yield replace(found, stamp=now.wall)
+        elif known.incarnation == found.incarnation and is_changed(
+            known, found
+        ):
+            yield replace(
+                found,
+                leaving=found.leaving or known.leaving,
+                version=known.version + 1,
+                stamp=now.wall,
+            )
+
+    def _observe(
+        self, known: TargetFact, verdict: Verdict, reason: str, now: Instant
+    ) -> Iterator[Observation]:
+        seen = Observation(
+            known.name,
+            self._name,
+            known.incarnation,
+            now.wall,
+            verdict,
+            reason,
+        )
+        others = queries.observations(self._store, known.name)
+        enough = (
+            verdict == Verdict.FAILED
+            and len(failures(others, known.incarnation)) >= ENOUGH_OBSERVERS
+        )
+        before = self._store.get(key_of(seen))
+        if not enough and not is_repeated(seen, before, others):
+            yield seen
+
+    def _load(self, outcome: ProbeResult, now: Instant) -> Iterator[Load]:
+        known: Load | None = self._store.get(('l', outcome.name))
+        count = len(queries.targets(self._store))
+        if is_load_news(known, outcome.load, count, now.wall):
+            yield Load(outcome.name, now.wall, outcome.load)
+
+
+def is_load_news(
+    known: Load | None, load: int, count: int, wall: float
+) -> bool:
+    """
+    Tell whether a load is passed on.
+
+    :param count: targets or routers that have a load.
+    :param wall: seconds since the epoch.
+    """
+    if known is None:
+        return True
+    waited_s = wall - known.stamp
+    return known.load != load and waited_s >= count / LOADS_PER_S
+
+
+def is_changed(known: TargetFact, found: TargetFact) -> bool:
+    """
+    Tell whether a target's description has changed enough to be passed on.
+    """
+    slower = abs(found.step_ms - known.step_ms)
+    step_ms = known.step_ms
+    if slower > STEP_CHANGE * known.step_ms:
+        step_ms = found.step_ms
+    same = replace(
+        found,
+        version=known.version,
+        stamp=known.stamp,
+        leaving=found.leaving or known.leaving,
+        step_ms=known.step_ms,
+    )
+    return same != known or step_ms != known.step_ms
--- /dev/null
+++ b/mallowcrank/membership/weaving.py
@@ -0,0 +1,108 @@
+"""
+Which connections an agent opens and closes.
+"""
+
+from collections.abc import Collection, Iterator
+
+from mallowcrank.membership import queries
+from mallowcrank.membership.events import Close, Connect, Effect, Instant
+from mallowcrank.membership.facts import Member, MemberState
+from mallowcrank.membership.links import Link
+from mallowcrank.membership.overlay import neighbours
+from mallowcrank.membership.store import FactStore
+
+RETRY_S = 0.5  # between tries to reach a neighbour
+HEAL_S = 10  # between tries to reach agents that were lost
+ALONE_S = 1  # the same for an agent with no connection
+LINGER_S = 10  # until a connection that the overlay doesn't need is closed
+
+
+class Weaver:
+    """
+    Keeps connections to this agent's neighbours in the overlay.
+
+    :param me: this agent.
+    :param seeds: addresses of agents to start from.
+    """
+
+    def __init__(
+        self, me: Member, seeds: tuple[str, ...], store: FactStore
+    ) -> None:
+        self._me = me
+        self._seeds = frozenset(seeds) - {me.address}
+        self._store = store
+        self._neighbours: set[str] | None = None
+        self._busy: set[str] = set()
+        self._tried: dict[str, float] = {}
+        self._heal_at: float = 0
+        self._heal_turn = 0
+
+    def members_changed(self) -> None:
+        """
+        Work out the neighbours afresh.
+        """
+        self._neighbours = None
+
+    def answered(self, address: str) -> None:
+        """
+        A connection was opened, or could not be.
+        """
+        self._busy.discard(address)
+
+    def weave(self, links: Collection[Link], now: Instant) -> Iterator[Effect]:
+        """
+        Yield what brings the connections in line with the overlay.
+        """
+        if self._neighbours is None:
+            live = queries.live_agents(self._store)
+            self._neighbours = neighbours(self._me.name, live)
+        for name in self._neighbours - {link.peer for link in links}:
+            known = queries.member(self._store, name)
+            if known is not None:
+                yield from self._dial(known.address, links, now)
+        for link in links:
+            if self._is_spare(link, now):
+                yield Close(link.number, 'the overlay has changed')
+        yield from self._heal(links, now)
+
+    def _is_spare(self, link: Link, now: Instant) -> bool:
+        return (
+            link.is_outgoing
+            and bool(link.peer)
+            and link.peer not in (self._neighbours or ())
+            and now.steady - link.opened > LINGER_S
+        )
+
+    def _heal(self, links: Collection[Link], now: Instant) -> Iterator[Effect]:
+        if now.steady < self._heal_at:
+            return
+        alone = not any(link.peer for link in links)
+        wait_s = ALONE_S if alone else HEAL_S
+        self._heal_at = now.steady + wait_s
+        lost = self._lost_addresses()
+        if lost:
+            self._heal_turn += 1
+            address = lost[self._heal_turn % len(lost)]
+            yield from self._dial(address, links, now)
+
+    def _lost_addresses(self) -> tuple[str, ...]:
+        live, dead = set(), set()
+        for each in queries.members(self._store):
+            if each.state == MemberState.ALIVE:
+                live.add(each.address)
+            elif each.state == MemberState.DEAD:
+                dead.add(each.address)
+        return tuple(sorted((dead | self._seeds) - live))
+
+    def _dial(
+        self, address: str, links: Collection[Link], now: Instant
+    ) -> Iterator[Effect]:
+        is_known = address in self._busy or any(
+            link.address == address for link in links
+        )
+        waited = now.steady - self._tried.get(address, 0)
+        if is_known or waited < RETRY_S:
+            return
+        self._busy.add(address)
+        self._tried[address] = now.steady
+        yield Connect(address)
--- /dev/null
+++ b/scripts/virtual_agents.py
@@ -0,0 +1,287 @@
+"""
+Many agents' membership in one process and in virtual time.
+
+The state machines, messages and frames are the product's own; sockets, clocks
+and targets are stand-ins.
+"""
+
+from collections import Counter
+from collections.abc import Callable
+from dataclasses import dataclass, replace
+from functools import partial, singledispatchmethod
+
+from mallowcrank.membership.events import (
+    Close,
+    Connect,
+    Effect,
+    Heard,
+    Learnt,
+    ReadList,
+    Send,
+    StartProbe,
+)
+from mallowcrank.membership.facts import Member, MemberState, TargetFact
+from mallowcrank.membership.membership import Membership
+from mallowcrank.membership.messages import Message
+from mallowcrank.membership.probing import PROBE_TIMEOUT_S
+from mallowcrank.membership.reports import ProbeResult
+from mallowcrank.ports import ListedHost
+from mallowcrank.view import TargetKind
+from scripts.virtual_network import LATENCY_S, Used, VirtualNetwork, Wire
+from scripts.virtual_time import VirtualTime
+
+CONNECT_TIMEOUT_S = 1
+TICK_S = 0.25
+SUBNET = 250  # hosts numbered in one byte of an address
+
+Step = Callable[[Membership], list[Effect]]
+
+
+@dataclass
+class VirtualTarget:
+    """
+    A target as it really is.
+
+    :param answers: whether it answers probes; else they time out.
+    """
+
+    fact: TargetFact
+    answers: bool = True
+    load: int = 0
+    probes: int = 0
+
+
+class VirtualFleet:
+    """
+    The agents and targets of one run.
+
+    :param zones: availability zones, given to agents and targets in turn.
+    """
+
+    def __init__(self, zones: int = 3) -> None:
+        self.time = VirtualTime()
+        self.network = VirtualNetwork(self.time, self._receive)
+        self.agents: dict[str, Membership] = {}
+        self.targets: dict[str, VirtualTarget] = {}
+        self.listed: dict[str, ListedHost] = {}
+        self.list_works = True
+        self.heard: list[tuple[str, Heard]] = []
+        self._effects = Effects(self)
+        self._zones = zones
+        self.names: dict[str, str] = {}
+
+    def states(self, target: str) -> Counter[str]:
+        """
+        Count what the running agents tell their routers of a target.
+        """
+        return Counter(
+            agent.targets(self.time.now)[target].state
+            for name, agent in self.agents.items()
+            if name not in self.network.stopped
+        )
+
+    def knows(self, member: str, state: MemberState) -> bool:
+        """
+        Tell whether all other running agents hold an agent to be so.
+        """
+        return all(
+            agent.gossip.store.get(('m', member)).state == state
+            for name, agent in self.agents.items()
+            if name != member and name not in self.network.stopped
+        )
+
+    def is_settled(self) -> bool:
+        """
+        Tell whether all agents know all agents and targets.
+        """
+        stores = [agent.gossip.store for agent in self.agents.values()]
+        return all(
+            len(store.of_kind('m')) >= len(self.agents)
+            and len(store.of_kind('t')) >= len(self.targets)
+            for store in stores
+        )
+
+    def add_agent(self, number: int, seeds: tuple[int, ...] = (0,)) -> str:
+        """
+        Start an agent, or start it afresh.
+        """
+        name = f'h{number}'
+        me = Member(
+            name=name,
+            incarnation=int(self.time.now * 1000),
+            version=0,
+            state=MemberState.ALIVE,
+            address=address_of(number),
+            availability_zone=f'az{number % self._zones}',
+        )
+        agent = Membership(me, tuple(address_of(each) for each in seeds))
+        self.agents[name] = agent
+        self.network.used[name] = Used()
+        self.network.stopped.discard(name)
+        self.names[me.address] = name
+        self.step(name, lambda each: each.start(self.time.instant))
+        self._tick(name, agent)
+        return name
+
+    def add_target(self, number: int) -> str:
+        """
+        Start a target and put it on the host list.
+        """
+        name = f'e{number}'
+        zone = f'az{number % self._zones}'
+        address = f'10.1.{number // SUBNET}.{number % SUBNET}:9100'
+        fact = TargetFact(
+            name=name,
+            incarnation=1,
+            leaving=False,
+            version=0,
+            gone=False,
+            kind=TargetKind.ENGINE,
+            address=address,
+            availability_zone=zone,
+            serves='assistant',
+            last_layer=31,
+        )
+        self.targets[name] = VirtualTarget(fact)
+        self.listed[name] = ListedHost(name, address, zone, 'engine')
+        return name
+
+    def change_target(self, name: str, **changes: object) -> None:
+        """
+        Change what a target says of itself.
+        """
+        changed = self.targets[name]
+        changed.fact = replace(changed.fact, **changes)
+
+    def step(self, name: str, step: Step) -> None:
+        """
+        Let an agent take a step, and do what it asks for.
+        """
+        if name in self.network.stopped:
+            return
+        agent = self.agents[name]
+        used = self.network.used[name]
+        for effect in used.timed(partial(step, agent)):
+            self._effects.follow(effect, name)
+
+    def step_later(self, seconds: float, name: str, step: Step) -> None:
+        """
+        Let an agent take a step after a while.
+        """
+        self.time.later(seconds, partial(self.step, name, step))
+
+    def _tick(self, name: str, agent: Membership) -> None:
+        if self.agents.get(name) is agent:
+            self.step(name, lambda each: each.tick(self.time.instant))
+            self.time.later(TICK_S, partial(self._tick, name, agent))
+
+    def _receive(self, end: Wire, message: Message) -> None:
+        def take(agent: Membership) -> list[Effect]:
+            now = self.time.instant
+            received = agent.gossip.received(end.number, message, now)
+            return agent.follow(received, now)
+
+        self.step(end.owner, take)
+
+
+class Effects:
+    """
+    Does what the agents of a fleet ask for.
+    """
+
+    def __init__(self, fleet: VirtualFleet) -> None:
+        self._fleet = fleet
+
+    @singledispatchmethod
+    def follow(self, effect: Effect, name: str) -> None:
+        """
+        Do what an agent asks for.
+        """
+        raise TypeError(f'not an effect: {effect!r}')
+
+    @follow.register
+    def _(self, effect: Learnt, name: str) -> None:
+        """
+        Nothing outside the agent follows from it.
+        """
+
+    @follow.register
+    def _(self, effect: Heard, name: str) -> None:
+        self._fleet.heard.append((name, effect))
+
+    @follow.register
+    def _(self, effect: ReadList, name: str) -> None:
+        if self._fleet.list_works:
+            hosts = tuple(self._fleet.listed.values())
+            self._fleet.step_later(
+                LATENCY_S,
+                name,
+                lambda agent: agent.listed(hosts, self._fleet.time.instant),
+            )
+
+    @follow.register
+    def _(self, effect: StartProbe, name: str) -> None:
+        self._fleet.network.used[name].probes += 1
+        probed = self._fleet.targets[effect.name]
+        outcome = ProbeResult(effect.name, reason='timeout')
+        wait_s: float = PROBE_TIMEOUT_S
+        if probed.answers and self._fleet.network.reaches(name, effect.name):
+            probed.probes += 1
+            outcome = ProbeResult(effect.name, probed.fact, probed.load)
+            wait_s = 2 * LATENCY_S
+        self._fleet.step_later(
+            wait_s,
+            name,
+            lambda agent: agent.probed(outcome, self._fleet.time.instant),
+        )
+
+    @follow.register
+    def _(self, effect: Connect, name: str) -> None:
+        other = self._fleet.names.get(effect.address, '')
+        if other in self._fleet.agents and self._fleet.network.reaches(
+            name, other
+        ):
+            self._fleet.time.later(
+                LATENCY_S, lambda: self._open(name, other, effect.address)
+            )
+            return
+        self._fleet.step_later(
+            CONNECT_TIMEOUT_S,
+            name,
+            lambda agent: agent.gossip.unreachable(
+                effect.address, self._fleet.time.instant
+            ),
+        )
+
+    @follow.register
+    def _(self, effect: Close, name: str) -> None:
+        other = self._fleet.network.close(Wire(name, effect.link))
+        if other is not None:
+            self._fleet.step_later(
+                LATENCY_S,
+                other.owner,
+                lambda agent: agent.gossip.closed(
+                    other.number, self._fleet.time.instant
+                ),
+            )
+
+    @follow.register
+    def _(self, effect: Send, name: str) -> None:
+        self._fleet.network.send(Wire(name, effect.link), effect.message)
+
+    def _open(self, name: str, other: str, address: str) -> None:
+        near, far = self._fleet.network.connect(name, other)
+        now = self._fleet.time.instant
+        self._fleet.step(
+            other, lambda agent: agent.gossip.opened(far.number, '', now)
+        )
+        self._fleet.step(
+            name, lambda agent: agent.gossip.opened(near.number, address, now)
+        )
+
+
+def address_of(number: int) -> str:
+    """
+    Return the address of a numbered agent.
+    """
+    return f'10.0.{number // SUBNET}.{number % SUBNET}:7000'
