--- /dev/null
+++ b/mallowcrank/load/__init__.py
@@ -0,0 +1,3 @@
+"""
+The load tool: callers, faults by time line, and a judge of the promises.
+"""
--- /dev/null
+++ b/mallowcrank/load/judge.py
@@ -0,0 +1,179 @@
+"""
+Judges a run by the targets' traces and the callers' records.
+
+It knows nothing of the router. Each check gives its findings in words; the
+counts of a report are the numbers of findings.
+"""
+
+from collections import Counter
+from collections.abc import Iterator
+from dataclasses import dataclass
+
+from mallowcrank.load.evidence import (
+    Evidence,
+    body_hash,
+    find_shortage,
+    is_expected,
+    is_own_service_answer,
+    last_emission,
+    last_problem,
+    name_of,
+    requests_of,
+)
+from mallowcrank.load.records import CallKind, CallRecord, Outcome
+
+MAX_SHOWN = 200  # characters of an answer in a finding
+
+
+@dataclass(frozen=True)
+class Verdict:
+    """
+    What a run broke. Each list names the calls and what is wrong.
+
+    :param lost: calls without an answer or a refusal, and answers that were
+        said to be whole and are not.
+    :param doubled: calls marked as not repeatable that ran more than once.
+    :param crossed: callers that got the answer to another call.
+    :param layer_violations: answers whose lineage or text shows that a layer
+        did not run exactly once for each token, in order.
+    :param false_refusals: refusals that say `no` of calls that ran.
+    """
+
+    lost: tuple[str, ...] = ()
+    doubled: tuple[str, ...] = ()
+    crossed: tuple[str, ...] = ()
+    layer_violations: tuple[str, ...] = ()
+    false_refusals: tuple[str, ...] = ()
+
+    @property
+    def is_clean(self) -> bool:
+        """
+        Tell whether every promise was kept.
+        """
+        return not any(
+            (
+                self.lost,
+                self.doubled,
+                self.crossed,
+                self.layer_violations,
+                self.false_refusals,
+            )
+        )
+
+
+def judge(evidence: Evidence) -> Verdict:
+    """
+    Check all promises.
+    """
+    return Verdict(
+        lost=tuple(find_lost(evidence)),
+        doubled=tuple(find_doubled(evidence)),
+        crossed=tuple(find_crossed(evidence)),
+        layer_violations=tuple(find_layer_violations(evidence)),
+        false_refusals=tuple(find_false_refusals(evidence)),
+    )
+
+
+def find_lost(evidence: Evidence) -> Iterator[str]:
+    """
+    Find calls without an end, and answers that end too early.
+    """
+    for record in evidence.records:
+        if record.outcome is Outcome.LOST:
+            yield f'{name_of(record)}: {last_problem(record)}'
+        elif _is_whole_completion(record):
+            problem = find_shortage(record)
+            if problem:
+                yield f'{name_of(record)}: {problem}'
+
+
+def find_doubled(evidence: Evidence) -> Iterator[str]:
+    """
+    Find calls marked as not repeatable that ran more than once.
+    """
+    runs = Counter(call.body for call in evidence.trace.calls)
+    for record in evidence.records:
+        if record.plan.repeatable:
+            continue
+        if record.plan.kind is CallKind.SERVICE:
+            count = runs[body_hash(record)]
+        else:
+            count = sum(
+                evidence.lineage.has_run(request)
+                for request in requests_of(record)
+            )
+        if count > 1:
+            yield f'{name_of(record)} ran {count} times'
+
+
+def find_crossed(evidence: Evidence) -> Iterator[str]:
+    """
+    Find callers that got another call's answer.
+    """
+    others = {text for text in evidence.expected.values() if text}
+    for record in evidence.records:
+        if record.outcome is Outcome.COMPLETED:
+            problem = _find_mixup(record, evidence, others)
+            if problem:
+                yield f'{name_of(record)} {problem}'
+
+
+def find_layer_violations(evidence: Evidence) -> Iterator[str]:
+    """
+    Find answers for which a layer did not run exactly once for each token.
+    """
+    for record in evidence.records:
+        if not record.answer or record.plan.kind is CallKind.SERVICE:
+            continue
+        if not is_expected(record, evidence):
+            yield f'{name_of(record)} has another text than the model gives'
+        elif record.outcome is Outcome.COMPLETED:
+            problem = evidence.lineage.find_violation(
+                record.last_request,
+                last_emission(record),
+                evidence.layers[record.plan.serves],
+            )
+            if problem:
+                yield f'{name_of(record)}: {problem}'
+
+
+def find_false_refusals(evidence: Evidence) -> Iterator[str]:
+    """
+    Find refusals that say `no` of what ran.
+    """
+    ran = {call.request for call in evidence.trace.calls}
+    bodies = {call.body for call in evidence.trace.calls}
+    for record in evidence.records:
+        for each in record.tries:
+            if each.ran != 'no' or not each.request:
+                continue
+            if each.request in ran or evidence.lineage.has_run(each.request):
+                yield f'{name_of(record)}: {each.request} ran'
+        if _is_refused_service(record) and body_hash(record) in bodies:
+            yield f'{name_of(record)} ran, though its last answer says no'
+
+
+def _is_whole_completion(record: CallRecord) -> bool:
+    return (
+        record.outcome is Outcome.COMPLETED
+        and record.plan.kind is CallKind.COMPLETION
+    )
+
+
+def _is_refused_service(record: CallRecord) -> bool:
+    return (
+        record.plan.kind is CallKind.SERVICE
+        and not record.plan.repeatable
+        and record.outcome is Outcome.REFUSED_NOT_RUN
+    )
+
+
+def _find_mixup(
+    record: CallRecord, evidence: Evidence, others: set[str]
+) -> str:
+    if record.plan.kind is CallKind.SERVICE:
+        own = is_own_service_answer(record)
+        return '' if own else f'got {record.answer[:MAX_SHOWN]}'
+    if is_expected(record, evidence) or record.answer not in others:
+        return ''
+    return 'got the answer of another call'
--- /dev/null
+++ b/mallowcrank/load/lineage.py
@@ -0,0 +1,141 @@
+"""
+Follows the KV states behind an answer and checks that every layer ran exactly
+once for each token, in order.
+"""
+
+from collections import defaultdict
+from collections.abc import Iterator, Sequence
+from dataclasses import dataclass
+
+from mallowcrank.load.trace import ImportLine, StepLine, Trace
+
+START = -1  # the layer before the first one
+
+
+@dataclass(frozen=True)
+class Emission:
+    """
+    The last token of an answer.
+
+    :param token: the index of the token that it follows from.
+    :param output: its token id.
+    """
+
+    token: int
+    output: int
+
+
+class Lineage:
+    """
+    All steps and imports, found by stream and by state.
+    """
+
+    def __init__(self, trace: Trace) -> None:
+        self._by_stream: dict[str, list[StepLine]] = defaultdict(list)
+        self._by_state: dict[str, list[StepLine]] = defaultdict(list)
+        self._imports: dict[str, list[ImportLine]] = defaultdict(list)
+        for step in trace.steps:
+            self._by_stream[step.stream].append(step)
+            self._by_state[step.state].append(step)
+        for import_ in trace.imports:
+            self._imports[import_.state].append(import_)
+
+    def has_run(self, stream: str) -> bool:
+        """
+        Tell whether any step of a stream ran.
+        """
+        return stream in self._by_stream
+
+    def find_violation(
+        self, stream: str, emission: Emission, layers: int
+    ) -> str:
+        """
+        Check the lineage of a stream's last token.
+
+        :returns: what is wrong, or an empty string.
+        """
+        ends = [
+            step
+            for step in self._by_stream[stream]
+            if step.last_layer == layers - 1
+            and step.last_token == emission.token
+            and step.output == str(emission.output)
+        ]
+        if not ends:
+            return f'no step gave token {emission.token + 1} of {stream}'
+        problems = [self._check_chain(end) for end in ends]
+        return '' if '' in problems else problems[0]
+
+    def _check_chain(self, end: StepLine) -> str:
+        for layer in range(end.first_layer, end.last_layer + 1):
+            problem = self._check_layer(end, layer)
+            if problem:
+                return problem
+        if end.first_layer - 1 == START:
+            return ''
+        problems = [self._check_chain(step) for step in self._before(end)]
+        if not problems:
+            return (
+                f'no step gave layer {end.first_layer} of {end.stream} its '
+                f'input for token {end.last_token}'
+            )
+        return '' if '' in problems else problems[0]
+
+    def _before(self, end: StepLine) -> Iterator[StepLine]:
+        for step in self._by_stream[end.stream]:
+            if (
+                step.last_layer == end.first_layer - 1
+                and step.last_token == end.last_token
+                and step.output == end.given
+            ):
+                yield step
+
+    def _check_layer(self, end: StepLine, layer: int) -> str:
+        steps = self._steps_until(end, layer)
+        return self._check_tiling(end.state, steps, layer, end.last_token + 1)
+
+    def _steps_until(self, end: StepLine, layer: int) -> list[StepLine]:
+        steps = self._by_state[end.state]
+        until = steps[: steps.index(end) + 1]
+        return [step for step in until if _has_layer(step, layer)]
+
+    def _check_tiling(
+        self, state: str, steps: Sequence[StepLine], layer: int, total: int
+    ) -> str:
+        held, problem = self._check_import(state, layer)
+        if problem:
+            return problem
+        for step in steps:
+            if step.token < held:
+                return f'layer {layer} ran token {step.token} twice in {state}'
+            if step.token > held:
+                return f'layer {layer} skipped token {held} in {state}'
+            held += step.count
+        if held != total:
+            return f'layer {layer} of {state} ran {held} tokens, not {total}'
+        return ''
+
+    def _check_import(self, state: str, layer: int) -> tuple[int, str]:
+        """
+        Check what a state's layer was imported from.
+
+        :returns: the tokens that it held, and what is wrong with them.
+        """
+        imports = [
+            each for each in self._imports[state] if _has_layer(each, layer)
+        ]
+        if not imports:
+            return 0, ''
+        if len(imports) > 1:
+            return 0, f'layer {layer} of {state} was imported twice'
+        taken = imports[0]
+        steps: list[StepLine] = []
+        for step in self._by_state[taken.parent]:
+            if _has_layer(step, layer) and step.last_token < taken.count:
+                steps.append(step)
+        problem = self._check_tiling(taken.parent, steps, layer, taken.count)
+        return taken.count, problem
+
+
+def _has_layer(line: StepLine | ImportLine, layer: int) -> bool:
+    return line.first_layer <= layer <= line.last_layer
--- /dev/null
+++ b/mallowcrank/load/trace.py
@@ -0,0 +1,141 @@
+"""
+Reads the traces of engines and services. docs/TRACE.md has the format.
+"""
+
+import json
+from collections.abc import Iterable, Mapping
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any
+
+
+@dataclass(frozen=True, slots=True)
+class StepLine:
+    """
+    A step that an engine ran.
+
+    :param state: the KV state that it extended.
+    :param given: the hidden state or token id that its last token came with.
+    :param output: the hidden state or token id that its last token gave.
+    """
+
+    time: float
+    target: str
+    stream: str
+    token: int
+    count: int
+    first_layer: int
+    last_layer: int
+    state: str
+    given: str
+    output: str
+
+    @property
+    def last_token(self) -> int:
+        """
+        Return the index of the last token that the step ran.
+        """
+        return self.token + self.count - 1
+
+
+@dataclass(frozen=True, slots=True)
+class ImportLine:
+    """
+    A KV state that an engine took over.
+
+    :param count: tokens that it held.
+    :param parent: the state that was exported.
+    """
+
+    time: float
+    target: str
+    stream: str
+    count: int
+    first_layer: int
+    last_layer: int
+    state: str
+    parent: str
+
+
+@dataclass(frozen=True, slots=True)
+class CallLine:
+    """
+    A call that a service ran.
+
+    :param body: the hash of its body.
+    """
+
+    time: float
+    target: str
+    request: str
+    key: str
+    body: str
+
+
+@dataclass(frozen=True, slots=True)
+class MarkLine:
+    """
+    A target's start, its word that it is leaving, or its stop.
+    """
+
+    time: float
+    target: str
+    event: str
+
+
+@dataclass(frozen=True)
+class Trace:
+    """
+    All lines, each kind in the order of its target's file.
+    """
+
+    steps: tuple[StepLine, ...] = ()
+    imports: tuple[ImportLine, ...] = ()
+    calls: tuple[CallLine, ...] = ()
+    marks: tuple[MarkLine, ...] = ()
+
+
+def read_traces(paths: Iterable[Path]) -> Trace:
+    """
+    Read the traces of all targets.
+    """
+    lines = [
+        fields
+        for path in paths
+        for fields in read_lines(path.read_text(encoding='utf-8'))
+    ]
+    return parse_lines(lines)
+
+
+def read_lines(text: str) -> list[dict[str, Any]]:
+    """
+    Read one file's whole lines; a crash may have cut the last one.
+    """
+    whole = text[: text.rfind('\n') + 1]
+    return [json.loads(line) for line in whole.splitlines()]
+
+
+def parse_lines(lines: Iterable[Mapping[str, Any]]) -> Trace:
+    """
+    Sort lines by kind.
+    """
+    steps: list[StepLine] = []
+    imports: list[ImportLine] = []
+    calls: list[CallLine] = []
+    marks: list[MarkLine] = []
+    for fields in lines:
+        match fields['event']:
+            case 'step':
+                steps.append(_pick(StepLine, fields))
+            case 'import':
+                imports.append(_pick(ImportLine, fields))
+            case 'call':
+                calls.append(_pick(CallLine, fields))
+            case _:
+                marks.append(_pick(MarkLine, fields))
+    return Trace(tuple(steps), tuple(imports), tuple(calls), tuple(marks))
+
+
+def _pick(kind: Any, fields: Mapping[str, Any]) -> Any:
+    renamed = {'given': fields.get('input'), **fields}
+    return kind(**{name: renamed[name] for name in kind.__slots__})
