--- /dev/null
+++ b/tests/test_models.py
@@ -0,0 +1,61 @@
+"""
+The runner of specifications: what counts as proved.
+"""
+
+import contextlib
+import io
+from unittest import TestCase
+from unittest.mock import patch
+
+from minicheck import Protocol
+
+from mallowcrank.models.__main__ import report_specification
+from mallowcrank.models.specification import Specification, check
+
+BOUND = 'the counter stops at three'
+
+
+def build(without):
+    limit = 4 if BOUND in without else 3
+
+    def moves(state):
+        return [('count', (state[0] + 1,))] if state[0] < limit else []
+
+    return Protocol(
+        name='counter',
+        candidate=False,
+        fields=('count',),
+        initial=(0,),
+        transitions=moves,
+        invariants={'at most three': lambda seen: seen['count'] <= 3},
+    )
+
+
+class TestRunner(TestCase):
+    def report(self, rules):
+        with contextlib.redirect_stdout(io.StringIO()) as printed:
+            proved = report_specification(
+                Specification('counter', build, rules)
+            )
+        return proved, printed.getvalue()
+
+    def test_proved_and_mutant_killed(self):
+        proved, printed = self.report((BOUND,))
+        self.assertTrue(proved)
+        self.assertIn('mutants killed: 1 of 1', printed)
+
+    def test_rule_that_protects_nothing_fails(self):
+        proved, printed = self.report((BOUND, 'no such rule'))
+        self.assertFalse(proved)
+        self.assertIn('without no such rule: NO COUNTEREXAMPLE', printed)
+
+    def test_counterexample_names_its_moves(self):
+        verdict = check(
+            Specification('counter', build, ()), frozenset((BOUND,))
+        )
+        self.assertEqual(verdict.broken, {'at most three': ('count',) * 4})
+
+    def test_unfinished_search_is_not_proved(self):
+        with patch('mallowcrank.models.specification.MAX_STATES', 2):
+            verdict = check(Specification('counter', build, ()))
+        self.assertFalse(verdict.proved)
