--- /dev/null
+++ b/scripts/layout.py
@@ -0,0 +1,241 @@
+"""
+Starts the parts of a whole system in a fleet: platform, targets, entry hosts.
+"""
+
+from dataclasses import dataclass
+
+from scripts.fleet import Fleet, Process, get_json
+
+LOG_PORT = 9000
+HOST_LIST_PORT = 9001
+WEIGHTS_PORT = 9002
+ENGINE_PORT = 9100
+SERVICE_PORT = 9200
+ROUTER_PORT = 8000
+ROUTER_ADMIN_PORT = 8001
+AGENT_PORT = 7000
+AGENT_ADMIN_PORT = 7001
+FEED_PORT = 7002
+
+PLATFORM_IP = 1
+FIRST_HOST_IP = 10
+FIRST_TARGET_IP = 100
+PEER_KEYS = '1:6d616c6c6f77'
+
+
+@dataclass(frozen=True)
+class Engine:
+    """
+    A stand-in engine to start.
+
+    :param layers: `FIRST-LAST`, inclusive.
+    :param step_ms: milliseconds for one step.
+    :param slots: streams that one batch holds without slowing down.
+    :param fencing: `checks`, `ignores` or `unstated`.
+    """
+
+    name: str
+    layers: str
+    step_ms: float
+    availability_zone: str
+    total_layers: int = 24
+    serves: str = 'assistant'
+    slots: int = 16
+    fencing: str = 'checks'
+
+
+@dataclass(frozen=True)
+class Service:
+    """
+    A stand-in replica of a plain service to start.
+    """
+
+    name: str
+    serves: str
+    availability_zone: str
+    work_ms: float = 2
+
+
+class Layout:
+    """
+    The addresses of a system's parts in a fleet.
+
+    :param hosts: how many entry hosts there are.
+    """
+
+    def __init__(self, fleet: Fleet, hosts: int = 3) -> None:
+        self._fleet = fleet
+        self._hosts = hosts
+        self._targets: dict[str, str] = {}
+
+    @property
+    def log(self) -> str:
+        """
+        Return the address of the log service.
+        """
+        return f'{self._fleet.ip(PLATFORM_IP)}:{LOG_PORT}'
+
+    @property
+    def host_list(self) -> str:
+        """
+        Return the address of the host list.
+        """
+        return f'{self._fleet.ip(PLATFORM_IP)}:{HOST_LIST_PORT}'
+
+    @property
+    def weights(self) -> str:
+        """
+        Return the address of the weight store.
+        """
+        return f'{self._fleet.ip(PLATFORM_IP)}:{WEIGHTS_PORT}'
+
+    @property
+    def routers(self) -> tuple[str, ...]:
+        """
+        Return the addresses where routers serve callers.
+        """
+        return self._on_hosts(ROUTER_PORT)
+
+    @property
+    def router_admins(self) -> tuple[str, ...]:
+        """
+        Return the routers' admin addresses.
+        """
+        return self._on_hosts(ROUTER_ADMIN_PORT)
+
+    @property
+    def agent_admins(self) -> tuple[str, ...]:
+        """
+        Return the agents' admin addresses.
+        """
+        return self._on_hosts(AGENT_ADMIN_PORT)
+
+    def target(self, name: str) -> str:
+        """
+        Return the address of a target.
+        """
+        return self._targets[name]
+
+    def start_platform(self, *log_flags: str) -> None:
+        """
+        Start the log, the host list and the weight store.
+        """
+        start = self._fleet.start
+        start('log', 'standin', 'log', '--listen', self.log, *log_flags)
+        start('hosts', 'standin', 'hosts', '--listen', self.host_list)
+        start('weights', 'standin', 'weights', '--listen', self.weights)
+
+    def start_engine(self, engine: Engine, *flags: str) -> Process:
+        """
+        Start an engine; its trace is `NAME.trace` in the fleet's folder.
+        """
+        address = self._place(engine.name, ENGINE_PORT)
+        words = {
+            '--name': engine.name,
+            '--listen': address,
+            '--availability-zone': engine.availability_zone,
+            '--serves': engine.serves,
+            '--layers': engine.layers,
+            '--total-layers': str(engine.total_layers),
+            '--step-ms': str(engine.step_ms),
+            '--slots': str(engine.slots),
+            '--fencing': engine.fencing,
+            '--weights': self.weights,
+            '--hosts': self.host_list,
+            '--trace': self._trace(engine.name),
+        }
+        return self._fleet.start(
+            engine.name, 'standin', 'engine', *_flatten(words), *flags
+        )
+
+    def start_service(self, service: Service, *flags: str) -> Process:
+        """
+        Start a replica; its trace is `NAME.trace` in the fleet's folder.
+        """
+        address = self._place(service.name, SERVICE_PORT)
+        words = {
+            '--name': service.name,
+            '--listen': address,
+            '--availability-zone': service.availability_zone,
+            '--serves': service.serves,
+            '--work-ms': str(service.work_ms),
+            '--hosts': self.host_list,
+            '--trace': self._trace(service.name),
+        }
+        return self._fleet.start(
+            service.name, 'standin', 'service', *_flatten(words), *flags
+        )
+
+    def start_agent(
+        self, number: int, availability_zone: str, *flags: str
+    ) -> Process:
+        """
+        Start the agent of an entry host, numbered from 0.
+        """
+        words = {
+            **self._host_words(number, availability_zone),
+            '--listen': self._address(number, AGENT_PORT),
+            '--admin': self._address(number, AGENT_ADMIN_PORT),
+            '--log': self.log,
+            '--host-list': self.host_list,
+            '--weights': self.weights,
+            '--peers': ','.join(self._on_hosts(AGENT_PORT)),
+        }
+        return self._fleet.start(
+            f'agent-{number}', 'agent', *_flatten(words), *flags
+        )
+
+    def start_router(
+        self, number: int, availability_zone: str, *flags: str
+    ) -> Process:
+        """
+        Start the router of an entry host, numbered from 0.
+        """
+        words = {
+            **self._host_words(number, availability_zone),
+            '--listen': self._address(number, ROUTER_PORT),
+            '--admin': self._address(number, ROUTER_ADMIN_PORT),
+        }
+        return self._fleet.start(
+            f'router-{number}', 'router', *_flatten(words), *flags
+        )
+
+    def wait_until_up(self) -> None:
+        """
+        Wait until all parts answer.
+
+        :raises TimeoutError: when one doesn't.
+        """
+        for admin in (*self.agent_admins, *self.router_admins):
+            get_json(admin, '/admin/status')
+        for address in self._targets.values():
+            get_json(address, '/status')
+
+    def _host_words(
+        self, number: int, availability_zone: str
+    ) -> dict[str, str]:
+        return {
+            '--host': f'host-{number}',
+            '--availability-zone': availability_zone,
+            '--feed': self._address(number, FEED_PORT),
+            '--peer-keys': PEER_KEYS,
+        }
+
+    def _address(self, number: int, port: int) -> str:
+        return f'{self._fleet.ip(FIRST_HOST_IP + number)}:{port}'
+
+    def _on_hosts(self, port: int) -> tuple[str, ...]:
+        return tuple(self._address(each, port) for each in range(self._hosts))
+
+    def _place(self, name: str, port: int) -> str:
+        number = FIRST_TARGET_IP + len(self._targets)
+        if name not in self._targets:
+            self._targets[name] = f'{self._fleet.ip(number)}:{port}'
+        return self._targets[name]
+
+    def _trace(self, name: str) -> str:
+        return str(self._fleet.folder / f'{name}.trace')
+
+
+def _flatten(words: dict[str, str]) -> list[str]:
+    return [part for pair in words.items() for part in pair]
