--- a/scripts/layout.py
+++ b/scripts/layout.py
@@ -56,17 +56,16 @@
     work_ms: float = 2
 
 
-class Layout:
+class Addresses:
     """
     The addresses of a system's parts in a fleet.
 
     :param hosts: how many entry hosts there are.
     """
 
-    def __init__(self, fleet: Fleet, hosts: int = 3) -> None:
+    def __init__(self, fleet: Fleet, hosts: int) -> None:
         self._fleet = fleet
         self._hosts = hosts
-        self._targets: dict[str, str] = {}
 
     @property
     def log(self) -> str:
@@ -110,20 +109,67 @@
         """
         return self._on_hosts(AGENT_ADMIN_PORT)
 
-    def target(self, name: str) -> str:
+    @property
+    def agents(self) -> tuple[str, ...]:
         """
-        Return the address of a target.
+        Return the addresses where agents meet each other.
         """
-        return self._targets[name]
+        return self._on_hosts(AGENT_PORT)
+
+    def on_host(self, number: int, port: int) -> str:
+        """
+        Return an address of an entry host, numbered from 0.
+        """
+        return f'{self._fleet.ip(FIRST_HOST_IP + number)}:{port}'
+
+    def of_target(self, number: int, port: int) -> str:
+        """
+        Return the address of a target, numbered from 0.
+        """
+        return f'{self._fleet.ip(FIRST_TARGET_IP + number)}:{port}'
+
+    def _on_hosts(self, port: int) -> tuple[str, ...]:
+        return tuple(self.on_host(each, port) for each in range(self._hosts))
+
+
+class Layout:
+    """
+    Starts the parts of a system.
+
+    :param hosts: how many entry hosts there are.
+    """
+
+    def __init__(self, fleet: Fleet, hosts: int = 3) -> None:
+        self._fleet = fleet
+        self._addresses = Addresses(fleet, hosts)
+        self._targets: dict[str, str] = {}
+
+    @property
+    def addresses(self) -> Addresses:
+        """
+        Return the addresses of all parts but the targets.
+        """
+        return self._addresses
+
+    @property
+    def targets(self) -> dict[str, str]:
+        """
+        Return the addresses of the started targets by name.
+        """
+        return dict(self._targets)
 
     def start_platform(self, *log_flags: str) -> None:
         """
         Start the log, the host list and the weight store.
         """
         start = self._fleet.start
-        start('log', 'standin', 'log', '--listen', self.log, *log_flags)
-        start('hosts', 'standin', 'hosts', '--listen', self.host_list)
-        start('weights', 'standin', 'weights', '--listen', self.weights)
+        start(
+            'log', 'standin', 'log', '--listen', self.addresses.log, *log_flags
+        )
+        start('hosts', 'standin', 'hosts', '--listen', self.addresses.host_list)
+        start(
+            'weights', 'standin', 'weights', '--listen', self.addresses.weights
+        )
 
     def start_engine(self, engine: Engine, *flags: str) -> Process:
         """
@@ -140,8 +186,8 @@
             '--step-ms': str(engine.step_ms),
             '--slots': str(engine.slots),
             '--fencing': engine.fencing,
-            '--weights': self.weights,
-            '--hosts': self.host_list,
+            '--weights': self.addresses.weights,
+            '--hosts': self.addresses.host_list,
             '--trace': self._trace(engine.name),
         }
         return self._fleet.start(
@@ -159,7 +205,7 @@
             '--availability-zone': service.availability_zone,
             '--serves': service.serves,
             '--work-ms': str(service.work_ms),
-            '--hosts': self.host_list,
+            '--hosts': self.addresses.host_list,
             '--trace': self._trace(service.name),
         }
         return self._fleet.start(
@@ -172,14 +218,15 @@
         """
         Start the agent of an entry host, numbered from 0.
         """
+        at = self.addresses.on_host
         words = {
             **self._host_words(number, availability_zone),
-            '--listen': self._address(number, AGENT_PORT),
-            '--admin': self._address(number, AGENT_ADMIN_PORT),
-            '--log': self.log,
-            '--host-list': self.host_list,
-            '--weights': self.weights,
-            '--peers': ','.join(self._on_hosts(AGENT_PORT)),
+            '--listen': at(number, AGENT_PORT),
+            '--admin': at(number, AGENT_ADMIN_PORT),
+            '--log': self.addresses.log,
+            '--host-list': self.addresses.host_list,
+            '--weights': self.addresses.weights,
+            '--peers': ','.join(self.addresses.agents),
         }
         return self._fleet.start(
             f'agent-{number}', 'agent', *_flatten(words), *flags
@@ -191,10 +238,11 @@
         """
         Start the router of an entry host, numbered from 0.
         """
+        at = self.addresses.on_host
         words = {
             **self._host_words(number, availability_zone),
-            '--listen': self._address(number, ROUTER_PORT),
-            '--admin': self._address(number, ROUTER_ADMIN_PORT),
+            '--listen': at(number, ROUTER_PORT),
+            '--admin': at(number, ROUTER_ADMIN_PORT),
         }
         return self._fleet.start(
             f'router-{number}', 'router', *_flatten(words), *flags
@@ -206,7 +254,10 @@
 
         :raises TimeoutError: when one doesn't.
         """
-        for admin in (*self.agent_admins, *self.router_admins):
+        for admin in (
+            *self.addresses.agent_admins,
+            *self.addresses.router_admins,
+        ):
             get_json(admin, '/admin/status')
         for address in self._targets.values():
             get_json(address, '/status')
@@ -214,23 +265,18 @@
     def _host_words(
         self, number: int, availability_zone: str
     ) -> dict[str, str]:
+        at = self.addresses.on_host
         return {
             '--host': f'host-{number}',
             '--availability-zone': availability_zone,
-            '--feed': self._address(number, FEED_PORT),
+            '--feed': at(number, FEED_PORT),
             '--peer-keys': PEER_KEYS,
         }
 
-    def _address(self, number: int, port: int) -> str:
-        return f'{self._fleet.ip(FIRST_HOST_IP + number)}:{port}'
-
-    def _on_hosts(self, port: int) -> tuple[str, ...]:
-        return tuple(self._address(each, port) for each in range(self._hosts))
-
     def _place(self, name: str, port: int) -> str:
-        number = FIRST_TARGET_IP + len(self._targets)
         if name not in self._targets:
-            self._targets[name] = f'{self._fleet.ip(number)}:{port}'
+            number = len(self._targets)
+            self._targets[name] = self.addresses.of_target(number, port)
         return self._targets[name]
 
     def _trace(self, name: str) -> str:
