Run the router with the policies; judge load by the router's own calls

Cause: the router ran with placeholder policies; and in virtual time the corrected reports told less than the router's own calls do, since a stream may last less long than a report lags. Change: build_policies in the router's command line, the router's tests run with the same policies, the placeholder is gone. A target's load is taken from the time of its last answers.

--- a/mallowcrank/cli/router.py
+++ b/mallowcrank/cli/router.py
@@ -19,9 +19,8 @@
 )
 from mallowcrank.context import Environment
 from mallowcrank.logs import start_logs
-from mallowcrank.router.assembly import Policies
+from mallowcrank.policy.start import build_policies
 from mallowcrank.router.daemon import Router
-from mallowcrank.router.simple_policy import LeastInFlight, OpenAdmission
 from mallowcrank.settings import Checker, HostSettings, RouterSettings
 from mallowcrank.status import ExitStatus
 
@@ -133,7 +132,7 @@
 
 def _serve(settings: RouterSettings, environment: Environment) -> ExitStatus:
     start_logs(environment.stderr, settings.on.host, 'router')
-    policies = Policies(OpenAdmission(), LeastInFlight())
+    policies = build_policies(settings, environment)
     router = Router(settings, policies, environment)
 
     def stop(_number: int, _frame: FrameType | None) -> None:
--- a/mallowcrank/overload/ejection.py
+++ b/mallowcrank/overload/ejection.py
@@ -11,7 +11,7 @@
 SAME_EVENT_S = 0.25  # failures this close count once
 SLOW_START_S = 5
 LOWEST_WEIGHT = 0.1  # of a target at the start of its slow start
-FATAL = frozenset(('connect', 'silent', 'crashed'))  # eject at the first one
+FATAL = frozenset(('no answer', 'the call went silent'))  # eject at once
 
 
 @dataclass(frozen=True, slots=True)
--- a/mallowcrank/router/assembly.py
+++ b/mallowcrank/router/assembly.py
@@ -11,7 +11,7 @@
 from mallowcrank.requests.keepers import RouterId
 from mallowcrank.router.known import KnownView
 from mallowcrank.router.parts import InFlight, Names, RouterParts
-from mallowcrank.router.ports import AdmissionPort, RoutePort
+from mallowcrank.router.ports import AdmissionPort, FollowerPort, RoutePort
 from mallowcrank.settings import RouterSettings
 from mallowcrank.streams.alarm import Alarm
 from mallowcrank.streams.driver import StreamDriver
@@ -26,10 +26,13 @@
 class Policies:
     """
     The policies that the router runs with.
+
+    :param follower: follows what engines publish, where the policies use it.
     """
 
     admission: AdmissionPort
     routes: RoutePort
+    follower: FollowerPort | None = None
 
 
 def assemble(
--- a/mallowcrank/router/daemon.py
+++ b/mallowcrank/router/daemon.py
@@ -57,6 +57,7 @@
             self._me,
             FeedPorts(self._parts.known, self._take_view, self._make_report),
         )
+        self._follower = policies.follower
         self._stop_asked = threading.Event()
         self._callers = WebServer(
             settings.listen, CallersApi(self._parts).routes(), settings.threads
@@ -82,6 +83,8 @@
         """
         self._alarm.start()
         self._feed.start()
+        if self._follower is not None:
+            self._follower.start()
         self._operators.start()
         self._callers.start()
         self._log.say(
@@ -131,6 +134,8 @@
         self._callers.stop()
         self._operators.stop()
         self._feed.stop()
+        if self._follower is not None:
+            self._follower.stop()
         self._alarm.stop()
         self._parts.driver.stop(block=False)
         self._parts.keeper.stop(block=False)
--- a/mallowcrank/router/ports.py
+++ b/mallowcrank/router/ports.py
@@ -161,3 +161,19 @@
         """
         Take over new settings and targets.
         """
+
+
+class FollowerPort(Protocol):
+    """
+    Follows what targets publish, for the policies.
+    """
+
+    def start(self) -> None:
+        """
+        Start to follow.
+        """
+
+    def stop(self) -> None:
+        """
+        Stop to follow.
+        """
--- a/mallowcrank/routing/book.py
+++ b/mallowcrank/routing/book.py
@@ -42,7 +42,7 @@
         Return how a target stands at the moment.
         """
         return Standing(
-            load=self.loads.estimate(target),
+            load=self.loads.estimate(target, now),
             weight=weight(self.health.get(target.name), now),
             link_ms=self._links.to(target, self._zone),
         )
@@ -95,7 +95,8 @@
         known = self.index.targets.get(name)
         if known is None:
             return
-        self.loads.answered(known, seconds, self._links.to(known, self._zone))
+        link_ms = self._links.to(known, self._zone)
+        self.loads.answered(known, seconds, link_ms, now)
         self.health.succeeded(name, now)
 
     def _mean_slowdown(self, names: list[str]) -> float:
--- a/mallowcrank/routing/bound.py
+++ b/mallowcrank/routing/bound.py
@@ -90,7 +90,7 @@
     :param token_ms: milliseconds of one token on the fastest idle path;
         infinite where no path covers the layers.
     :param full_streams: concurrent streams that reach the bound, by Little's
-        law.
+        law: at full batches, each engine takes part by its rate.
     """
 
     tokens_per_s: float
@@ -121,7 +121,7 @@
             engine.name for engine in engines if _holds_any(engine, limiting)
         ),
         token_ms=token_ms,
-        full_streams=rate * token_ms / MS_PER_S,
+        full_streams=rate * _full_token_ms(layers, engines) / MS_PER_S,
     )
 
 
@@ -142,6 +142,25 @@
     return best[layers]
 
 
+def _full_token_ms(layers: int, engines: Sequence[BoundEngine]) -> float:
+    total: float = 0
+    link_ms = max((engine.link_ms for engine in engines), default=0)
+    borders = {engine.first_layer for engine in engines}
+    for layer in range(layers):
+        holders = [
+            engine
+            for engine in engines
+            if engine.first_layer <= layer <= engine.last_layer
+        ]
+        slots = sum(engine.slots for engine in holders)
+        total += slots * MS_PER_S / sum(map(_layers_per_s, holders))
+    return total + link_ms * len(borders)
+
+
+def _layers_per_s(engine: BoundEngine) -> float:
+    return engine.layers_per_s
+
+
 def _layer_done(
     engine: BoundEngine, reached: float, running: dict[str, float]
 ) -> float:
--- a/mallowcrank/routing/loads.py
+++ b/mallowcrank/routing/loads.py
@@ -1,26 +1,49 @@
 """
-Reported loads, corrected by what this router has in flight itself.
+Loads of targets, as far as a router can know them.
+
+A report lags by more than a stream may last. What this router's own calls
+take tells the load of a moment ago, since a batch takes longer by the streams
+that it holds. Both are corrected by what the router itself has sent and got
+back since.
 """
 
+from dataclasses import dataclass
+
 from mallowcrank.view import Target
 
+MS_PER_S = 1000
 ROUNDING = 1e-6  # of work in flight that is counted up and down
 SMOOTHING = 0.2  # weight of the newest call in the mean slowdown
+FRESH_S = 2  # how long the last call says more than a report
+
+
+@dataclass(frozen=True, slots=True)
+class Answered:
+    """
+    What a target's last answers say.
+
+    :param slowdown: mean time of a call over the time of an idle step.
+    :param own: what this router had in flight there.
+    :param at: steady time of the last one, in seconds.
+    """
+
+    slowdown: float
+    own: float
+    at: float
 
 
 class LoadBook:
     """
     Work in flight by target, in streams that run all layers of the target.
-
-    A report lags, so that it lacks what this router has sent since, and holds
-    what has ended since. Both are known here and are made up for.
     """
 
     def __init__(self) -> None:
         self._own: dict[str, float] = {}
         self._at_report: dict[str, float] = {}
         self._reported: dict[str, Target] = {}
-        self._slowdown: dict[str, float] = {}
+        self._answered: dict[str, Answered] = {}
+
+    # Queries
 
     def own(self, name: str) -> float:
         """
@@ -32,15 +55,22 @@
         """
         Return the mean time of this router's calls over an idle step's time.
         """
-        return self._slowdown.get(name, 1)
+        known = self._answered.get(name)
+        return known.slowdown if known else 1
 
-    def estimate(self, target: Target) -> float:
+    def estimate(self, target: Target, now: float) -> float:
         """
-        Return the corrected load.
+        Return the load: by the last answers, or else by the report.
         """
-        own = self._own.get(target.name, 0)
-        since = own - self._at_report.get(target.name, 0)
-        return max(own, target.load + since)
+        own = self.own(target.name)
+        answered = self._answered.get(target.name)
+        if answered is None or now - answered.at > FRESH_S:
+            since = own - self._at_report.get(target.name, 0)
+            return max(own, target.load + since)
+        then = answered.slowdown * target.slots
+        return max(own, then + own - answered.own)
+
+    # Commands
 
     def take(self, name: str, share: float) -> None:
         """
@@ -65,24 +95,29 @@
         Take in what the view says; a changed load is a new report.
         """
         known = self._reported.get(target.name)
-        if known is target:
-            return
         self._reported[target.name] = target
         if known is None or known.load != target.load:
             self._at_report[target.name] = self.own(target.name)
 
-    def answered(self, target: Target, seconds: float, link_ms: float) -> None:
+    def answered(
+        self, target: Target, seconds: float, link_ms: float, now: float
+    ) -> None:
         """
         Take in the time of one call of this router.
         """
-        step_s = (target.step_ms + link_ms) / 1000
-        ratio = max(1, seconds / step_s) if step_s > 0 else 1
-        known = self.slowdown(target.name)
-        self._slowdown[target.name] = known + SMOOTHING * (ratio - known)
+        ran_ms = max(0, seconds * MS_PER_S - link_ms)
+        slowdown = ran_ms / max(target.step_ms, ROUNDING)
+        known = self._answered.get(target.name)
+        if known is not None:
+            newer = slowdown - known.slowdown
+            slowdown = known.slowdown + SMOOTHING * newer
+        own = self.own(target.name)
+        self._answered[target.name] = Answered(slowdown, own, now)
 
     def forget(self, name: str) -> None:
         """
         Forget a target that is gone; work in flight is given back later.
         """
-        for book in (self._at_report, self._reported, self._slowdown):
-            book.pop(name, None)
+        self._at_report.pop(name, None)
+        self._reported.pop(name, None)
+        self._answered.pop(name, None)
--- /dev/null
+++ b/scripts/trials/__init__.py
@@ -0,0 +1,3 @@
+"""
+Trials of the policies in virtual time, with small fakes for the engines.
+"""
--- /dev/null
+++ b/scripts/trials/traffic.py
@@ -0,0 +1,240 @@
+"""
+Requests that run over virtual engines, by the policies that run in routers.
+"""
+
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from functools import partial
+from random import Random
+
+from mallowcrank.policy.desk import Desk, Outcome
+from mallowcrank.policy.routes import Routes
+from mallowcrank.policy.settings import PolicySettings
+from mallowcrank.refusals import Refused
+from mallowcrank.router.ports import Route, RouteDemand, Ticket
+from mallowcrank.routing.ways import Choice
+from mallowcrank.settings import HostSettings, RouterSettings
+from mallowcrank.view import View
+from mallowcrank.wire import KeyRing
+from scripts.trials.virtual import (
+    PROMPT_TOKENS_PER_STEP,
+    Loop,
+    VirtualEngine,
+)
+
+LINK_S = 0.0005  # one way
+SILENCE_S = 0.3  # until a call that brings no answer counts as failed
+THREADS = 4096  # of a router, so that its room is no limit
+BLOCKS = 8  # of a prompt
+
+
+@dataclass(frozen=True)
+class Shape:
+    """
+    What requests are like.
+
+    :param answer: tokens of an answer.
+    :param prompt_tokens: tokens of a prompt.
+    :param timeout_s: seconds that a caller waits.
+    """
+
+    answer: int = 24
+    prompt_tokens: int = 128
+    timeout_s: float = 1e6
+
+
+@dataclass
+class Job:
+    """
+    One request and what became of it.
+    """
+
+    ticket: Ticket
+    prompt: int
+    shape: Shape
+    arrived: float
+    finished: Callable[['Job'], None]
+    times: list[float] = field(default_factory=list)
+    attempt: int = 0
+    refused: Refused | None = None
+    ended: float | None = None
+    route: Route | None = None
+    priority: int = 0
+
+    @property
+    def prefix(self) -> tuple[str, ...]:
+        """
+        Return the hashes of the prompt's blocks.
+        """
+        return tuple(f'{self.prompt:08x}{block:08x}' for block in range(BLOCKS))
+
+
+class VirtualRouter:
+    """
+    A router's policies, driving streams over virtual engines.
+
+    :param has_budget: whether retries are spent from a budget.
+    """
+
+    def __init__(
+        self,
+        loop: Loop,
+        on: HostSettings,
+        engines: dict[str, VirtualEngine],
+        choice: Choice,
+        *,
+        has_budget: bool = True,
+    ) -> None:
+        self._loop = loop
+        self._engines = engines
+        self._has_budget = has_budget
+        self._jobs: dict[str, Job] = {}
+        settings = RouterSettings(on, '', '', '', KeyRing(), threads=THREADS)
+        random = Random(on.host)
+        self.routes = Routes(
+            PolicySettings(settings, loop.clock.steady, random, choice)
+        )
+        self.desk = Desk(THREADS, on.host, self.routes.slowdown)
+        loop.every(0.1, self._recheck)
+
+    def apply_view(self, view: View) -> None:
+        """
+        Take over a view.
+        """
+        self.routes.apply_view(view)
+        self.desk.apply_view(view, self._loop.now)
+
+    def arrive(self, job: Job) -> None:
+        """
+        Take in a request by way of admission.
+        """
+        self._jobs[job.ticket.request] = job
+        self._deliver(self.desk.arrive(job.ticket, self._loop.now))
+
+    def start(self, job: Job) -> None:
+        """
+        Start a request without admission, or again after a failure.
+        """
+        job.attempt += 1
+        avoid = frozenset[str]()
+        if job.route is not None:
+            avoid = frozenset(
+                stage.target
+                for stage in job.route.stages
+                if self._engines[stage.target].dead
+            )
+        route = self.routes.choose_path(
+            RouteDemand(
+                job.ticket.request,
+                job.ticket.workspace,
+                job.ticket.serves,
+                prefix=job.prefix,
+                prompt_tokens=job.shape.prompt_tokens,
+                avoid=avoid,
+            )
+        )
+        if isinstance(route, Refused):
+            self._end(job, route)
+            return
+        job.route = route
+        job.priority = self.desk.step_priority(job.ticket)
+        self._send(job, 0, first=True)
+
+    def engine_died(self, name: str) -> None:
+        """
+        Let streams that wait for a dead engine find out.
+        """
+        for job in self._jobs.values():
+            if job.ended is None and job.route is not None:
+                if any(stage.target == name for stage in job.route.stages):
+                    self._loop.after(
+                        SILENCE_S,
+                        partial(self._failed, job, name, job.attempt),
+                    )
+
+    def _send(self, job: Job, index: int, *, first: bool) -> None:
+        stage = job.route.stages[index]
+        engine = self._engines[stage.target]
+        share = self.routes_share(
+            stage.target, stage.last_layer, stage.first_layer
+        )
+        cost: float = 1
+        if first:
+            tokens = job.shape.prompt_tokens + len(job.times)
+            if stage.first_layer == 0:
+                cost += engine.prompt_cost(job.prefix, tokens)
+            else:
+                cost += tokens / PROMPT_TOKENS_PER_STEP
+        attempt = job.attempt
+        sent = self._loop.now
+        answered = partial(self._answered, job, index, attempt, sent, first)
+        submit = partial(
+            engine.submit,
+            cost,
+            share,
+            job.priority,
+            lambda: self._loop.after(LINK_S, answered),
+        )
+        self._loop.after(LINK_S, submit)
+        if engine.dead:
+            self._loop.after(
+                SILENCE_S, partial(self._failed, job, stage.target, attempt)
+            )
+
+    def _answered(
+        self, job: Job, index: int, attempt: int, sent: float, first: bool
+    ) -> None:
+        if attempt != job.attempt or job.ended is not None:
+            return
+        stage = job.route.stages[index]
+        self.routes.succeeded(stage.target, self._loop.now - sent)
+        if index + 1 < len(job.route.stages):
+            self._send(job, index + 1, first=first)
+            return
+        job.times.append(self._loop.now)
+        if len(job.times) >= job.shape.answer:
+            self._end(job, None)
+        elif self._loop.now > job.ticket.deadline:
+            self._end(job, None)
+        else:
+            self._send(job, 0, first=False)
+
+    def _failed(self, job: Job, target: str, attempt: int) -> None:
+        if attempt != job.attempt or job.ended is not None:
+            return
+        self.routes.failed(target, 0, 'no answer')
+        if self._loop.now > job.ticket.deadline:
+            self._end(job, None)
+        elif not self._has_budget or self.routes.may_retry(job.ticket.serves):
+            self.start(job)
+        else:
+            self._end(job, None)
+
+    def _end(self, job: Job, refused: Refused | None) -> None:
+        job.refused = refused
+        job.ended = self._loop.now
+        self.routes.release_path(job.ticket.request)
+        self._jobs.pop(job.ticket.request, None)
+        tokens = 0 if refused else len(job.times) + job.shape.prompt_tokens
+        self._deliver(self.desk.leave(job.ticket, tokens, self._loop.now))
+        job.finished(job)
+
+    def _recheck(self) -> None:
+        waiting = [
+            request for request, job in self._jobs.items() if job.route is None
+        ]
+        for request in waiting:
+            self._deliver(self.desk.recheck(request, self._loop.now))
+
+    def _deliver(self, outcomes: list[Outcome]) -> None:
+        for outcome in list(outcomes):
+            job = self._jobs.get(outcome.request)
+            if job is None:
+                continue
+            if outcome.refused is None:
+                self.start(job)
+            else:
+                job.refused = outcome.refused
+                job.ended = self._loop.now
+                self._jobs.pop(outcome.request)
+                job.finished(job)
--- /dev/null
+++ b/scripts/trials/virtual.py
@@ -0,0 +1,181 @@
+"""
+Virtual time and virtual engines.
+"""
+
+import heapq
+from collections import OrderedDict
+from collections.abc import Callable, Sequence
+from dataclasses import dataclass, field
+from itertools import count
+
+from mallowcrank.clock import FakeClock
+from mallowcrank.routing.hints import CacheEvent
+from mallowcrank.view import Target
+
+PROMPT_TOKENS_PER_STEP = 16  # as the stand-in engine's
+BATCH_SLOTS = 2  # batches hold at most this many times the slots
+
+
+class Loop:
+    """
+    Runs actions in the order of their virtual times.
+    """
+
+    def __init__(self) -> None:
+        self.clock = FakeClock(0)
+        self._numbers = count()
+        self._actions: list[tuple[float, int, Callable[[], None]]] = []
+
+    @property
+    def now(self) -> float:
+        """
+        Return the virtual time in seconds.
+        """
+        return self.clock.seconds
+
+    def after(self, seconds: float, action: Callable[[], None]) -> None:
+        """
+        Run an action later.
+        """
+        entry = (self.now + seconds, next(self._numbers), action)
+        heapq.heappush(self._actions, entry)
+
+    def every(self, seconds: float, action: Callable[[], None]) -> None:
+        """
+        Run an action again and again.
+        """
+
+        def again() -> None:
+            action()
+            self.after(seconds, again)
+
+        self.after(seconds, again)
+
+    def run(self, until: float) -> None:
+        """
+        Run all actions up to a time.
+        """
+        while self._actions and self._actions[0][0] <= until:
+            at, _, action = heapq.heappop(self._actions)
+            self.clock.seconds = at
+            action()
+        self.clock.seconds = until
+
+
+@dataclass(order=True)
+class Piece:
+    """
+    A step that waits for a batch.
+
+    :param order: by priority, then by arrival.
+    :param cost: 1 for one token through all layers held.
+    """
+
+    order: tuple[int, int]
+    cost: float = field(compare=False)
+    share: float = field(compare=False)
+    done: Callable[[], None] = field(compare=False)
+
+
+class VirtualEngine:
+    """
+    Batches continuously and caches prompts, as the stand-in engine does.
+
+    :param cache_prompts: prompts that fit into its memory.
+    """
+
+    def __init__(self, loop: Loop, target: Target, cache_prompts: int) -> None:
+        self.target = target
+        self.dead = False
+        self.hits = 0
+        self.prompts = 0
+        self.events: list[tuple[float, CacheEvent]] = []
+        self._loop = loop
+        self._cache_prompts = cache_prompts
+        self._cache: OrderedDict[str, None] = OrderedDict()
+        self._waiting: list[Piece] = []
+        self._busy = False
+        self._numbers = count(1)
+        self._events = count(1)
+        self._running = 0
+
+    @property
+    def layers(self) -> int:
+        """
+        Return how many layers it holds.
+        """
+        return self.target.last_layer - self.target.first_layer + 1
+
+    @property
+    def load(self) -> int:
+        """
+        Return the steps that wait or run.
+        """
+        return len(self._waiting) + self._running
+
+    def prompt_cost(self, prefix: Sequence[str], tokens: int) -> float:
+        """
+        Return the extra cost of a prompt, and keep it in the cache.
+        """
+        self.prompts += 1
+        name = prefix[-1]
+        if name in self._cache:
+            self.hits += 1
+            self._cache.move_to_end(name)
+            return 0
+        self._cache[name] = None
+        self._tell('stored', name)
+        if len(self._cache) > self._cache_prompts:
+            evicted, _ = self._cache.popitem(last=False)
+            self._tell('evicted', evicted)
+        return tokens / PROMPT_TOKENS_PER_STEP
+
+    def submit(
+        self, cost: float, share: float, priority: int, done: Callable[[], None]
+    ) -> None:
+        """
+        Let a step wait for a batch; a dead engine never answers.
+        """
+        if self.dead:
+            return
+        order = (-priority, next(self._numbers))
+        heapq.heappush(self._waiting, Piece(order, cost * share, share, done))
+        if not self._busy:
+            self._busy = True
+            self._loop.after(0, self._run_batch)
+
+    def crash(self) -> None:
+        """
+        Stop answering and forget everything.
+        """
+        self.dead = True
+        self._waiting.clear()
+        self._cache.clear()
+
+    def _run_batch(self) -> None:
+        room = float(self.target.slots * BATCH_SLOTS)
+        batch: list[Piece] = []
+        while self._waiting and (not batch or self._waiting[0].cost <= room):
+            piece = heapq.heappop(self._waiting)
+            room -= piece.cost
+            batch.append(piece)
+        if not batch or self.dead:
+            self._busy = False
+            return
+        cost = sum(piece.cost for piece in batch) / self.target.slots
+        factor = max(cost, *(piece.share for piece in batch), 0)
+        self._running = len(batch)
+        seconds = factor * self.target.step_ms / 1000
+        self._loop.after(seconds, lambda: self._finish(batch))
+
+    def _finish(self, batch: list[Piece]) -> None:
+        self._running = 0
+        if self.dead:
+            return
+        for piece in batch:
+            piece.done()
+        self._run_batch()
+
+    def _tell(self, kind: str, prefix: str) -> None:
+        event = CacheEvent(next(self._events), kind, prefix)
+        self.events.append((self._loop.now, event))
--- /dev/null
+++ b/scripts/trials/ways_trial.py
@@ -0,0 +1,143 @@
+"""
+Compares the ways to choose engines, all with the same stale reports.
+"""
+
+from collections import Counter
+from dataclasses import dataclass
+from functools import partial
+from statistics import mean
+
+from mallowcrank.router.ports import Ticket
+from mallowcrank.routing.bound import Work
+from mallowcrank.routing.ways import (
+    Affinity,
+    Blended,
+    CacheAware,
+    Choice,
+    LeastLoaded,
+    RandomChoice,
+    TwoChoices,
+)
+from scripts.trials.fleet import MODEL, FleetSettings, VirtualFleet
+from scripts.trials.traffic import Job, Shape
+from scripts.trials.virtual import PROMPT_TOKENS_PER_STEP
+
+WAYS = (
+    RandomChoice(),
+    LeastLoaded(),
+    TwoChoices(),
+    CacheAware(),
+    Affinity(),
+    Blended(),
+)
+STAGGER_S = 0.002  # between the first requests of streams
+WARM_S = 4
+RUN_S = 12
+PROMPTS = 60  # of different beginnings; the first ones are the most common
+
+
+@dataclass(frozen=True)
+class WayFigures:
+    """
+    What one way reached.
+
+    :param ratio: tokens a second over the bound at the same cache hits.
+    :param tokens_per_s: generated tokens.
+    :param hit_part: prompts found in a cache.
+    :param first_p95_ms: time to the first token.
+    :param between_p95_ms: time between tokens.
+    :param herd: the greatest part of the choices in a report's lifetime that
+        went to one engine, over an even part.
+    """
+
+    name: str
+    ratio: float
+    tokens_per_s: float
+    hit_part: float
+    first_p95_ms: float
+    between_p95_ms: float
+    herd: float
+
+
+def try_way(choice: Choice, seed: int, fill: float, parts: int) -> WayFigures:
+    """
+    Run one way in a closed loop.
+
+    :param fill: concurrent streams over those that fill all batches.
+    """
+    fleet = VirtualFleet(FleetSettings(choice=choice, seed=seed, parts=parts))
+    jobs: list[Job] = []
+    picks: Counter[tuple[int, str]] = Counter()
+    streams = round(fleet.bound(Work()).full_streams * fill)
+
+    def launch(number: int) -> None:
+        router = fleet.routers[number % len(fleet.routers)]
+        job = _job(len(jobs), fleet, lambda _: launch(number))
+        jobs.append(job)
+        router.start(job)
+        if job.route is not None:
+            stage = job.route.stages[0]
+            picks[(int(fleet.loop.now), stage.target)] += 1
+
+    for number in range(streams):
+        fleet.loop.after(number * STAGGER_S, partial(launch, number))
+    fleet.loop.run(WARM_S + RUN_S)
+    return _figures(choice, fleet, jobs, picks)
+
+
+def _job(number: int, fleet: VirtualFleet, finished: object) -> Job:
+    prompt = int(PROMPTS * fleet.random.random() ** 2)
+    shape = Shape(answer=fleet.random.randint(12, 36))
+    ticket = Ticket(f's{number}', 'b/w', 1e9, 0, shape.answer, MODEL)
+    return Job(ticket, prompt, shape, fleet.loop.now, finished)
+
+
+def _figures(
+    choice: Choice,
+    fleet: VirtualFleet,
+    jobs: list[Job],
+    picks: Counter[tuple[int, str]],
+) -> WayFigures:
+    times = [job.times for job in jobs]
+    tokens = sum(at > WARM_S for each in times for at in each)
+    first = [job.times[0] - job.arrived for job in jobs if job.times]
+    between = [
+        after - before
+        for each in times
+        for before, after in zip(each, each[1:], strict=False)
+        if before > WARM_S
+    ]
+    engines = [each for each in fleet.engines.values() if each.prompts]
+    hits = sum(each.hits for each in engines)
+    prompts = sum(each.prompts for each in engines)
+    # Only engines with the first layer cache prompts.
+    missed = 1 if fleet.settings.parts > 1 else 1 - hits / prompts
+    units = missed * Shape().prompt_tokens / PROMPT_TOKENS_PER_STEP
+    work = Work(prompt_units=units, answer_tokens=mean(map(len, times)))
+    reached = tokens / RUN_S
+    return WayFigures(
+        name=type(choice).__name__,
+        ratio=reached / fleet.bound(work).tokens_per_s,
+        tokens_per_s=reached,
+        hit_part=hits / prompts,
+        first_p95_ms=percentile(first, 0.95) * 1000,
+        between_p95_ms=percentile(between, 0.95) * 1000,
+        herd=_herd(picks),
+    )
+
+
+def _herd(picks: Counter[tuple[int, str]]) -> float:
+    parts = []
+    for second in range(WARM_S, WARM_S + RUN_S):
+        chosen = [number for (at, _), number in picks.items() if at == second]
+        if chosen:
+            parts.append(max(chosen) * FleetSettings().replicas / sum(chosen))
+    return mean(parts)
+
+
+def percentile(seconds: list[float], part: float) -> float:
+    """
+    Return a percentile of a list.
+    """
+    ordered = sorted(seconds)
+    return ordered[min(len(ordered) - 1, int(part * len(ordered)))]
--- a/tests/test_overload_targets.py
+++ b/tests/test_overload_targets.py
@@ -27,13 +27,13 @@
         self.assertFalse(is_ejected(health, 1))
 
     def test_silence_ejects_at_once_and_longer_each_time(self):
-        first = after_failure(Health(), 0, 'silent')
-        again = after_failure(first, 2, 'silent')
+        first = after_failure(Health(), 0, 'no answer')
+        again = after_failure(first, 2, 'no answer')
         self.assertEqual(first.ejected_until, 1)
         self.assertEqual(again.ejected_until, 4)
 
     def test_return_is_on_trial_then_slow(self):
-        health = after_failure(Health(), 0, 'silent')
+        health = after_failure(Health(), 0, 'no answer')
         self.assertEqual(weight(health, 2), 0.1)
         health = after_success(health, 2)
         self.assertAlmostEqual(weight(health, 4.5), 0.5)
--- a/tests/test_routing_paths.py
+++ b/tests/test_routing_paths.py
@@ -184,7 +184,7 @@
 
     def test_failed_target_gets_nothing_and_comes_back_with_care(self):
         self.routes.apply_view(view_of(engine('bad'), engine('good')))
-        self.routes.failed('bad', 0, 'silent')
+        self.routes.failed('bad', 0, 'no answer')
         self.assertEqual(set(self._targets(20)), {'good'})
         self.clock.advance(2)
         self.assertEqual(self._targets(20).count('bad'), 1)
@@ -194,12 +194,12 @@
 
     def test_ejected_target_is_used_where_nothing_else_covers(self):
         self.routes.apply_view(view_of(engine('only')))
-        self.routes.failed('only', 0, 'silent')
+        self.routes.failed('only', 0, 'no answer')
         self.assertEqual(self._targets(1), ['only'])
 
     def test_restarted_target_is_used_again_at_once_but_slowly(self):
         self.routes.apply_view(view_of(engine('bad'), engine('good')))
-        self.routes.failed('bad', 0, 'silent')
+        self.routes.failed('bad', 0, 'no answer')
         self.routes.apply_view(
             view_of(engine('bad', incarnation=2), engine('good'))
         )
--- a/tests/utils/local_router.py
+++ b/tests/utils/local_router.py
@@ -12,9 +12,8 @@
 
 from mallowcrank.codec import to_plain
 from mallowcrank.context import Environment
-from mallowcrank.router.assembly import Policies
+from mallowcrank.policy.start import build_policies
 from mallowcrank.router.daemon import Router
-from mallowcrank.router.simple_policy import LeastInFlight, OpenAdmission
 from mallowcrank.settings import HostSettings, RouterSettings
 from mallowcrank.view import (
     ModelSettings,
@@ -145,11 +144,10 @@
             threads=threads,
         )
         self.address = settings.listen
-        self.router = Router(
-            replace(settings, **given),
-            Policies(OpenAdmission(), LeastInFlight()),
-            Environment(),
-        )
+        chosen = replace(settings, **given)
+        environment = Environment()
+        policies = build_policies(chosen, environment)
+        self.router = Router(chosen, policies, environment)
         self.router.start()
         self.wait_view(view)
 
