Add the load tool: callers, time lines, figures, report

Cause: the promises and the throughput must be shown under load and faults. Change: mallowcrank-load list and run, 15 scenarios, callers as threads, HDR histograms, the bound from the placement model, JSON report. Not run against a whole system yet.

--- /dev/null
+++ b/mallowcrank/cli/load.py
@@ -0,0 +1,158 @@
+"""
+The command line of `mallowcrank-load`.
+"""
+
+import json
+from pathlib import Path
+from typing import Annotated
+
+from cattrs import BaseValidationError
+from typer import Argument, Context, Exit, Option, Typer
+
+from mallowcrank.cli.options import (
+    Version,
+    environment_of,
+    require_no_findings,
+)
+from mallowcrank.codec import to_plain
+from mallowcrank.context import Environment
+from mallowcrank.load.evidence import Evidence
+from mallowcrank.load.report import Report
+from mallowcrank.load.run import run_scenario
+from mallowcrank.load.scenario import Scenario
+from mallowcrank.load.scenarios import SCENARIOS
+from mallowcrank.load.site import Site, read_site
+from mallowcrank.settings import Checker
+from mallowcrank.status import ExitStatus
+
+PROGRAM = 'mallowcrank-load'
+MAX_SEED = 1 << 62
+MAX_SECONDS = 600
+
+app = Typer(
+    name=PROGRAM,
+    help='Load and faults for a running system, judged by the traces of the '
+    "stand-ins and the callers' own records. It starts no process; "
+    '`make bench` starts what it needs.',
+    no_args_is_help=True,
+    add_completion=False,
+)
+
+
+@app.callback()
+def describe(version: Version = False) -> None:
+    """
+    Exit statuses: 0 every promise was kept, 1 a promise was broken, 2 bad
+    flags.
+    """
+
+
+@app.command('list')
+def list_scenarios(context: Context) -> None:
+    """
+    List the scenarios.
+    """
+    stdout = environment_of(context).stdout
+    for scenario in SCENARIOS.values():
+        stdout.write(f'{scenario.name:20} {scenario.about}\n')
+
+
+@app.command()
+def run(
+    context: Context,
+    scenario: Annotated[str, Argument(help='One of `list`.')],
+    site: Annotated[
+        str,
+        Option(
+            '--site',
+            envvar='MALLOWCRANK_SITE',
+            help='JSON file of the running processes; docs/LOAD.md.',
+        ),
+    ] = '',
+    seed: Annotated[
+        str,
+        Option('--seed', envvar='MALLOWCRANK_SEED', help='Seed of all calls.'),
+    ] = '1',
+    json_file: Annotated[
+        str,
+        Option(
+            '--json', envvar='MALLOWCRANK_JSON', help='Where the report goes.'
+        ),
+    ] = '',
+    calls_file: Annotated[
+        str,
+        Option(
+            '--calls',
+            envvar='MALLOWCRANK_CALLS',
+            help="Where the callers' records go, one JSON object a line.",
+        ),
+    ] = '',
+    seconds: Annotated[
+        str,
+        Option(
+            '--seconds',
+            envvar='MALLOWCRANK_SECONDS',
+            help="How long callers start calls; the scenario's own for 0.",
+        ),
+    ] = '0',
+) -> None:
+    """
+    Run one scenario, judge it and print its figures.
+    """
+    environment = environment_of(context)
+    checker = Checker()
+    chosen = _read_scenario(checker, scenario)
+    processes = _read_site(checker, site)
+    number = int(checker.number('--seed', seed, 0, MAX_SEED))
+    length = checker.number('--seconds', seconds, 0, MAX_SECONDS)
+    require_no_findings(environment, PROGRAM, checker.findings)
+    if length:
+        chosen = Scenario(
+            chosen.name, chosen.about, chosen.groups, chosen.orders, length
+        )
+
+    def say(line: str) -> None:
+        environment.stderr.write(f'load: {line}\n')
+        environment.stderr.flush()
+
+    report, evidence = run_scenario(chosen, number, processes, say)
+    _write_calls(calls_file, evidence)
+    _write_report(environment, json_file, report)
+    status = ExitStatus.SUCCESS if report.is_clean else ExitStatus.ERROR
+    raise Exit(status)
+
+
+def _read_scenario(checker: Checker, name: str) -> Scenario:
+    if name not in SCENARIOS:
+        checker.report(
+            'SCENARIO',
+            f'{name!r} is unknown',
+            f'give one of {", ".join(SCENARIOS)}',
+        )
+    return SCENARIOS.get(name, SCENARIOS['steady'])
+
+
+def _read_site(checker: Checker, name: str) -> Site:
+    try:
+        return read_site(Path(name))
+    except (OSError, ValueError, BaseValidationError) as error:
+        checker.report(
+            '--site',
+            f'{name!r} can not be read: {error}',
+            'give the file that scripts/bench.py wrote; see docs/LOAD.md',
+        )
+    return Site((), (), '', '', {})
+
+
+def _write_report(environment: Environment, name: str, report: Report) -> None:
+    text = json.dumps(to_plain(report), indent=2)
+    environment.stdout.write(f'{text}\n')
+    if name:
+        Path(name).write_text(f'{text}\n', encoding='utf-8')
+
+
+def _write_calls(name: str, evidence: Evidence) -> None:
+    if not name:
+        return
+    lines = [f'{json.dumps(to_plain(each))}\n' for each in evidence.records]
+    Path(name).write_text(''.join(lines), encoding='utf-8')
--- /dev/null
+++ b/mallowcrank/load/addresses.py
@@ -0,0 +1,87 @@
+"""
+Which router a caller uses: it asks, keeps the answer, and tries the next one.
+"""
+
+import json
+import time
+from collections.abc import Sequence
+from dataclasses import dataclass
+
+from mallowcrank.calls import HttpCaller
+from mallowcrank.ports import Failure
+
+ASK_TIMEOUT_S = 1
+
+
+@dataclass(frozen=True)
+class Kept:
+    """
+    An answer of `/v1/addresses`.
+
+    :param until: steady time in seconds.
+    """
+
+    addresses: tuple[str, ...]
+    key_prefix: str
+    until: float
+
+
+class AddressBook:
+    """
+    The addresses that one caller knows.
+
+    :param known: addresses to ask first.
+    """
+
+    def __init__(
+        self, known: Sequence[str], availability_zone: str, workspace: str
+    ) -> None:
+        self._known = list(known)
+        self._headers = {
+            'X-Mallowcrank-Availability-Zone': availability_zone,
+            'X-Mallowcrank-Workspace': workspace,
+        }
+        self._kept = Kept((), '', 0)
+
+    def current(self) -> Kept:
+        """
+        Return the kept answer; asks again where it is over.
+        """
+        if time.monotonic() >= self._kept.until:
+            self._ask()
+        return self._kept
+
+    def give_up(self, address: str) -> None:
+        """
+        Put an address that failed behind the others.
+        """
+        others = tuple(each for each in self._kept.addresses if each != address)
+        self._known = [each for each in self._known if each != address]
+        self._known.append(address)
+        # The only address failed: ask the others that are known.
+        until = self._kept.until if others else 0
+        self._kept = Kept(others, self._kept.key_prefix, until)
+
+    def _ask(self) -> None:
+        for address in tuple(self._known):
+            reply = HttpCaller(address, connections=1).call(
+                'GET', '/v1/addresses', None, self._headers, ASK_TIMEOUT_S
+            )
+            if not isinstance(reply, Failure) and reply.status == 200:
+                self._keep(json.loads(reply.body))
+                return
+            self._known.remove(address)
+            self._known.append(address)
+
+    def _keep(self, answer: dict) -> None:
+        self._kept = Kept(
+            tuple(answer['addresses']),
+            answer['key_prefix'],
+            time.monotonic() + answer['keep_s'],
+        )
+        unknown = [
+            address
+            for address in answer['addresses']
+            if address not in self._known
+        ]
+        self._known = unknown + self._known
--- /dev/null
+++ b/mallowcrank/load/attempts.py
@@ -0,0 +1,229 @@
+"""
+One try of a call, over HTTP.
+"""
+
+import json
+import time
+from collections.abc import Mapping
+from dataclasses import dataclass
+
+from urllib3 import BaseHTTPResponse, HTTPConnectionPool, Timeout
+from urllib3.exceptions import HTTPError
+
+from mallowcrank.load.records import CallKind, Plan, Try
+from mallowcrank.load.sse import EventReader, Streamed
+
+CONNECT_S = 1
+MIN_SILENCE_S = 5  # until another router is tried
+MS_PER_S = 1000
+OK = 200
+
+
+@dataclass(frozen=True)
+class Sending:
+    """
+    What one try sends.
+
+    :param left_s: seconds that the caller still waits.
+    :param key: the idempotency key, or an empty string.
+    """
+
+    plan: Plan
+    address: str
+    left_s: float
+    key: str
+
+
+@dataclass(frozen=True)
+class Attempted:
+    """
+    What came of one try.
+
+    :param whole: whether the answer is whole.
+    :param retry_after_s: seconds until a retry, or `None` for no retry.
+    :param is_broken: whether the connection failed.
+    """
+
+    record: Try
+    whole: bool = False
+    retry_after_s: float | None = 0
+    is_broken: bool = False
+    streamed: Streamed = Streamed()
+
+
+class Connections:
+    """
+    One caller's kept connections, by address.
+    """
+
+    def __init__(self) -> None:
+        self._pools: dict[str, HTTPConnectionPool] = {}
+
+    def open(self, sending: Sending) -> BaseHTTPResponse:
+        """
+        Send a request; its answer is read by the caller.
+
+        :raises urllib3.exceptions.HTTPError: when there is no answer.
+        """
+        plan = sending.plan
+        silence = sending.left_s
+        if plan.kind is CallKind.COMPLETION:
+            silence = min(silence, max(MIN_SILENCE_S, silence / 2))
+        return self._pool(sending.address).urlopen(
+            'POST',
+            _path(plan),
+            body=_body(plan),
+            headers=_headers(sending),
+            retries=False,
+            preload_content=False,
+            timeout=Timeout(connect=CONNECT_S, read=silence),
+        )
+
+    def drop(self, address: str) -> None:
+        """
+        Close the connections to an address.
+        """
+        pool = self._pools.pop(address, None)
+        if pool:
+            pool.close()
+
+    def _pool(self, address: str) -> HTTPConnectionPool:
+        if address not in self._pools:
+            host, _, port = address.rpartition(':')
+            self._pools[address] = HTTPConnectionPool(
+                host, int(port), maxsize=1, retries=False
+            )
+        return self._pools[address]
+
+
+def attempt(sending: Sending, connections: Connections) -> Attempted:
+    """
+    Make one try and read its answer to the end.
+    """
+    started = time.time()
+    reader = EventReader()
+    request = ''
+    try:
+        response = connections.open(sending)
+        request = response.headers.get('X-Mallowcrank-Request', '')
+        return _read(response, sending, reader, started)
+    except (HTTPError, OSError, ValueError) as error:
+        connections.drop(sending.address)
+        broken = Try(
+            request,
+            sending.address,
+            started,
+            time.time(),
+            problem=f'the connection broke: {error}',
+        )
+        return Attempted(broken, is_broken=True, streamed=reader.streamed)
+
+
+def _read(
+    response: BaseHTTPResponse,
+    sending: Sending,
+    reader: EventReader,
+    started: float,
+) -> Attempted:
+    is_stream = response.headers.get('Content-Type', '') == 'text/event-stream'
+    if response.status == OK and is_stream:
+        for received in response.stream(1 << 16, decode_content=False):
+            reader.feed(received, time.time())
+        response.release_conn()
+        return _end_stream(response, sending, reader.streamed, started)
+    body = response.read()
+    response.release_conn()
+    return _end_plain(response, sending, body, started)
+
+
+def _end_stream(
+    response: BaseHTTPResponse,
+    sending: Sending,
+    streamed: Streamed,
+    started: float,
+) -> Attempted:
+    ran, code = streamed.error
+    whole = streamed.is_whole and not code
+    record = Try(
+        response.headers.get('X-Mallowcrank-Request', ''),
+        sending.address,
+        started,
+        time.time(),
+        response.status,
+        ran or response.headers.get('X-Mallowcrank-Ran', ''),
+        code,
+        '' if whole else 'the stream broke',
+    )
+    broken = not whole and not code
+    return Attempted(record, whole, 0, broken, streamed)
+
+
+def _end_plain(
+    response: BaseHTTPResponse,
+    sending: Sending,
+    body: bytes,
+    started: float,
+) -> Attempted:
+    headers = response.headers
+    whole = response.status == OK
+    code = '' if whole else _code_of(body)
+    record = Try(
+        headers.get('X-Mallowcrank-Request', ''),
+        sending.address,
+        started,
+        time.time(),
+        response.status,
+        headers.get('X-Mallowcrank-Ran', ''),
+        code,
+        '' if whole else f'refused: {response.status} {code}',
+    )
+    text = body.decode(errors='replace') if whole else ''
+    return Attempted(
+        record, whole, _retry_after(headers), False, Streamed(text=text)
+    )
+
+
+def _retry_after(headers: Mapping[str, str]) -> float | None:
+    if headers.get('X-Should-Retry') == 'false':
+        return None
+    given = headers.get('Retry-After', '')
+    return float(given) if given.isdigit() else None
+
+
+def _code_of(body: bytes) -> str:
+    try:
+        return json.loads(body)['error']['code']
+    except (ValueError, KeyError, TypeError):
+        return 'malformed'
+
+
+def _path(plan: Plan) -> str:
+    if plan.kind is CallKind.COMPLETION:
+        return '/v1/completions'
+    return f'/v1/services/{plan.serves}/calls'
+
+
+def _body(plan: Plan) -> bytes:
+    if plan.kind is CallKind.SERVICE:
+        return plan.prompt.encode()
+    fields = {
+        'model': plan.serves,
+        'prompt': plan.prompt,
+        'max_tokens': plan.max_tokens,
+        'stream': True,
+    }
+    return json.dumps(fields).encode()
+
+
+def _headers(sending: Sending) -> dict[str, str]:
+    plan = sending.plan
+    headers = {
+        'Content-Type': 'application/json',
+        'X-Mallowcrank-Workspace': plan.workspace,
+        'X-Mallowcrank-Deadline-Ms': str(int(sending.left_s * MS_PER_S)),
+        'X-Mallowcrank-Priority': str(plan.priority),
+        'X-Mallowcrank-Repeatable': 'yes' if plan.repeatable else 'no',
+    }
+    if sending.key:
+        headers['Idempotency-Key'] = sending.key
+    return headers
--- /dev/null
+++ b/mallowcrank/load/bound.py
@@ -0,0 +1,69 @@
+"""
+The throughput bound of a run, by the placement model.
+"""
+
+from collections.abc import Sequence
+from statistics import fmean
+
+from mallowcrank.load.records import CallRecord
+from mallowcrank.load.scenario import Scenario
+from mallowcrank.load.site import Site
+from mallowcrank.routing.bound import (
+    Bound,
+    BoundEngine,
+    Work,
+    throughput_bound,
+)
+from mallowcrank.standins.batching import PREFILL_TOKENS_PER_UNIT
+from mallowcrank.standins.prefix_cache import BLOCK_TOKENS
+
+
+def bound_of(
+    scenario: Scenario, site: Site, model: str, records: Sequence[CallRecord]
+) -> Bound:
+    """
+    Compute what the engines could give to these calls at most.
+
+    :param records: whole completions; their prompts cost engines' time too.
+    """
+    engines = [
+        BoundEngine(
+            engine.name,
+            engine.first_layer,
+            engine.last_layer,
+            engine.step_ms,
+            engine.slots,
+        )
+        for engine in site.engines(model)
+    ]
+    work = Work(
+        prompt_units=_mean(
+            [_prompt_units(scenario, record) for record in records]
+        ),
+        answer_tokens=max(1, _mean([len(each.answer) for each in records])),
+        streams=sum(
+            group.callers for group in scenario.groups if group.serves == model
+        ),
+    )
+    return throughput_bound(site.layers[model], engines, work)
+
+
+def _prompt_units(scenario: Scenario, record: CallRecord) -> float:
+    """
+    Return a prompt's cost, as if caches held every shared prefix.
+    """
+    prompt = record.plan.prompt
+    shared = max(
+        (
+            len(group.prefix)
+            for group in scenario.groups
+            if group.prefix and prompt.startswith(group.prefix)
+        ),
+        default=0,
+    )
+    cached = shared // BLOCK_TOKENS * BLOCK_TOKENS
+    return max(0, len(prompt) - cached - 1) / PREFILL_TOKENS_PER_UNIT
+
+
+def _mean(given: Sequence[float]) -> float:
+    return fmean(given) if given else 0
--- /dev/null
+++ b/mallowcrank/load/callers.py
@@ -0,0 +1,207 @@
+"""
+Callers: threads that make one call after the other, with retries.
+"""
+
+import json
+import random
+import threading
+import time
+from collections.abc import Callable
+from itertools import count
+
+from mallowcrank.load.addresses import AddressBook
+from mallowcrank.load.attempts import Attempted, Connections, Sending, attempt
+from mallowcrank.load.records import CallKind, CallRecord, Outcome, Plan, Try
+from mallowcrank.load.scenario import Group
+
+LETTERS = 'abcdefghijklmnopqrstuvwxyz '
+MIN_LEFT_S = 0.05
+PAUSE_WHERE_NOBODY_ANSWERS_S = 0.1
+PAUSE_AFTER_BREAK_S = 0.02
+
+
+class Planner:
+    """
+    Makes plans of calls: the same ones for the same seed.
+    """
+
+    def __init__(self, group: Group, seed: str, numbers: Callable[[], int]):
+        self._group = group
+        self._random = random.Random(seed)
+        self._numbers = numbers
+
+    def plan(self) -> Plan:
+        """
+        Return the next call's plan.
+        """
+        group = self._group
+        number = self._numbers()
+        length = self._random.randint(*group.prompt_bytes)
+        text = ''.join(self._random.choices(LETTERS, k=length))
+        prompt = f'{group.prefix}{text}'
+        if group.kind is CallKind.SERVICE:
+            prompt = json.dumps({'call': number, 'about': text})
+        return Plan(
+            number,
+            group.kind,
+            group.workspace,
+            group.serves,
+            prompt,
+            self._random.randint(*group.max_tokens),
+            group.repeatable,
+            group.deadline_s,
+            group.priority,
+        )
+
+
+class Caller:
+    """
+    Carries out plans, each to its end.
+
+    :param run: starts the caller's own part of its keys.
+    """
+
+    def __init__(self, book: AddressBook, run: str) -> None:
+        self._book = book
+        self._run = run
+        self._connections = Connections()
+
+    def call(self, plan: Plan) -> CallRecord:
+        """
+        Make a call, with retries until its deadline.
+        """
+        started = time.time()
+        deadline = time.monotonic() + plan.deadline_s
+        key = self._key(plan)
+        tries: list[Try] = []
+        last: Attempted | None = None
+        while deadline - time.monotonic() > MIN_LEFT_S:
+            addresses = self._book.current().addresses
+            if not addresses:
+                time.sleep(PAUSE_WHERE_NOBODY_ANSWERS_S)
+                continue
+            left = deadline - time.monotonic()
+            last = attempt(
+                Sending(plan, addresses[0], left, key), self._connections
+            )
+            tries.append(last.record)
+            if last.whole or not self._may_retry(last, deadline):
+                break
+        return _make_record(plan, started, tuple(tries), last)
+
+    def _key(self, plan: Plan) -> str:
+        if plan.repeatable:
+            return ''
+        prefix = self._book.current().key_prefix
+        return f'{prefix}{self._run}-{plan.number}'
+
+    def _may_retry(self, last: Attempted, deadline: float) -> bool:
+        if last.is_broken or last.record.code == 'leaving':
+            self._book.give_up(last.record.router)
+            time.sleep(PAUSE_AFTER_BREAK_S)
+        if last.retry_after_s is None:
+            return False
+        if time.monotonic() + last.retry_after_s > deadline:
+            return False
+        time.sleep(last.retry_after_s)
+        return True
+
+
+def _make_record(
+    plan: Plan,
+    started: float,
+    tries: tuple[Try, ...],
+    last: Attempted | None,
+) -> CallRecord:
+    streamed = last.streamed if last else None
+    return CallRecord(
+        plan,
+        decide_outcome(plan, tries, whole=bool(last and last.whole)),
+        started,
+        time.time(),
+        tries,
+        streamed.text if streamed else '',
+        streamed.finish if streamed else '',
+        streamed.told_tokens if streamed else 0,
+        streamed.pieces if streamed else (),
+    )
+
+
+def decide_outcome(
+    plan: Plan, tries: tuple[Try, ...], *, whole: bool
+) -> Outcome:
+    """
+    Return what a caller knows after its last try.
+    """
+    if whole:
+        return Outcome.COMPLETED
+    if not tries or not tries[-1].ran:
+        return Outcome.LOST
+    # A key stands for all its tries, so that the last answer counts for all.
+    heard = tries if plan.repeatable else tries[-1:]
+    if all(each.ran == 'no' for each in heard):
+        return Outcome.REFUSED_NOT_RUN
+    return Outcome.UNKNOWN
+
+
+class Crowd:
+    """
+    All callers of a run.
+
+    :param make_book: makes a caller's book by its number and workspace.
+    """
+
+    def __init__(
+        self,
+        groups: tuple[Group, ...],
+        seed: int,
+        make_book: Callable[[int, str], AddressBook],
+    ) -> None:
+        self._groups = groups
+        self._seed = seed
+        self._make_book = make_book
+        self._records: list[CallRecord] = []
+        self._threads: list[threading.Thread] = []
+        self._stopping = threading.Event()
+        self._numbers = count(1)
+        self._run = f'{seed}-{time.time_ns():x}'
+
+    @property
+    def records(self) -> tuple[CallRecord, ...]:
+        """
+        Return the calls that have ended.
+        """
+        return tuple(self._records)
+
+    def start(self) -> None:
+        """
+        Start all callers.
+        """
+        number = 0
+        for group in self._groups:
+            for _ in range(group.callers):
+                number += 1
+                thread = threading.Thread(
+                    target=self._loop, args=(group, number), daemon=True
+                )
+                thread.start()
+                self._threads.append(thread)
+
+    def stop(self) -> None:
+        """
+        Start no more calls, and wait until all have ended.
+        """
+        self._stopping.set()
+        for thread in self._threads:
+            thread.join()
+
+    def _loop(self, group: Group, number: int) -> None:
+        caller = Caller(self._make_book(number, group.workspace), self._run)
+        planner = Planner(
+            group,
+            f'{self._seed} {group.name} {number}',
+            lambda: next(self._numbers),
+        )
+        while not self._stopping.is_set():
+            self._records.append(caller.call(planner.plan()))
+            self._stopping.wait(group.pause_s)
--- /dev/null
+++ b/mallowcrank/load/in_force.py
@@ -0,0 +1,77 @@
+"""
+Watches when published settings are in force on every router.
+"""
+
+import json
+import threading
+import time
+
+from mallowcrank.calls import HttpCaller
+from mallowcrank.load.site import Site
+from mallowcrank.ports import Failure
+
+PERIOD_S = 0.05
+TIMEOUT_S = 0.5
+
+
+class VersionWatch:
+    """
+    Notes when each router's version of the settings last grew.
+    """
+
+    def __init__(self, site: Site) -> None:
+        self._site = site
+        self._versions: dict[str, int] = {}
+        self._grown_at: dict[str, float] = {}
+        self._stopping = threading.Event()
+        self._thread = threading.Thread(target=self._run, daemon=True)
+
+    def start(self) -> None:
+        """
+        Start to watch.
+        """
+        self._thread.start()
+
+    def stop(self) -> None:
+        """
+        Stop watching.
+        """
+        self._stopping.set()
+        self._thread.join()
+
+    def seconds_since(self, published_at: float | None) -> float | None:
+        """
+        Return how long after a publication the last router had it in force.
+
+        :returns: `None` where nothing was published, or a router lacks it.
+        """
+        if published_at is None:
+            return None
+        newest = max(self._versions.values(), default=-1)
+        holders = [
+            name
+            for name, version in self._versions.items()
+            if version == newest and self._grown_at[name] > published_at
+        ]
+        if len(holders) < len(self._site.routers):
+            return None
+        last = max(self._grown_at[name] for name in holders)
+        return round(last - published_at, 3)
+
+    def _run(self) -> None:
+        callers = {
+            router.name: HttpCaller(router.admin, connections=1)
+            for router in self._site.routers
+        }
+        while not self._stopping.wait(PERIOD_S):
+            for name, caller in callers.items():
+                self._look(name, caller)
+
+    def _look(self, name: str, caller: HttpCaller) -> None:
+        reply = caller.call('GET', '/admin/status', timeout_s=TIMEOUT_S)
+        if isinstance(reply, Failure) or reply.status != 200:
+            return
+        version = json.loads(reply.body)['version']
+        if version > self._versions.get(name, -1):
+            self._versions[name] = version
+            self._grown_at[name] = time.time()
--- /dev/null
+++ b/mallowcrank/load/latency.py
@@ -0,0 +1,34 @@
+"""
+Latencies in HDR histograms.
+"""
+
+from collections.abc import Iterable, Sequence
+
+from hdrh.histogram import HdrHistogram
+
+MICROSECONDS = 1_000_000  # in a second
+MAX_MICROSECONDS = 600 * MICROSECONDS
+DIGITS = 3
+PERCENTILES = (50, 95, 99)
+
+
+def percentiles_ms(seconds: Iterable[float]) -> dict[str, float]:
+    """
+    Return percentiles in milliseconds, by `p50` and so on.
+    """
+    histogram = HdrHistogram(1, MAX_MICROSECONDS, DIGITS)
+    for each in seconds:
+        histogram.record_value(max(1, int(each * MICROSECONDS)))
+    return {
+        f'p{percent}': histogram.get_value_at_percentile(percent) / 1000
+        for percent in PERCENTILES
+    }
+
+
+def gaps(times: Sequence[float]) -> list[float]:
+    """
+    Return the seconds between one time and the next.
+    """
+    return [
+        after - before for before, after in zip(times, times[1:], strict=False)
+    ]
--- /dev/null
+++ b/mallowcrank/load/orders.py
@@ -0,0 +1,87 @@
+"""
+Carries out a scenario's time line.
+"""
+
+import json
+import threading
+import time
+from collections.abc import Callable
+
+from mallowcrank.calls import HttpCaller
+from mallowcrank.load.scenario import Order, Scenario, Where
+from mallowcrank.load.site import Site
+from mallowcrank.ports import Failure
+
+TIMEOUT_S = 10
+Say = Callable[[str], None]
+
+
+class TimeLine:
+    """
+    Posts each order at its time, in a thread of its own.
+    """
+
+    def __init__(self, scenario: Scenario, site: Site, say: Say) -> None:
+        self._orders = sorted(scenario.orders, key=lambda order: order.at_s)
+        self._site = site
+        self._say = say
+        self._fault_at: float | None = None
+        self._published_at: float | None = None
+        self._thread = threading.Thread(target=self._run, daemon=True)
+
+    @property
+    def fault_at(self) -> float | None:
+        """
+        Return when the first fault came, in seconds since the epoch.
+        """
+        return self._fault_at
+
+    @property
+    def published_at(self) -> float | None:
+        """
+        Return when settings were published, in seconds since the epoch.
+        """
+        return self._published_at
+
+    def start(self) -> None:
+        """
+        Start the time line.
+        """
+        self._thread.start()
+
+    def _run(self) -> None:
+        started = time.monotonic()
+        for order in self._orders:
+            time.sleep(max(0, started + order.at_s - time.monotonic()))
+            now = time.time()
+            if order.is_fault and self._fault_at is None:
+                self._fault_at = now
+            if order.body.get('action') == 'publish':
+                self._published_at = now
+            self._post(order)
+
+    def _post(self, order: Order) -> None:
+        self._say(f'{order.name}: {json.dumps(order.body)}')
+        path = '/control'
+        body = dict(order.body)
+        if order.where is Where.PROCESS:
+            body['name'] = order.name
+        reply = HttpCaller(self._address(order), connections=1).call(
+            'POST', path, json.dumps(body).encode(), timeout_s=TIMEOUT_S
+        )
+        is_crash = body.get('fault') == 'crash'
+        if isinstance(reply, Failure) and not is_crash:
+            self._say(f'{order.name}: the order failed: {reply.reason}')
+        elif not isinstance(reply, Failure) and reply.status != 200:
+            self._say(f'{order.name}: the order failed: {reply.body!r}')
+
+    def _address(self, order: Order) -> str:
+        if order.where is Where.PROCESS:
+            return self._site.control
+        if order.name == 'log':
+            return self._site.log
+        return next(
+            target.address
+            for target in self._site.targets
+            if target.name == order.name
+        )
--- /dev/null
+++ b/mallowcrank/load/report.py
@@ -0,0 +1,168 @@
+"""
+The report of a run, as it is written to JSON.
+"""
+
+from dataclasses import dataclass, field
+
+from mallowcrank.load.bound import bound_of
+from mallowcrank.load.evidence import Evidence
+from mallowcrank.load.figures import (
+    Window,
+    between_tokens_seconds,
+    branch_shares,
+    call_seconds,
+    completed_completions,
+    count_outcomes,
+    first_token_seconds,
+    leaving_last_work,
+    recovery_seconds,
+    throughput,
+)
+from mallowcrank.load.judge import Verdict, judge
+from mallowcrank.load.latency import percentiles_ms
+from mallowcrank.load.records import Outcome
+from mallowcrank.load.scenario import Scenario
+from mallowcrank.load.site import Site
+
+ALERT = 'alert'
+MAX_FINDINGS = 20  # of each kind that a report shows
+
+
+@dataclass(frozen=True)
+class Times:
+    """
+    When things happened, in seconds since the epoch.
+
+    :param fault_at: when the fault was brought about.
+    :param config_in_force_s: seconds until published settings were in force
+        on every router.
+    """
+
+    window: Window
+    fault_at: float | None = None
+    config_in_force_s: float | None = None
+
+
+@dataclass(frozen=True)
+class Report:
+    """
+    All figures; times in seconds but for those in `_ms`.
+
+    :param unknown: calls of which the caller can't know whether they ran.
+    :param bound: tokens a second that the engines could give at most.
+    :param findings: the judge's words, a few of each kind.
+    """
+
+    scenario: str
+    seed: int
+    requests: int
+    completed: int
+    refused_not_run: int
+    unknown: int
+    lost: int
+    doubled: int
+    crossed: int
+    layer_violations: int
+    false_refusals: int
+    throughput: float
+    bound: float
+    ratio: float
+    recovery_s: float | None
+    first_token_ms: dict[str, float]
+    between_tokens_ms: dict[str, float]
+    alert_ms: dict[str, float]
+    branch_shares: dict[str, float]
+    config_in_force_s: float | None
+    leaving_last_work_s: float | None
+    refusals: dict[str, int] = field(default_factory=dict)
+    findings: dict[str, list[str]] = field(default_factory=dict)
+
+    @property
+    def is_clean(self) -> bool:
+        """
+        Tell whether every promise was kept.
+        """
+        return not any(
+            (
+                self.lost,
+                self.doubled,
+                self.crossed,
+                self.layer_violations,
+                self.false_refusals,
+            )
+        )
+
+
+def make_report(
+    scenario: Scenario, seed: int, site: Site, evidence: Evidence, times: Times
+) -> Report:
+    """
+    Judge a run and work out its figures.
+    """
+    records = evidence.records
+    outcomes = count_outcomes(records)
+    verdict = judge(evidence)
+    reached = throughput(records, times.window)
+    model = next(iter(site.layers))
+    whole = completed_completions(records)
+    bound = bound_of(scenario, site, model, whole).tokens_per_s
+    return Report(
+        scenario=scenario.name,
+        seed=seed,
+        requests=len(records),
+        completed=outcomes[Outcome.COMPLETED],
+        refused_not_run=outcomes[Outcome.REFUSED_NOT_RUN],
+        unknown=outcomes[Outcome.UNKNOWN],
+        lost=len(verdict.lost),
+        doubled=len(verdict.doubled),
+        crossed=len(verdict.crossed),
+        layer_violations=len(verdict.layer_violations),
+        false_refusals=len(verdict.false_refusals),
+        throughput=round(reached, 2),
+        bound=round(bound, 2),
+        ratio=round(reached / bound, 4) if bound else 0,
+        recovery_s=_find_recovery(evidence, times),
+        first_token_ms=percentiles_ms(first_token_seconds(records)),
+        between_tokens_ms=percentiles_ms(between_tokens_seconds(records)),
+        alert_ms=percentiles_ms(call_seconds(records, ALERT)),
+        branch_shares=branch_shares(records, times.window),
+        config_in_force_s=times.config_in_force_s,
+        leaving_last_work_s=leaving_last_work(evidence.trace),
+        refusals=_count_refusals(evidence),
+        findings=_show(verdict),
+    )
+
+
+def _find_recovery(evidence: Evidence, times: Times) -> float | None:
+    if times.fault_at is None:
+        return None
+    recovery = recovery_seconds(evidence.records, times.fault_at)
+    return None if recovery is None else round(recovery, 3)
+
+
+def _count_refusals(evidence: Evidence) -> dict[str, int]:
+    """
+    Count tries that brought no answer, by why.
+    """
+    counts: dict[str, int] = {}
+    for record in evidence.records:
+        for each in record.tries:
+            if each.problem:
+                why = f'{each.code or "broken"}, ran: {each.ran or "untold"}'
+                counts[why] = counts.get(why, 0) + 1
+    return counts
+
+
+def _show(verdict: Verdict) -> dict[str, list[str]]:
+    kinds = {
+        'lost': verdict.lost,
+        'doubled': verdict.doubled,
+        'crossed': verdict.crossed,
+        'layer_violations': verdict.layer_violations,
+        'false_refusals': verdict.false_refusals,
+    }
+    return {
+        kind: list(found[:MAX_FINDINGS])
+        for kind, found in kinds.items()
+        if found
+    }
--- /dev/null
+++ b/mallowcrank/load/run.py
@@ -0,0 +1,77 @@
+"""
+Runs a scenario against processes that are already up.
+"""
+
+import time
+from collections.abc import Callable
+from pathlib import Path
+
+from mallowcrank.load.addresses import AddressBook
+from mallowcrank.load.callers import Crowd
+from mallowcrank.load.evidence import Evidence
+from mallowcrank.load.figures import Window, count_outcomes
+from mallowcrank.load.in_force import VersionWatch
+from mallowcrank.load.orders import TimeLine
+from mallowcrank.load.report import Report, Times, make_report
+from mallowcrank.load.scenario import Scenario
+from mallowcrank.load.site import Site
+from mallowcrank.load.trace import read_traces
+
+PROGRESS_S = 2
+SETTLE_S = 0.3  # for the last trace lines
+
+
+def run_scenario(
+    scenario: Scenario, seed: int, site: Site, say: Callable[[str], None]
+) -> tuple[Report, Evidence]:
+    """
+    Run a scenario and judge it.
+
+    :param say: prints a line of progress.
+    """
+    crowd = Crowd(scenario.groups, seed, _book_maker(site))
+    time_line = TimeLine(scenario, site, say)
+    watch = VersionWatch(site)
+    started = time.time()
+    watch.start()
+    crowd.start()
+    time_line.start()
+    ends = started + scenario.seconds
+    while time.time() < ends:
+        time.sleep(min(PROGRESS_S, max(0, ends - time.time())))
+        say(_progress(crowd, time.time() - started))
+    crowd.stop()
+    watch.stop()
+    time.sleep(SETTLE_S)
+    say(f'{len(crowd.records)} calls ended; judging them')
+    trace = read_traces(Path(target.trace) for target in site.targets)
+    evidence = Evidence(crowd.records, trace, site.layers)
+    times = Times(
+        Window(started + scenario.warm_s, ends),
+        time_line.fault_at,
+        watch.seconds_since(time_line.published_at),
+    )
+    report = make_report(scenario, seed, site, evidence, times)
+    return report, evidence
+
+
+def _book_maker(site: Site) -> Callable[[int, str], AddressBook]:
+    def make_book(number: int, workspace: str) -> AddressBook:
+        turn = number % len(site.routers)
+        routers = site.routers[turn:] + site.routers[:turn]
+        return AddressBook(
+            [router.address for router in routers],
+            routers[0].availability_zone,
+            workspace,
+        )
+
+    return make_book
+
+
+def _progress(crowd: Crowd, seconds: float) -> str:
+    records = crowd.records
+    counts = ', '.join(
+        f'{count} {outcome}'
+        for outcome, count in sorted(count_outcomes(records).items())
+    )
+    return f'{seconds:5.1f} s: {counts or "no call has ended"}'
--- /dev/null
+++ b/mallowcrank/load/scenarios.py
@@ -0,0 +1,213 @@
+"""
+All scenarios. Names of processes and zones are those of scripts/bench.py.
+"""
+
+from dataclasses import replace
+from types import MappingProxyType
+
+from mallowcrank.load.records import CallKind
+from mallowcrank.load.scenario import Group, Order, Scenario, Where
+
+MODEL = 'assistant'
+FAULT_AT_S = 8
+QUOTE_PREFIX = 'You draft custom hat quotes for franchise milliners. Quote for '
+
+QUOTES = Group(
+    'quotes',
+    CallKind.COMPLETION,
+    'topi/quotes',
+    MODEL,
+    callers=16,
+    prefix=QUOTE_PREFIX,
+)
+FITTINGS = Group(
+    'fittings', CallKind.COMPLETION, 'topi/fittings', MODEL, callers=4
+)
+REPORTS = Group(
+    'reports', CallKind.COMPLETION, 'rail/reports', MODEL, callers=8
+)
+PERMITS = Group(
+    'permits',
+    CallKind.COMPLETION,
+    'rail/permits',
+    MODEL,
+    callers=2,
+    repeatable=False,
+)
+LOOKUPS = Group(
+    'lookups',
+    CallKind.SERVICE,
+    'topi/counter',
+    'stock',
+    callers=3,
+    pause_s=0.1,
+    repeatable=False,
+    deadline_s=8,
+)
+ALERTS = Group(
+    'alerts',
+    CallKind.SERVICE,
+    'rail/alerts',
+    'alert',
+    callers=2,
+    pause_s=0.05,
+    deadline_s=5,
+)
+EVERYONE = (QUOTES, FITTINGS, REPORTS, PERMITS, LOOKUPS, ALERTS)
+
+
+def _at_standin(name: str, fault: str, **fields: object) -> Order:
+    return Order(
+        FAULT_AT_S,
+        Where.STANDIN,
+        name,
+        {'fault': fault, **fields},
+        is_fault=True,
+    )
+
+
+def _at_process(name: str, action: str, **fields: object) -> Order:
+    return Order(
+        FAULT_AT_S,
+        Where.PROCESS,
+        name,
+        {'action': action, **fields},
+        is_fault=True,
+    )
+
+
+def _later(order: Order, seconds: float) -> Order:
+    return replace(order, at_s=order.at_s + seconds, is_fault=False)
+
+
+def _scaled(groups: tuple[Group, ...], factor: int) -> tuple[Group, ...]:
+    return tuple(
+        replace(group, callers=group.callers * factor)
+        if group.kind is CallKind.COMPLETION and group.repeatable
+        else group
+        for group in groups
+    )
+
+
+_ALL = (
+    Scenario('steady', 'All is well; load at the bound.', EVERYONE),
+    Scenario(
+        'mixed-speeds',
+        'One engine runs slower than it says.',
+        EVERYONE,
+        (_at_standin('engine-b1', 'delay', seconds=0.05),),
+    ),
+    Scenario(
+        'hot-branch',
+        'One branch asks for four times its usual load.',
+        (
+            replace(QUOTES, callers=64),
+            FITTINGS,
+            REPORTS,
+            PERMITS,
+            LOOKUPS,
+            ALERTS,
+        ),
+    ),
+    Scenario(
+        'overload',
+        'Twice the callers that fill the engines, with short deadlines.',
+        _scaled(EVERYONE, 2),
+    ),
+    Scenario(
+        'stage-crash',
+        'An engine crashes in the middle of its streams.',
+        EVERYONE,
+        (_at_standin('engine-a1', 'crash'),),
+    ),
+    Scenario(
+        'silent-connection',
+        'Open connections to an engine and a service go silent for good.',
+        EVERYONE,
+        (
+            _at_standin('engine-a1', 'silence'),
+            _at_standin('alert-1', 'silence'),
+            _at_standin('stock-1', 'silence'),
+        ),
+    ),
+    Scenario(
+        'router-crash',
+        'A router crashes.',
+        EVERYONE,
+        (_at_process('router-1', 'kill'),),
+    ),
+    Scenario(
+        'router-drain',
+        'A router stops gracefully.',
+        EVERYONE,
+        (_at_process('router-1', 'terminate'),),
+    ),
+    Scenario(
+        'target-leaving',
+        'An engine and a service replica leave.',
+        EVERYONE,
+        (
+            _at_standin('engine-a1', 'leave'),
+            _at_standin('stock-1', 'leave'),
+        ),
+    ),
+    Scenario(
+        'log-outage',
+        'The log is out for 8 s, just after a change was published.',
+        EVERYONE,
+        (
+            _at_process('settings', 'publish', race=1),
+            _later(_at_standin('log', 'outage', seconds=8), 0.5),
+        ),
+    ),
+    Scenario(
+        'config-race',
+        'Two operators publish changes of the same setting at a time.',
+        EVERYONE,
+        (_at_process('settings', 'publish', race=2),),
+    ),
+    Scenario(
+        'lost-append-answer',
+        'The answer to an append is lost after it took effect.',
+        EVERYONE,
+        (
+            _at_standin('log', 'lose_answer', count=1, path='/append'),
+            _at_process('settings', 'publish', race=1),
+        ),
+    ),
+    Scenario(
+        'paused-leaseholder',
+        'All processes of one host freeze for 6 s and wake up again.',
+        EVERYONE,
+        (
+            _at_process('agent-1', 'pause'),
+            _at_process('router-1', 'pause'),
+            _later(_at_process('agent-1', 'resume'), 6),
+            _later(_at_process('router-1', 'resume'), 6),
+        ),
+    ),
+    Scenario(
+        'zone-loss',
+        'All that stands in one availability zone crashes.',
+        EVERYONE,
+        (
+            _at_standin('engine-a1', 'crash'),
+            _at_standin('engine-a2', 'crash'),
+            _at_standin('stock-1', 'crash'),
+            _at_standin('alert-1', 'crash'),
+            _at_process('router-1', 'kill'),
+            _at_process('agent-1', 'kill'),
+        ),
+    ),
+    Scenario(
+        'two-faults',
+        'An engine crashes, and a second later a router does.',
+        EVERYONE,
+        (
+            _at_standin('engine-a1', 'crash'),
+            _later(_at_process('router-1', 'kill'), 1),
+        ),
+    ),
+)
+
+SCENARIOS = MappingProxyType({scenario.name: scenario for scenario in _ALL})
--- a/mallowcrank/standins/prefix_cache.py
+++ b/mallowcrank/standins/prefix_cache.py
@@ -11,6 +11,8 @@
 
 BLOCK_TOKENS = 16
 MAX_EVENTS = 4096
+TOKEN_CODE = 'H'  # struct's code of a token id
+HIDDEN_CODE = 'Q'  # struct's code of a hidden state
 
 
 @dataclass(frozen=True, slots=True)
@@ -27,15 +29,19 @@
     prefix: str
 
 
-def prefix_hashes(tokens: Sequence[int]) -> tuple[str, ...]:
+def prefix_hashes(
+    tokens: Sequence[int], code: str = TOKEN_CODE
+) -> tuple[str, ...]:
     """
     Return the hash of each whole block, each covering all blocks before.
+
+    :param code: the `struct` code of one input.
     """
     digest = xxh64()
     hashes: list[str] = []
     for start in range(0, len(tokens) - BLOCK_TOKENS + 1, BLOCK_TOKENS):
         block = tokens[start : start + BLOCK_TOKENS]
-        digest.update(pack(f'<{BLOCK_TOKENS}H', *block))
+        digest.update(pack(f'<{BLOCK_TOKENS}{code}', *block))
         hashes.append(digest.hexdigest())
     return tuple(hashes)
 
@@ -46,9 +52,13 @@
 
     :param capacity: blocks.
     :param late_s: seconds until an event is told.
+    :param code: the `struct` code of one input.
     """
 
-    def __init__(self, capacity: int, late_s: float) -> None:
+    def __init__(
+        self, capacity: int, late_s: float, code: str = TOKEN_CODE
+    ) -> None:
+        self._code = code
         self._capacity = capacity
         self._late_s = late_s
         self._blocks: OrderedDict[str, None] = OrderedDict()
@@ -61,7 +71,7 @@
         Return how many leading tokens are held.
         """
         count = 0
-        for prefix in prefix_hashes(tokens):
+        for prefix in prefix_hashes(tokens, self._code):
             if prefix not in self._blocks:
                 break
             count += BLOCK_TOKENS
@@ -85,7 +95,7 @@
         """
         Hold a prompt's blocks.
         """
-        for prefix in prefix_hashes(tokens):
+        for prefix in prefix_hashes(tokens, self._code):
             if prefix not in self._blocks:
                 self._tell('stored', prefix, now)
             self._blocks[prefix] = None
--- a/mallowcrank/standins/stepping.py
+++ b/mallowcrank/standins/stepping.py
@@ -11,7 +11,11 @@
 from mallowcrank.standins.accelerator import Accelerator
 from mallowcrank.standins.holding import Holder
 from mallowcrank.standins.kv import ExportedKv, KvStates
-from mallowcrank.standins.prefix_cache import CacheEvent, PrefixCache
+from mallowcrank.standins.prefix_cache import (
+    HIDDEN_CODE,
+    CacheEvent,
+    PrefixCache,
+)
 from mallowcrank.standins.settings import EngineSettings
 from mallowcrank.standins.trace import Trace
 
@@ -41,6 +45,9 @@
         self._lock = threading.Lock()
         self._states = KvStates(prefix)
         self._cache = PrefixCache(settings.cache_blocks, settings.cache_late_s)
+        self._hidden_cache = PrefixCache(
+            settings.cache_blocks, settings.cache_late_s, HIDDEN_CODE
+        )
         self._last_step = clock.steady()
         self._accelerator = Accelerator(
             settings.step_ms, settings.slots, self._run_step, clock
@@ -125,11 +132,13 @@
     def _cost(self, step: Step) -> tuple[Step, int, float]:
         layers = step.last_layer - step.first_layer + 1
         share = layers / self._holder.holding.count
-        if step.token or step.first_layer:
+        if step.token:
             return step, step.count, share
+        # Callers know the cache of the first layers only, by token ids.
+        cache = self._hidden_cache if step.first_layer else self._cache
         with self._lock:
-            cached = self._cache.cached_tokens(step.inputs)
-            self._cache.store(step.inputs, self._clock.steady())
+            cached = cache.cached_tokens(step.inputs)
+            cache.store(step.inputs, self._clock.steady())
         return step, max(1, step.count - cached), share
 
     def _run_step(self, step: Step) -> StepResult:
