Start scenarios from scripts/bench.py

Change: the bench's processes, settings, and a control endpoint for what the stand-ins can't do to themselves.

--- a/mallowcrank/load/scenarios.py
+++ b/mallowcrank/load/scenarios.py
@@ -134,13 +134,13 @@
         'router-crash',
         'A router crashes.',
         EVERYONE,
-        (_at_process('router-1', 'kill'),),
+        (_at_process('router-0', 'kill'),),
     ),
     Scenario(
         'router-drain',
         'A router stops gracefully.',
         EVERYONE,
-        (_at_process('router-1', 'terminate'),),
+        (_at_process('router-0', 'terminate'),),
     ),
     Scenario(
         'target-leaving',
@@ -180,10 +180,10 @@
         'All processes of one host freeze for 6 s and wake up again.',
         EVERYONE,
         (
-            _at_process('agent-1', 'pause'),
-            _at_process('router-1', 'pause'),
-            _later(_at_process('agent-1', 'resume'), 6),
-            _later(_at_process('router-1', 'resume'), 6),
+            _at_process('agent-0', 'pause'),
+            _at_process('router-0', 'pause'),
+            _later(_at_process('agent-0', 'resume'), 6),
+            _later(_at_process('router-0', 'resume'), 6),
         ),
     ),
     Scenario(
@@ -195,8 +195,8 @@
             _at_standin('engine-a2', 'crash'),
             _at_standin('stock-1', 'crash'),
             _at_standin('alert-1', 'crash'),
-            _at_process('router-1', 'kill'),
-            _at_process('agent-1', 'kill'),
+            _at_process('router-0', 'kill'),
+            _at_process('agent-0', 'kill'),
         ),
     ),
     Scenario(
@@ -205,7 +205,7 @@
         EVERYONE,
         (
             _at_standin('engine-a1', 'crash'),
-            _later(_at_process('router-1', 'kill'), 1),
+            _later(_at_process('router-0', 'kill'), 1),
         ),
     ),
 )
--- a/mallowcrank/load/sse.py
+++ b/mallowcrank/load/sse.py
@@ -68,8 +68,9 @@
             self._streamed = replace(self._streamed, ended=True)
             return
         chunk = json.loads(event)
-        if 'error' in chunk:
-            error = (chunk['error']['ran'], chunk['error']['code'])
+        problem = chunk.get('error')
+        if problem:
+            error = (problem['ran'], problem['code'])
             self._streamed = replace(self._streamed, error=error)
             return
         for choice in chunk.get('choices', ()):
@@ -79,11 +80,11 @@
         self._streamed = replace(self._streamed, told_tokens=told)
 
     def _take_choice(self, choice: dict, now: float) -> None:
-        text = choice.get('text') or ''
+        text = choice['text']
         if text:
             self._pieces.append((now, len(text)))
         self._streamed = replace(
             self._streamed,
             text=self._streamed.text + text,
-            finish=choice.get('finish_reason') or self._streamed.finish,
+            finish=choice['finish_reason'] or self._streamed.finish,
         )
--- /dev/null
+++ b/scripts/bench.py
@@ -0,0 +1,349 @@
+"""
+Runs one scenario: starts the processes, publishes settings, lets
+`mallowcrank-load` run, and stops all.
+"""
+
+import argparse
+import json
+import shutil
+import subprocess
+import sys
+import threading
+import time
+from dataclasses import dataclass
+from pathlib import Path
+
+from mallowcrank.calls import HttpCaller
+from mallowcrank.codec import to_plain
+from mallowcrank.load.site import Site, SiteRouter, SiteTarget
+from mallowcrank.ports import Failure
+from mallowcrank.web import Request, Response, Routes, WebServer, json_response
+from scripts.fleet import ROOT, Fleet
+from scripts.layout import Engine, Layout, Service
+
+MODEL = 'assistant'
+LAYERS = 12
+ZONES = ('zone-a', 'zone-b', 'zone-c')
+HOSTS = len(ZONES)
+CONTROL_IP = 2
+CONTROL_PORT = 9300
+READY_LIMIT_S = 25
+POLL_S = 0.2
+PUBLISH_LIMIT_S = 20
+
+ENGINES = (
+    Engine('engine-a1', '0-5', 20, 'zone-a', LAYERS, MODEL, 2),
+    Engine('engine-a2', '6-11', 20, 'zone-a', LAYERS, MODEL, 2),
+    Engine('engine-b1', '0-3', 14, 'zone-b', LAYERS, MODEL, 2),
+    Engine('engine-b2', '4-7', 14, 'zone-b', LAYERS, MODEL, 2),
+    Engine('engine-b3', '8-11', 14, 'zone-b', LAYERS, MODEL, 2),
+    Engine('engine-c1', '0-7', 28, 'zone-c', LAYERS, MODEL, 2),
+    Engine('engine-c2', '4-11', 28, 'zone-c', LAYERS, MODEL, 2),
+)
+SERVICES = (
+    Service('stock-1', 'stock', 'zone-a'),
+    Service('stock-2', 'stock', 'zone-b'),
+    Service('alert-1', 'alert', 'zone-a'),
+    Service('alert-2', 'alert', 'zone-c'),
+)
+SETTINGS = """
+[platform]
+log_retention_s = 3600
+
+[organisation]
+models = ["assistant"]
+request_rate = 10000
+token_rate = 1000000
+streams = 1000
+
+[models.assistant]
+layers = 12
+max_tokens = 256
+
+[services.stock]
+repeatable = false
+reserved = 2
+timeout_s = 8
+
+[services.alert]
+repeatable = true
+urgent = true
+reserved = 4
+timeout_s = 5
+silence_s = 0.1
+
+[branches.topi]
+share = 1
+
+[branches.topi.workspaces.quotes]
+[branches.topi.workspaces.fittings]
+[branches.topi.workspaces.counter]
+services = ["stock"]
+
+[branches.rail]
+share = 1
+
+[branches.rail.workspaces.reports]
+[branches.rail.workspaces.permits]
+urgency = 1
+[branches.rail.workspaces.alerts]
+services = ["alert"]
+"""
+CHANGE = """
+[branches.topi.workspaces.quotes]
+timeout_s = {seconds}
+"""
+
+
+@dataclass(frozen=True)
+class Operator:
+    """
+    Publishes settings by the operators' client.
+    """
+
+    layout: Layout
+    folder: Path
+
+    def publish(self, name: str, text: str) -> subprocess.Popen[bytes]:
+        """
+        Start to publish a settings file.
+        """
+        addresses = self.layout.addresses
+        path = self.folder / f'{name}.toml'
+        path.write_text(text, encoding='utf-8')
+        with (self.folder / f'{name}.log').open('wb') as out:
+            return subprocess.Popen(
+                [
+                    sys.executable,
+                    '-m',
+                    'mallowcrank',
+                    'operator',
+                    'publish',
+                    str(path),
+                    '--log',
+                    addresses.log,
+                    '--agents',
+                    ','.join(addresses.agent_admins),
+                ],
+                cwd=ROOT,
+                stdout=out,
+                stderr=subprocess.STDOUT,
+            )
+
+    def race(self, writers: int) -> None:
+        """
+        Publish changes of one setting from several operators at a time.
+        """
+        for number in range(writers):
+            self.publish(f'change-{number}', CHANGE.format(seconds=30 + number))
+
+
+class Control:
+    """
+    Takes the load tool's orders about processes.
+    """
+
+    def __init__(self, fleet: Fleet, operator: Operator) -> None:
+        self._fleet = fleet
+        self._operator = operator
+
+    def answer(self, request: Request) -> Response:
+        """
+        Answer `POST /control`.
+        """
+        order = request.json()
+        match order['action']:
+            case 'publish':
+                self._operator.race(order['race'])
+            case 'kill' | 'pause' | 'resume' | 'terminate' as action:
+                process = self._fleet.get(order['name'])
+                threading.Thread(target=getattr(process, action)).start()
+        return json_response({})
+
+
+def start_all(layout: Layout) -> None:
+    """
+    Start every process.
+    """
+    layout.start_platform()
+    for engine in ENGINES:
+        layout.start_engine(engine)
+    for service in SERVICES:
+        layout.start_service(service)
+    for number, zone in enumerate(ZONES):
+        layout.start_agent(number, zone)
+        layout.start_router(number, zone)
+
+
+def describe_site(fleet: Fleet, layout: Layout, control: str) -> Site:
+    """
+    Return what the load tool has to know.
+    """
+    addresses = layout.addresses
+    routers = tuple(
+        SiteRouter(f'router-{number}', *each, ZONES[number])
+        for number, each in enumerate(
+            zip(addresses.routers, addresses.router_admins, strict=True)
+        )
+    )
+    engines = tuple(
+        SiteTarget(
+            engine.name,
+            'engine',
+            layout.targets[engine.name],
+            engine.availability_zone,
+            engine.serves,
+            str(fleet.folder / f'{engine.name}.trace'),
+            *(int(layer) for layer in engine.layers.split('-')),
+            step_ms=engine.step_ms,
+            slots=engine.slots,
+        )
+        for engine in ENGINES
+    )
+    services = tuple(
+        SiteTarget(
+            service.name,
+            'service',
+            layout.targets[service.name],
+            service.availability_zone,
+            service.serves,
+            str(fleet.folder / f'{service.name}.trace'),
+        )
+        for service in SERVICES
+    )
+    return Site(
+        routers, (*engines, *services), control, addresses.log, {MODEL: LAYERS}
+    )
+
+
+def wait_until_ready(site: Site) -> None:
+    """
+    Wait until each router answers a completion and both services.
+
+    :raises TimeoutError: when one doesn't.
+    """
+    end = time.monotonic() + READY_LIMIT_S
+    for router in site.routers:
+        while not is_ready(router.address):
+            if time.monotonic() > end:
+                raise TimeoutError(f'{router.name} is not ready')
+            time.sleep(POLL_S)
+
+
+def is_ready(address: str) -> bool:
+    """
+    Tell whether a router knows the engines and the services.
+    """
+    caller = HttpCaller(address)
+    return all(
+        is_answered(caller, workspace, path, body)
+        for workspace, path, body in (
+            (
+                'topi/quotes',
+                '/v1/completions',
+                {'model': MODEL, 'prompt': 'hat', 'max_tokens': 1},
+            ),
+            ('topi/counter', '/v1/services/stock/ready', {}),
+            ('rail/alerts', '/v1/services/alert/ready', {}),
+        )
+    )
+
+
+def is_answered(
+    caller: HttpCaller, workspace: str, path: str, body: dict[str, object]
+) -> bool:
+    """
+    Tell whether a call is answered.
+    """
+    headers = {
+        'X-Mallowcrank-Workspace': workspace,
+        'X-Mallowcrank-Repeatable': 'yes',
+    }
+    payload = json.dumps(body).encode()
+    reply = caller.call('POST', path, payload, headers, timeout_s=5)
+    return not isinstance(reply, Failure) and reply.status == 200
+
+
+def run_load(arguments: argparse.Namespace, site: Site, folder: Path) -> int:
+    """
+    Run the load tool; return its exit status.
+    """
+    path = folder / 'site.json'
+    path.write_text(json.dumps(to_plain(site)), encoding='utf-8')
+    words = [
+        sys.executable,
+        '-m',
+        'mallowcrank',
+        'load',
+        'run',
+        arguments.scenario,
+        '--site',
+        str(path),
+        '--seed',
+        str(arguments.seed),
+        '--json',
+        arguments.json,
+        '--calls',
+        str(folder / 'calls.json'),
+        '--seconds',
+        str(arguments.seconds),
+    ]
+    return subprocess.run(words, cwd=ROOT, check=False).returncode
+
+
+def run(arguments: argparse.Namespace) -> int:
+    """
+    Run the scenario; return the load tool's exit status.
+    """
+    with Fleet() as fleet:
+        try:
+            return run_in(fleet, arguments)
+        finally:
+            if arguments.keep:
+                shutil.copytree(
+                    fleet.folder, arguments.keep, dirs_exist_ok=True
+                )
+
+
+def run_in(fleet: Fleet, arguments: argparse.Namespace) -> int:
+    """
+    Run the scenario in a fleet; return the load tool's exit status.
+    """
+    layout = Layout(fleet, HOSTS)
+    operator = Operator(layout, fleet.folder)
+    routes = Routes()
+    routes.add('POST', '/control', Control(fleet, operator).answer)
+    control = WebServer(f'{fleet.ip(CONTROL_IP)}:{CONTROL_PORT}', routes)
+    control.start()
+    start_all(layout)
+    site = describe_site(fleet, layout, control.address)
+    layout.wait_until_up()
+    status = operator.publish('settings', SETTINGS).wait(PUBLISH_LIMIT_S)
+    if status:
+        print((fleet.folder / 'settings.log').read_text(encoding='utf-8'))
+        return status
+    wait_until_ready(site)
+    status = run_load(arguments, site, fleet.folder)
+    control.stop()
+    return status
+
+
+def main() -> int:
+    """
+    Read the arguments and run.
+    """
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument('scenario', help='see `mallowcrank-load list`')
+    parser.add_argument('--seed', type=int, default=1)
+    parser.add_argument('--json', default='', help='file of the report')
+    parser.add_argument(
+        '--seconds', type=float, default=0, help="0: the scenario's own"
+    )
+    parser.add_argument(
+        '--keep', default='', help='folder that logs and traces are copied to'
+    )
+    return run(parser.parse_args())
+
+
+if __name__ == '__main__':
+    sys.exit(main())
