--- a/mallowcrank/cli/load.py
+++ b/mallowcrank/cli/load.py
@@ -122,6 +122,38 @@
     raise Exit(status)
 
 
+@app.command('report')
+def draw_report(
+    context: Context,
+    files: Annotated[
+        list[Path],
+        Argument(help='Reports in JSON; those of one folder are one version.'),
+    ],
+    out: Annotated[
+        str, Option('--out', help='FILE.png or FILE.html to write.')
+    ] = 'report.html',
+) -> None:
+    """
+    Draw one or several reports, versions side by side.
+    """
+    # Drawing is an extra: `pip install mallowcrank[bench]`.
+    from mallowcrank.load.plots import read_reports, write_plots
+
+    checker = Checker()
+    path = Path(out)
+    if path.suffix not in {'.png', '.html'}:
+        checker.report(
+            '--out', f'{out!r} is no picture', 'end in .png or .html'
+        )
+    reports = ()
+    try:
+        reports = read_reports(files)
+    except (OSError, ValueError) as error:
+        checker.report('FILE', f'{error}', 'give reports of `run --json`')
+    require_no_findings(environment_of(context), PROGRAM, checker.findings)
+    write_plots(reports, path)
+
+
 def _read_scenario(checker: Checker, name: str) -> Scenario:
     if name not in SCENARIOS:
         checker.report(
--- /dev/null
+++ b/tests/test_load_figures.py
@@ -0,0 +1,151 @@
+"""
+Figures of a run, and what callers make of answers.
+"""
+
+from dataclasses import replace
+from unittest import TestCase
+
+from mallowcrank.load.callers import Planner, decide_outcome
+from mallowcrank.load.figures import (
+    Window,
+    branch_shares,
+    first_token_seconds,
+    leaving_last_work,
+    recovery_seconds,
+    throughput,
+)
+from mallowcrank.load.latency import percentiles_ms
+from mallowcrank.load.records import (
+    CallKind,
+    CallRecord,
+    Outcome,
+    Plan,
+    Try,
+)
+from mallowcrank.load.scenarios import SCENARIOS
+from mallowcrank.load.sse import EventReader
+from mallowcrank.load.trace import parse_lines, read_lines
+
+CHUNK = b'data: {"choices": [{"text": "%s", "finish_reason": null}]}\n\n'
+LAST = (
+    b'data: {"choices": [{"text": "", "finish_reason": "length"}]}\n\n'
+    b'data: {"choices": [], "usage": {"completion_tokens": 4}}\n\n'
+)
+
+
+def call(*times, branch='topi', started=0, ended=10, **fields):
+    plan = Plan(1, CallKind.COMPLETION, f'{branch}/x', 'model', 'hat')
+    record = CallRecord(
+        plan,
+        Outcome.COMPLETED,
+        started,
+        ended,
+        token_times=tuple((came, 1) for came in times),
+    )
+    return replace(record, **fields)
+
+
+class TestFigures(TestCase):
+    def test_throughput_counts_whole_answers_inside_the_window(self):
+        records = (
+            call(1, 2, 3),
+            call(2, 3, outcome=Outcome.UNKNOWN),
+            call(2, 9, branch='rail'),
+        )
+        window = Window(2, 4)
+        self.assertEqual(throughput(records, window), 1.5)
+        self.assertEqual(
+            branch_shares(records, window), {'rail': 0.3333, 'topi': 0.6667}
+        )
+
+    def test_first_token_counts_from_the_first_try(self):
+        self.assertEqual(first_token_seconds([call(5, 6, started=2)]), [3])
+
+    def test_recovery_is_the_longest_wait_across_the_fault(self):
+        records = (call(1, 2, 5), call(1, 2, 3), call(7, started=6))
+        self.assertEqual(recovery_seconds(records, 2.5), 3)
+
+    def test_recovery_of_a_stream_that_began_again(self):
+        self.assertEqual(recovery_seconds([call(6, 7)], 2), 4)
+
+    def test_recovery_of_a_call_without_an_answer(self):
+        failed = call(1, 2, ended=8, outcome=Outcome.UNKNOWN)
+        self.assertEqual(recovery_seconds([failed], 2), 6)
+
+    def test_last_work_of_a_leaving_target(self):
+        lines = [
+            {'event': 'leaving', 'time': 10, 'target': 's1'},
+            *(
+                {
+                    'event': 'call',
+                    'time': time,
+                    'target': target,
+                    'request': 'r',
+                    'key': '',
+                    'body': '',
+                }
+                for time, target in ((9, 's1'), (11, 's1'), (15, 's2'))
+            ),
+        ]
+        self.assertEqual(leaving_last_work(parse_lines(lines)), 1)
+
+    def test_percentiles(self):
+        found = percentiles_ms(each / 1000 for each in range(1, 101))
+        self.assertAlmostEqual(found['p95'], 95, delta=0.1)
+
+    def test_line_that_a_crash_cut_is_left_out(self):
+        self.assertEqual(len(read_lines('{"a": 1}\n{"a": ')), 1)
+
+
+class TestAnswers(TestCase):
+    def read(self, *received):
+        reader = EventReader()
+        for each in received:
+            reader.feed(each, 1)
+        return reader.streamed
+
+    def test_stream_in_pieces_is_whole_with_its_end(self):
+        whole = b''.join((CHUNK % b'hat', LAST, b'data: [DONE]\n\n'))
+        streamed = self.read(whole[:9], whole[9:], b'')
+        self.assertTrue(streamed.is_whole)
+        self.assertEqual((streamed.text, streamed.told_tokens), ('hat', 4))
+
+    def test_stream_without_its_end_is_not_whole(self):
+        self.assertFalse(self.read(CHUNK % b'hat', LAST).is_whole)
+
+    def test_error_event_says_whether_it_ran(self):
+        error = b'data: {"error": {"ran": "yes", "code": "leaving"}}\n\n'
+        self.assertEqual(self.read(error).error, ('yes', 'leaving'))
+
+    def test_keepalive_is_passed_over(self):
+        self.assertEqual(self.read(b': waiting\n\n').text, '')
+
+
+class TestOutcome(TestCase):
+    def decide(self, *words, repeatable=True):
+        plan = replace(call().plan, repeatable=repeatable)
+        tries = tuple(Try('r', 'x', 0, 1, 503, ran) for ran in words)
+        return decide_outcome(plan, tries, whole=False)
+
+    def test_refused_in_all_tries(self):
+        self.assertIs(self.decide('no', 'no'), Outcome.REFUSED_NOT_RUN)
+
+    def test_an_earlier_try_may_have_run(self):
+        self.assertIs(self.decide('', 'no'), Outcome.UNKNOWN)
+
+    def test_last_word_counts_for_a_key(self):
+        outcome = self.decide('', 'no', repeatable=False)
+        self.assertIs(outcome, Outcome.REFUSED_NOT_RUN)
+
+    def test_silence_is_lost(self):
+        self.assertIs(self.decide('no', ''), Outcome.LOST)
+        self.assertIs(self.decide(), Outcome.LOST)
+
+
+class TestPlans(TestCase):
+    def test_same_seed_gives_the_same_calls(self):
+        group = SCENARIOS['steady'].groups[0]
+        first, second = (
+            Planner(group, 'seed', lambda: 1).plan() for _ in range(2)
+        )
+        self.assertEqual(first, second)
