--- /dev/null
+++ b/mallowcrank/agent/__init__.py
@@ -0,0 +1,3 @@
+"""
+The agent: control on every entry host.
+"""
--- /dev/null
+++ b/mallowcrank/agent/admin.py
@@ -0,0 +1,142 @@
+"""
+The operators' endpoints of the agent.
+"""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Any
+
+from mallowcrank.agent.ports import MembershipPort
+from mallowcrank.codec import to_plain
+from mallowcrank.config.replica import Replica
+from mallowcrank.config.tree import find_outcome, walk
+from mallowcrank.settings import AgentSettings
+from mallowcrank.timeline import Filter, Timeline
+from mallowcrank.web import Request, Response, Routes, json_response
+
+FILTERS = ('request', 'host', 'target', 'part')
+
+
+@dataclass(frozen=True)
+class Desk:
+    """
+    What the endpoints read and act on.
+
+    :param incarnation: changes with each start.
+    :param settings_actor: a proxy of the `SettingsActor`.
+    :param feed: a proxy of the `FeedActor`.
+    :param drain: begins a graceful stop.
+    :param is_leaving: tells whether it has begun.
+    """
+
+    settings: AgentSettings
+    incarnation: str
+    settings_actor: Any
+    feed: Any
+    membership: MembershipPort
+    timeline: Timeline
+    drain: Callable[[], None]
+    is_leaving: Callable[[], bool]
+
+
+class AdminPages:
+    """
+    Answers the operators' requests.
+    """
+
+    def __init__(self, desk: Desk) -> None:
+        self._desk = desk
+
+    def routes(self) -> Routes:
+        """
+        Return the endpoints; other parts may add theirs.
+        """
+        routes = Routes()
+        routes.add('GET', '/admin/status', self.status)
+        routes.add('GET', '/admin/members', self.members)
+        routes.add('GET', '/admin/settings', self.settings)
+        routes.add('GET', '/admin/timeline', self.timeline)
+        routes.add('POST', '/admin/drain', self.drain)
+        return routes
+
+    # Queries
+
+    def status(self, _request: Request) -> Response:
+        """
+        Answer `GET /admin/status`.
+        """
+        desk = self._desk
+        known = desk.settings_actor.status().get()
+        routers = desk.feed.routers().get()
+        peers = desk.membership.peers()
+        return json_response(
+            {
+                'program': 'agent',
+                'host': desk.settings.on.host,
+                'incarnation': desk.incarnation,
+                'leaving': desk.is_leaving(),
+                'routers': routers,
+                'peers': to_plain(peers),
+                'targets': len(desk.membership.targets()),
+                **to_plain(known),
+            }
+        )
+
+    def members(self, _request: Request) -> Response:
+        """
+        Answer `GET /admin/members`.
+        """
+        return json_response(
+            {
+                'targets': to_plain(self._desk.membership.targets()),
+                'peers': to_plain(self._desk.membership.peers()),
+            }
+        )
+
+    def settings(self, request: Request) -> Response:
+        """
+        Answer `GET /admin/settings`; `?record=ID` gives one outcome only.
+        """
+        replica = self._desk.settings_actor.replica().get()
+        record = request.query.get('record')
+        if record is None:
+            return json_response(folded_page(replica))
+        outcome = replica.tree and find_outcome(replica.tree, record)
+        return json_response({'outcome': to_plain(outcome) or None})
+
+    def timeline(self, request: Request) -> Response:
+        """
+        Answer `GET /admin/timeline`.
+        """
+        wanted = Filter(
+            **{name: request.query.get(name, '') for name in FILTERS}
+        )
+        events = self._desk.timeline.events(wanted)
+        return json_response({'events': to_plain(events)})
+
+    # Commands
+
+    def drain(self, _request: Request) -> Response:
+        """
+        Answer `POST /admin/drain`.
+        """
+        self._desk.drain()
+        return json_response({'leaving': True})
+
+
+def folded_page(replica: Replica) -> dict[str, Any]:
+    """
+    Return the folded tree with versions, in plain form.
+    """
+    tree = replica.tree
+    if tree is None:
+        return {'version': -1, 'through': -1, 'settings': None}
+    return {
+        'version': tree.version,
+        'last': tree.last,
+        'through': tree.through,
+        'floor': tree.floor,
+        'settings': {path: to_plain(entry) for path, entry in walk(tree)},
+        'removed': to_plain(tree.removed),
+        'outcomes': to_plain(tree.outcomes),
+    }
--- /dev/null
+++ b/mallowcrank/agent/changes.py
@@ -0,0 +1,45 @@
+"""
+What changed between two views, as the feed sends it.
+"""
+
+from collections.abc import Mapping
+from typing import Any
+
+from mallowcrank.codec import to_plain
+from mallowcrank.view import View
+
+FIELDS = ('targets', 'models', 'services', 'workspaces', 'peers')
+
+
+def find_changes(before: View, after: View) -> dict[str, Any]:
+    """
+    Return a `change` message, or an empty map where nothing changed.
+    """
+    changes: dict[str, Any] = {}
+    gone: dict[str, list[str]] = {}
+    for name in FIELDS:
+        old, new = getattr(before, name), getattr(after, name)
+        if old is new:
+            continue
+        changed = _changed(old, new)
+        if changed:
+            changes[name] = to_plain(changed)
+        lost = [key for key in old if key not in new]
+        if lost:
+            gone[name] = lost
+    if not changes and not gone and before.version == after.version:
+        return {}
+    return {
+        'type': 'change',
+        'version': after.version,
+        **changes,
+        'gone': gone,
+    }
+
+
+def _changed(old: Mapping[str, Any], new: Mapping[str, Any]) -> dict[str, Any]:
+    return {
+        key: entry
+        for key, entry in new.items()
+        if (known := old.get(key)) is not entry and known != entry
+    }
--- /dev/null
+++ b/mallowcrank/agent/feed.py
@@ -0,0 +1,268 @@
+"""
+The feed from an agent to the routers of its host.
+"""
+
+import queue
+import socket
+import threading
+from collections.abc import Callable, Mapping
+from dataclasses import replace
+from typing import Any
+
+from pykka import ThreadingActor
+
+from mallowcrank.agent.changes import find_changes
+from mallowcrank.agent.ports import MembershipPort
+from mallowcrank.codec import to_plain
+from mallowcrank.config.effective import Effective
+from mallowcrank.logs import PartLog
+from mallowcrank.view import View
+from mallowcrank.wire import BadFrameError, FrameReader, KeyRing, pack_frame
+
+READ_BYTES = 64 * 1024
+MAX_QUEUED = 256  # frames for one router; it reconnects after more
+SEND_TIMEOUT_S = 10
+STOP: bytes = b''
+BAD_MESSAGE = (BadFrameError, KeyError, TypeError, ValueError)
+
+Body = Mapping[str, Any]
+log = PartLog('feed')
+
+
+class Connection:
+    """
+    One router's connection; frames go out in a thread of their own.
+    """
+
+    def __init__(self, sock: socket.socket, keys: KeyRing) -> None:
+        self.router = ''
+        self.version = -1
+        self._sock = sock
+        self._keys = keys
+        self._frames: queue.Queue[bytes] = queue.Queue(MAX_QUEUED)
+
+    def start(self) -> None:
+        """
+        Send queued frames from now on.
+        """
+        self._sock.settimeout(None)
+        self._sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        threading.Thread(target=self._send_all, daemon=True).start()
+
+    def send(self, body: Body) -> None:
+        """
+        Queue a message; a router that does not read is cut off.
+        """
+        try:
+            self._frames.put_nowait(pack_frame(body, self._keys))
+        except queue.Full:
+            self.close()
+
+    def bodies(self) -> Any:
+        """
+        Yield the router's messages until the connection ends.
+        """
+        reader = FrameReader(self._keys)
+        while True:
+            try:
+                received = self._sock.recv(READ_BYTES)
+            except OSError:
+                return
+            if not received:
+                return
+            yield from reader.feed(received)
+
+    def close(self) -> None:
+        """
+        End the connection.
+        """
+        try:
+            self._sock.shutdown(socket.SHUT_RDWR)
+        except OSError:
+            log.say('The connection was closed before.', router=self.router)
+        self._sock.close()
+
+    def finish(self) -> None:
+        """
+        End the sending thread.
+        """
+        try:
+            self._frames.put_nowait(STOP)
+        except queue.Full:
+            self.close()
+
+    def _send_all(self) -> None:
+        while frame := self._frames.get():
+            try:
+                self._sock.sendall(frame)
+            except OSError:
+                return
+
+
+class FeedActor(ThreadingActor):
+    """
+    Holds the view, and sends each change of it to all connected routers.
+    """
+
+    def __init__(self, membership: MembershipPort) -> None:
+        super().__init__()
+        self._membership = membership
+        self._view = View()
+        self._connections: list[Connection] = []
+
+    def show_settings(self, effective: Effective) -> None:
+        """
+        Take over effective settings.
+        """
+        self._show(
+            replace(
+                self._view,
+                version=effective.version,
+                models=effective.models,
+                services=effective.services,
+                workspaces=effective.workspaces,
+            )
+        )
+
+    def show_members(self) -> None:
+        """
+        Take over targets and peers.
+        """
+        self._show(
+            replace(
+                self._view,
+                targets=self._membership.targets(),
+                peers=self._membership.peers(),
+            )
+        )
+
+    def connect(self, connection: Connection) -> None:
+        """
+        Send a snapshot, and changes from now on.
+        """
+        self._connections.append(connection)
+        connection.send({'type': 'snapshot', 'view': to_plain(self._view)})
+
+    def disconnect(self, connection: Connection) -> None:
+        """
+        Forget a connection.
+        """
+        connection.finish()
+        if connection in self._connections:
+            self._connections.remove(connection)
+
+    def beat(self, age_s: float) -> None:
+        """
+        Show the routers that this agent is alive.
+        """
+        self._send(
+            {'type': 'beat', 'version': self._view.version, 'age_s': age_s}
+        )
+
+    def close(self) -> None:
+        """
+        End all connections.
+        """
+        for connection in self._connections:
+            connection.close()
+
+    # Queries
+
+    def view(self) -> View:
+        """
+        Return the view.
+        """
+        return self._view
+
+    def routers(self) -> dict[str, int]:
+        """
+        Return the version in force of each connected router.
+        """
+        return {each.router: each.version for each in self._connections}
+
+    def _show(self, view: View) -> None:
+        changes = find_changes(self._view, view)
+        self._view = view
+        if changes:
+            self._send(changes)
+
+    def _send(self, body: Body) -> None:
+        for connection in tuple(self._connections):
+            connection.send(body)
+
+
+class FeedServer:
+    """
+    Accepts routers.
+
+    :param address: `IP:PORT` to listen on.
+    :param feed: a proxy of the `FeedActor`.
+    :param report: takes each message of a router.
+    """
+
+    def __init__(
+        self,
+        address: str,
+        keys: KeyRing,
+        feed: Any,
+        report: Callable[[Body], None],
+    ) -> None:
+        host, _, port = address.rpartition(':')
+        self._place = (host, int(port))
+        self._keys = keys
+        self._feed = feed
+        self._report = report
+        self._listener: socket.socket | None = None
+
+    @property
+    def address(self) -> str:
+        """
+        Return the address that is served.
+        """
+        host, port = self._listener.getsockname()[:2]
+        return f'{host}:{port}'
+
+    def start(self) -> None:
+        """
+        Bind the address and accept in a thread.
+
+        :raises OSError: when the address can't be bound.
+        """
+        self._listener = socket.create_server(self._place)
+        threading.Thread(target=self._accept, daemon=True).start()
+
+    def stop(self) -> None:
+        """
+        Accept no more.
+        """
+        self._listener.close()
+
+    def _accept(self) -> None:
+        while True:
+            try:
+                sock, _ = self._listener.accept()
+            except OSError:
+                return
+            connection = Connection(sock, self._keys)
+            threading.Thread(
+                target=self._serve, args=(connection,), daemon=True
+            ).start()
+
+    def _serve(self, connection: Connection) -> None:
+        connection.start()
+        try:
+            for body in connection.bodies():
+                self._take(connection, body)
+        except BAD_MESSAGE as error:
+            log.say('A router sent a bad frame.', error=repr(error))
+        log.say('A router is gone.', router=connection.router)
+        self._feed.disconnect.defer(connection)
+        connection.close()
+
+    def _take(self, connection: Connection, body: Body) -> None:
+        if body['type'] == 'hello':
+            connection.router = str(body['router'])
+            log.say('A router connected.', router=connection.router)
+            self._feed.connect.defer(connection)
+        connection.version = int(body.get('version', connection.version))
+        self._report(body)
--- /dev/null
+++ b/mallowcrank/agent/loops.py
@@ -0,0 +1,234 @@
+"""
+The agent's threads: each repeats one job until it is stopped.
+"""
+
+import random
+import threading
+from collections.abc import Callable, Sequence
+from typing import Any
+
+from mallowcrank.agent.messages import TREE_TOPIC, TreeAnswer, TreeQuestion
+from mallowcrank.agent.ports import GossipPort, LogSink, MembershipPort
+from mallowcrank.clock import Clock
+from mallowcrank.codec import from_plain, to_plain
+from mallowcrank.config.parsing import (
+    to_body,
+)
+from mallowcrank.config.replica import is_snapshot_due
+from mallowcrank.config.snapshots import make_snapshot
+from mallowcrank.logs import PartLog
+from mallowcrank.ports import Failure, HostListPort, LogPort
+
+PAGE_RECORDS = 500
+LONG_POLL_S = 5
+PAUSE_S = 0.05  # between two reads that brought records
+OUTAGE_PAUSE_S = 0.5
+HOST_LIST_S = 1
+UPKEEP_S = 0.5
+ASK_TIMEOUT_S = 5
+ASKED_PEERS = 3  # at a time
+MAX_SPREAD_S = 60  # over which agents spread their snapshots
+BEAT_S = 1
+REFRESH_PAUSE_S = 0.05  # in which changes of membership are gathered
+log = PartLog('agent')
+
+
+class Loop:
+    """
+    A thread that repeats a job.
+
+    :param job: returns the seconds to wait before it is called again.
+    """
+
+    def __init__(self, name: str, job: Callable[[], float]) -> None:
+        self._job = job
+        self._stopped = threading.Event()
+        self._thread = threading.Thread(
+            target=self._run, name=name, daemon=True
+        )
+
+    def start(self) -> None:
+        """
+        Start the thread.
+        """
+        self._thread.start()
+
+    def stop(self) -> None:
+        """
+        Let the thread end after its present job.
+        """
+        self._stopped.set()
+
+    def _run(self) -> None:
+        while not self._stopped.is_set():
+            try:
+                pause = self._job()
+            except Exception as error:
+                log.say('A loop failed.', loop=self._thread.name, error=error)
+                pause = OUTAGE_PAUSE_S
+            self._stopped.wait(pause)
+
+
+class LogFollower:
+    """
+    Reads the log in order and gives each page to all sinks.
+    """
+
+    def __init__(self, platform_log: LogPort, sinks: Sequence[LogSink]) -> None:
+        self._log = platform_log
+        self._sinks = sinks
+        self._next = 0
+
+    def __call__(self) -> float:
+        """
+        Read one page.
+        """
+        page = self._log.read(self._next, PAGE_RECORDS, LONG_POLL_S)
+        if isinstance(page, Failure):
+            for sink in self._sinks:
+                sink.apply_outage(page.reason)
+            return OUTAGE_PAUSE_S
+        for sink in self._sinks:
+            sink.apply_page(page)
+        self._next = max(self._next, page.first)
+        if page.records:
+            self._next = page.records[-1].offset + 1
+        return PAUSE_S
+
+
+class HostListReader:
+    """
+    Reads the platform's host list for the membership.
+    """
+
+    def __init__(
+        self, host_list: HostListPort, membership: MembershipPort
+    ) -> None:
+        self._host_list = host_list
+        self._membership = membership
+
+    def __call__(self) -> float:
+        """
+        Read the list once; the last one stands while it is out.
+        """
+        hosts = self._host_list.read()
+        if not isinstance(hosts, Failure):
+            self._membership.apply_host_list(hosts)
+        return HOST_LIST_S
+
+
+class PeerReader:
+    """
+    Asks peers for settings that reach further than this agent's.
+
+    :param settings: a proxy of the `SettingsActor`.
+    """
+
+    def __init__(self, settings: Any, gossip: GossipPort) -> None:
+        self._settings = settings
+        self._gossip = gossip
+
+    def __call__(self) -> float:
+        """
+        Ask some peers, where there is a need.
+        """
+        if self._settings.needs_peers().get():
+            for peer in self._gossip.addresses()[:ASKED_PEERS]:
+                self._ask(peer)
+        return UPKEEP_S
+
+    def _ask(self, peer: str) -> None:
+        tree = self._settings.replica().get().tree
+        question = TreeQuestion(-1 if tree is None else tree.through)
+        answer = self._gossip.ask(
+            peer, TREE_TOPIC, to_plain(question), ASK_TIMEOUT_S
+        )
+        if answer is not None:
+            self._settings.apply_tree(from_plain(answer, TreeAnswer)).get()
+
+
+class SnapshotWriter:
+    """
+    Writes a snapshot before the log's retention takes what it covers.
+
+    Agents wait for a random part of a spread, so that mostly one writes it.
+    """
+
+    def __init__(
+        self,
+        host: str,
+        settings: Any,
+        platform_log: LogPort,
+        clock: Clock,
+        chance: random.Random,
+    ) -> None:
+        self._host = host
+        self._settings = settings
+        self._log = platform_log
+        self._clock = clock
+        self._chance = chance
+        self._turn: float | None = None
+
+    def __call__(self) -> float:
+        """
+        Write a snapshot, where one is due and it is this agent's turn.
+        """
+        replica = self._settings.replica().get()
+        retention_s = self._settings.effective().get().retention_s
+        if not is_snapshot_due(replica, retention_s, self._clock.now()):
+            self._turn = None
+        elif self._turn is None:
+            spread = min(MAX_SPREAD_S, retention_s / 8)
+            self._turn = self._clock.steady() + self._chance.random() * spread
+        elif self._clock.steady() >= self._turn:
+            self._turn = None
+            self._write(replica.tree)
+        return UPKEEP_S
+
+    def _write(self, tree: Any) -> None:
+        name = f'snapshot-{self._host}-{self._chance.getrandbits(64):016x}'
+        record = make_snapshot(tree, name, self._host)
+        written = self._log.append(to_body(record))
+        log.say('A snapshot was written.', through=tree.through, got=written)
+
+
+class FeedBeat:
+    """
+    Shows the routers that the agent is alive.
+    """
+
+    def __init__(self, settings: Any, feed: Any) -> None:
+        self._settings = settings
+        self._feed = feed
+
+    def __call__(self) -> float:
+        """
+        Send one beat.
+        """
+        self._feed.beat.defer(round(self._settings.age_s().get(), 1))
+        return BEAT_S
+
+
+class Refresher:
+    """
+    Tells the feed that membership has changed, many changes at once.
+    """
+
+    def __init__(self, feed: Any) -> None:
+        self._feed = feed
+        self._dirty = threading.Event()
+
+    def __call__(self) -> float:
+        """
+        Wait for a change and tell the feed.
+        """
+        if self._dirty.wait(BEAT_S):
+            self._dirty.clear()
+            self._feed.show_members().get()
+        return REFRESH_PAUSE_S
+
+    def mark(self) -> None:
+        """
+        Note a change; returns at once.
+        """
+        self._dirty.set()
--- /dev/null
+++ b/mallowcrank/agent/program.py
@@ -0,0 +1,230 @@
+"""
+The agent's program: builds the parts, starts them, and stops them.
+"""
+
+import signal
+import threading
+from dataclasses import dataclass
+from typing import Any
+
+from mallowcrank.agent.admin import AdminPages, Desk
+from mallowcrank.agent.alone import LoneMembership, NoGossip
+from mallowcrank.agent.feed import FeedActor, FeedServer
+from mallowcrank.agent.loops import (
+    FeedBeat,
+    HostListReader,
+    LogFollower,
+    Loop,
+    PeerReader,
+    Refresher,
+    SnapshotWriter,
+)
+from mallowcrank.agent.messages import (
+    RECORD_TOPIC,
+    TREE_TOPIC,
+    RecordMessage,
+    TreeQuestion,
+)
+from mallowcrank.agent.ports import Body, GossipPort, LogSink, MembershipPort
+from mallowcrank.agent.settings import SettingsActor, Surroundings
+from mallowcrank.clock import HybridClock
+from mallowcrank.codec import from_plain, to_plain
+from mallowcrank.context import Environment
+from mallowcrank.logs import PartLog
+from mallowcrank.platform.hosts import HttpHostList
+from mallowcrank.platform.log import HttpLog
+from mallowcrank.ports import LogPage
+from mallowcrank.settings import AgentSettings
+from mallowcrank.timeline import Timeline
+from mallowcrank.web import WebServer
+
+ADMIN_THREADS = 4
+log = PartLog('agent')
+
+
+@dataclass(frozen=True)
+class Neighbours:
+    """
+    The parts that other modules bring to the agent.
+
+    :param sinks: parts that follow the log besides the settings.
+    """
+
+    membership: MembershipPort
+    gossip: GossipPort
+    sinks: tuple[LogSink, ...] = ()
+
+
+def alone() -> Neighbours:
+    """
+    Return the parts of an agent that knows no other agent.
+    """
+    return Neighbours(LoneMembership(), NoGossip())
+
+
+class SettingsSink:
+    """
+    Passes the log on to the settings.
+    """
+
+    def __init__(self, settings: Any) -> None:
+        self._settings = settings
+
+    def apply_page(self, page: LogPage) -> None:
+        """
+        Pass a page on, and wait until it is folded.
+        """
+        self._settings.apply_page(page).get()
+
+    def apply_outage(self, reason: str) -> None:
+        """
+        Pass an outage on.
+        """
+        self._settings.apply_outage.defer(reason)
+
+
+class Agent:
+    """
+    One running agent.
+
+    :param neighbours: membership and gossip; those of a lone agent if none.
+    """
+
+    def __init__(
+        self,
+        settings: AgentSettings,
+        environment: Environment,
+        timeline: Timeline | None = None,
+        neighbours: Neighbours | None = None,
+    ) -> None:
+        self._settings = settings
+        self._environment = environment
+        self._timeline = timeline or Timeline(
+            settings.on.host, HybridClock(environment.clock)
+        )
+        self._around = neighbours or alone()
+        self._incarnation = f'{environment.random.getrandbits(48):012x}'
+        self._stopping = threading.Event()
+        self._feed_ref = FeedActor.start(self._around.membership)
+        self._feed = self._feed_ref.proxy()
+        self._actor_ref = SettingsActor.start(
+            Surroundings(
+                gossip=self._around.gossip,
+                clock=environment.clock,
+                timeline=self._timeline,
+                feed=self._feed,
+            )
+        )
+        self._actor = self._actor_ref.proxy()
+        self._feed_server = FeedServer(
+            settings.feed,
+            settings.keys,
+            self._feed,
+            self._around.membership.apply_report,
+        )
+        self._admin = WebServer(
+            settings.admin, AdminPages(self._desk()).routes(), ADMIN_THREADS
+        )
+        self._loops = self._build_loops()
+
+    @property
+    def settings_actor(self) -> Any:
+        """
+        Return a proxy of the actor that holds the settings.
+        """
+        return self._actor
+
+    def run(self) -> None:
+        """
+        Run until a graceful stop is over.
+
+        :raises OSError: when an address can't be bound.
+        """
+        signal.signal(signal.SIGTERM, lambda *_: self.drain())
+        signal.signal(signal.SIGINT, lambda *_: self.drain())
+        self.start()
+        self._stopping.wait()
+        self.stop()
+
+    def start(self) -> None:
+        """
+        Start all parts.
+
+        :raises OSError: when an address can't be bound.
+        """
+        self._connect_gossip()
+        self._feed_server.start()
+        self._admin.start()
+        self._around.membership.start()
+        for loop in self._loops:
+            loop.start()
+        log.say('The agent serves.', incarnation=self._incarnation)
+
+    def drain(self) -> None:
+        """
+        Begin a graceful stop.
+        """
+        self._stopping.set()
+
+    def stop(self) -> None:
+        """
+        Tell peers and routers, and stop all parts.
+        """
+        log.say('The agent stops.')
+        self._around.membership.announce_leaving()
+        for loop in self._loops:
+            loop.stop()
+        self._feed_server.stop()
+        self._feed.close().get()
+        self._around.membership.stop()
+        self._admin.stop()
+        self._actor_ref.stop()
+        self._feed_ref.stop()
+
+    def _desk(self) -> Desk:
+        return Desk(
+            settings=self._settings,
+            incarnation=self._incarnation,
+            settings_actor=self._actor,
+            feed=self._feed,
+            membership=self._around.membership,
+            timeline=self._timeline,
+            drain=self.drain,
+            is_leaving=self._stopping.is_set,
+        )
+
+    def _build_loops(self) -> tuple[Loop, ...]:
+        around = self._around
+        platform_log = HttpLog(self._settings.log)
+        sinks = (SettingsSink(self._actor), *around.sinks)
+        refresher = Refresher(self._feed)
+        around.membership.on_change(refresher.mark)
+        jobs = {
+            'log': LogFollower(platform_log, sinks),
+            'hosts': HostListReader(
+                HttpHostList(self._settings.host_list), around.membership
+            ),
+            'peers': PeerReader(self._actor, around.gossip),
+            'snapshots': SnapshotWriter(
+                self._settings.on.host,
+                self._actor,
+                platform_log,
+                self._environment.clock,
+                self._environment.random,
+            ),
+            'beat': FeedBeat(self._actor, self._feed),
+            'members': refresher,
+        }
+        return tuple(Loop(name, job) for name, job in jobs.items())
+
+    def _connect_gossip(self) -> None:
+        gossip = self._around.gossip
+        gossip.handle(RECORD_TOPIC, self._take_record)
+        gossip.handle(TREE_TOPIC, self._answer_tree)
+
+    def _take_record(self, body: Body) -> None:
+        self._actor.apply_message.defer(from_plain(body, RecordMessage))
+
+    def _answer_tree(self, body: Body) -> Body:
+        question = from_plain(body, TreeQuestion)
+        return to_plain(self._actor.answer(question).get())
--- /dev/null
+++ b/mallowcrank/agent/settings.py
@@ -0,0 +1,230 @@
+"""
+The actor that holds the settings of this agent.
+"""
+
+import zlib
+from dataclasses import dataclass, replace
+from typing import Any
+
+from pykka import ThreadingActor
+
+from mallowcrank.agent.messages import (
+    RECORD_TOPIC,
+    RecordMessage,
+    TreeAnswer,
+    TreeQuestion,
+)
+from mallowcrank.agent.notes import Notes
+from mallowcrank.agent.ports import GossipPort
+from mallowcrank.clock import Clock
+from mallowcrank.codec import to_plain
+from mallowcrank.config.effective import Effective, work_out
+from mallowcrank.config.parsing import (
+    is_folded,
+)
+from mallowcrank.config.replica import (
+    Message,
+    Replica,
+    apply_message,
+    apply_page,
+    apply_tree,
+)
+from mallowcrank.config.snapshots import pack_tree, unpack_tree
+from mallowcrank.config.tree import Tree
+from mallowcrank.findings import Finding
+from mallowcrank.ports import LogPage, LogRecord
+from mallowcrank.timeline import Timeline
+
+
+@dataclass(frozen=True, slots=True)
+class SettingsStatus:
+    """
+    What an operator sees of an agent's settings.
+
+    :param version: the offset of the last accepted record, or -1.
+    :param through: no record up to this offset is missing.
+    :param missing: records before this offset could not be read, or 0.
+    :param age_s: seconds since the log or a peer last confirmed them.
+    :param outage: why the log can't be read, or an empty string.
+    """
+
+    version: int
+    through: int
+    missing: int
+    age_s: float
+    outage: str = ''
+    findings: tuple[str, ...] = ()
+
+
+@dataclass(frozen=True)
+class Surroundings:
+    """
+    What the actor works with.
+
+    :param feed: a proxy of the `FeedActor`.
+    """
+
+    gossip: GossipPort
+    clock: Clock
+    timeline: Timeline
+    feed: Any = None
+
+
+class SettingsActor(ThreadingActor):
+    """
+    Takes in records from the log and from peers, and tells the feed.
+    """
+
+    def __init__(self, around: Surroundings) -> None:
+        super().__init__()
+        self._around = around
+        self._replica = Replica()
+        self._effective = Effective()
+        self._notes = Notes(around.timeline)
+        self._confirmed = around.clock.steady()
+        self._peers_reach = -1
+        self._caught_up = False
+
+    # Commands
+
+    def apply_page(self, page: LogPage) -> None:
+        """
+        Take in a page of the log, and pass on its new records.
+        """
+        self._notes.take_outage('')
+        self._confirmed = self._around.clock.steady()
+        for record in page.records:
+            self._notes.check(record, self._replica)
+        for record in page.records:
+            single = replace(page, records=(record,))
+            self._take_record(single, record)
+        if not page.records:
+            self._take(apply_page(self._replica, page))
+        if self._replica.reached >= page.next - 1:
+            self._caught_up = True
+
+    def apply_outage(self, reason: str) -> None:
+        """
+        Take in that the log can't be read.
+        """
+        self._notes.take_outage(reason)
+
+    def apply_message(self, message: RecordMessage) -> None:
+        """
+        Take in a record that a peer passed on, and pass it on if it is new.
+        """
+        record = LogRecord(message.offset, message.time, message.body)
+        after = Message(record, message.after)
+        taken = apply_message(self._replica, after)
+        if taken is None:
+            self._peers_reach = max(self._peers_reach, message.offset)
+            return
+        if taken is self._replica:
+            return
+        self._take(taken)
+        self._spread(record, message.after)
+
+    def apply_tree(self, answer: TreeAnswer) -> None:
+        """
+        Take in a peer's tree, where it reaches further.
+        """
+        if not answer.tree:
+            return
+        try:
+            offered = unpack_tree(zlib.decompress(answer.tree))
+        except (ValueError, TypeError, zlib.error) as error:
+            self._notes.find(
+                Finding('a peer', f'its tree is malformed: {error}')
+            )
+            return
+        self._confirmed = self._around.clock.steady()
+        self._take(apply_tree(self._replica, offered))
+
+    # Queries
+
+    def answer(self, question: TreeQuestion) -> TreeAnswer:
+        """
+        Answer a peer that asks for a tree.
+        """
+        tree = self._replica.tree
+        if tree is None or tree.through <= question.through:
+            through = -1 if tree is None else tree.through
+            return TreeAnswer(through, self._effective.version)
+        packed = zlib.compress(pack_tree(tree), 1)
+        return TreeAnswer(tree.through, tree.version, packed)
+
+    def replica(self) -> Replica:
+        """
+        Return what this agent holds.
+        """
+        return self._replica
+
+    def effective(self) -> Effective:
+        """
+        Return the effective settings.
+        """
+        return self._effective
+
+    def needs_peers(self) -> bool:
+        """
+        Tell whether peers may know more than this agent.
+        """
+        tree = self._replica.tree
+        if tree is None or tree.version < 0:
+            return True
+        if not self._replica.is_complete:
+            return True
+        return tree.through < self._peers_reach
+
+    def status(self) -> SettingsStatus:
+        """
+        Return what an operator sees.
+        """
+        replica = self._replica
+        through = -1 if replica.tree is None else replica.tree.through
+        return SettingsStatus(
+            version=self._effective.version,
+            through=through,
+            missing=0 if replica.is_complete else replica.since,
+            age_s=round(self._around.clock.steady() - self._confirmed, 3),
+            outage=self._notes.outage,
+            findings=tuple(map(str, self._notes.findings)),
+        )
+
+    def age_s(self) -> float:
+        """
+        Return seconds since the settings were confirmed.
+        """
+        return self._around.clock.steady() - self._confirmed
+
+    # Helpers
+
+    def _take_record(self, page: LogPage, record: LogRecord) -> None:
+        before = self._replica
+        after = -1 if before.tree is None else before.tree.last
+        self._take(apply_page(before, page))
+        known = before.tree is not None and record.offset <= before.tree.through
+        if known or not self._caught_up or not is_folded(record):
+            return
+        if self._replica.is_complete:
+            self._spread(record, after)
+
+    def _take(self, replica: Replica) -> None:
+        before = self._replica.tree
+        self._replica = replica
+        tree = replica.tree
+        if tree is None or tree is before:
+            return
+        old = before or Tree()
+        if tree.last != old.last:
+            self._notes.tell_outcomes(old, tree)
+        if tree.version == self._effective.version:
+            return
+        self._effective = work_out(tree, self._effective, old)
+        self._around.feed.show_settings.defer(self._effective)
+
+    def _spread(self, record: LogRecord, after: int) -> None:
+        message = RecordMessage(
+            record.offset, record.time, after, dict(record.body)
+        )
+        self._around.gossip.send(RECORD_TOPIC, to_plain(message))
--- /dev/null
+++ b/mallowcrank/cli/operator_agents.py
@@ -0,0 +1,146 @@
+"""
+Commands that ask agents: status, members, leases, order.
+"""
+
+import json
+from typing import Annotated, Any
+
+from typer import Argument, Context, Option, Typer
+
+from mallowcrank.cli.operator_options import (
+    Agents,
+    Json,
+    Routers,
+    fail,
+    open_checked,
+    require_answer,
+    say,
+)
+from mallowcrank.cli.options import environment_of
+from mallowcrank.operators.desk import Desk, get_admin, post_admin
+from mallowcrank.operators.tables import format_table, status_rows
+from mallowcrank.ports import Failure
+from mallowcrank.status import ExitStatus
+
+STATUS_COLUMNS = (
+    'program',
+    'host',
+    'version',
+    'age_s',
+    'leaving',
+    'outage',
+)
+TARGET_COLUMNS = (
+    'name',
+    'kind',
+    'state',
+    'availability_zone',
+    'serves',
+    'first_layer',
+    'last_layer',
+    'load',
+)
+
+
+def register(app: Typer) -> None:
+    """
+    Add the commands to the program.
+    """
+    for command in (status, members, leases, order):
+        app.command()(command)
+
+
+def status(
+    context: Context,
+    agents: Agents = '',
+    routers: Routers = '',
+    as_json: Json = False,
+) -> None:
+    """
+    Show the version in force on each agent and router.
+
+    Exits 1 where one of them does not answer.
+    """
+    environment = environment_of(context)
+    desk = open_checked(context, agents, '', routers)
+    asked = (*desk.settings.agents, *desk.settings.routers)
+    answers = {each: get_admin(each, '/admin/status') for each in asked}
+    rows = status_rows(answers)
+    if as_json:
+        say(environment, json.dumps(rows, indent=2))
+    else:
+        say(environment, format_table(rows, STATUS_COLUMNS))
+        for row in rows:
+            for finding in row.get('findings', ()):
+                say(environment, f'{row["host"]}: {finding}')
+    if any(isinstance(answer, Failure) for answer in answers.values()):
+        raise fail(environment, 'not all answered', ExitStatus.ERROR)
+
+
+def members(
+    context: Context, agents: Agents = '', as_json: Json = False
+) -> None:
+    """
+    Show the targets, as one agent knows them.
+    """
+    environment = environment_of(context)
+    answer = _ask_one(open_checked(context, agents, ''), '/admin/members')
+    require_answer(environment, answer)
+    if as_json:
+        say(environment, json.dumps(answer, indent=2))
+        return
+    targets = answer['targets']
+    rows = [targets[name] for name in sorted(targets)]
+    say(environment, format_table(rows, TARGET_COLUMNS))
+
+
+def leases(context: Context, agents: Agents = '') -> None:
+    """
+    Show who holds the leases for orders, as one agent knows them.
+    """
+    environment = environment_of(context)
+    answer = _ask_one(open_checked(context, agents, ''), '/admin/leases')
+    require_answer(environment, answer)
+    say(environment, json.dumps(answer, indent=2))
+
+
+def order(
+    context: Context,
+    target: Annotated[str, Argument(help="The target's name.")],
+    action: Annotated[str, Argument(help='load, role or adapter.')],
+    serves: Annotated[str, Option(help='The model to serve.')] = '',
+    layers: Annotated[str, Option(help='FIRST-LAST.')] = '',
+    version: Annotated[str, Option(help='The version to load.')] = '',
+    role: Annotated[str, Option(help='The new role.')] = '',
+    agents: Agents = '',
+) -> None:
+    """
+    Ask an agent to order a target; it does so only under a lease.
+    """
+    environment = environment_of(context)
+    desk = open_checked(context, agents, '')
+    body: dict[str, Any] = {'target': target, 'action': action}
+    given = {'serves': serves, 'version': version, 'role': role}
+    body |= {name: text for name, text in given.items() if text}
+    if layers:
+        first, _, last = layers.partition('-')
+        if not first.isdecimal() or not last.isdecimal():
+            message = f'--layers: {layers!r} is not FIRST-LAST'
+            raise fail(environment, message, ExitStatus.BAD_SETTINGS)
+        body |= {'first_layer': int(first), 'last_layer': int(last)}
+    answer = post_admin(desk.settings.agents[0], '/admin/orders', body)
+    if isinstance(answer, Failure):
+        raise fail(environment, answer.reason, ExitStatus.REFUSED)
+    say(environment, json.dumps(answer, indent=2))
+
+
+def _ask_one(desk: Desk, path: str) -> Any | Failure:
+    """
+    Return the first answer that an agent gives.
+    """
+    answer: Any | Failure = None
+    for agent in desk.settings.agents:
+        answer = get_admin(agent, path)
+        if not isinstance(answer, Failure):
+            return answer
+    return answer
--- /dev/null
+++ b/mallowcrank/cli/operator_publish.py
@@ -0,0 +1,251 @@
+"""
+The command that publishes settings.
+"""
+
+import getpass
+from dataclasses import dataclass
+from types import MappingProxyType
+from typing import Annotated
+
+from typer import Context, Exit, Option, Typer
+
+from mallowcrank.cli.operator_options import (
+    PROGRAM,
+    Agents,
+    File,
+    Log,
+    Routers,
+    Timeout,
+    Whole,
+    fail,
+    open_checked,
+    read_timeout,
+    require_answer,
+    say,
+)
+from mallowcrank.cli.operator_settings import check_change, read_file
+from mallowcrank.cli.options import environment_of, require_no_findings
+from mallowcrank.config.files import Reading
+from mallowcrank.config.outcomes import Outcome, Verdict
+from mallowcrank.config.replica import Replica
+from mallowcrank.config.tree import find_outcome
+from mallowcrank.config.validation import check_tree
+from mallowcrank.context import Environment
+from mallowcrank.operators.desk import Desk
+from mallowcrank.operators.publish import (
+    Publication,
+    Signature,
+    change_body,
+    publish,
+    restore_body,
+)
+from mallowcrank.operators.source import read_replica
+from mallowcrank.operators.texts import (
+    format_difference,
+    format_lags,
+    format_outcome,
+)
+from mallowcrank.operators.waiting import wait_in_force
+from mallowcrank.ports import Failure
+from mallowcrank.refusals import Ran
+from mallowcrank.status import ExitStatus
+
+DEFAULT_TIMEOUT_S = '30'
+STATUSES = MappingProxyType(
+    {
+        Verdict.ACCEPTED: ExitStatus.SUCCESS,
+        Verdict.CONFLICT: ExitStatus.CONFLICT,
+        Verdict.STALE: ExitStatus.CONFLICT,
+        Verdict.MALFORMED: ExitStatus.REFUSED,
+    }
+)
+
+
+@dataclass(frozen=True)
+class Session:
+    """
+    One run of `publish`.
+
+    :param deadline: steady time in seconds at which to give up.
+    :param resumed: whether the record may have been appended before.
+    """
+
+    environment: Environment
+    desk: Desk
+    signature: Signature
+    deadline: float
+    wait: bool = False
+    whole: bool = False
+    restore: bool = False
+    resumed: bool = False
+
+
+def register(app: Typer) -> None:
+    """
+    Add the command to the program.
+    """
+    app.command(name='publish')(publish_file)
+
+
+def publish_file(
+    context: Context,
+    file: File,
+    agents: Agents = '',
+    routers: Routers = '',
+    log: Log = '',
+    timeout: Timeout = DEFAULT_TIMEOUT_S,
+    wait: Annotated[
+        bool,
+        Option('--wait', help='End when each live router has it in force.'),
+    ] = False,
+    whole: Whole = False,
+    restore: Annotated[
+        bool,
+        Option(
+            '--restore',
+            help='Set the whole tree anew, where the log has lost it and no '
+            'agent holds it.',
+        ),
+    ] = False,
+    note: Annotated[str, Option(help='Why; shown by history.')] = '',
+    author: Annotated[
+        str,
+        Option(envvar='MALLOWCRANK_AUTHOR', help='Who; shown by history.'),
+    ] = '',
+    record: Annotated[
+        str,
+        Option(
+            '--id',
+            help="A record's id from a run that ended without an answer; it "
+            'is looked for before anything is appended.',
+        ),
+    ] = '',
+) -> None:
+    """
+    Publish what a file changes, as one record: all of it or nothing.
+
+    Exit statuses: 0 accepted (with --wait: in force on each live router), 1
+    nothing was published, 2 bad flags or settings, 3 refused, 4 not known or
+    not in force in time, 5 another record changed a setting first.
+    """
+    environment = environment_of(context)
+    desk = open_checked(context, agents, log, routers)
+    seconds = read_timeout(context, timeout)
+    if desk.log is None:
+        raise fail(
+            environment, 'give --log to publish', ExitStatus.BAD_SETTINGS
+        )
+    fresh = f'{environment.random.getrandbits(64):016x}'
+    session = Session(
+        environment=environment,
+        desk=desk,
+        signature=Signature(record or fresh, author or _user(), note),
+        deadline=desk.steady() + seconds,
+        wait=wait,
+        whole=whole,
+        restore=restore,
+        resumed=bool(record),
+    )
+    raise Exit(_run(session, read_file(environment, file)))
+
+
+def _run(session: Session, reading: Reading) -> ExitStatus:
+    require_no_findings(session.environment, PROGRAM, reading.findings)
+    replica = read_replica(session.desk)
+    require_answer(session.environment, replica)
+    known = replica.tree and find_outcome(
+        replica.tree, session.signature.record
+    )
+    if known:
+        return _conclude(session, known)
+    body = _body(session, replica, reading)
+    if body is None:
+        say(session.environment, 'no changes')
+        return ExitStatus.SUCCESS
+    outcome = publish(
+        session.desk,
+        Publication(body, replica, session.deadline, sent=session.resumed),
+    )
+    if isinstance(outcome, Failure):
+        return _give_up(session, outcome)
+    return _conclude(session, outcome)
+
+
+def _body(
+    session: Session, replica: Replica, reading: Reading
+) -> dict[str, object] | None:
+    if session.restore:
+        return _restore(session, replica, reading)
+    environment = session.environment
+    if replica.tree is None or not replica.is_complete:
+        message = (
+            'the log has lost records and no agent that answers has them; '
+            'name agents that do, or publish the whole tree with --restore'
+        )
+        raise fail(environment, message, ExitStatus.ERROR)
+    difference, findings = check_change(
+        replica.tree, reading, whole=session.whole
+    )
+    require_no_findings(environment, PROGRAM, findings)
+    if difference.conflicts:
+        for each in difference.conflicts:
+            environment.stderr.write(
+                f'{each.setting}: {each.winner} changed it at offset '
+                f'{each.version}, after the file was written\n'
+            )
+        message = 'nothing was published; see `mallowcrank show`'
+        raise fail(environment, message, ExitStatus.CONFLICT)
+    if not difference.changes:
+        return None
+    say(environment, format_difference(difference))
+    return change_body(replica, difference, session.signature)
+
+
+def _restore(
+    session: Session, replica: Replica, reading: Reading
+) -> dict[str, object]:
+    if replica.tree is not None and replica.tree.version >= 0:
+        message = (
+            f'the settings of version {replica.tree.version} are in force; '
+            'nothing was published: publish without --restore'
+        )
+        raise fail(session.environment, message, ExitStatus.REFUSED)
+    findings = check_tree(reading.draft.settings, reading.places)
+    require_no_findings(session.environment, PROGRAM, findings)
+    return restore_body(replica, reading.draft, session.signature)
+
+
+def _give_up(session: Session, failure: Failure) -> ExitStatus:
+    if failure.ran is Ran.NO:
+        message = f'nothing was published: {failure.reason}'
+        session.environment.stderr.write(f'{PROGRAM}: {message}\n')
+        return ExitStatus.ERROR
+    session.environment.stderr.write(
+        f'{PROGRAM}: it is not known whether the log has the record: '
+        f'{failure.reason}.\nRun the same command with --id '
+        f'{session.signature.record}.\n'
+    )
+    return ExitStatus.TIMEOUT
+
+
+def _conclude(session: Session, outcome: Outcome) -> ExitStatus:
+    say(session.environment, format_outcome(outcome))
+    status = STATUSES[outcome.verdict]
+    if status is not ExitStatus.SUCCESS or not session.wait:
+        return status
+    lags = wait_in_force(session.desk, outcome.offset, session.deadline)
+    if not lags:
+        say(session.environment, f'version {outcome.offset} is in force')
+        return ExitStatus.SUCCESS
+    session.environment.stderr.write(
+        f'{PROGRAM}: accepted, but not yet in force here:\n'
+        f'{format_lags(lags)}\n'
+    )
+    return ExitStatus.TIMEOUT
+
+
+def _user() -> str:
+    try:
+        return getpass.getuser()
+    except (KeyError, OSError):
+        return ''
--- /dev/null
+++ b/mallowcrank/cli/operator_settings.py
@@ -0,0 +1,178 @@
+"""
+Commands that read settings: validate, diff, show, history.
+"""
+
+import json
+from pathlib import Path
+from typing import Annotated
+
+from typer import Context, Exit, Option, Typer
+
+from mallowcrank.cli.operator_options import (
+    PROGRAM,
+    Agents,
+    File,
+    Json,
+    Log,
+    Whole,
+    fail,
+    open_checked,
+    require_answer,
+    say,
+)
+from mallowcrank.cli.options import environment_of, require_no_findings
+from mallowcrank.codec import to_plain
+from mallowcrank.config.difference import (
+    Difference,
+    find_difference,
+    values_after,
+)
+from mallowcrank.config.effective import work_out
+from mallowcrank.config.files import Reading, read_draft
+from mallowcrank.config.nodes import workspace_node
+from mallowcrank.config.tree import Tree
+from mallowcrank.config.validation import check_tree
+from mallowcrank.context import Environment
+from mallowcrank.findings import Finding, format_findings
+from mallowcrank.operators.source import read_tree
+from mallowcrank.operators.texts import (
+    format_difference,
+    format_effective,
+    format_outcome,
+    format_tree,
+)
+from mallowcrank.status import ExitStatus
+
+
+def register(app: Typer) -> None:
+    """
+    Add the commands to the program.
+    """
+    for command in (validate, diff, show, history):
+        app.command()(command)
+
+
+def read_file(environment: Environment, name: str) -> Reading:
+    """
+    Read a settings file.
+
+    :raises Exit: with `BAD_SETTINGS`, after all findings were reported.
+    """
+    try:
+        text = Path(name).read_text()
+    except (OSError, UnicodeDecodeError) as error:
+        finding = Finding(name, f'it can not be read: {error}', 'name a file')
+        require_no_findings(environment, PROGRAM, (finding,))
+    return read_draft(text, name)
+
+
+def check_change(
+    tree: Tree, reading: Reading, *, whole: bool
+) -> tuple[Difference, tuple[Finding, ...]]:
+    """
+    Return what a file would change, with all findings about the result.
+    """
+    difference = find_difference(tree, reading.draft, whole=whole)
+    values = values_after(tree, difference)
+    findings = (*reading.findings, *check_tree(values, reading.places))
+    return difference, findings
+
+
+def validate(
+    context: Context,
+    file: File,
+    agents: Agents = '',
+    log: Log = '',
+    whole: Whole = False,
+) -> None:
+    """
+    Check a settings file; with --agents or --log, on top of what is in force.
+
+    Reports all findings together and exits 2 where there are any.
+    """
+    environment = environment_of(context)
+    reading = read_file(environment, file)
+    tree = Tree()
+    if agents or log:
+        tree = read_tree(open_checked(context, agents, log))
+        require_answer(environment, tree)
+    findings = reading.findings
+    # Without what it was meant to be, a broken file tells nothing more.
+    if not findings:
+        _, findings = check_change(tree, reading, whole=whole)
+    if findings:
+        environment.stderr.write(f'{format_findings(findings)}\n')
+        raise Exit(ExitStatus.BAD_SETTINGS)
+    say(environment, f'{file}: {len(reading.draft.settings)} settings, fine')
+
+
+def diff(
+    context: Context,
+    file: File,
+    agents: Agents = '',
+    log: Log = '',
+    whole: Whole = False,
+) -> None:
+    """
+    Show what publishing a file would change.
+    """
+    environment = environment_of(context)
+    reading = read_file(environment, file)
+    require_no_findings(environment, PROGRAM, reading.findings)
+    tree = read_tree(open_checked(context, agents, log))
+    require_answer(environment, tree)
+    difference = find_difference(tree, reading.draft, whole=whole)
+    say(environment, format_difference(difference))
+
+
+def show(
+    context: Context,
+    effective: Annotated[
+        str,
+        Option(
+            help='BRANCH/WORKSPACE; show its effective settings, each with '
+            'where it comes from.'
+        ),
+    ] = '',
+    agents: Agents = '',
+    log: Log = '',
+    as_json: Json = False,
+) -> None:
+    """
+    Print the settings in force, as a file that can be edited and published.
+    """
+    environment = environment_of(context)
+    tree = read_tree(open_checked(context, agents, log))
+    require_answer(environment, tree)
+    if not effective:
+        say(environment, format_tree(tree))
+        return
+    found = work_out(tree).workspaces.get(effective)
+    if found is None:
+        message = f'there is no workspace {effective}; see `mallowcrank show`'
+        raise fail(environment, message, ExitStatus.ERROR)
+    values = to_plain(found)
+    if as_json:
+        say(environment, json.dumps(values, indent=2))
+    else:
+        node = workspace_node(effective)
+        say(environment, format_effective(tree, node, values))
+
+
+def history(
+    context: Context,
+    agents: Agents = '',
+    log: Log = '',
+    as_json: Json = False,
+) -> None:
+    """
+    List what became of the latest records, the oldest first.
+    """
+    environment = environment_of(context)
+    tree = read_tree(open_checked(context, agents, log))
+    require_answer(environment, tree)
+    if as_json:
+        say(environment, json.dumps(to_plain(tree.outcomes), indent=2))
+        return
+    for outcome in tree.outcomes:
+        say(environment, format_outcome(outcome))
--- /dev/null
+++ b/mallowcrank/config/__init__.py
@@ -0,0 +1,3 @@
+"""
+The tree of settings: its records, its fold, and what follows from it.
+"""
--- /dev/null
+++ b/mallowcrank/config/parsing.py
@@ -0,0 +1,132 @@
+"""
+How configuration records are read out of the log, and written.
+"""
+
+from collections.abc import Callable, Mapping
+from types import MappingProxyType
+from typing import Any
+
+from cattrs import BaseValidationError
+
+from mallowcrank.codec import from_plain, to_plain
+from mallowcrank.config.records import (
+    ConfigRecord,
+    Malformed,
+    Parsed,
+    RecordType,
+    RestoreRecord,
+    SnapshotRecord,
+)
+from mallowcrank.ports import LogRecord
+
+SCALARS = (str, int, float, bool)
+
+_KINDS: Mapping[str, type[Parsed]] = MappingProxyType(
+    {
+        RecordType.CONFIG: ConfigRecord,
+        RecordType.RESTORE: RestoreRecord,
+        RecordType.SNAPSHOT: SnapshotRecord,
+    }
+)
+
+
+def to_body(record: ConfigRecord | RestoreRecord | SnapshotRecord) -> dict:
+    """
+    Return the body under which a record is appended.
+    """
+    name = next(
+        name for name, kind in _KINDS.items() if isinstance(record, kind)
+    )
+    return {'type': str(name), **to_plain(record)}
+
+
+def is_folded(record: LogRecord) -> bool:
+    """
+    Tell whether a record may change the settings.
+    """
+    return _type_of(record) in {RecordType.CONFIG, RecordType.RESTORE}
+
+
+def is_snapshot(record: LogRecord) -> bool:
+    """
+    Tell whether a record is a snapshot.
+    """
+    return _type_of(record) == RecordType.SNAPSHOT
+
+
+def parse_record(record: LogRecord) -> Parsed:
+    """
+    Read one configuration record.
+    """
+    body = record.body
+    record_id = str(body.get('id', ''))
+    kind = _KINDS[_type_of(record)]
+    try:
+        parsed = from_plain(body, kind)
+    except (BaseValidationError, TypeError, ValueError) as error:
+        return Malformed(record_id, _why(error))
+    problem = _PROBLEMS[kind](parsed)
+    return Malformed(record_id, problem) if problem else parsed
+
+
+def _type_of(record: LogRecord) -> str:
+    if not isinstance(record.body, Mapping):
+        return ''
+    return str(record.body.get('type', ''))
+
+
+def _why(error: Exception) -> str:
+    if isinstance(error, BaseValidationError):
+        return f'a field has the wrong shape: {error.exceptions[0]}'
+    return f'a field has the wrong shape: {error}'
+
+
+def _config_problem(record: ConfigRecord) -> str:
+    settings = [change.setting for change in record.changes]
+    if not settings:
+        return 'it has no changes'
+    if len(set(settings)) < len(settings):
+        return 'it changes a setting twice'
+    for change in record.changes:
+        if not is_path(change.setting):
+            return f'{change.setting!r} is no path of a setting'
+        if change.value is not None and not is_value(change.value):
+            return f'the value of {change.setting} is of no known kind'
+    return '' if record.id else 'it has no id'
+
+
+def _restore_problem(record: RestoreRecord) -> str:
+    for setting, value in record.settings.items():
+        if not is_path(setting) or not is_value(value):
+            return f'{setting!r} is no setting'
+    return '' if record.id else 'it has no id'
+
+
+def _snapshot_problem(record: SnapshotRecord) -> str:
+    return '' if record.id else 'it has no id'
+
+
+_PROBLEMS: Mapping[type, Callable[[Any], str]] = MappingProxyType(
+    {
+        ConfigRecord: _config_problem,
+        RestoreRecord: _restore_problem,
+        SnapshotRecord: _snapshot_problem,
+    }
+)
+
+
+def is_path(path: str) -> bool:
+    """
+    Tell whether a text may be a setting's path: two words or more.
+    """
+    words = path.split('.')
+    return len(words) > 1 and all(words)
+
+
+def is_value(value: Any) -> bool:
+    """
+    Tell whether a value is a scalar or a list of scalars.
+    """
+    if isinstance(value, list | tuple):
+        return all(isinstance(each, SCALARS) for each in value)
+    return isinstance(value, SCALARS)
--- /dev/null
+++ b/mallowcrank/config/replica.py
@@ -0,0 +1,245 @@
+"""
+One agent's replica of the tree: what it takes from the log and from peers.
+
+A replica never goes back: it takes only what reaches further than it does,
+and only where no record between is missing.
+"""
+
+from collections.abc import Iterable
+from dataclasses import dataclass, replace
+
+from mallowcrank.config.fold import fold
+from mallowcrank.config.parsing import (
+    is_folded,
+    is_snapshot,
+    parse_record,
+)
+from mallowcrank.config.records import (
+    Malformed,
+    RestoreRecord,
+    SnapshotRecord,
+)
+from mallowcrank.config.snapshots import digest_of, open_snapshot
+from mallowcrank.config.tree import Tree
+from mallowcrank.findings import Finding
+from mallowcrank.ports import LogPage, LogRecord
+
+SHARE_OF_RETENTION = 0.25  # of the retention, until a snapshot is renewed
+
+
+@dataclass(frozen=True, slots=True)
+class SnapshotState:
+    """
+    What is known of the latest snapshot in the log.
+
+    :param offset: its place, or -1 for none.
+    :param through: what it reaches.
+    :param time: seconds since the epoch, by the log's clock.
+    """
+
+    offset: int = -1
+    through: int = -1
+    time: float = 0
+
+
+@dataclass(frozen=True)
+class Replica:
+    """
+    What one agent holds.
+
+    :param tree: the settings, or `None` where nothing trustworthy was found.
+    :param since: the first offset from which all records have been read.
+    :param reached: the log was read up to this offset.
+    :param first: the oldest offset that the log kept, when last read.
+    :param oldest: time of the first record read, by the log's clock.
+    :param pending: records read while those before them were missing.
+    :param latest: the latest snapshot seen in the log.
+    """
+
+    tree: Tree | None = None
+    since: int = 0
+    reached: int = -1
+    first: int = 0
+    oldest: float = 0
+    pending: tuple[LogRecord, ...] = ()
+    latest: SnapshotState = SnapshotState()
+
+    @property
+    def is_complete(self) -> bool:
+        """
+        Tell whether nothing is missing between the tree and what was read.
+        """
+        return self.tree is not None and self.tree.through + 1 >= self.since
+
+
+@dataclass(frozen=True, slots=True)
+class Message:
+    """
+    A record that spreads from agent to agent.
+
+    :param after: the offset of the folded record before it, so that a
+        receiver knows whether it misses one.
+    """
+
+    record: LogRecord
+    after: int
+
+
+def apply_page(replica: Replica, page: LogPage) -> Replica:
+    """
+    Take in a page that was read from the offset after `reached` on.
+    """
+    read = _note_first(replica, page)
+    for record in page.records:
+        read = _apply_record(read, record)
+    if not page.records:
+        read = replace(read, reached=max(read.reached, page.next - 1))
+    return _settle(read)
+
+
+def apply_tree(replica: Replica, offered: Tree) -> Replica:
+    """
+    Take a peer's or a snapshot's tree, where it reaches further.
+    """
+    own = replica.tree
+    if own is not None and offered.through <= own.through:
+        return replica
+    if own is not None and offered.version < own.version:
+        return replica
+    return _settle(replace(replica, tree=offered))
+
+
+def apply_message(replica: Replica, message: Message) -> Replica | None:
+    """
+    Take in a record that a peer passed on.
+
+    :returns: `None` where records before it are missing.
+    """
+    tree = replica.tree
+    if tree is None:
+        return None
+    if message.record.offset <= tree.through:
+        return replica
+    if message.after > tree.last:
+        return None
+    return _settle(replace(replica, tree=fold(tree, message.record)))
+
+
+def check_snapshot(replica: Replica, record: LogRecord) -> Finding | None:
+    """
+    Compare a snapshot with the replica's own tree.
+
+    :returns: what is wrong with the snapshot, if anything is.
+    """
+    parsed = parse_record(record)
+    place = f'record {record.offset}'
+    if isinstance(parsed, Malformed):
+        return Finding(place, parsed.reason, 'it is passed over')
+    opened = open_snapshot(parsed)
+    if isinstance(opened, Malformed):
+        return Finding(place, opened.reason, 'it is passed over')
+    own = replica.tree
+    if own is None or own.last != opened.last:
+        return None
+    if digest_of(own) == parsed.digest:
+        return None
+    return Finding(
+        place,
+        'the snapshot differs from the settings here',
+        'restart the agent on either host to fetch them again',
+    )
+
+
+def is_snapshot_due(replica: Replica, retention_s: float, now: float) -> bool:
+    """
+    Tell whether a snapshot must be written before retention takes records.
+
+    :param retention_s: seconds that the log keeps a record.
+    :param now: seconds since the epoch.
+    """
+    if not replica.is_complete or replica.reached < 0:
+        return False
+    latest = replica.latest
+    if latest.offset < 0:
+        return now - replica.oldest > retention_s * SHARE_OF_RETENTION
+    if latest.offset < replica.first:
+        return True
+    return now - latest.time > retention_s * SHARE_OF_RETENTION
+
+
+def _note_first(replica: Replica, page: LogPage) -> Replica:
+    start = replica.reached + 1
+    noted = replace(replica, first=page.first)
+    if page.first <= start:
+        return noted
+    return replace(noted, since=page.first, reached=page.first - 1, pending=())
+
+
+def _apply_record(replica: Replica, record: LogRecord) -> Replica:
+    if record.offset <= replica.reached:
+        return replica
+    read = replace(
+        replica,
+        reached=record.offset,
+        oldest=replica.oldest or record.time,
+    )
+    if is_snapshot(record):
+        return _apply_snapshot(read, record)
+    if not is_folded(record):
+        return read
+    if read.is_complete:
+        return replace(read, tree=fold(read.tree, record))
+    if _is_base(read, record):
+        return replace(read, tree=fold(Tree(), record), pending=())
+    return replace(read, pending=(*read.pending, record))
+
+
+def _is_base(replica: Replica, record: LogRecord) -> bool:
+    """
+    Tell whether a record restores all settings, so that none before matter.
+    """
+    parsed = parse_record(record)
+    if not isinstance(parsed, RestoreRecord):
+        return False
+    last = replica.pending[-1].offset if replica.pending else -1
+    return replica.since <= parsed.read + 1 and last <= parsed.read
+
+
+def _apply_snapshot(replica: Replica, record: LogRecord) -> Replica:
+    parsed = parse_record(record)
+    if not isinstance(parsed, SnapshotRecord):
+        return replica
+    noted = replica
+    if parsed.through >= replica.latest.through:
+        latest = SnapshotState(record.offset, parsed.through, record.time)
+        noted = replace(replica, latest=latest)
+    if replica.is_complete or parsed.through + 1 < replica.since:
+        return noted
+    opened = open_snapshot(parsed)
+    if isinstance(opened, Malformed):
+        return replica
+    return apply_tree(noted, opened)
+
+
+def _settle(replica: Replica) -> Replica:
+    """
+    Fold what was pending, once nothing before it is missing.
+    """
+    settled = replica
+    if settled.tree is None and settled.since == 0:
+        settled = replace(settled, tree=Tree())
+    if not settled.is_complete:
+        return settled
+    tree = fold_all(settled.tree, settled.pending)
+    reach = max(tree.through, settled.reached)
+    return replace(settled, tree=replace(tree, through=reach), pending=())
+
+
+def fold_all(tree: Tree, records: Iterable[LogRecord]) -> Tree:
+    """
+    Fold records in the order of the log.
+    """
+    folded = tree
+    for record in records:
+        folded = fold(folded, record)
+    return folded
--- /dev/null
+++ b/mallowcrank/config/snapshots.py
@@ -0,0 +1,110 @@
+"""
+Snapshots: a folded tree as a record, with a hash of its content.
+"""
+
+import base64
+import hashlib
+import zlib
+from dataclasses import replace
+from typing import Any
+
+import msgpack
+
+from mallowcrank.codec import from_plain, to_plain
+from mallowcrank.config.outcomes import Outcome
+from mallowcrank.config.records import Malformed, SnapshotRecord
+from mallowcrank.config.tree import Entry, Tree
+
+DIGEST_BYTES = 16
+
+
+def pack_tree(tree: Tree) -> bytes:
+    """
+    Encode a tree; equal trees give equal bytes.
+    """
+    return msgpack.packb(
+        (
+            tree.version,
+            tree.last,
+            tree.through,
+            tree.floor,
+            _plain_nodes(tree),
+            _plain_entries(tree.removed),
+            to_plain(tree.outcomes),
+        )
+    )
+
+
+def unpack_tree(packed: bytes) -> Tree:
+    """
+    Decode a tree.
+
+    :raises ValueError: when the bytes hold no tree.
+    """
+    *offsets, nodes, removed, outcomes = msgpack.unpackb(packed)
+    return Tree(
+        *offsets,
+        nodes={node: _entries(plain) for node, plain in nodes.items()},
+        removed=_entries(removed),
+        outcomes=from_plain(outcomes, tuple[Outcome, ...]),
+    )
+
+
+def digest_of(tree: Tree) -> str:
+    """
+    Return the hash of a tree's settings and versions.
+
+    How far the tree reaches is left out: records of other types move it.
+    """
+    packed = pack_tree(replace(tree, through=tree.last))
+    return hashlib.blake2b(packed, digest_size=DIGEST_BYTES).hexdigest()
+
+
+def make_snapshot(tree: Tree, record: str, writer: str) -> SnapshotRecord:
+    """
+    Make a snapshot record.
+
+    :param record: the new record's id.
+    :param writer: the host's name.
+    """
+    packed = zlib.compress(pack_tree(tree))
+    return SnapshotRecord(
+        id=record,
+        through=tree.through,
+        version=tree.version,
+        digest=digest_of(tree),
+        tree=base64.b64encode(packed).decode(),
+        writer=writer,
+    )
+
+
+def open_snapshot(record: SnapshotRecord) -> Tree | Malformed:
+    """
+    Return the tree of a snapshot, if its content is what its hash says.
+    """
+    try:
+        tree = unpack_tree(zlib.decompress(base64.b64decode(record.tree)))
+    except (ValueError, TypeError, zlib.error) as error:
+        return Malformed(record.id, f'the snapshot holds no tree: {error}')
+    if digest_of(tree) != record.digest:
+        return Malformed(record.id, "the snapshot's hash is another one")
+    if tree.through != record.through or tree.version != record.version:
+        return Malformed(record.id, 'the snapshot reaches elsewhere')
+    return tree
+
+
+def _plain_nodes(tree: Tree) -> dict[str, dict[str, Any]]:
+    return {
+        node: _plain_entries(tree.nodes[node]) for node in sorted(tree.nodes)
+    }
+
+
+def _plain_entries(entries: Any) -> dict[str, tuple[Any, int, str]]:
+    return {
+        name: (entry.value, entry.version, entry.record)
+        for name, entry in sorted(entries.items())
+    }
+
+
+def _entries(plain: Any) -> dict[str, Entry]:
+    return {name: Entry(*parts) for name, parts in plain.items()}
--- /dev/null
+++ b/mallowcrank/operators/__init__.py
@@ -0,0 +1,3 @@
+"""
+What the operators' program does, one module a subject.
+"""
--- /dev/null
+++ b/mallowcrank/operators/desk.py
@@ -0,0 +1,92 @@
+"""
+What every operators' command works with.
+"""
+
+import json
+import time
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from typing import Any
+
+from mallowcrank.calls import HttpCaller
+from mallowcrank.platform.log import HttpLog
+from mallowcrank.ports import Failure, LogPort
+from mallowcrank.refusals import Ran
+
+ADMIN_TIMEOUT_S = 5
+OK = 200
+
+
+@dataclass(frozen=True)
+class OperatorSettings:
+    """
+    The operators' program's settings.
+
+    :param agents: admin addresses of agents.
+    :param routers: admin addresses of routers.
+    :param log: `IP:PORT` of the platform's log, or an empty string.
+    :param author: who publishes.
+    """
+
+    agents: tuple[str, ...] = ()
+    routers: tuple[str, ...] = ()
+    log: str = ''
+    author: str = ''
+
+
+@dataclass(frozen=True)
+class Desk:
+    """
+    Settings and ports of one command.
+    """
+
+    settings: OperatorSettings
+    log: LogPort | None = None
+    sleep: Callable[[float], None] = field(default=time.sleep)
+    steady: Callable[[], float] = field(default=time.monotonic)
+
+
+def open_desk(settings: OperatorSettings) -> Desk:
+    """
+    Make the ports that the settings name.
+    """
+    return Desk(settings, HttpLog(settings.log) if settings.log else None)
+
+
+def get_admin(address: str, path: str) -> Any | Failure:
+    """
+    Ask a daemon's admin endpoint.
+
+    :returns: the answer's JSON, or a `Failure`.
+    """
+    reply = HttpCaller(address, connections=1).call(
+        'GET', path, timeout_s=ADMIN_TIMEOUT_S
+    )
+    if isinstance(reply, Failure):
+        return reply
+    if reply.status != OK:
+        return Failure(f'{address}{path} answered {reply.status}', Ran.NO)
+    try:
+        return json.loads(reply.body)
+    except ValueError:
+        return Failure(f'{address}{path} answered no JSON', Ran.NO)
+
+
+def post_admin(address: str, path: str, body: Any) -> Any | Failure:
+    """
+    Post to a daemon's admin endpoint.
+
+    :returns: the answer's JSON, or a `Failure`.
+    """
+    reply = HttpCaller(address, connections=1).call(
+        'POST', path, json.dumps(body).encode(), timeout_s=ADMIN_TIMEOUT_S
+    )
+    if isinstance(reply, Failure):
+        return reply
+    if reply.status != OK:
+        said = reply.body.decode(errors='replace')
+        return Failure(f'{address} answered {reply.status}: {said}', Ran.NO)
+    try:
+        return json.loads(reply.body)
+    except ValueError:
+        return Failure(f'{address}{path} answered no JSON', Ran.UNKNOWN)
--- /dev/null
+++ b/mallowcrank/operators/publish.py
@@ -0,0 +1,146 @@
+"""
+Publishing: append a record once, and learn what became of it.
+"""
+
+from collections.abc import Mapping
+from dataclasses import dataclass
+from typing import Any
+
+from mallowcrank.codec import from_plain
+from mallowcrank.config.difference import Difference
+from mallowcrank.config.files import Draft
+from mallowcrank.config.outcomes import Outcome
+from mallowcrank.config.parsing import to_body
+from mallowcrank.config.records import ConfigRecord, RestoreRecord
+from mallowcrank.config.replica import Replica
+from mallowcrank.config.tree import find_outcome
+from mallowcrank.operators.desk import Desk, get_admin
+from mallowcrank.operators.source import read_on
+from mallowcrank.ports import Failure
+from mallowcrank.refusals import Ran
+
+RETRY_S = 0.2
+TIMED_OUT = 'the time is over'
+
+
+@dataclass(frozen=True)
+class Publication:
+    """
+    One record to publish.
+
+    :param body: the record's body, with its id.
+    :param replica: the settings that it was based on.
+    :param deadline: steady time in seconds at which to give up.
+    :param sent: whether it may have been appended before.
+    """
+
+    body: Mapping[str, Any]
+    replica: Replica
+    deadline: float
+    sent: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class Signature:
+    """
+    Who writes a record, and why.
+
+    :param record: the record's id, unique for each publication.
+    """
+
+    record: str
+    author: str = ''
+    note: str = ''
+
+
+def publish(desk: Desk, publication: Publication) -> Outcome | Failure:
+    """
+    Append a record and return the fold's decision on it.
+
+    After an answer was lost, the record is looked for by its id before it is
+    appended again.
+
+    :returns: a `Failure` that says whether the record may be in the log.
+    """
+    may_be_there = publication.sent
+    reason = TIMED_OUT
+    while desk.steady() < publication.deadline:
+        if may_be_there:
+            found = look_for(desk, publication)
+            if isinstance(found, Outcome):
+                return found
+            if isinstance(found, Failure):
+                reason = found.reason
+                desk.sleep(RETRY_S)
+                continue
+        appended = desk.log.append(publication.body)
+        may_be_there = True
+        if isinstance(appended, Failure):
+            reason = appended.reason
+            may_be_there = appended.ran is not Ran.NO
+            desk.sleep(RETRY_S)
+    return Failure(reason, Ran.UNKNOWN if may_be_there else Ran.NO)
+
+
+def look_for(desk: Desk, publication: Publication) -> Outcome | Failure | None:
+    """
+    Look for a record by its id, with the agents first and then in the log.
+
+    :returns: its outcome, `None` where it is not in the log, or a `Failure`
+        where that can't be told.
+    """
+    record = publication.body['id']
+    for agent in desk.settings.agents:
+        told = ask_outcome(agent, record)
+        if told is not None:
+            return told
+    read = read_on(publication.replica, desk.log)
+    if isinstance(read, Failure):
+        return read
+    if read.tree is None or not read.is_complete:
+        return Failure('the log lacks records before the new one', Ran.UNKNOWN)
+    return find_outcome(read.tree, record)
+
+
+def ask_outcome(agent: str, record: str) -> Outcome | None:
+    """
+    Return what an agent knows of a record.
+    """
+    answer = get_admin(agent, f'/admin/settings?record={record}')
+    if isinstance(answer, Failure) or answer.get('outcome') is None:
+        return None
+    return from_plain(answer['outcome'], Outcome)
+
+
+def change_body(
+    replica: Replica, difference: Difference, signature: Signature
+) -> dict[str, Any]:
+    """
+    Return the body of a record with changes.
+    """
+    return to_body(
+        ConfigRecord(
+            id=signature.record,
+            changes=difference.changes,
+            read=replica.tree.through,
+            author=signature.author,
+            note=signature.note,
+        )
+    )
+
+
+def restore_body(
+    replica: Replica, draft: Draft, signature: Signature
+) -> dict[str, Any]:
+    """
+    Return the body of a record that sets the whole tree anew.
+    """
+    return to_body(
+        RestoreRecord(
+            id=signature.record,
+            settings=dict(draft.settings),
+            read=replica.reached,
+            author=signature.author,
+            note=signature.note,
+        )
+    )
--- /dev/null
+++ b/mallowcrank/operators/source.py
@@ -0,0 +1,104 @@
+"""
+Where an operators' command gets the settings from.
+"""
+
+from collections.abc import Iterable, Mapping
+from dataclasses import replace
+from typing import Any
+
+from mallowcrank.codec import from_plain
+from mallowcrank.config.outcomes import Outcome
+from mallowcrank.config.replica import Replica, apply_page
+from mallowcrank.config.tree import Entry, Tree, split_path
+from mallowcrank.operators.desk import Desk, get_admin
+from mallowcrank.ports import Failure, LogPort
+from mallowcrank.refusals import Ran
+
+PAGE_RECORDS = 500
+
+
+def read_replica(desk: Desk) -> Replica | Failure:
+    """
+    Return the settings of the agent that reaches furthest, and what the log
+    holds beyond.
+
+    :returns: a `Failure` where neither agents nor the log can be read.
+    """
+    trees = ask_trees(desk.settings.agents)
+    replica = Replica()
+    if trees:
+        best = max(trees, key=lambda tree: tree.through)
+        replica = Replica(tree=best, reached=best.through)
+    if desk.log is None:
+        if trees:
+            return replica
+        return Failure('no agent answered and no --log is given', Ran.NO)
+    read = read_on(replica, desk.log)
+    if isinstance(read, Failure) and trees:
+        return replica
+    return read
+
+
+def read_tree(desk: Desk) -> Tree | Failure:
+    """
+    Return the settings in force.
+    """
+    replica = read_replica(desk)
+    if isinstance(replica, Failure):
+        return replica
+    if replica.tree is None or not replica.is_complete:
+        return Failure(
+            'records before the oldest kept one are missing, and no agent '
+            'answered that has them',
+            Ran.NO,
+        )
+    return replica.tree
+
+
+def read_on(replica: Replica, log: LogPort) -> Replica | Failure:
+    """
+    Read the log to its present end.
+    """
+    read = replica
+    while True:
+        page = log.read(read.reached + 1, PAGE_RECORDS, 0)
+        if isinstance(page, Failure):
+            return page
+        read = apply_page(read, page)
+        if read.reached >= page.next - 1:
+            return read
+
+
+def ask_trees(agents: Iterable[str]) -> list[Tree]:
+    """
+    Return the trees of all agents that answer and have one.
+    """
+    answers = [get_admin(each, '/admin/settings') for each in agents]
+    return [
+        tree_of(answer)
+        for answer in answers
+        if not isinstance(answer, Failure)
+        and answer.get('settings') is not None
+    ]
+
+
+def tree_of(page: Mapping[str, Any]) -> Tree:
+    """
+    Build a tree out of an agent's `/admin/settings`.
+    """
+    nodes: dict[str, dict[str, Entry]] = {}
+    for path, plain in page['settings'].items():
+        node, name = split_path(path)
+        nodes.setdefault(node, {})[name] = Entry(**plain)
+    return replace(
+        Tree(),
+        version=page['version'],
+        last=page['last'],
+        through=page['through'],
+        floor=page['floor'],
+        nodes=nodes,
+        removed={
+            gone: Entry(**entry) for gone, entry in page['removed'].items()
+        },
+        outcomes=from_plain(page['outcomes'], tuple[Outcome, ...]),
+    )
--- /dev/null
+++ b/mallowcrank/operators/texts.py
@@ -0,0 +1,118 @@
+"""
+How settings and outcomes look to an operator.
+"""
+
+import json
+from collections.abc import Iterable, Iterator, Mapping
+from typing import Any
+
+from mallowcrank.config.difference import Difference
+from mallowcrank.config.outcomes import Outcome
+from mallowcrank.config.schema import PRESENT, Scope
+from mallowcrank.config.tree import NOTHING, Tree, find_entry
+from mallowcrank.operators.waiting import Lag
+
+
+def format_tree(tree: Tree) -> str:
+    """
+    Return the settings as a file that can be edited and published.
+    """
+    lines = [f'base = {tree.version}']
+    for node in sorted(tree.nodes):
+        lines.extend(('', f'[{node}]'))
+        lines.extend(
+            f'{name} = {to_toml(entry.value)}'
+            for name, entry in sorted(tree.nodes[node].items())
+            if name != PRESENT
+        )
+    return '\n'.join(lines)
+
+
+def to_toml(value: Any) -> str:
+    """
+    Return a scalar or a list of scalars as TOML.
+    """
+    return json.dumps(value, ensure_ascii=False)
+
+
+def format_difference(difference: Difference) -> str:
+    """
+    Return one line for each change.
+    """
+    if not difference.changes:
+        return 'no changes'
+    return '\n'.join(_change_lines(difference))
+
+
+def _change_lines(difference: Difference) -> Iterator[str]:
+    before = difference.before or NOTHING
+    for change in sorted(difference.changes, key=lambda each: each.setting):
+        old = before.get(change.setting)
+        if change.value is None:
+            yield f'- {change.setting} = {to_toml(old)}'
+        elif old is None:
+            yield f'+ {change.setting} = {to_toml(change.value)}'
+        else:
+            yield (
+                f'~ {change.setting} = {to_toml(old)}'
+                f' -> {to_toml(change.value)}'
+            )
+
+
+def format_outcome(outcome: Outcome) -> str:
+    """
+    Return one record's outcome; conflicts stand on lines of their own.
+    """
+    words = [f'{outcome.offset:>8}', f'{outcome.verdict:<9}', outcome.record]
+    if outcome.changed:
+        words.append(f'{outcome.changed} settings')
+    words.extend(filter(None, (outcome.author, outcome.note, outcome.reason)))
+    lines = [' '.join(words)]
+    lines.extend(
+        f'         {each.setting}: {each.winner or "another record"} won '
+        f'at offset {each.version}'
+        for each in outcome.conflicts
+    )
+    return '\n'.join(lines)
+
+
+def format_lags(lags: Iterable[Lag]) -> str:
+    """
+    Return one line for each router or agent that lags.
+    """
+    lines: list[str] = []
+    for lag in lags:
+        has = 'is unknown' if lag.version is None else f'has {lag.version}'
+        lines.append(f'{lag.name} {has} {lag.reason}'.rstrip())
+    return '\n'.join(lines)
+
+
+def format_effective(tree: Tree, node: str, values: Mapping[str, Any]) -> str:
+    """
+    Return a workspace's settings, each with where it comes from.
+    """
+    lines = []
+    for name, value in values.items():
+        source = find_source(tree, node, name)
+        lines.append(f'{name} = {to_toml(value)}  # {source}')
+    return '\n'.join(lines)
+
+
+def find_source(tree: Tree, node: str, name: str) -> str:
+    """
+    Return the node that a workspace's setting comes from, and its version.
+    """
+    branch = '.'.join(node.split('.')[:2])
+    sources = {
+        'name': (),
+        'branch': (),
+        'branch_share': (f'{branch}.share',),
+        'share': (f'{node}.share',),
+    }
+    nodes = (node, branch, str(Scope.ORGANISATION))
+    paths = sources.get(name, tuple(f'{each}.{name}' for each in nodes))
+    for path in paths:
+        entry = find_entry(tree, path)
+        if entry is not None and entry.value is not None:
+            return f'{path.rpartition(".")[0]}, version {entry.version}'
+    return 'default' if paths else 'its path'
--- /dev/null
+++ b/mallowcrank/platform/__init__.py
@@ -0,0 +1,3 @@
+"""
+Adapters for the platform's services.
+"""
--- /dev/null
+++ b/mallowcrank/platform/log.py
@@ -0,0 +1,81 @@
+"""
+The platform's log service over HTTP.
+"""
+
+import json
+from collections.abc import Mapping
+from typing import Any
+
+from mallowcrank.calls import HttpCaller, Reply
+from mallowcrank.ports import Failure, LogPage, LogRecord
+from mallowcrank.refusals import Ran
+
+APPEND_TIMEOUT_S = 5
+READ_MARGIN_S = 5  # beyond the time that a read may wait
+OK = 200
+NOT_RUN = frozenset((400, 413, 429, 503))  # statuses of an unwritten record
+
+
+class HttpLog:
+    """
+    Appends to and reads from the log.
+
+    :param address: `IP:PORT` of the service.
+    """
+
+    def __init__(self, address: str) -> None:
+        self._writer = HttpCaller(address)
+        self._reader = HttpCaller(address)
+
+    def read(self, offset: int, limit: int, wait_s: float) -> LogPage | Failure:
+        """
+        Return records from an offset on, waiting for the first one.
+        """
+        reply = self._reader.call(
+            'GET',
+            f'/records?from={offset}&limit={limit}&wait={wait_s:g}',
+            timeout_s=wait_s + READ_MARGIN_S,
+        )
+        answer = _open(reply)
+        if isinstance(answer, Failure):
+            return answer
+        try:
+            return _page(answer)
+        except (KeyError, TypeError, ValueError) as error:
+            return Failure(f'the log answered nonsense: {error!r}', Ran.NO)
+
+    def append(self, body: Mapping[str, Any]) -> int | Failure:
+        """
+        Append a record and return its offset.
+        """
+        packed = json.dumps(body).encode()
+        reply = self._writer.call(
+            'POST', '/append', packed, timeout_s=APPEND_TIMEOUT_S
+        )
+        answer = _open(reply)
+        if isinstance(answer, Failure):
+            return answer
+        try:
+            return int(answer['offset'])
+        except (KeyError, TypeError, ValueError) as error:
+            return Failure(f'the log answered nonsense: {error!r}', Ran.UNKNOWN)
+
+
+def _open(reply: Reply | Failure) -> Any:
+    if isinstance(reply, Failure):
+        return reply
+    if reply.status != OK:
+        ran = Ran.NO if reply.status in NOT_RUN else Ran.UNKNOWN
+        return Failure(f'the log answered {reply.status}', ran)
+    try:
+        return json.loads(reply.body)
+    except ValueError:
+        return Failure('the log answered no JSON', Ran.UNKNOWN)
+
+
+def _page(answer: Mapping[str, Any]) -> LogPage:
+    records = tuple(
+        LogRecord(int(each['offset']), float(each['time']), each['body'])
+        for each in answer['records']
+    )
+    return LogPage(int(answer['first']), int(answer['next']), records)
--- a/mallowcrank/settings.py
+++ b/mallowcrank/settings.py
@@ -174,6 +174,7 @@
     :param host_list: `IP:PORT` of the platform's host list.
     :param peers: addresses of agents to start from.
     :param keys: the peers' shared keys.
+    :param weights: `IP:PORT` of the weight store, or an empty string.
     """
 
     on: HostSettings
@@ -184,3 +185,4 @@
     host_list: str
     peers: tuple[str, ...]
     keys: KeyRing
+    weights: str = ''
