Answer a request whose body is too large

The server closed the connection with the body unread, so that a caller saw a reset connection instead of the refusal.

--- a/mallowcrank/web.py
+++ b/mallowcrank/web.py
@@ -7,12 +7,14 @@
 from collections.abc import Callable, Iterable, Mapping
 from dataclasses import dataclass, field
 from http import HTTPStatus
-from typing import Any
+from typing import Any, BinaryIO
 from urllib.parse import parse_qsl, urlsplit
 
 from cheroot.wsgi import Server
 
 MAX_BODY_BYTES = 4 * 1024 * 1024
+MAX_DISCARDED_BYTES = 64 * 1024 * 1024  # of a body over the limit
+DISCARD_BYTES = 64 * 1024
 JSON_TYPE = ('Content-Type', 'application/json')
 
 Body = bytes | Iterable[bytes]
@@ -170,11 +172,13 @@
 
     def _read(self, environ: dict[str, Any]) -> Request:
         length = int(environ.get('CONTENT_LENGTH') or 0)
-        too_large = length > self._max_body
+        stream = environ['wsgi.input']
         body = b''
-        if not too_large:
-            body = environ['wsgi.input'].read(self._max_body + 1)
-            too_large = len(body) > self._max_body
+        if length <= self._max_body:
+            body = stream.read(self._max_body + 1)
+        too_large = max(length, len(body)) > self._max_body
+        if too_large:
+            _discard(stream)
         return Request(
             method=environ['REQUEST_METHOD'],
             path=environ['PATH_INFO'],
@@ -192,6 +196,15 @@
     return f'{parts.path}?{parts.query}' if parts.query else parts.path
 
 
+def _discard(stream: BinaryIO) -> None:
+    """
+    Read on, so that the caller gets the answer and not a reset connection.
+    """
+    left = MAX_DISCARDED_BYTES
+    while left > 0 and stream.read(DISCARD_BYTES):
+        left -= DISCARD_BYTES
+
+
 def _headers(environ: Mapping[str, Any]) -> dict[str, str]:
     headers = {
         name[5:].replace('_', '-').lower(): given
