--- a/mallowcrank/requests/keepers.py
+++ b/mallowcrank/requests/keepers.py
@@ -135,7 +135,7 @@
     return max(
         routers,
         key=lambda each: (
-            xxh64_intdigest(f'{key}\0{each.name}\0{each.incarnation}'),
+            xxh64_intdigest(f'{key}\0{each.name}\0{each.incarnation}'.encode()),
             each.name,
         ),
         default=None,
--- a/mallowcrank/router/daemon.py
+++ b/mallowcrank/router/daemon.py
@@ -146,8 +146,8 @@
     def _take_view(self, view: View) -> None:
         parts = self._parts
         parts.known.apply(view)
-        parts.admission.apply_view(view)
         parts.routes.apply_view(view)
+        parts.admission.apply_view(view)
         parts.driver.tell(TakeView(view))
 
     def _make_report(self) -> dict[str, object]:
--- a/mallowcrank/streams/carrying.py
+++ b/mallowcrank/streams/carrying.py
@@ -55,8 +55,6 @@
 @carry_out.register
 def _(action: FindRoute, running: Running, table: StreamTable) -> Event:
     opened, routes = running.opened, table.ports.routes
-    if running.state.used:
-        routes.release_path(opened.task.stream)
     tokens = running.state.total
     demand = replace(opened.demand, prompt_tokens=tokens, avoid=action.avoid)
     found = routes.choose_path(demand)
--- /dev/null
+++ b/tests/test_router_input.py
@@ -0,0 +1,126 @@
+"""
+Bad input: a 4xx that names the field, and nothing ran.
+"""
+
+import json
+from types import MappingProxyType
+from unittest import TestCase
+
+from mallowcrank.web import MAX_BODY_BYTES
+from tests.utils.local_router import WORKSPACE, LocalRouter, make_view, service
+
+CHAT = '/v1/chat/completions'
+GOOD = MappingProxyType(
+    {'model': 'm', 'messages': [{'role': 'user', 'content': 'hat'}]}
+)
+HEADERS = MappingProxyType({'x_mallowcrank_workspace': WORKSPACE})
+
+
+def chat(**changed):
+    return CHAT, {**GOOD, **changed}, HEADERS
+
+
+def with_header(name, given):
+    return CHAT, {**GOOD}, {**HEADERS, name: given}
+
+
+# (path, body, headers), the field at fault, the code.
+BAD = (
+    ((CHAT, b'{"model": ', HEADERS), 'body', 'bad_request'),
+    ((CHAT, b'[1]', HEADERS), 'body', 'bad_request'),
+    ((CHAT, b'', HEADERS), 'body', 'bad_request'),
+    ((CHAT, b'\xff\xfe', HEADERS), 'body', 'bad_request'),
+    ((CHAT, b'[' * 100_000, HEADERS), 'body', 'bad_request'),
+    ((CHAT, b'x' * (MAX_BODY_BYTES + 1), HEADERS), 'body', 'body_too_large'),
+    (chat(model='other'), 'model', 'unknown_model'),
+    (chat(model=7), 'model', 'bad_request'),
+    (chat(messages='hat'), 'messages', 'bad_request'),
+    (chat(messages=[{'role': 'user'}]), 'messages', 'bad_request'),
+    (chat(messages=[]), 'messages', 'bad_request'),
+    (chat(max_tokens='many'), 'max_tokens', 'bad_request'),
+    (chat(max_tokens=0), 'max_tokens', 'bad_request'),
+    (chat(max_tokens=True), 'max_tokens', 'bad_request'),
+    (chat(stream='yes'), 'stream', 'bad_request'),
+    (chat(n=2), 'n', 'bad_request'),
+    (
+        ('/v1/completions', {'model': 'm', 'prompt': 7}, HEADERS),
+        'prompt',
+        'bad_request',
+    ),
+    (
+        (CHAT, {**GOOD}, {'x_mallowcrank_workspace': 'no/such'}),
+        'X-Mallowcrank-Workspace',
+        'unknown_workspace',
+    ),
+    (
+        (CHAT, {**GOOD}, {'x_mallowcrank_workspace': ''}),
+        'X-Mallowcrank-Workspace',
+        'bad_request',
+    ),
+    (
+        with_header('x_mallowcrank_deadline_ms', '0'),
+        'X-Mallowcrank-Deadline-Ms',
+        'deadline_passed',
+    ),
+    (
+        with_header('x_mallowcrank_deadline_ms', '-5'),
+        'X-Mallowcrank-Deadline-Ms',
+        'deadline_passed',
+    ),
+    (
+        with_header('x_mallowcrank_deadline_ms', 'soon'),
+        'X-Mallowcrank-Deadline-Ms',
+        'bad_request',
+    ),
+    (
+        with_header('x_mallowcrank_priority', 'high'),
+        'X-Mallowcrank-Priority',
+        'bad_request',
+    ),
+    (
+        with_header('x_mallowcrank_repeatable', 'maybe'),
+        'X-Mallowcrank-Repeatable',
+        'bad_request',
+    ),
+    (
+        with_header('x_mallowcrank_repeatable', 'no'),
+        'Idempotency-Key',
+        'key_required',
+    ),
+    (
+        with_header('idempotency_key', 'k' * 300),
+        'Idempotency-Key',
+        'bad_request',
+    ),
+    (('/v1/services/none/x', b'', HEADERS), 'path', 'unknown_service'),
+    (('/v1/services/stock/x', b'', HEADERS), 'Idempotency-Key', 'key_required'),
+)
+
+
+class TestBadInput(TestCase):
+    @classmethod
+    def setUpClass(cls):
+        cls.router = LocalRouter(make_view((), (service('stock'),)))
+        cls.addClassCleanup(cls.router.stop)
+
+    def test_each_is_refused_with_its_field(self):
+        for (path, body, headers), field, code in BAD:
+            with self.subTest(path=path, field=field, code=code):
+                response = self.router.send('POST', path, body, **headers)
+                error = json.loads(response.whole)['error']
+                self.assertIn(response.status // 100, {4})
+                self.assertEqual(
+                    (error['param'], error['code'], error['ran']),
+                    (field, code, 'no'),
+                )
+                self.assertEqual(response.headers['x-should-retry'], 'false')
+
+    def test_no_engines_is_refused_at_once_and_may_be_retried(self):
+        response = self.router.send('POST', *chat()[:2])
+        error = json.loads(response.whole)['error']
+        self.assertEqual((error['code'], error['ran']), ('no_route', 'no'))
+        self.assertEqual(response.headers['retry-after'], '1')
+
+    def test_models_of_the_workspace_are_listed(self):
+        listed = json.loads(self.router.send('GET', '/v1/models').whole)
+        self.assertEqual([each['id'] for each in listed['data']], ['m'])
--- /dev/null
+++ b/tests/test_stream_recovery.py
@@ -0,0 +1,148 @@
+"""
+Streams over real connections, while engines fail.
+"""
+
+import threading
+from unittest import TestCase
+
+from tests.utils.fake_engine import FakeEngine, whole_answer
+from tests.utils.local_router import (
+    LocalRouter,
+    events_of,
+    make_view,
+    text_of,
+    wait_until,
+)
+
+TOKENS = 24
+EXPECTED = whole_answer(b'hat', TOKENS)
+
+
+class TestRecovery(TestCase):
+    def setUp(self):
+        self.engines = {
+            name: FakeEngine(name, first, last)
+            for name, first, last in (
+                ('e1', 0, 2),
+                ('e2', 3, 5),
+                ('e3', 3, 5),
+                ('e4', 0, 2),
+            )
+        }
+        for engine in self.engines.values():
+            self.addCleanup(engine.stop)
+        self.router = self.start('e1', 'e2')
+
+    def start(self, *names):
+        router = LocalRouter(self.view(*names))
+        self.addCleanup(router.stop)
+        return router
+
+    def view(self, *names):
+        return make_view([self.engines[name].target for name in names])
+
+    def ran_on(self, name):
+        return sum(step.count for step in self.engines[name].ran)
+
+    def test_dead_stage_is_replaced_and_the_other_keeps_its_state(self):
+        self.engines['e2'].mute_after = 10
+        view = self.view('e1', 'e2', 'e3')
+        self.router.agent.send_view(view)
+        self.router.wait_view(view)
+        self.engines['e2'].heals = False
+        self.assertEqual(text_of(self.router.chat(count=TOKENS)), EXPECTED)
+        self.assertEqual(self.ran_on('e1'), len('hat') + TOKENS - 1)
+
+    def test_replacement_that_comes_later_is_waited_for(self):
+        self.engines['e2'].mute_after = 10
+        self.engines['e2'].heals = False
+        answers = []
+        thread = threading.Thread(
+            target=lambda: answers.append(self.router.chat(count=TOKENS))
+        )
+        thread.start()
+        wait_until(lambda: self.ran_on('e2') >= 10)
+        self.engines['e2'].is_dead = True
+        self.router.agent.send_view(self.view('e1', 'e3'))
+        thread.join()
+        self.assertEqual(text_of(answers[0]), EXPECTED)
+
+    def test_silent_connection_is_replaced(self):
+        self.engines['e2'].mute_after = 10
+        answer = self.router.chat(count=TOKENS, stream=True)
+        self.assertEqual(text_of(answer), EXPECTED)
+        attempts = {step.attempt for step in self.engines['e2'].ran}
+        self.assertEqual(attempts, {1})
+
+    def test_step_whose_answer_was_lost_is_not_run_again(self):
+        self.engines['e2'].mute_after = 10
+        self.engines['e2'].runs_muted = True
+        self.assertEqual(text_of(self.router.chat(count=TOKENS)), EXPECTED)
+        for attempt in (1, 2):
+            tokens = [
+                number
+                for step in self.engines['e2'].ran
+                if step.attempt == attempt
+                for number in range(step.token, step.token + step.count)
+            ]
+            self.assertEqual(tokens, list(range(len(tokens))))
+
+    def test_state_is_imported_where_the_old_engine_still_answers(self):
+        self.router.agent.send_view(self.view('e1', 'e2', 'e3'))
+        self.router.wait_view(self.view('e1', 'e2', 'e3'))
+        answers = []
+        thread = threading.Thread(
+            target=lambda: answers.append(self.router.chat(count=TOKENS))
+        )
+        thread.start()
+        wait_until(lambda: self.ran_on('e2') >= 10)
+        self.engines['e2'].refuse = 'leaving'
+        thread.join()
+        self.assertEqual(text_of(answers[0]), EXPECTED)
+        total = len('hat') + TOKENS - 1
+        self.assertEqual(self.ran_on('e2') + self.ran_on('e3'), total)
+
+    def test_caller_that_goes_away_cancels_on_every_engine(self):
+        body = b'{"model": "m", "prompt": "hat", "stream": true}'
+        connection = self.router.connect()
+        connection.request(
+            'POST',
+            '/v1/completions',
+            body,
+            {'x-mallowcrank-workspace': 'klang/quotes'},
+        )
+        connection.getresponse().read(1)
+        connection.close()
+        for name in ('e1', 'e2'):
+            engine = self.engines[name]
+            wait_until(lambda: engine.cancelled and not engine.states)
+
+    def test_streams_share_calls_and_answers_do_not_cross(self):
+        prompts = [f'hat number {number}' for number in range(16)]
+        answers = {}
+
+        def ask(prompt):
+            answers[prompt] = self.router.chat(prompt, TOKENS, stream=True)
+
+        threads = [
+            threading.Thread(target=ask, args=(each,)) for each in prompts
+        ]
+        for thread in threads:
+            thread.start()
+        for thread in threads:
+            thread.join()
+        for prompt in prompts:
+            self.assertEqual(
+                text_of(answers[prompt]), whole_answer(prompt.encode(), TOKENS)
+            )
+        self.assertGreater(max(self.engines['e1'].batches), 1)
+
+    def test_stream_that_breaks_ends_in_an_error_event(self):
+        self.engines['e2'].mute_after = 10
+        self.engines['e2'].heals = False
+        answer = self.router.chat(
+            count=TOKENS, stream=True, x_mallowcrank_deadline_ms='1500'
+        )
+        last = events_of(answer.whole)[-1]
+        self.assertEqual(last['error']['code'], 'deadline_passed')
+        self.assertEqual(last['error']['ran'], 'yes')
--- a/tests/utils/fake_engine.py
+++ b/tests/utils/fake_engine.py
@@ -87,7 +87,7 @@
 
     def stop(self):
         self._released.set()
-        self.server.stop()
+        threading.Thread(target=self.server.stop, daemon=True).start()
 
     def _steps(self, request):
         steps = msgpack.unpackb(request.body)['steps']
