--- /dev/null
+++ b/mallowcrank/leases/__init__.py
@@ -0,0 +1,3 @@
+"""
+Leases from the log, and the orders that are given under them.
+"""
--- /dev/null
+++ b/mallowcrank/leases/records.py
@@ -0,0 +1,79 @@
+"""
+Lease records in the platform's log.
+"""
+
+from collections.abc import Mapping
+from dataclasses import dataclass
+from typing import Any
+
+from mallowcrank import codec
+from mallowcrank.membership.hashing import hash_name
+
+RECORD_TYPE = 'lease'
+TARGET_GROUPS = 64  # one lease covers all targets of a group
+WEIGHTS_GROUP = 'weights'  # the right to have weights loaded
+
+
+@dataclass(frozen=True, slots=True)
+class LeaseTerms:
+    """
+    How long leases and orders last, the same for all agents.
+
+    :param lease_s: seconds of a lease by the log's clock.
+    :param order_s: seconds of the longest life of an order.
+    :param margin_s: seconds by which clocks may differ, and that a holder
+        stops before its lease ends.
+    """
+
+    lease_s: float = 30
+    order_s: float = 60
+    margin_s: float = 3
+
+
+TERMS = LeaseTerms()
+
+
+@dataclass(frozen=True, slots=True)
+class LeaseRecord:
+    """
+    Asks for groups, renews them, or gives them back.
+
+    All of its groups are granted together or none is.
+
+    :param id: made by the writer, so that a lost answer is looked up by it.
+    :param holder: the writer's host and incarnation.
+    :param groups: groups of targets, or roles such as `weights`.
+    :param release: whether the groups are given back. A holder gives back
+        only when none of its orders can still be at work.
+    """
+
+    id: str
+    holder: str
+    groups: tuple[str, ...]
+    release: bool = False
+
+
+def group_of(target: str) -> str:
+    """
+    Return the group that a target belongs to.
+    """
+    return f'targets-{hash_name(target) % TARGET_GROUPS}'
+
+
+def write_record(record: LeaseRecord) -> dict[str, Any]:
+    """
+    Return a record's body for the log.
+    """
+    return {'type': RECORD_TYPE, **codec.to_plain(record)}
+
+
+def read_record(body: Mapping[str, Any]) -> LeaseRecord | None:
+    """
+    Read a record's body; `None` for other types and malformed ones.
+    """
+    if body.get('type') != RECORD_TYPE:
+        return None
+    try:
+        return codec.from_plain(body, LeaseRecord)
+    except Exception:
+        return None
