Join agents: connections, probes, ports; wire them into the agent

Cause: an agent knew no other agent. Change: actor, TCP streams of msgpack frames, HTTP probes and the two ports replace the lone membership; the host list is read by one agent at a time, so that its port method and loop are gone.

--- a/mallowcrank/agent/loops.py
+++ b/mallowcrank/agent/loops.py
@@ -8,7 +8,7 @@
 from typing import Any
 
 from mallowcrank.agent.messages import TREE_TOPIC, TreeAnswer, TreeQuestion
-from mallowcrank.agent.ports import GossipPort, LogSink, MembershipPort
+from mallowcrank.agent.ports import GossipPort, LogSink
 from mallowcrank.clock import Clock
 from mallowcrank.codec import from_plain, to_plain
 from mallowcrank.config.parsing import (
@@ -17,13 +17,12 @@
 from mallowcrank.config.replica import is_snapshot_due
 from mallowcrank.config.snapshots import make_snapshot
 from mallowcrank.logs import PartLog
-from mallowcrank.ports import Failure, HostListPort, LogPort
+from mallowcrank.ports import Failure, LogPort
 
 PAGE_RECORDS = 500
 LONG_POLL_S = 5
 PAUSE_S = 0.05  # between two reads that brought records
 OUTAGE_PAUSE_S = 0.5
-HOST_LIST_S = 1
 UPKEEP_S = 0.5
 ASK_TIMEOUT_S = 5
 ASKED_PEERS = 3  # at a time
@@ -96,27 +95,6 @@
         return PAUSE_S
 
 
-class HostListReader:
-    """
-    Reads the platform's host list for the membership.
-    """
-
-    def __init__(
-        self, host_list: HostListPort, membership: MembershipPort
-    ) -> None:
-        self._host_list = host_list
-        self._membership = membership
-
-    def __call__(self) -> float:
-        """
-        Read the list once; the last one stands while it is out.
-        """
-        hosts = self._host_list.read()
-        if not isinstance(hosts, Failure):
-            self._membership.apply_host_list(hosts)
-        return HOST_LIST_S
-
-
 class PeerReader:
     """
     Asks peers for settings that reach further than this agent's.
--- a/mallowcrank/agent/ports.py
+++ b/mallowcrank/agent/ports.py
@@ -5,7 +5,7 @@
 from collections.abc import Callable, Mapping
 from typing import Any, Protocol
 
-from mallowcrank.ports import ListedHost, LogPage
+from mallowcrank.ports import LogPage
 from mallowcrank.view import Peer, Target
 
 Listener = Callable[[], None]
@@ -35,11 +35,6 @@
         Take in a `report` or `hello` of this host's router, as on the wire.
         """
 
-    def apply_host_list(self, hosts: tuple[ListedHost, ...]) -> None:
-        """
-        Take in the platform's list.
-        """
-
     def announce_leaving(self) -> None:
         """
         Tell peers that this host is leaving.
--- a/mallowcrank/agent/program.py
+++ b/mallowcrank/agent/program.py
@@ -8,11 +8,9 @@
 from typing import Any
 
 from mallowcrank.agent.admin import AdminPages, Desk
-from mallowcrank.agent.alone import LoneMembership, NoGossip
 from mallowcrank.agent.feed import FeedActor, FeedServer
 from mallowcrank.agent.loops import (
     FeedBeat,
-    HostListReader,
     LogFollower,
     Loop,
     PeerReader,
@@ -31,6 +29,8 @@
 from mallowcrank.codec import from_plain, to_plain
 from mallowcrank.context import Environment
 from mallowcrank.logs import PartLog
+from mallowcrank.membership.part import MembershipPart, Platform
+from mallowcrank.metrics import open_metrics
 from mallowcrank.platform.hosts import HttpHostList
 from mallowcrank.platform.log import HttpLog
 from mallowcrank.ports import LogPage
@@ -55,11 +55,20 @@
     sinks: tuple[LogSink, ...] = ()
 
 
-def alone() -> Neighbours:
+def join(
+    settings: AgentSettings, environment: Environment, timeline: Timeline
+) -> Neighbours:
     """
-    Return the parts of an agent that knows no other agent.
+    Return the parts of an agent that joins others.
     """
-    return Neighbours(LoneMembership(), NoGossip())
+    platform = Platform(
+        HttpHostList(settings.host_list),
+        environment.clock,
+        timeline,
+        open_metrics(settings.on.statsd, 'agent'),
+    )
+    membership = MembershipPart(settings, platform)
+    return Neighbours(membership, membership.gossip)
 
 
 class SettingsSink:
@@ -87,7 +96,7 @@
     """
     One running agent.
 
-    :param neighbours: membership and gossip; those of a lone agent if none.
+    :param neighbours: membership and gossip; stand-ins in tests.
     """
 
     def __init__(
@@ -102,7 +111,7 @@
         self._timeline = timeline or Timeline(
             settings.on.host, HybridClock(environment.clock)
         )
-        self._around = neighbours or alone()
+        self._around = neighbours or join(settings, environment, self._timeline)
         self._incarnation = f'{environment.random.getrandbits(48):012x}'
         self._stopping = threading.Event()
         self._feed_ref = FeedActor.start(self._around.membership)
@@ -201,9 +210,6 @@
         around.membership.on_change(refresher.mark)
         jobs = {
             'log': LogFollower(platform_log, sinks),
-            'hosts': HostListReader(
-                HttpHostList(self._settings.host_list), around.membership
-            ),
             'peers': PeerReader(self._actor, around.gossip),
             'snapshots': SnapshotWriter(
                 self._settings.on.host,
--- a/mallowcrank/fairness/pool.py
+++ b/mallowcrank/fairness/pool.py
@@ -14,9 +14,8 @@
 
 OVERCOMMIT = 2  # times the limit that run while lent share comes back
 SMOOTHING = 0.1  # weight of the newest request in the means
-TIGHT = 1.25  # times a request's usual time that must be left, in a queue
+TIGHT = 1  # part of a request's usual time that must be left, in a queue
 LOOSE = 0.5  # the same, where nothing waits
-ARRIVAL = 1.5  # times the expected wait that must be left on arrival
 
 
 @dataclass(slots=True)
@@ -75,17 +74,11 @@
         ahead = 1 + self.queue.ahead_of(entry)
         return ahead * self.holds.mean_s / max(1, self.limit.limit)
 
-    def is_hopeless(
-        self, entry: Entry, now: float, *, arrives: bool = False
-    ) -> bool:
+    def is_hopeless(self, entry: Entry, now: float) -> bool:
         """
         Tell whether a request can't be answered before its deadline.
-
-        :param arrives: whether it is new. More is asked of a new one, so that
-            few are taken in and refused later.
         """
-        margin = ARRIVAL if arrives else 1
-        wait_s = self.wait_s(entry) * margin
+        wait_s = self.wait_s(entry)
         part = TIGHT if wait_s else LOOSE
         needed_s = wait_s + part * self.holds.token_s * entry.cost
         return now + needed_s > entry.ticket.deadline
--- a/mallowcrank/limits/demand.py
+++ b/mallowcrank/limits/demand.py
@@ -16,12 +16,10 @@
     The demand of one workspace on this router, in parts of its limits.
 
     :param began: steady time at which the running second began.
-    :param busy_since: steady time of the first request after a pause.
     :param running: what was asked for in it.
     """
 
     began: float
-    busy_since: float
     running: float = 0
     past: deque[float] = field(
         default_factory=lambda: deque([0], maxlen=SETTLED_S + 1)
@@ -46,8 +44,6 @@
         Count what one request asks for.
         """
         self.roll(now)
-        if not self.running and not any(self.past):
-            self.busy_since = now
         self.running += part
 
     def roll(self, now: float) -> None:
--- a/mallowcrank/limits/shares.py
+++ b/mallowcrank/limits/shares.py
@@ -16,7 +16,6 @@
 
 SILENT_PART = 0.2  # of a limit, split evenly between all routers
 SETTLED_S = 2  # seconds until all peers have heard of a demand
-GRANT_S = 5  # seconds that grants last after the last report to the agent
 REMEMBERED_S = 600  # how long missing routers count
 REPORT_ABOVE = 0.5  # of the silent grant; less demand is not reported
 
@@ -63,14 +62,14 @@
     """
     What callers ask for, in parts of a workspace's limits (1 is all).
 
+    :param now: of this router, lately.
     :param settled: of this router, heard of by its peers.
     :param others: the sum that the peers report.
-    :param is_new: whether its peers have had no time yet to hear of it.
     """
 
+    now: float = 0
     settled: float = 0
     others: float = 0
-    is_new: bool = False
 
 
 def granted_part(asked: Asked, hearing: Hearing) -> float:
@@ -86,7 +85,8 @@
         return even
     granted = SILENT_PART * even
     granted += (1 - SILENT_PART) * settled / (settled + asked.others)
-    return max(granted, even) if asked.is_new else granted
+    is_new = asked.now > max(floor, 2 * settled)
+    return max(granted, even) if is_new else granted
 
 
 def report_floor(routers: int) -> float:
--- a/mallowcrank/membership/endings.py
+++ b/mallowcrank/membership/endings.py
@@ -5,6 +5,7 @@
 from functools import singledispatch
 
 from mallowcrank.membership.facts import (
+    Demand,
     Fact,
     Hold,
     Listing,
@@ -58,8 +59,13 @@
     return fact.stamp + FORGET_S
 
 
+@ends_at.register
+def _(fact: Demand) -> float:
+    return fact.stamp + FORGET_S
+
+
 def is_lasting(fact: Fact) -> bool:
     """
-    Tell whether digests cover a fact; observations and loads pass by.
+    Tell whether digests cover a fact; the rest passes by.
     """
-    return not isinstance(fact, (Observation, Load))
+    return not isinstance(fact, (Observation, Load, Demand))
--- a/mallowcrank/membership/facts.py
+++ b/mallowcrank/membership/facts.py
@@ -148,4 +148,18 @@
     load: int
 
 
-Fact = Member | TargetFact | Listing | Hold | Observation | Load
+@dataclass(frozen=True, slots=True)
+class Demand:
+    """
+    What the callers of a router ask for; a mere hint.
+
+    :param name: the router.
+    :param parts: workspaces, each with the part of its limits.
+    """
+
+    name: str
+    stamp: float
+    parts: tuple[tuple[str, float], ...]
+
+
+Fact = Member | TargetFact | Listing | Hold | Observation | Load | Demand
--- a/mallowcrank/membership/gossip.py
+++ b/mallowcrank/membership/gossip.py
@@ -19,6 +19,7 @@
 )
 from mallowcrank.membership.facts import (
     AGENT_PREFIX,
+    Demand,
     Fact,
     Load,
     Member,
@@ -174,7 +175,7 @@
             if self._spread.merge(fact, source, now):
                 effects.append(Learnt(fact))
                 effects.extend(self._react(fact, now))
-                is_urgent = is_urgent or not isinstance(fact, Load)
+                is_urgent = is_urgent or not isinstance(fact, (Load, Demand))
         if is_urgent:
             effects.extend(self._spread.flush())
         return effects
--- /dev/null
+++ b/mallowcrank/membership/handling.py
@@ -0,0 +1,84 @@
+"""
+What an agent's membership does about each event.
+"""
+
+from functools import singledispatch
+
+from mallowcrank.membership import inbox
+from mallowcrank.membership.answering import post
+from mallowcrank.membership.events import Effect, Instant
+from mallowcrank.membership.membership import Membership
+
+
+def take(event: inbox.Event, agent: Membership, now: Instant) -> list[Effect]:
+    """
+    Take in an event, and return what has to be done, in order.
+    """
+    return agent.follow(_take(event, agent, now), now)
+
+
+@singledispatch
+def _take(event: inbox.Event, agent: Membership, now: Instant) -> list[Effect]:
+    raise TypeError(f'not an event: {event!r}')
+
+
+@_take.register
+def _(event: inbox.Begin, agent: Membership, now: Instant) -> list[Effect]:
+    return agent.gossip.change_me(agent.gossip.me, now)
+
+
+@_take.register
+def _(event: inbox.Leave, agent: Membership, now: Instant) -> list[Effect]:
+    return agent.leave(now)
+
+
+@_take.register
+def _(event: inbox.Tick, agent: Membership, now: Instant) -> list[Effect]:
+    return agent.tick(now)
+
+
+@_take.register
+def _(event: inbox.Opened, agent: Membership, now: Instant) -> list[Effect]:
+    return agent.gossip.opened(event.link, event.address, now)
+
+
+@_take.register
+def _(
+    event: inbox.Unreachable, agent: Membership, now: Instant
+) -> list[Effect]:
+    return agent.gossip.unreachable(event.address, now)
+
+
+@_take.register
+def _(event: inbox.Closed, agent: Membership, now: Instant) -> list[Effect]:
+    return agent.gossip.closed(event.link, now)
+
+
+@_take.register
+def _(event: inbox.Received, agent: Membership, now: Instant) -> list[Effect]:
+    return agent.gossip.received(event.link, event.message, now)
+
+
+@_take.register
+def _(event: inbox.Probed, agent: Membership, now: Instant) -> list[Effect]:
+    return agent.probed(event.outcome, now)
+
+
+@_take.register
+def _(event: inbox.Listed, agent: Membership, now: Instant) -> list[Effect]:
+    return agent.listed(event.hosts, now)
+
+
+@_take.register
+def _(event: inbox.Reported, agent: Membership, now: Instant) -> list[Effect]:
+    return agent.reported(event.report, now)
+
+
+@_take.register
+def _(event: inbox.Publish, agent: Membership, now: Instant) -> list[Effect]:
+    return agent.gossip.publish(event.facts, now)
+
+
+@_take.register
+def _(event: inbox.Spread, agent: Membership, now: Instant) -> list[Effect]:
+    return post(agent.gossip.links, event.topic, event.body)
--- a/mallowcrank/membership/joining.py
+++ b/mallowcrank/membership/joining.py
@@ -7,6 +7,7 @@
 
 from mallowcrank.membership import queries
 from mallowcrank.membership.facts import (
+    Demand,
     Hold,
     Listing,
     Member,
@@ -85,10 +86,11 @@
     )
 
 
-def peer_of(known: Member, load: int) -> Peer:
+def peer_of(known: Member, load: int, demand: Demand | None) -> Peer:
     """
     Return a router as other routers are told of it.
     """
+    is_heard = demand is not None and known.state == MemberState.ALIVE
     return Peer(
         name=known.router,
         address=known.router_address,
@@ -96,6 +98,7 @@
         incarnation=known.router_incarnation,
         leaving=known.router_leaving or known.state == MemberState.LEAVING,
         load=load,
+        demand=dict(demand.parts) if is_heard else {},
     )
 
 
--- a/mallowcrank/membership/keys.py
+++ b/mallowcrank/membership/keys.py
@@ -5,6 +5,7 @@
 from functools import singledispatch
 
 from mallowcrank.membership.facts import (
+    Demand,
     Fact,
     Hold,
     Listing,
@@ -60,3 +61,8 @@
 @key_of.register
 def _(fact: Load) -> Key:
     return ('l', fact.name)
+
+
+@key_of.register
+def _(fact: Demand) -> Key:
+    return ('d', fact.name)
--- a/mallowcrank/membership/links.py
+++ b/mallowcrank/membership/links.py
@@ -11,6 +11,7 @@
 BEAT_S = 1  # between heartbeats on a connection
 SILENCE_S = 2.5  # without a byte until a connection is replaced
 HELLO_S = 1  # until a new connection has to be greeted
+ASK_S = 10  # until an accepted one, that only asks, has to be over
 STABLE_BEATS = 3  # with the same two digests until they are compared
 FORCED_S = 60  # of differing digests until they are compared in any case
 RESYNC_S = 15  # between comparisons on one connection
@@ -51,7 +52,9 @@
         """
         Tell whether nothing was heard for too long.
         """
-        limit = SILENCE_S if self.peer else HELLO_S
+        limit = SILENCE_S
+        if not self.peer:
+            limit = HELLO_S if self.is_outgoing else ASK_S
         return steady - self.heard > limit
 
     def queue(self, key: Key, fact: Fact) -> None:
--- a/mallowcrank/membership/membership.py
+++ b/mallowcrank/membership/membership.py
@@ -15,7 +15,10 @@
     StartProbe,
 )
 from mallowcrank.membership.facts import (
+    Demand,
     Fact,
+    Hold,
+    Listing,
     Load,
     Member,
     MemberState,
@@ -30,8 +33,13 @@
 )
 from mallowcrank.membership.probing import ProbeSchedule
 from mallowcrank.membership.reports import ProbeResult, read_suspects
+from mallowcrank.membership.routers import (
+    ROUTER_PREFIX,
+    load_facts,
+    with_router,
+)
 from mallowcrank.membership.sharing import Sharing
-from mallowcrank.membership.watch import TargetWatch, is_load_news
+from mallowcrank.membership.watch import TargetWatch
 from mallowcrank.ports import ListedHost
 from mallowcrank.view import Peer, Target
 
@@ -53,6 +61,9 @@
         self._watch = TargetWatch(me.name, self.gossip.store, self._schedule)
         self._sharing = Sharing(me.name, self.gossip.store, self._schedule)
         self._reported: float | None = None
+        self._changed: set[str] = set()
+        self._held: set[str] = set()
+        self._peers_changed = False
 
     # Queries
 
@@ -87,7 +98,9 @@
         store = self.gossip.store
         return {
             known.router: peer_of(
-                known, queries.load(store, f'router:{known.router}')
+                known,
+                queries.load(store, f'{ROUTER_PREFIX}{known.router}'),
+                queries.demand(store, known.router),
             )
             for known in queries.members(store)
             if known.router and not _is_long_dead(known, wall)
@@ -95,12 +108,30 @@
 
     # Commands
 
-    def start(self, now: Instant) -> list[Effect]:
+    def take_changed(self, wall: float) -> dict[str, Target]:
         """
-        Make this agent known.
+        Return the targets that are to be told anew.
+
+        :param wall: seconds since the epoch.
         """
-        me = self.gossip.me
-        return self.follow(self.gossip.change_me(me, now), now)
+        store = self.gossip.store
+        names = self._changed | self._watch.take_changed() | self._held
+        self._held = {
+            each.name
+            for each in store.of_kind('x')
+            if each.active and wall < each.until
+        }
+        self._changed = set()
+        known = (queries.target(store, name) for name in names)
+        return {fact.name: self.target(fact, wall) for fact in known if fact}
+
+    def take_peers_changed(self) -> bool:
+        """
+        Tell whether routers changed since it was last asked.
+        """
+        changed = self._peers_changed
+        self._peers_changed = False
+        return changed
 
     def leave(self, now: Instant) -> list[Effect]:
         """
@@ -109,26 +140,20 @@
         leaving = replace(
             self.gossip.me, state=MemberState.LEAVING, router_leaving=True
         )
-        return self.follow(self.gossip.change_me(leaving, now), now)
-
-    def publish(self, facts: Iterable[Fact], now: Instant) -> list[Effect]:
-        """
-        Spread facts of this agent's own.
-        """
-        return self.follow(self.gossip.publish(facts, now), now)
+        return self.gossip.change_me(leaving, now)
 
     def probed(self, outcome: ProbeResult, now: Instant) -> list[Effect]:
         """
         A probe is over.
         """
-        return self.publish(self._watch.probed(outcome, now), now)
+        return self.gossip.publish(self._watch.probed(outcome, now), now)
 
     def listed(self, hosts: Iterable[ListedHost], now: Instant) -> list[Effect]:
         """
         The platform's host list was read.
         """
         changes = list_changes(self.gossip.store, hosts, now.wall)
-        return self.publish(tuple(changes), now)
+        return self.gossip.publish(tuple(changes), now)
 
     def reported(self, report: Mapping[str, Any], now: Instant) -> list[Effect]:
         """
@@ -136,21 +161,16 @@
         """
         self._reported = now.steady
         before = self.gossip.me
-        me = _with_router(before, report)
+        me = with_router(before, report)
         effects: list[Effect] = []
         if me != before:
             effects.extend(self.gossip.change_me(me, now))
         for suspect in read_suspects(report):
             found = self._watch.reported(suspect, now)
             effects.extend(self.gossip.publish(found, now))
-        known: Load | None = self.gossip.store.get(('l', f'router:{me.router}'))
-        load = int(report.get('load') or 0)
-        if me.router and is_load_news(
-            known, load, len(self._sharing.live), now.wall
-        ):
-            fact = Load(f'router:{me.router}', now.wall, load)
-            effects.extend(self.gossip.publish((fact,), now))
-        return self.follow(effects, now)
+        facts = load_facts(self.gossip.store, me, report, now.wall)
+        effects.extend(self.gossip.publish(tuple(facts), now))
+        return effects
 
     def tick(self, now: Instant) -> list[Effect]:
         """
@@ -160,7 +180,6 @@
         confirmed = self._watch.confirm(now)
         effects.extend(self.gossip.publish(confirmed, now))
         effects.extend(self._check_router(now))
-        effects = self.follow(effects, now)
         self._sharing.refresh(now)
         if self._sharing.take_list_turn(now):
             effects.append(ReadList())
@@ -176,8 +195,18 @@
             if isinstance(effect, Learnt):
                 self._watch.learnt(effect.fact, now)
                 self._sharing.learnt(effect.fact, now)
+                self._note_change(effect.fact)
         return effects
 
+    def _note_change(self, fact: Fact) -> None:
+        if isinstance(fact, (TargetFact, Listing, Hold)):
+            self._changed.add(fact.name)
+        elif isinstance(fact, (Member, Demand)):
+            self._peers_changed = True
+        elif isinstance(fact, Load):
+            self._changed.add(fact.name)
+            self._peers_changed |= fact.name.startswith(ROUTER_PREFIX)
+
     def _check_router(self, now: Instant) -> list[Effect]:
         me = self.gossip.me
         if self._reported is None or me.router_leaving:
@@ -187,18 +216,6 @@
         return self.gossip.change_me(replace(me, router_leaving=True), now)
 
 
-def _with_router(me: Member, report: Mapping[str, Any]) -> Member:
-    if report.get('type') == 'hello':
-        return replace(
-            me,
-            router=str(report['router']),
-            router_address=str(report['address']),
-            router_incarnation=str(report['incarnation']),
-            router_leaving=False,
-        )
-    return replace(me, router_leaving=bool(report.get('leaving')))
-
-
 def _is_long_dead(known: Member, wall: float) -> bool:
     return (
         known.state == MemberState.DEAD and wall - known.stamp > ROUTER_LINGER_S
--- /dev/null
+++ b/mallowcrank/membership/part.py
@@ -0,0 +1,182 @@
+"""
+Membership as a part of the agent: actor, connections, probes and their ports.
+"""
+
+from collections.abc import Mapping
+from concurrent.futures import ThreadPoolExecutor
+from dataclasses import dataclass
+from typing import Any
+
+from mallowcrank.agent.loops import Loop
+from mallowcrank.agent.ports import Body, Listener
+from mallowcrank.clock import Clock
+from mallowcrank.membership.actor import Known, MembershipActor, Outside
+from mallowcrank.membership.facts import Member, MemberState
+from mallowcrank.membership.inbox import (
+    Begin,
+    Leave,
+    Listed,
+    Probed,
+    Reported,
+    Tick,
+)
+from mallowcrank.membership.membership import Membership
+from mallowcrank.membership.prober import HttpProber
+from mallowcrank.membership.streams import PeerSettings, PeerStreams
+from mallowcrank.membership.talk import Talk
+from mallowcrank.metrics import Metrics
+from mallowcrank.ports import Failure, HostListPort
+from mallowcrank.settings import AgentSettings
+from mallowcrank.timeline import Timeline
+from mallowcrank.view import Peer, Target
+
+TICK_S = 0.25
+FAREWELL_S = 0.3  # for the last messages to go out
+MS_PER_S = 1000
+
+
+@dataclass(frozen=True)
+class Platform:
+    """
+    What membership needs of the agent's surroundings.
+    """
+
+    host_list: HostListPort
+    clock: Clock
+    timeline: Timeline
+    metrics: Metrics
+
+
+class MembershipPart:
+    """
+    The `MembershipPort` of a running agent.
+    """
+
+    def __init__(self, settings: AgentSettings, platform: Platform) -> None:
+        self._settings = settings
+        self._platform = platform
+        self._known = Known()
+        self._listeners: list[Listener] = []
+        self._work = ThreadPoolExecutor(1, 'hosts')
+        self._prober = HttpProber(lambda found: self.tell(Probed(found)))
+        self._streams = PeerStreams(
+            PeerSettings(settings.listen, settings.keys), self.tell
+        )
+        self._talk = Talk(settings, self._streams, self.tell)
+        self._actor_ref = MembershipActor.start(
+            Membership(_new_member(settings, platform.clock), settings.peers),
+            self._outside(),
+        )
+        self._actor = self._actor_ref.proxy()
+        self._talk.follow(self._actor)
+        self._ticks = Loop('ticks', self._tick)
+
+    @property
+    def gossip(self) -> Talk:
+        """
+        Return the `GossipPort`.
+        """
+        return self._talk
+
+    # Queries
+
+    def targets(self) -> Mapping[str, Target]:
+        """
+        Return the known targets by name.
+        """
+        return self._known.targets
+
+    def peers(self) -> Mapping[str, Peer]:
+        """
+        Return the known routers by name, this host's among them.
+        """
+        return self._known.peers
+
+    # Commands
+
+    def start(self) -> None:
+        """
+        Bind the address, and start all threads.
+
+        :raises OSError: when the address can't be bound.
+        """
+        self._streams.start()
+        self.tell(Begin())
+        self._ticks.start()
+
+    def stop(self) -> None:
+        """
+        Stop all threads, after the last messages went out.
+        """
+        self._ticks.stop()
+        self._actor.addresses().get()
+        self._platform.clock.sleep(FAREWELL_S)
+        self._streams.stop()
+        self._prober.stop()
+        self._talk.stop()
+        self._work.shutdown(wait=False, cancel_futures=True)
+        self._actor_ref.stop()
+
+    def tell(self, event: Any) -> None:
+        """
+        Have the actor take in an event; returns at once.
+        """
+        if self._actor_ref.is_alive():
+            self._actor.take.defer(event)
+
+    def apply_report(self, report: Body) -> None:
+        """
+        Take in a `report` or `hello` of this host's router.
+        """
+        self.tell(Reported(dict(report)))
+
+    def announce_leaving(self) -> None:
+        """
+        Tell peers that this host is leaving.
+        """
+        self.tell(Leave())
+
+    def on_change(self, listener: Listener) -> None:
+        """
+        Call a listener after targets or peers have changed.
+        """
+        self._listeners.append(listener)
+
+    def _outside(self) -> Outside:
+        return Outside(
+            connect=self._streams.connect,
+            send=self._streams.send,
+            close=self._streams.close,
+            probe=self._prober.start,
+            read_list=lambda: self._work.submit(self._read_list),
+            hear=self._talk.hear,
+            show=self._show,
+            clock=self._platform.clock,
+            timeline=self._platform.timeline,
+            metrics=self._platform.metrics,
+        )
+
+    def _tick(self) -> float:
+        self.tell(Tick())
+        return TICK_S
+
+    def _read_list(self) -> None:
+        hosts = self._platform.host_list.read()
+        if not isinstance(hosts, Failure):
+            self.tell(Listed(hosts))
+
+    def _show(self, known: Known) -> None:
+        self._known = known
+        for listener in self._listeners:
+            listener()
+
+
+def _new_member(settings: AgentSettings, clock: Clock) -> Member:
+    return Member(
+        name=settings.on.host,
+        incarnation=int(clock.now() * MS_PER_S),
+        version=0,
+        state=MemberState.ALIVE,
+        address=settings.listen,
+        availability_zone=settings.on.availability_zone,
+    )
--- a/mallowcrank/membership/queries.py
+++ b/mallowcrank/membership/queries.py
@@ -2,7 +2,10 @@
 Questions to a store of facts.
 """
 
+from collections.abc import Collection
+
 from mallowcrank.membership.facts import (
+    Demand,
     Hold,
     Listing,
     Load,
@@ -83,8 +86,33 @@
     return known.load if known else 0
 
 
+def demand(store: FactStore, router: str) -> Demand | None:
+    """
+    Return what the callers of a router ask for.
+    """
+    return store.get(('d', router))
+
+
 def observations(store: FactStore, subject: str) -> tuple[Observation, ...]:
     """
     Return what observers say of a subject.
     """
     return store.of_kind(observations_of(subject))
+
+
+def other_addresses(
+    store: FactStore, name: str, linked: Collection[str]
+) -> tuple[str, ...]:
+    """
+    Return the addresses of other agents, connected ones first.
+
+    :param name: the agent that asks.
+    :param linked: the agents that it is connected with.
+    """
+    others = [
+        each
+        for each in members(store)
+        if each.name != name and each.state != MemberState.DEAD
+    ]
+    others.sort(key=lambda each: each.name not in linked)
+    return tuple(each.address for each in others)
--- a/mallowcrank/membership/ranks.py
+++ b/mallowcrank/membership/ranks.py
@@ -9,6 +9,7 @@
 from functools import singledispatch
 
 from mallowcrank.membership.facts import (
+    Demand,
     Fact,
     Hold,
     Listing,
@@ -62,6 +63,11 @@
     return (fact.stamp,)
 
 
+@rank_of.register
+def _(fact: Demand) -> Rank:
+    return (fact.stamp,)
+
+
 def is_newer(fact: Fact, than: Fact | None) -> bool:
     """
     Tell whether a fact replaces another one of the same key.
--- /dev/null
+++ b/mallowcrank/membership/routers.py
@@ -0,0 +1,93 @@
+"""
+What this host's router reports of itself, as facts to spread.
+"""
+
+from collections.abc import Iterator, Mapping
+from dataclasses import replace
+from typing import Any
+
+from mallowcrank.membership import queries
+from mallowcrank.membership.facts import Demand, Fact, Load, Member
+from mallowcrank.membership.store import FactStore
+from mallowcrank.view import MAX_DEMANDS
+
+ROUTER_PREFIX = 'router:'  # of the name of a router's load
+LOADS_PER_S = 40  # loads that all agents together pass on in a second
+DEMAND_BYTES_PER_S = 1200  # of demand, by all agents together
+DEMAND_ENTRY_BYTES = 24
+DEMAND_CHANGE = 0.02  # of a workspace's limits
+
+
+def with_router(me: Member, report: Mapping[str, Any]) -> Member:
+    """
+    Return an agent with what its router said in a hello or report.
+    """
+    if report.get('type') == 'hello':
+        return replace(
+            me,
+            router=str(report['router']),
+            router_address=str(report['address']),
+            router_incarnation=str(report['incarnation']),
+            router_leaving=False,
+        )
+    return replace(me, router_leaving=bool(report.get('leaving')))
+
+
+def load_facts(
+    store: FactStore, me: Member, report: Mapping[str, Any], wall: float
+) -> Iterator[Fact]:
+    """
+    Yield the router's load and demand, as often as the budget lets them.
+
+    :param wall: seconds since the epoch.
+    """
+    if not me.router or report.get('type') == 'hello':
+        return
+    agents = len(store.of_kind('m'))
+    known: Load | None = store.get(('l', f'{ROUTER_PREFIX}{me.router}'))
+    load = int(report.get('load') or 0)
+    if is_load_news(known, load, agents, wall):
+        yield Load(f'{ROUTER_PREFIX}{me.router}', wall, load)
+    demand = Demand(me.router, wall, _parts(report.get('demand') or {}))
+    if is_demand_news(queries.demand(store, me.router), demand, agents):
+        yield demand
+
+
+def is_load_news(
+    known: Load | None, load: int, count: int, wall: float
+) -> bool:
+    """
+    Tell whether a load is passed on.
+
+    :param count: targets or routers that have a load.
+    :param wall: seconds since the epoch.
+    """
+    if known is None:
+        return True
+    waited_s = wall - known.stamp
+    return known.load != load and waited_s >= count / LOADS_PER_S
+
+
+def is_demand_news(known: Demand | None, demand: Demand, agents: int) -> bool:
+    """
+    Tell whether a demand is passed on.
+    """
+    if known is None:
+        return bool(demand.parts)
+    size = (len(demand.parts) + 1) * DEMAND_ENTRY_BYTES
+    waited_s = demand.stamp - known.stamp
+    if waited_s < agents * size / DEMAND_BYTES_PER_S:
+        return False
+    before, after = dict(known.parts), dict(demand.parts)
+    return any(
+        abs(before.get(name, 0) - after.get(name, 0)) > DEMAND_CHANGE
+        for name in before | after
+    )
+
+
+def _parts(demand: Mapping[str, Any]) -> tuple[tuple[str, float], ...]:
+    largest = sorted(demand.items(), key=lambda entry: -float(entry[1]))
+    return tuple(
+        (str(name), round(float(part), 3))
+        for name, part in largest[:MAX_DEMANDS]
+    )
--- a/mallowcrank/membership/rows.py
+++ b/mallowcrank/membership/rows.py
@@ -9,6 +9,7 @@
 from typing import Any
 
 from mallowcrank.membership.facts import (
+    Demand,
     Fact,
     Hold,
     Listing,
@@ -55,6 +56,7 @@
         Hold: 'x',
         Observation: 'o',
         Load: 'l',
+        Demand: 'd',
     }
 )
 _SHAPES = MappingProxyType(
@@ -83,4 +85,6 @@
     parts = list(row[1 : shape.width + 1])
     for place, read in shape.enums:
         parts[place] = read(parts[place])
+    if shape.kind is Demand:
+        parts[-1] = tuple(map(tuple, parts[-1]))
     return shape.kind(*parts)
--- a/mallowcrank/membership/sharing.py
+++ b/mallowcrank/membership/sharing.py
@@ -52,6 +52,7 @@
                 self._schedule.forget(fact.name)
             else:
                 self._schedule.know(fact.name, fact.address, now.wall)
+                self._hurry_unknown(fact.name, now)
 
     def take_list_turn(self, now: Instant) -> bool:
         """
@@ -79,6 +80,13 @@
             self._live = live
             self._ring = ObserverRing(live)
             self._schedule.share_out(self._ring, now.wall)
+            for listed in queries.listings(self._store):
+                self._hurry_unknown(listed.name, now)
+
+    def _hurry_unknown(self, name: str, now: Instant) -> None:
+        known = queries.target(self._store, name)
+        if known is None and self._schedule.is_prober(name):
+            self._schedule.hurry(name, now.wall)
 
     def _is_over(self, name: str) -> bool:
         known = queries.target(self._store, name)
--- /dev/null
+++ b/mallowcrank/membership/talk.py
@@ -0,0 +1,112 @@
+"""
+Messages of other parts between agents.
+"""
+
+import itertools
+from collections.abc import Callable
+from concurrent.futures import ThreadPoolExecutor
+from typing import Any
+
+from mallowcrank.agent.ports import Body, Handler
+from mallowcrank.logs import PartLog
+from mallowcrank.membership.events import Heard
+from mallowcrank.membership.inbox import Event, Spread
+from mallowcrank.membership.messages import Answer, Ask, Post
+from mallowcrank.membership.streams import PeerStreams, ask_peer
+from mallowcrank.settings import AgentSettings
+
+HANDLER_THREADS = 4
+log = PartLog('members')
+
+
+class Talk:
+    """
+    The `GossipPort` of a running agent.
+
+    :param tell: has the `MembershipActor` take in an event.
+    """
+
+    def __init__(
+        self,
+        settings: AgentSettings,
+        streams: PeerStreams,
+        tell: Callable[[Event], None],
+    ) -> None:
+        self._settings = settings
+        self._streams = streams
+        self._tell = tell
+        self._actor: Any = None
+        self._handlers: dict[str, Handler] = {}
+        self._numbers = itertools.count(1)
+        self._work = ThreadPoolExecutor(HANDLER_THREADS, 'talk')
+
+    # Queries
+
+    def addresses(self) -> tuple[str, ...]:
+        """
+        Return the addresses of agents that may be asked, the best first.
+        """
+        known = self._actor.addresses().get()
+        return known or self._settings.peers
+
+    def ask(
+        self, peer: str, topic: str, body: Body, timeout_s: float
+    ) -> Body | None:
+        """
+        Ask one peer, and return its answer or `None`.
+        """
+        question = Ask(next(self._numbers), topic, body)
+        answer = ask_peer(peer, question, self._settings.keys, timeout_s)
+        return None if answer is None else answer.body
+
+    # Commands
+
+    def follow(self, actor: Any) -> None:
+        """
+        Ask this actor for addresses.
+
+        :param actor: a proxy of the `MembershipActor`.
+        """
+        self._actor = actor
+
+    def hear(self, heard: Heard) -> None:
+        """
+        Handle a message that came in, in a thread.
+        """
+        self._work.submit(self._hear, heard)
+
+    def stop(self) -> None:
+        """
+        Handle no more messages.
+        """
+        self._work.shutdown(wait=False, cancel_futures=True)
+
+    def send(self, topic: str, body: Body) -> None:
+        """
+        Send a message to all connected agents, to be passed on by them.
+        """
+        self._tell(Spread(topic, body))
+
+    def handle(self, topic: str, handler: Handler) -> None:
+        """
+        Set the handler of a topic.
+        """
+        self._handlers[topic] = handler
+
+    def _hear(self, heard: Heard) -> None:
+        message = heard.message
+        if isinstance(message, Post):
+            self._handle(message.topic, message.body)
+        elif isinstance(message, Ask):
+            answer = self._handle(message.topic, message.body)
+            self._streams.send(heard.link, Answer(message.number, answer))
+
+    def _handle(self, topic: str, body: Body) -> Body | None:
+        handler = self._handlers.get(topic)
+        if handler is None:
+            return None
+        try:
+            return handler(body)
+        except Exception as error:
+            log.say('A message could not be handled.', topic=topic, why=error)
+            return None
--- a/mallowcrank/membership/watch.py
+++ b/mallowcrank/membership/watch.py
@@ -28,11 +28,11 @@
     ProbeResult,
     Suspect,
 )
+from mallowcrank.membership.routers import is_load_news
 from mallowcrank.membership.store import FactStore
 
 TRIES = 2  # failed probes until a target is observed as failed
 STEP_CHANGE = 0.2  # part by which a step's time must change to be passed on
-LOADS_PER_S = 40  # loads that all agents together pass on in a second
 
 
 class TargetWatch:
@@ -51,6 +51,7 @@
         self._failures: dict[str, int] = {}
         self._suspects: dict[str, int] = {}
         self._doubts: dict[str, float] = {}
+        self._changed: set[str] = set()
 
     # Queries
 
@@ -63,6 +64,15 @@
 
     # Commands
 
+    def take_changed(self) -> frozenset[str]:
+        """
+        Return the targets that this agent came to suspect or to trust since
+        it was last asked.
+        """
+        changed = frozenset(self._changed)
+        self._changed.clear()
+        return changed
+
     def probed(self, outcome: ProbeResult, now: Instant) -> Iterator[Fact]:
         """
         A probe is over.
@@ -73,7 +83,7 @@
             return
         self._schedule.done(name, now.wall, None)
         self._failures.pop(name, None)
-        suspected = self._suspects.pop(name, None) is not None
+        suspected = self._trust(name)
         yield from self._described(outcome.found, now)
         seen = queries.observations(self._store, name)
         doubted = failures(seen, outcome.found.incarnation)
@@ -92,7 +102,7 @@
             if not known.leaving:
                 yield replace(known, leaving=True, stamp=now.wall)
             return
-        self._suspects[known.name] = known.incarnation
+        self._suspect(known)
         self._schedule.hurry(known.name, now.wall)
         yield from self._observe(known, Verdict.FAILED, suspect.reason, now)
 
@@ -104,7 +114,7 @@
             if self._suspects.get(fact.name, fact.incarnation) < (
                 fact.incarnation
             ):
-                self._suspects.pop(fact.name)
+                self._trust(fact.name)
         if not isinstance(fact, Observation):
             return
         if fact.verdict == Verdict.FAILED:
@@ -120,6 +130,16 @@
             if now.steady - since >= CONFIRM_S:
                 yield from self._judge(name, now)
 
+    def _suspect(self, known: TargetFact) -> None:
+        self._suspects[known.name] = known.incarnation
+        self._changed.add(known.name)
+
+    def _trust(self, name: str) -> bool:
+        if self._suspects.pop(name, None) is None:
+            return False
+        self._changed.add(name)
+        return True
+
     def _judge(self, name: str, now: Instant) -> Iterator[Fact]:
         known = queries.target(self._store, name)
         seen = queries.observations(self._store, name)
@@ -142,19 +162,13 @@
         count = self._failures.get(name, 0) + 1
         self._failures[name] = count
         known = queries.target(self._store, name)
-        retried = count < TRIES and not self._is_doubted(known)
+        retried = count < TRIES and not is_doubted(self._store, known)
         self._schedule.done(name, now.wall, RETRY_PROBE_S if retried else None)
         if known is None or known.gone or retried:
             return
-        self._suspects[name] = known.incarnation
+        self._suspect(known)
         yield from self._observe(known, Verdict.FAILED, outcome.reason, now)
 
-    def _is_doubted(self, known: TargetFact | None) -> bool:
-        if known is None:
-            return True
-        seen = queries.observations(self._store, known.name)
-        return bool(failures(seen, known.incarnation))
-
     def _described(self, found: TargetFact, now: Instant) -> Iterator[Fact]:
         known = queries.target(self._store, found.name)
         if known is None or known.incarnation < found.incarnation:
@@ -196,21 +210,6 @@
             yield Load(outcome.name, now.wall, outcome.load)
 
 
-def is_load_news(
-    known: Load | None, load: int, count: int, wall: float
-) -> bool:
-    """
-    Tell whether a load is passed on.
-
-    :param count: targets or routers that have a load.
-    :param wall: seconds since the epoch.
-    """
-    if known is None:
-        return True
-    waited_s = wall - known.stamp
-    return known.load != load and waited_s >= count / LOADS_PER_S
-
-
 def is_changed(known: TargetFact, found: TargetFact) -> bool:
     """
     Tell whether a target's description has changed enough to be passed on.
@@ -227,3 +226,13 @@
         step_ms=known.step_ms,
     )
     return same != known or step_ms != known.step_ms
+
+
+def is_doubted(store: FactStore, known: TargetFact | None) -> bool:
+    """
+    Tell whether some observer can't reach a target, or none ever did.
+    """
+    if known is None:
+        return True
+    seen = queries.observations(store, known.name)
+    return bool(failures(seen, known.incarnation))
--- a/scripts/virtual_agents.py
+++ b/scripts/virtual_agents.py
@@ -6,7 +6,6 @@
 """
 
 from collections import Counter
-from collections.abc import Callable
 from dataclasses import dataclass, replace
 from functools import partial, singledispatchmethod
 
@@ -21,6 +20,18 @@
     StartProbe,
 )
 from mallowcrank.membership.facts import Member, MemberState, TargetFact
+from mallowcrank.membership.handling import take
+from mallowcrank.membership.inbox import (
+    Begin,
+    Closed,
+    Event,
+    Listed,
+    Opened,
+    Probed,
+    Received,
+    Tick,
+    Unreachable,
+)
 from mallowcrank.membership.membership import Membership
 from mallowcrank.membership.messages import Message
 from mallowcrank.membership.probing import PROBE_TIMEOUT_S
@@ -34,8 +45,6 @@
 TICK_S = 0.25
 SUBNET = 250  # hosts numbered in one byte of an address
 
-Step = Callable[[Membership], list[Effect]]
-
 
 @dataclass
 class VirtualTarget:
@@ -119,7 +128,7 @@
         self.network.used[name] = Used()
         self.network.stopped.discard(name)
         self.names[me.address] = name
-        self.step(name, lambda each: each.start(self.time.instant))
+        self.tell(name, Begin())
         self._tick(name, agent)
         return name
 
@@ -153,35 +162,32 @@
         changed = self.targets[name]
         changed.fact = replace(changed.fact, **changes)
 
-    def step(self, name: str, step: Step) -> None:
+    def tell(self, name: str, event: Event) -> None:
         """
-        Let an agent take a step, and do what it asks for.
+        Let an agent take in an event, and do what it asks for.
         """
         if name in self.network.stopped:
             return
         agent = self.agents[name]
         used = self.network.used[name]
-        for effect in used.timed(partial(step, agent)):
+        for effect in used.timed(
+            partial(take, event, agent, self.time.instant)
+        ):
             self._effects.follow(effect, name)
 
-    def step_later(self, seconds: float, name: str, step: Step) -> None:
+    def tell_later(self, seconds: float, name: str, event: Event) -> None:
         """
-        Let an agent take a step after a while.
+        Let an agent take in an event after a while.
         """
-        self.time.later(seconds, partial(self.step, name, step))
+        self.time.later(seconds, partial(self.tell, name, event))
 
     def _tick(self, name: str, agent: Membership) -> None:
         if self.agents.get(name) is agent:
-            self.step(name, lambda each: each.tick(self.time.instant))
+            self.tell(name, Tick())
             self.time.later(TICK_S, partial(self._tick, name, agent))
 
     def _receive(self, end: Wire, message: Message) -> None:
-        def take(agent: Membership) -> list[Effect]:
-            now = self.time.instant
-            received = agent.gossip.received(end.number, message, now)
-            return agent.follow(received, now)
-
-        self.step(end.owner, take)
+        self.tell(end.owner, Received(end.number, message))
 
 
 class Effects:
@@ -213,11 +219,7 @@
     def _(self, effect: ReadList, name: str) -> None:
         if self._fleet.list_works:
             hosts = tuple(self._fleet.listed.values())
-            self._fleet.step_later(
-                LATENCY_S,
-                name,
-                lambda agent: agent.listed(hosts, self._fleet.time.instant),
-            )
+            self._fleet.tell_later(LATENCY_S, name, Listed(hosts))
 
     @follow.register
     def _(self, effect: StartProbe, name: str) -> None:
@@ -229,11 +231,7 @@
             probed.probes += 1
             outcome = ProbeResult(effect.name, probed.fact, probed.load)
             wait_s = 2 * LATENCY_S
-        self._fleet.step_later(
-            wait_s,
-            name,
-            lambda agent: agent.probed(outcome, self._fleet.time.instant),
-        )
+        self._fleet.tell_later(wait_s, name, Probed(outcome))
 
     @follow.register
     def _(self, effect: Connect, name: str) -> None:
@@ -245,25 +243,15 @@
                 LATENCY_S, lambda: self._open(name, other, effect.address)
             )
             return
-        self._fleet.step_later(
-            CONNECT_TIMEOUT_S,
-            name,
-            lambda agent: agent.gossip.unreachable(
-                effect.address, self._fleet.time.instant
-            ),
+        self._fleet.tell_later(
+            CONNECT_TIMEOUT_S, name, Unreachable(effect.address)
         )
 
     @follow.register
     def _(self, effect: Close, name: str) -> None:
         other = self._fleet.network.close(Wire(name, effect.link))
         if other is not None:
-            self._fleet.step_later(
-                LATENCY_S,
-                other.owner,
-                lambda agent: agent.gossip.closed(
-                    other.number, self._fleet.time.instant
-                ),
-            )
+            self._fleet.tell_later(LATENCY_S, other.owner, Closed(other.number))
 
     @follow.register
     def _(self, effect: Send, name: str) -> None:
@@ -271,13 +259,8 @@
 
     def _open(self, name: str, other: str, address: str) -> None:
         near, far = self._fleet.network.connect(name, other)
-        now = self._fleet.time.instant
-        self._fleet.step(
-            other, lambda agent: agent.gossip.opened(far.number, '', now)
-        )
-        self._fleet.step(
-            name, lambda agent: agent.gossip.opened(near.number, address, now)
-        )
+        self._fleet.tell(other, Opened(far.number, ''))
+        self._fleet.tell(name, Opened(near.number, address))
 
 
 def address_of(number: int) -> str:
--- a/scripts/virtual_network.py
+++ b/scripts/virtual_network.py
@@ -67,6 +67,7 @@
         self._readers: dict[Wire, FrameReader] = {}
         self.used: dict[str, Used] = {}
         self.stopped: set[str] = set()
+        self._silent: set[Wire] = set()
         self.is_cut: Callable[[str, str], bool] = _never
 
     def reaches(self, one: str, other: str) -> bool:
@@ -77,6 +78,12 @@
             return False
         return not (self.is_cut(one, other) or self.is_cut(other, one))
 
+    def silence(self) -> None:
+        """
+        Let all open connections go silent; new ones work.
+        """
+        self._silent.update(self._ends)
+
     def connect(self, one: str, other: str) -> tuple[Wire, Wire]:
         """
         Open a connection.
@@ -96,7 +103,8 @@
         if other is None:
             return None
         self._ends.pop(other, None)
-        return other if self.reaches(end.owner, other.owner) else None
+        hears = end not in self._silent and self.reaches(end.owner, other.owner)
+        return other if hears else None
 
     def send(self, end: Wire, message: Message) -> None:
         """
@@ -107,6 +115,8 @@
         used.sent += len(frame)
         used.frames[type(message).__name__] += len(frame)
         other = self._ends.get(end)
+        if end in self._silent:
+            return
         if other is not None and self.reaches(end.owner, other.owner):
             self._clock.later(LATENCY_S, lambda: self._arrive(other, frame))
 
