--- a/Makefile
+++ b/Makefile
@@ -30,13 +30,13 @@
 	$(BIN)/python -m mallowcrank.models
 
 demo: $(STAMP)  ## Run the main job end to end on stand-ins
-	$(BIN)/python scripts/demo.py
+	$(BIN)/python -m scripts.demo
 
 SCENARIO ?= steady
 SEED ?= 1
 JSON ?= /tmp/mallowcrank-$(SCENARIO).json
 bench: $(STAMP)  ## Run one scenario: SCENARIO=NAME SEED=N JSON=FILE
-	$(BIN)/python scripts/bench.py $(SCENARIO) --seed $(SEED) --json $(JSON)
+	$(BIN)/python -m scripts.bench $(SCENARIO) --seed $(SEED) --json $(JSON)
 
 clean:  ## Remove what install made
 	rm -rf .venv build *.egg-info
--- /dev/null
+++ b/scripts/demo.py
@@ -0,0 +1,196 @@
+"""
+The main job end to end on stand-ins: settings in, three requests answered.
+"""
+
+import sys
+from pathlib import Path
+
+import urllib3
+
+from scripts.fleet import Fleet, Process, get_json
+from scripts.layout import Engine, Layout, Service
+
+SETTINGS = Path(__file__).parent.parent / 'examples' / 'demo.toml'
+ZONES = ('shah-alam', 'petaling', 'cyberjaya')
+WORKSPACE = 'shah-alam/counter'
+LIMIT_S = 30
+ENGINES = (
+    Engine('engine-1', '0-15', 6, ZONES[0]),
+    Engine('engine-2', '8-23', 8, ZONES[1]),
+    Engine('engine-3', '0-11', 5, ZONES[1]),
+    Engine('engine-4', '12-23', 4, ZONES[2]),
+)
+SERVICES = (
+    Service('catalogue-1', 'catalogue', ZONES[0]),
+    Service('catalogue-2', 'catalogue', ZONES[1]),
+)
+
+
+class Caller:
+    """
+    A caller that asks a router for its addresses, as all callers do.
+    """
+
+    def __init__(self, first_router: str) -> None:
+        self._http = urllib3.PoolManager(retries=False)
+        answer = self._http.request(
+            'GET', f'http://{first_router}/v1/addresses', timeout=LIMIT_S
+        ).json()
+        self._router = answer['addresses'][0]
+        self._key_prefix = answer['key_prefix']
+
+    def chat(self) -> None:
+        """
+        Ask for a plain chat completion.
+        """
+        answer = self._post('/v1/chat/completions', _chat_body(stream=False))
+        message = answer.json()['choices'][0]['message']['content']
+        _show('chat completion', answer, repr(message))
+
+    def stream(self) -> str:
+        """
+        Ask for a streamed one; return the request's id.
+        """
+        answer = self._post('/v1/chat/completions', _chat_body(stream=True))
+        events = answer.data.decode().split('\n\n')
+        chunks = [event for event in events if event]
+        _show('stream', answer, f'{len(chunks)} events, last {chunks[-1]!r}')
+        return answer.headers['X-Mallowcrank-Request']
+
+    def look_up_stock(self) -> None:
+        """
+        Make a call that may not run twice, and make it again.
+        """
+        key = {'Idempotency-Key': f'{self._key_prefix}sinamay-7'}
+        for title in ('stock lookup', 'the same, again'):
+            answer = self._post(
+                '/v1/services/catalogue/stock', {'item': 'sinamay'}, key
+            )
+            replayed = answer.headers.get('X-Mallowcrank-Replayed', 'no')
+            _show(title, answer, f'{answer.json()}, replayed: {replayed}')
+
+    def _post(
+        self,
+        path: str,
+        body: dict[str, object],
+        headers: dict[str, str] | None = None,
+    ) -> urllib3.BaseHTTPResponse:
+        answer = self._http.request(
+            'POST',
+            f'http://{self._router}{path}',
+            json=body,
+            headers={'X-Mallowcrank-Workspace': WORKSPACE, **(headers or {})},
+            timeout=LIMIT_S,
+        )
+        if answer.status != 200:
+            raise RuntimeError(f'{path}: {answer.status} {answer.data!r}')
+        return answer
+
+
+def _chat_body(*, stream: bool) -> dict[str, object]:
+    order = 'Draft a quote for a wedding songkok.'
+    return {
+        'model': 'assistant',
+        'messages': [{'role': 'user', 'content': order}],
+        'max_tokens': 24,
+        'stream': stream,
+    }
+
+
+def _show(title: str, answer: urllib3.BaseHTTPResponse, content: str) -> None:
+    route = answer.headers.get('X-Mallowcrank-Route')
+    router = answer.headers.get('X-Mallowcrank-Router')
+    print(f'{title}: {content}')
+    print(f'    by {router} over {route}')
+
+
+def run_operator(fleet: Fleet, name: str, *words: str) -> Process:
+    """
+    Run the operators' client to its end and print what it said.
+    """
+    process = fleet.start(name, 'operator', *words)
+    process.wait(LIMIT_S)
+    print(process.log.read_text().rstrip())
+    return process
+
+
+def start_system(layout: Layout) -> None:
+    """
+    Start the platform, the targets, and three entry hosts.
+    """
+    layout.start_platform()
+    for engine in ENGINES:
+        layout.start_engine(engine)
+    for service in SERVICES:
+        layout.start_service(service)
+    for number, zone in enumerate(ZONES):
+        layout.start_agent(number, zone)
+        layout.start_router(number, zone)
+    layout.wait_until_up()
+
+
+def show_requests(layout: Layout) -> str:
+    """
+    Make three kinds of requests; return the stream's request id.
+    """
+    caller = Caller(layout.addresses.routers[0])
+    caller.chat()
+    request = caller.stream()
+    caller.look_up_stock()
+    return request
+
+
+def stop_gracefully(fleet: Fleet) -> list[str]:
+    """
+    Stop all routers and agents; return those that didn't exit with 0.
+    """
+    names = [
+        f'{part}-{number}'
+        for part in ('router', 'agent')
+        for number in range(len(ZONES))
+    ]
+    for each in names:
+        fleet.get(each).terminate()
+    return [name for name in names if fleet.get(name).wait()]
+
+
+def main() -> int:
+    """
+    Run the demo.
+
+    :returns: the exit status.
+    """
+    with Fleet() as fleet:
+        layout = Layout(fleet, hosts=len(ZONES))
+        print('Starting log, host list, weight store, 6 targets, 3 hosts.')
+        start_system(layout)
+        admins = layout.addresses.agent_admins
+        published = run_operator(
+            fleet,
+            'publish',
+            'publish',
+            str(SETTINGS),
+            '--wait',
+            f'--log={layout.addresses.log}',
+            f'--agents={",".join(admins)}',
+        )
+        if published.status:
+            return 1
+        get_json(layout.addresses.routers[0], '/v1/addresses')
+        request = show_requests(layout)
+        print('The way of the streamed request:')
+        processes = (*layout.addresses.router_admins, *admins)
+        run_operator(
+            fleet,
+            'timeline',
+            'timeline',
+            f'--request={request}',
+            f'--processes={",".join(processes)}',
+        )
+        failed = stop_gracefully(fleet)
+        print(f'Stopped gracefully; failed: {", ".join(failed) or "none"}.')
+    return 1 if failed else 0
+
+
+if __name__ == '__main__':
+    sys.exit(main())
