Run the whole path in the demo; report the version in force

Requests right after it were refused with no_route, as the lagging host list had not named the targets yet. Change: routers report the version, at once when it changes; the demo waits until routers know all targets. Before: make demo failed.

--- a/mallowcrank/router/daemon.py
+++ b/mallowcrank/router/daemon.py
@@ -145,14 +145,18 @@
 
     def _take_view(self, view: View) -> None:
         parts = self._parts
+        is_new_version = view.version != parts.known.view.version
         parts.known.apply(view)
         parts.routes.apply_view(view)
         parts.admission.apply_view(view)
         parts.driver.tell(TakeView(view))
+        if is_new_version:
+            self._feed.report_now()
 
     def _make_report(self) -> dict[str, object]:
         in_flight = self._parts.in_flight
         return {
+            'version': self._parts.known.view.version,
             'load': in_flight.count,
             'in_flight': in_flight.count,
             'leaving': in_flight.leaving_since is not None,
--- a/scripts/demo.py
+++ b/scripts/demo.py
@@ -7,7 +7,7 @@
 
 import urllib3
 
-from scripts.fleet import Fleet, Process, get_json
+from scripts.fleet import Fleet, Process
 from scripts.layout import Engine, Layout, Service
 
 SETTINGS = Path(__file__).parent.parent / 'examples' / 'demo.toml'
@@ -176,7 +176,7 @@
         )
         if published.status:
             return 1
-        get_json(layout.addresses.routers[0], '/v1/addresses')
+        layout.wait_until_known()
         request = show_requests(layout)
         print('The way of the streamed request:')
         processes = (*layout.addresses.router_admins, *admins)
--- a/scripts/fleet.py
+++ b/scripts/fleet.py
@@ -12,7 +12,7 @@
 import sys
 import tempfile
 import time
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from pathlib import Path
 from typing import Any, Self
 
@@ -154,6 +154,26 @@
         process.kill()
 
 
+def wait_for(
+    address: str,
+    path: str,
+    is_reached: Callable[[Any], bool],
+    limit_s: float = START_LIMIT_S,
+) -> Any:
+    """
+    Ask an address for JSON until it says what is waited for; return it.
+
+    :raises TimeoutError: when it doesn't within the limit.
+    """
+    end = time.monotonic() + limit_s
+    while time.monotonic() < end:
+        answer = get_json(address, path, limit_s)
+        if is_reached(answer):
+            return answer
+        time.sleep(POLL_S)
+    raise TimeoutError(f'{address}{path} says {answer} after {limit_s} s')
+
+
 def get_json(address: str, path: str, limit_s: float = START_LIMIT_S) -> Any:
     """
     Ask an address for JSON until it answers.
--- a/scripts/layout.py
+++ b/scripts/layout.py
@@ -4,7 +4,7 @@
 
 from dataclasses import dataclass
 
-from scripts.fleet import Fleet, Process, get_json
+from scripts.fleet import Fleet, Process, get_json, wait_for
 
 LOG_PORT = 9000
 HOST_LIST_PORT = 9001
@@ -262,6 +262,18 @@
         for address in self._targets.values():
             get_json(address, '/status')
 
+    def wait_until_known(self) -> None:
+        """
+        Wait until all routers know all started targets.
+
+        :raises TimeoutError: when one doesn't.
+        """
+        for admin in self.addresses.router_admins:
+            wait_for(admin, '/admin/status', self._knows_all)
+
+    def _knows_all(self, status: dict[str, int]) -> bool:
+        return status['targets'] >= len(self._targets)
+
     def _host_words(
         self, number: int, availability_zone: str
     ) -> dict[str, str]:
