--- a/mallowcrank/agent/changes.py
+++ b/mallowcrank/agent/changes.py
@@ -8,6 +8,7 @@
 from mallowcrank.codec import to_plain
 from mallowcrank.view import View
 
+MEMBERS = ('targets', 'peers')
 FIELDS = ('targets', 'models', 'services', 'workspaces', 'peers')
 
 
@@ -37,6 +38,18 @@
     }
 
 
+def without_settings(changes: Mapping[str, Any]) -> dict[str, Any]:
+    """
+    Return what a `change` message says of targets and peers only.
+    """
+    gone = changes.get('gone', {})
+    return {
+        'type': 'change',
+        **{name: changes[name] for name in MEMBERS if name in changes},
+        'gone': {name: gone[name] for name in MEMBERS if name in gone},
+    }
+
+
 def _changed(old: Mapping[str, Any], new: Mapping[str, Any]) -> dict[str, Any]:
     return {
         key: entry
--- a/mallowcrank/agent/feed.py
+++ b/mallowcrank/agent/feed.py
@@ -11,7 +11,7 @@
 
 from pykka import ThreadingActor
 
-from mallowcrank.agent.changes import find_changes
+from mallowcrank.agent.changes import find_changes, without_settings
 from mallowcrank.agent.ports import MembershipPort
 from mallowcrank.codec import to_plain
 from mallowcrank.config.effective import Effective
@@ -37,6 +37,7 @@
     def __init__(self, sock: socket.socket, keys: KeyRing) -> None:
         self.router = ''
         self.version = -1
+        self.holds_more = False
         self._sock = sock
         self._keys = keys
         self._frames: queue.Queue[bytes] = queue.Queue(MAX_QUEUED)
@@ -139,9 +140,17 @@
     def connect(self, connection: Connection) -> None:
         """
         Send a snapshot, and changes from now on.
+
+        A router that holds newer settings keeps them: until this agent has
+        caught up, it gets targets and peers only.
         """
         self._connections.append(connection)
-        connection.send({'type': 'snapshot', 'view': to_plain(self._view)})
+        connection.holds_more = connection.version > self._view.version
+        if connection.holds_more:
+            everything = find_changes(View(), self._view)
+            connection.send(without_settings(everything))
+        else:
+            self._send_snapshot(connection)
 
     def disconnect(self, connection: Connection) -> None:
         """
@@ -183,8 +192,19 @@
     def _show(self, view: View) -> None:
         changes = find_changes(self._view, view)
         self._view = view
-        if changes:
-            self._send(changes)
+        if not changes:
+            return
+        for connection in tuple(self._connections):
+            if not connection.holds_more:
+                connection.send(changes)
+            elif view.version >= connection.version:
+                connection.holds_more = False
+                self._send_snapshot(connection)
+            else:
+                connection.send(without_settings(changes))
+
+    def _send_snapshot(self, connection: Connection) -> None:
+        connection.send({'type': 'snapshot', 'view': to_plain(self._view)})
 
     def _send(self, body: Body) -> None:
         for connection in tuple(self._connections):
@@ -260,9 +280,9 @@
         connection.close()
 
     def _take(self, connection: Connection, body: Body) -> None:
+        connection.version = int(body.get('version', connection.version))
         if body['type'] == 'hello':
             connection.router = str(body['router'])
             log.say('A router connected.', router=connection.router)
             self._feed.connect.defer(connection)
-        connection.version = int(body.get('version', connection.version))
         self._report(body)
--- a/mallowcrank/agent/loops.py
+++ b/mallowcrank/agent/loops.py
@@ -14,8 +14,8 @@
 from mallowcrank.config.parsing import (
     to_body,
 )
-from mallowcrank.config.replica import is_snapshot_due
 from mallowcrank.config.snapshots import make_snapshot
+from mallowcrank.config.upkeep import is_snapshot_due
 from mallowcrank.logs import PartLog
 from mallowcrank.ports import Failure, LogPort
 
