Check the fold and the replicas of settings exhaustively

Cause: racing publishers, doubled appends, restores, retention and late starters meet in orders that tests alone do not reach. Change: two specifications that call the product's fold and replica. They found that a publisher who lost its answer missed its record after a restore had come, or after the log had lost it, and appended again; a search by id that knows its gaps replaces the look at the folded outcomes.

--- a/mallowcrank/config/fold.py
+++ b/mallowcrank/config/fold.py
@@ -101,7 +101,7 @@
         return replace(
             signed,
             verdict=Verdict.STALE,
-            reason='it was based on settings that are too old',
+            reason='the settings that it was based on were replaced',
         )
     conflicts = find_conflicts(tree, parsed.changes)
     if conflicts:
--- a/mallowcrank/models/catalogue.py
+++ b/mallowcrank/models/catalogue.py
@@ -2,9 +2,17 @@
 All specifications that `make models` checks.
 """
 
+from mallowcrank.models.fold import FOLD
 from mallowcrank.models.keyed_request import KEYED_REQUEST
 from mallowcrank.models.lease import LEASE
+from mallowcrank.models.replica import REPLICA
 from mallowcrank.models.specification import Specification
 from mallowcrank.models.stream import STREAM
 
-SPECIFICATIONS: tuple[Specification, ...] = (KEYED_REQUEST, STREAM, LEASE)
+SPECIFICATIONS: tuple[Specification, ...] = (
+    FOLD,
+    REPLICA,
+    KEYED_REQUEST,
+    STREAM,
+    LEASE,
+)
--- a/mallowcrank/operators/publish.py
+++ b/mallowcrank/operators/publish.py
@@ -13,9 +13,8 @@
 from mallowcrank.config.parsing import to_body
 from mallowcrank.config.records import ConfigRecord, RestoreRecord
 from mallowcrank.config.replica import Replica
-from mallowcrank.config.tree import find_outcome
 from mallowcrank.operators.desk import Desk, get_admin
-from mallowcrank.operators.source import read_on
+from mallowcrank.operators.source import read_outcome
 from mallowcrank.ports import Failure
 from mallowcrank.refusals import Ran
 
@@ -94,12 +93,7 @@
         told = ask_outcome(agent, record)
         if told is not None:
             return told
-    read = read_on(publication.replica, desk.log)
-    if isinstance(read, Failure):
-        return read
-    if read.tree is None or not read.is_complete:
-        return Failure('the log lacks records before the new one', Ran.UNKNOWN)
-    return find_outcome(read.tree, record)
+    return read_outcome(publication.replica, desk.log, record)
 
 
 def ask_outcome(agent: str, record: str) -> Outcome | None:
--- a/mallowcrank/operators/source.py
+++ b/mallowcrank/operators/source.py
@@ -9,6 +9,7 @@
 from mallowcrank.codec import from_plain
 from mallowcrank.config.outcomes import Outcome
 from mallowcrank.config.replica import Replica, apply_page
+from mallowcrank.config.search import Search, look_through
 from mallowcrank.config.tree import Entry, Tree, split_path
 from mallowcrank.operators.desk import Desk, get_admin
 from mallowcrank.ports import Failure, LogPort
@@ -69,6 +70,29 @@
             return read
 
 
+def read_outcome(
+    replica: Replica, log: LogPort, record: str
+) -> Outcome | Failure | None:
+    """
+    Look for a record by its id, from what a replica has read on.
+
+    :returns: its outcome, `None` where it is not in the log, or a `Failure`
+        where that can't be told.
+    """
+    search = Search(record, replica)
+    while True:
+        page = log.read(search.replica.reached + 1, PAGE_RECORDS, 0)
+        if isinstance(page, Failure):
+            return page
+        search = look_through(search, page)
+        if search.outcome is not None:
+            return search.outcome
+        if search.has_gap:
+            return Failure('the log has lost records', Ran.UNKNOWN)
+        if search.replica.reached >= page.next - 1:
+            return None
+
+
 def ask_trees(agents: Iterable[str]) -> list[Tree]:
     """
     Return the trees of all agents that answer and have one.
