Let lent share come back within its bounds; share limits by mean demand

Change: a branch catches up only until it is its own room ahead of the others; demands are means over 3 s, and routers with many of them report the same ones. The bench of single decisions is added.

--- a/mallowcrank/fairness/pool.py
+++ b/mallowcrank/fairness/pool.py
@@ -13,9 +13,11 @@
 from mallowcrank.overload.concurrency import PoolLimit
 
 OVERCOMMIT = 2  # times the limit that run while lent share comes back
+LEAD = 1  # times its share that a branch may be served ahead of others
 SMOOTHING = 0.1  # weight of the newest request in the means
-TIGHT = 1  # part of a request's usual time that must be left, in a queue
+TIGHT = 1.25  # times a request's usual time that must be left, in a queue
 LOOSE = 0.5  # the same, where nothing waits
+ARRIVAL = 1.5  # times the expected wait that must be left on arrival
 
 
 @dataclass(slots=True)
@@ -74,11 +76,17 @@
         ahead = 1 + self.queue.ahead_of(entry)
         return ahead * self.holds.mean_s / max(1, self.limit.limit)
 
-    def is_hopeless(self, entry: Entry, now: float) -> bool:
+    def is_hopeless(
+        self, entry: Entry, now: float, *, arrives: bool = False
+    ) -> bool:
         """
         Tell whether a request can't be answered before its deadline.
+
+        :param arrives: whether it is new. More is asked of a new one, so that
+            few are taken in and refused later.
         """
-        wait_s = self.wait_s(entry)
+        margin = ARRIVAL if arrives else 1
+        wait_s = self.wait_s(entry) * margin
         part = TIGHT if wait_s else LOOSE
         needed_s = wait_s + part * self.holds.token_s * entry.cost
         return now + needed_s > entry.ticket.deadline
@@ -87,8 +95,9 @@
         """
         Tell whether a branch runs less than its share while others run more.
         """
-        mine = self._running[branch] < self._guaranteed(branch)
-        return mine and any(
+        if not self._may_catch_up(branch):
+            return False
+        return any(
             self._running[other] > self._guaranteed(other)
             for other in self._shares
             if other != branch
@@ -133,12 +142,10 @@
         """
         Forget branches that neither wait nor run.
         """
-        waiting = {entry.workspace.branch for entry in self.queue}
-        active = waiting | self._running.keys()
         self._shares = {
             branch: share
             for branch, share in self._shares.items()
-            if branch in active
+            if self._is_active(branch)
         }
         self.queue.forget_idle()
 
@@ -146,8 +153,18 @@
         limit = self.limit.limit
         if self._total < limit:
             return True
-        below = self._running[branch] + 1 <= self._guaranteed(branch)
-        return below and self._total < OVERCOMMIT * limit
+        if self._total >= OVERCOMMIT * limit:
+            return False
+        return self._may_catch_up(branch)
+
+    def _may_catch_up(self, branch: str) -> bool:
+        """
+        Tell whether a branch runs less than its share, and was not served so
+        much more than others that it owes them.
+        """
+        guaranteed = self._guaranteed(branch)
+        below = self._running[branch] + 1 <= guaranteed
+        return below and self.queue.lead_of(branch) < LEAD * guaranteed
 
     def _guaranteed(self, branch: str) -> float:
         share = self._shares.get(branch, 1)
--- a/mallowcrank/fairness/queue.py
+++ b/mallowcrank/fairness/queue.py
@@ -10,7 +10,7 @@
 """
 
 from bisect import insort
-from collections.abc import Callable, Iterator
+from collections.abc import Callable
 from dataclasses import dataclass, field
 
 from mallowcrank.router.ports import Ticket
@@ -18,6 +18,7 @@
 
 FAIR_TURN = 4
 MAX_URGENCY = 100
+SMOOTHING = 0.1  # weight of the newest request in the usual cost
 
 
 @dataclass(frozen=True, slots=True)
@@ -80,6 +81,7 @@
         self._branches: dict[str, _Branch] = {}
         self._virtual: float = 0
         self._waiting = 0
+        self._usual_cost: float = 1
 
     # Queries
 
@@ -89,15 +91,6 @@
         """
         return self._waiting
 
-    def __iter__(self) -> Iterator[Entry]:
-        """
-        Go through the waiting requests, in no special order.
-        """
-        for branch in self._branches.values():
-            for queue in branch.workspaces.values():
-                for _, _, entry in queue.entries:
-                    yield entry
-
     def has(self, branch: str) -> bool:
         """
         Tell whether a branch waits.
@@ -105,6 +98,24 @@
         known = self._branches.get(branch)
         return known is not None and known.waiting > 0
 
+    def lead_of(self, branch: str) -> float:
+        """
+        Return by how many usual requests a branch was served more than its
+        share, against the branch that waits and was served least.
+        """
+        known = self._branches.get(branch)
+        if known is None:
+            return 0
+        least = min(
+            (
+                other.virtual
+                for name, other in self._branches.items()
+                if other.waiting and name != branch
+            ),
+            default=known.virtual,
+        )
+        return (known.virtual - least) * known.share / self._usual_cost
+
     def ahead_of(self, entry: Entry) -> float:
         """
         Estimate how many requests start before one that waits or comes.
@@ -164,6 +175,7 @@
         self._virtual = max(self._virtual, following.virtual)
         entry = self._pop_from(following)
         following.virtual += entry.cost / max(following.share, 0.001)
+        self._usual_cost += SMOOTHING * (entry.cost - self._usual_cost)
         return entry
 
     def remove(self, entry: Entry) -> None:
--- a/mallowcrank/limits/demand.py
+++ b/mallowcrank/limits/demand.py
@@ -5,9 +5,8 @@
 from collections import deque
 from dataclasses import dataclass, field
 
-from mallowcrank.limits.shares import SETTLED_S
-
 WINDOW_S = 1
+MEAN_S = 3  # seconds that the mean demand covers
 
 
 @dataclass(slots=True)
@@ -16,34 +15,31 @@
     The demand of one workspace on this router, in parts of its limits.
 
     :param began: steady time at which the running second began.
+    :param busy_since: steady time of the first request after a pause.
     :param running: what was asked for in it.
     """
 
     began: float
+    busy_since: float
     running: float = 0
     past: deque[float] = field(
-        default_factory=lambda: deque([0], maxlen=SETTLED_S + 1)
+        default_factory=lambda: deque([0], maxlen=MEAN_S)
     )
 
     @property
-    def now(self) -> float:
-        """
-        Return the demand of the last second or the running one.
-        """
-        return max(self.past[-1], self.running)
-
-    @property
-    def settled(self) -> float:
+    def mean(self) -> float:
         """
-        Return the demand that peers must have heard of by now.
+        Return the mean demand of the last seconds.
         """
-        return min(self.past) if len(self.past) > SETTLED_S else 0
+        return sum(self.past) / len(self.past)
 
     def add(self, part: float, now: float) -> None:
         """
         Count what one request asks for.
         """
         self.roll(now)
+        if not self.running and not any(self.past):
+            self.busy_since = now
         self.running += part
 
     def roll(self, now: float) -> None:
--- a/mallowcrank/limits/ledger.py
+++ b/mallowcrank/limits/ledger.py
@@ -3,11 +3,14 @@
 """
 
 from collections.abc import Mapping
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
+from math import inf
 
 from mallowcrank.limits.bucket import Bucket, depth
 from mallowcrank.limits.demand import DemandMeter
 from mallowcrank.limits.shares import (
+    GRANT_S,
+    SETTLED_S,
     Asked,
     Hearing,
     demands_to_report,
@@ -17,6 +20,7 @@
 
 IDLE_S = 60  # until a workspace without requests is forgotten
 STREAM_RETRY_S = 1
+NEW_S = 2 * SETTLED_S  # for which a demand counts as new
 
 
 @dataclass(frozen=True, slots=True)
@@ -49,6 +53,8 @@
         self._accounts: dict[str, _Account] = {}
         self._others: Mapping[str, float] = {}
         self._hearing = Hearing(1, heard=True)
+        self._reported: dict[str, float] = {}
+        self._last_report = inf
 
     # Queries
 
@@ -58,27 +64,26 @@
         """
         return len(self._accounts)
 
-    def demands(self, now: float) -> dict[str, float]:
-        """
-        Return the demands to report to the agent.
-        """
-        asked: dict[str, float] = {}
-        for name, account in self._accounts.items():
-            account.meter.roll(now)
-            asked[name] = account.meter.now
-        return demands_to_report(asked, self._hearing.routers)
-
-    def granted(self, workspace: str) -> float:
+    def granted(self, workspace: str, now: float) -> float:
         """
         Return the part of a workspace's limits that is granted here.
         """
+        hearing = self._hearing
+        if now - self._last_report > GRANT_S:
+            hearing = replace(hearing, heard=False)
         others = self._others.get(workspace, 0)
         account = self._accounts.get(workspace)
         if account is None:
-            return granted_part(Asked(others=others), self._hearing)
+            asked = Asked(others=others, is_new=True)
+            return granted_part(asked, hearing)
         meter = account.meter
-        asked = Asked(meter.now, meter.settled, others)
-        return granted_part(asked, self._hearing)
+        since = self._reported.get(workspace, now)
+        asked = Asked(
+            settled=meter.mean if now - since >= SETTLED_S else 0,
+            others=others,
+            is_new=now - meter.busy_since <= NEW_S,
+        )
+        return granted_part(asked, hearing)
 
     # Commands
 
@@ -91,6 +96,21 @@
         self._hearing = hearing
         self._others = others
 
+    def report(self, now: float) -> dict[str, float]:
+        """
+        Return the demands to report to the agent; they count from now on.
+        """
+        asked: dict[str, float] = {}
+        for name, account in self._accounts.items():
+            account.meter.roll(now)
+            asked[name] = account.meter.mean
+        reported = demands_to_report(asked, self._hearing.routers)
+        self._reported = {
+            each: self._reported.get(each, now) for each in reported
+        }
+        self._last_report = now
+        return reported
+
     def take(
         self, workspace: WorkspaceSettings, tokens: int, now: float
     ) -> OverLimit | None:
@@ -99,7 +119,7 @@
         """
         account = self._account(workspace, now)
         account.meter.add(_part(workspace, account, tokens), now)
-        granted = self.granted(workspace.name)
+        granted = self.granted(workspace.name, now)
         passed = _check(workspace, account, granted, now)
         if passed is None:
             account.requests.left -= 1
@@ -140,11 +160,11 @@
     def _account(self, workspace: WorkspaceSettings, now: float) -> _Account:
         known = self._accounts.get(workspace.name)
         if known is None:
-            part = self.granted(workspace.name)
+            part = self.granted(workspace.name, now)
             known = _Account(
                 requests=Bucket(depth(workspace.request_rate * part), now),
                 tokens=Bucket(depth(workspace.token_rate * part), now),
-                meter=DemandMeter(now),
+                meter=DemandMeter(now, busy_since=now),
             )
             self._accounts[workspace.name] = known
         return known
--- a/mallowcrank/limits/shares.py
+++ b/mallowcrank/limits/shares.py
@@ -11,12 +11,15 @@
 
 from collections.abc import Mapping
 from dataclasses import dataclass
+from math import frexp
 
 from mallowcrank.view import MAX_DEMANDS
 
-SILENT_PART = 0.2  # of a limit, split evenly between all routers
+SILENT_PART = 0.1  # of a limit, split evenly between all routers
 SETTLED_S = 2  # seconds until all peers have heard of a demand
+GRANT_S = 5  # seconds that grants last after the last report to the agent
 REMEMBERED_S = 600  # how long missing routers count
+DIGITS = 5  # of a reported demand
 REPORT_ABOVE = 0.5  # of the silent grant; less demand is not reported
 
 
@@ -62,14 +65,14 @@
     """
     What callers ask for, in parts of a workspace's limits (1 is all).
 
-    :param now: of this router, lately.
     :param settled: of this router, heard of by its peers.
     :param others: the sum that the peers report.
+    :param is_new: whether its peers have had no time yet to hear of it.
     """
 
-    now: float = 0
     settled: float = 0
     others: float = 0
+    is_new: bool = False
 
 
 def granted_part(asked: Asked, hearing: Hearing) -> float:
@@ -85,8 +88,7 @@
         return even
     granted = SILENT_PART * even
     granted += (1 - SILENT_PART) * settled / (settled + asked.others)
-    is_new = asked.now > max(floor, 2 * settled)
-    return max(granted, even) if is_new else granted
+    return max(granted, even) if asked.is_new else granted
 
 
 def report_floor(routers: int) -> float:
@@ -101,8 +103,17 @@
 ) -> dict[str, float]:
     """
     Return the greatest demands that pass the floor.
+
+    Demands of one magnitude are ordered by name, so that routers with many of
+    them choose the same ones.
     """
     floor = report_floor(routers)
-    above = [(asked, name) for name, asked in demands.items() if asked > floor]
-    above.sort(reverse=True)
-    return {name: round(asked, 4) for asked, name in above[:MAX_DEMANDS]}
+    above = [
+        (-frexp(asked)[1], name)
+        for name, asked in demands.items()
+        if asked > floor
+    ]
+    above.sort()
+    return {
+        name: round(demands[name], DIGITS) for _, name in above[:MAX_DEMANDS]
+    }
--- a/mallowcrank/overload/concurrency.py
+++ b/mallowcrank/overload/concurrency.py
@@ -1,19 +1,20 @@
 """
 Adaptive concurrency: how many requests of a pool this router runs at once.
 
-The limit grows while requests wait and the targets answer about as fast as
-their batches allow, and shrinks by a part when they slow down. Routers need
-not speak to each other for it: the targets' slowdown is what they share.
+The limit grows by steps while requests wait and the targets answer about as
+fast as full batches allow, and shrinks by a part when they slow down. Equal
+steps up and equal parts down bring routers with different limits together.
+They need not speak to each other: the targets' slowdown is what they share.
 """
 
 from dataclasses import dataclass, replace
 
-GROW_BELOW = 2.5  # slowdown of full batches: one runs and one waits
-SHRINK_ABOVE = 3.5
-GROWTH = 1.05  # factor of each adjustment
-SHRINKING = 0.9
+FULL_SLOWDOWN = 3.5  # of a call, where full batches run and others wait
+STEP = 0.03  # growth of each adjustment, in parts of an even share
+SHRINKING = 0.95  # factor of each adjustment
 PERIOD_S = 0.1  # between adjustments
-HEADROOM = 1.25  # over the streams that fill all batches
+HEADROOM = 1.5  # over the streams that fill all batches, to start with
+MOST = 3  # times the streams that fill all batches
 
 
 @dataclass(frozen=True, slots=True)
@@ -23,12 +24,14 @@
 
     :param lowest: it never goes below.
     :param highest: it never goes above.
+    :param step: by how much it grows.
     :param adjusted: steady time of the last adjustment, in seconds.
     """
 
     limit: float
     lowest: float
     highest: float
+    step: float = 1
     adjusted: float = 0
 
 
@@ -38,9 +41,14 @@
 
     :param full_streams: streams that reach the pool's throughput bound.
     """
-    pool = max(1, full_streams * HEADROOM)
-    even = max(2, pool / max(1, routers))
-    return PoolLimit(limit=even, lowest=max(1, even / 4), highest=max(2, pool))
+    full = max(1, full_streams)
+    even = max(2, full * HEADROOM / max(1, routers))
+    return PoolLimit(
+        limit=even,
+        lowest=max(1, even / 4),
+        highest=max(2, full * MOST),
+        step=even * STEP,
+    )
 
 
 def resize(known: PoolLimit, fresh: PoolLimit) -> PoolLimit:
@@ -64,8 +72,8 @@
     if now - known.adjusted < PERIOD_S:
         return known
     limit = known.limit
-    if slowdown > SHRINK_ABOVE:
+    if slowdown > FULL_SLOWDOWN:
         limit = max(known.lowest, limit * SHRINKING)
-    elif waiting and slowdown < GROW_BELOW:
-        limit = min(known.highest, max(limit + 1, limit * GROWTH))
+    elif waiting:
+        limit = min(known.highest, limit + known.step)
     return replace(known, limit=limit, adjusted=now)
--- a/mallowcrank/policy/admission.py
+++ b/mallowcrank/policy/admission.py
@@ -50,13 +50,6 @@
         with self._lock:
             return self._desk.step_priority(ticket)
 
-    def demands(self) -> Mapping[str, float]:
-        """
-        Return the demand by workspace for the report to the agent.
-        """
-        with self._lock:
-            return self._desk.ledger.demands(self._steady())
-
     # Commands
 
     def enter(self, ticket: Ticket) -> Refused | None:
@@ -82,6 +75,13 @@
         with self._lock:
             self._deliver(self._desk.leave(ticket, tokens, self._steady()))
 
+    def demands(self) -> Mapping[str, float]:
+        """
+        Return the demand by workspace for the report to the agent.
+        """
+        with self._lock:
+            return self._desk.ledger.report(self._steady())
+
     def apply_view(self, view: View) -> None:
         """
         Take over new settings and targets.
--- a/mallowcrank/policy/desk.py
+++ b/mallowcrank/policy/desk.py
@@ -163,7 +163,7 @@
     def _queue(self, entry: Entry, now: float) -> Iterator[Outcome]:
         ticket = entry.ticket
         pool = self.pools.get(ticket.serves)
-        if pool.is_hopeless(entry, now):
+        if pool.is_hopeless(entry, now, arrives=True):
             self.ledger.withdraw(ticket.workspace, ticket.tokens)
             refused = refusing.too_late(pool.wait_s(entry))
             yield Outcome(ticket.request, refused)
--- a/mallowcrank/policy/pools.py
+++ b/mallowcrank/policy/pools.py
@@ -31,6 +31,7 @@
         self._index = EngineIndex()
         self._view = View()
         self._census = Census()
+        self._shares_total: float = 1
 
     # Queries
 
@@ -50,12 +51,7 @@
         """
         Return the share of a workspace's branch among all branches.
         """
-        shares = {
-            each.branch: each.branch_share
-            for each in self._view.workspaces.values()
-        }
-        total = sum(shares.values())
-        return workspace.branch_share / total if total else 1
+        return workspace.branch_share / max(self._shares_total, 0.001)
 
     # Commands
 
@@ -82,6 +78,8 @@
             for name in view.models
             if self._view.models.get(name) != view.models[name]
         )
+        if self._view.workspaces != view.workspaces:
+            self._shares_total = _total_share(view)
         self._view = view
         for serves in changed:
             self._measure(serves)
@@ -141,6 +139,13 @@
     )
 
 
+def _total_share(view: View) -> float:
+    shares = {
+        each.branch: each.branch_share for each in view.workspaces.values()
+    }
+    return sum(shares.values())
+
+
 def _count_routers(view: View, router: str) -> int:
     live = {peer.name for peer in view.peers.values() if not peer.leaving}
     return len(live | {router})
--- a/scripts/measure_policy.py
+++ b/scripts/measure_policy.py
@@ -3,12 +3,27 @@
 """
 
 import time
+from concurrent.futures import ProcessPoolExecutor
 from dataclasses import astuple, fields
 
 from typer import Typer, echo
 
+from scripts.trials.fairness_trial import FairFigures, FairnessTrial
+from scripts.trials.full_size import (
+    DecisionFigures,
+    bench_offline,
+    bench_online,
+)
+from scripts.trials.limits_trial import LimitCase, LimitFigures, LimitsTrial
+from scripts.trials.overload_trial import (
+    LoadCase,
+    LoadFigures,
+    OverloadTrial,
+)
 from scripts.trials.ways_trial import WAYS, WayFigures, try_way
 
+MAX_PROCESSES = 4
+
 app = Typer(help=__doc__)
 
 
@@ -44,10 +59,71 @@
 
 
 @app.command()
-def nothing() -> None:
+def overload(seed: int = 1) -> None:
+    """
+    Goodput at and over the bound, and through the loss of a zone.
+    """
+    show_header(LoadFigures)
+    cases = [
+        LoadCase(load, seed, has_policy)
+        for has_policy in (True, False)
+        for load in (0.5, 1, 2)
+    ]
+    cases += [
+        LoadCase(load, seed, has_policy, loses_zone=True)
+        for has_policy in (True, False)
+        for load in (0.6, 1, 2)
+    ]
+    with ProcessPoolExecutor(MAX_PROCESSES) as pool:
+        for figures in pool.map(run_case, cases):
+            show(figures)
+
+
+def run_case(case: LoadCase) -> LoadFigures:
+    """
+    Run one case, in a process of its own.
+    """
+    return OverloadTrial(case).run()
+
+
+@app.command()
+def fairness(seed: int = 1) -> None:
+    """
+    A hot branch beside a quiet one.
+    """
+    show_header(FairFigures)
+    for priorities in ('fair', 'caller'):
+        for load in (0.2, 0.5, 2):
+            show(FairnessTrial(load, priorities, seed).run())
+
+
+@app.command()
+def limits(seed: int = 1) -> None:
+    """
+    By how much routers pass a limit together.
+    """
+    show_header(LimitFigures)
+    for routers in (8, 40):
+        for pattern in ('even', 'one', 'moving', 'burst'):
+            show(LimitsTrial(LimitCase(pattern, routers, seed=seed)).run())
+        cut = LimitCase('even', routers, cut_off=True, seed=seed)
+        show(LimitsTrial(cut).run())
+    show(LimitsTrial(LimitCase('even', 380, seed=seed)).run())
+    show(LimitsTrial(LimitCase('even', 8, workspaces=64, seed=seed)).run())
+
+
+@app.command()
+def bench() -> None:
     """
-    Do nothing.
+    Time single decisions at several sizes, up to the full one.
     """
+    show_header(DecisionFigures)
+    for part in (0.1, 0.25, 0.5, 1):
+        for figures in bench_online(part):
+            show(figures)
+    for layers in (16, 32, 64):
+        for figures in bench_offline(layers):
+            show(figures)
 
 
 if __name__ == '__main__':
--- /dev/null
+++ b/scripts/trials/fairness_trial.py
@@ -0,0 +1,152 @@
+"""
+A hot branch that asks for far more than its share beside a quiet one.
+"""
+
+from collections import Counter
+from dataclasses import dataclass, replace
+
+from mallowcrank.router.ports import Ticket
+from mallowcrank.routing.bound import Work
+from mallowcrank.view import WorkspaceSettings
+from scripts.trials.fleet import MODEL, WIDE, FleetSettings, VirtualFleet
+from scripts.trials.traffic import Job, Shape
+from scripts.trials.virtual import PROMPT_TOKENS_PER_STEP
+from scripts.trials.ways_trial import PROMPTS, percentile
+
+IDLE_UNTIL_S = 8  # the quiet branch
+RUN_S = 20
+HOT_LOAD = 3  # times the bound
+HOT_PRIORITY = 100
+BRANCHES = ('hot', 'quiet')
+
+
+@dataclass(frozen=True)
+class FairFigures:
+    """
+    What the branches got.
+
+    :param quiet_load: what the quiet branch asks for, over the bound.
+    :param lent: the hot branch's part of the tokens while the other is idle.
+    :param quiet_part: the quiet branch's part of the tokens, once settled.
+    :param quiet_served: the quiet branch's requests answered in time.
+    :param back_s: seconds until the quiet branch first gets 9 in 10 of its
+        part over half a second.
+    :param quiet_first_p95_ms: its time to the first token.
+    """
+
+    quiet_load: float
+    priorities: str
+    lent: float
+    quiet_part: float
+    quiet_served: float
+    back_s: float
+    quiet_first_p95_ms: float
+    quiet_between_p95_ms: float
+
+
+class FairnessTrial:
+    """
+    Two branches with equal shares.
+
+    :param priorities: `fair` for the policy's own, `caller` where the
+        callers' priorities go to the engines.
+    """
+
+    def __init__(self, quiet_load: float, priorities: str, seed: int) -> None:
+        self._quiet_load = quiet_load
+        self._priorities = priorities
+        workspaces = [
+            WorkspaceSettings(
+                f'{name}/w',
+                name,
+                request_rate=WIDE,
+                token_rate=WIDE,
+                streams=10**6,
+            )
+            for name in BRANCHES
+        ]
+        self._fleet = VirtualFleet(
+            FleetSettings(seed=seed, workspaces=workspaces)
+        )
+        units = Shape().prompt_tokens / PROMPT_TOKENS_PER_STEP
+        work = Work(prompt_units=units, answer_tokens=Shape().answer)
+        bound = self._fleet.bound(work).tokens_per_s
+        self._rate = bound / Shape().answer
+        self._jobs: list[Job] = []
+
+    def run(self) -> FairFigures:
+        """
+        Run the trial.
+        """
+        loop = self._fleet.loop
+        loop.after(0, lambda: self._next('hot', HOT_LOAD * self._rate))
+        quiet = self._quiet_load * self._rate
+        loop.after(IDLE_UNTIL_S, lambda: self._next('quiet', quiet))
+        loop.run(RUN_S)
+        return self._figures()
+
+    def _next(self, branch: str, rate: float) -> None:
+        fleet, now = self._fleet, self._fleet.loop.now
+        shape = replace(Shape(), timeout_s=4)
+        hot = branch == 'hot'
+        ticket = Ticket(
+            f'{branch}{len(self._jobs)}',
+            f'{branch}/w',
+            now + shape.timeout_s,
+            HOT_PRIORITY if hot else 0,
+            shape.answer + shape.prompt_tokens,
+            MODEL,
+        )
+        prompt = int(PROMPTS * fleet.random.random() ** 2)
+        job = Job(ticket, prompt, shape, now, lambda _: None)
+        if self._priorities == 'caller':
+            job.forced_priority = ticket.priority
+        self._jobs.append(job)
+        fleet.random.choice(fleet.routers).arrive(job)
+        fleet.loop.after(
+            fleet.random.expovariate(rate), lambda: self._next(branch, rate)
+        )
+
+    def _figures(self) -> FairFigures:
+        settled = IDLE_UNTIL_S + 1
+        before = self._tokens(IDLE_UNTIL_S - 3, IDLE_UNTIL_S)
+        after = self._tokens(settled, RUN_S)
+        quiet = [
+            job
+            for job in self._jobs
+            if job.ticket.request.startswith('quiet')
+            and job.arrived < RUN_S - 4
+        ]
+        good = [job for job in quiet if len(job.times) == job.shape.answer]
+        gaps = [
+            later - earlier
+            for job in good
+            for earlier, later in zip(job.times, job.times[1:], strict=False)
+        ]
+        first = [job.times[0] - job.arrived for job in good]
+        return FairFigures(
+            quiet_load=self._quiet_load,
+            priorities=self._priorities,
+            lent=before['hot'] / (3 * self._rate * Shape().answer),
+            quiet_part=after['quiet'] / after.total(),
+            quiet_served=len(good) / len(quiet),
+            back_s=self._back_s(),
+            quiet_first_p95_ms=percentile(first or [0], 0.95) * 1000,
+            quiet_between_p95_ms=percentile(gaps or [0], 0.95) * 1000,
+        )
+
+    def _back_s(self) -> float:
+        part = min(0.5, self._quiet_load)
+        for tenth in range((RUN_S - IDLE_UNTIL_S) * 10 - 5):
+            start = IDLE_UNTIL_S + tenth / 10
+            got = self._tokens(start, start + 0.5)
+            if got['quiet'] >= 0.9 * part * got.total():
+                return tenth / 10 + 0.5
+        return RUN_S
+
+    def _tokens(self, start: float, end: float) -> Counter[str]:
+        counted: Counter[str] = Counter()
+        for job in self._jobs:
+            branch = job.ticket.workspace.partition('/')[0]
+            counted[branch] += sum(start < at <= end for at in job.times)
+        return counted
--- /dev/null
+++ b/scripts/trials/full_size.py
@@ -0,0 +1,233 @@
+"""
+Benchmarks of single decisions at several sizes, up to the full one.
+"""
+
+import time
+import tracemalloc
+from collections.abc import Callable
+from dataclasses import dataclass, replace
+from random import Random
+from statistics import median
+
+from mallowcrank.clock import SystemClock
+from mallowcrank.policy.desk import Desk
+from mallowcrank.policy.routes import Routes
+from mallowcrank.policy.settings import PolicySettings
+from mallowcrank.router.ports import RouteDemand, Ticket
+from mallowcrank.routing.bound import BoundEngine, throughput_bound
+from mallowcrank.routing.placement import (
+    AcceleratorClass,
+    Links,
+    split_layers,
+)
+from mallowcrank.settings import HostSettings, RouterSettings
+from mallowcrank.view import (
+    ModelSettings,
+    Peer,
+    Target,
+    TargetKind,
+    View,
+    WorkspaceSettings,
+)
+from mallowcrank.wire import KeyRing
+from scripts.trials.ways_trial import percentile
+
+MODELS = 17
+ZONES = 28
+KINDS_MS = (4, 6, 8, 12, 16, 24, 40)  # step times of the accelerator kinds
+LAYERS = 64
+STAGES = 2  # accelerators of a replica
+REPEATS = 300
+NODES = 380
+FULL_REPLICAS = 4100
+FULL_WORKSPACES = 6100
+MICROS = 1e6
+WIDE = 1e6  # requests a second, so that no limit ends the decision early
+
+
+@dataclass(frozen=True)
+class DecisionFigures:
+    """
+    What one decision takes.
+
+    :param part: of the full size.
+    :param median_us: microseconds.
+    :param p99_us: microseconds.
+    :param state_kb: memory of what it keeps.
+    """
+
+    decision: str
+    part: float
+    median_us: float
+    p99_us: float
+    state_kb: float
+
+
+def bench_online(part: float) -> list[DecisionFigures]:
+    """
+    Time each decision at a part of the full size.
+    """
+    view = full_view(part)
+    return [*_bench_routes(view, part), *_bench_desk(view, part)]
+
+
+def full_view(part: float) -> View:
+    """
+    Return a view at a part of the full size.
+    """
+    targets = {
+        target.name: target
+        for number in range(round(FULL_REPLICAS * part))
+        for target in _replica(number)
+    }
+    workspaces = [
+        WorkspaceSettings(
+            f'b{number % 60}/w{number}', f'b{number % 60}', request_rate=WIDE
+        )
+        for number in range(round(FULL_WORKSPACES * part))
+    ]
+    peers = [
+        Peer(
+            f'r{number}',
+            '',
+            f'z{number % ZONES}',
+            '1',
+            demand={
+                workspaces[(number * 7 + each) % len(workspaces)].name: 0.01
+                for each in range(8)
+            },
+        )
+        for number in range(round(NODES * part))
+    ]
+    return View(
+        version=1,
+        targets=targets,
+        models={
+            f'm{number}': ModelSettings(f'm{number}', LAYERS)
+            for number in range(MODELS)
+        },
+        workspaces={each.name: each for each in workspaces},
+        peers={each.name: each for each in peers},
+    )
+
+
+def _replica(number: int) -> list[Target]:
+    size = LAYERS // STAGES
+    return [
+        Target(
+            name=f'e{number}.{stage}',
+            kind=TargetKind.ENGINE,
+            address=f'10.{number // 250}.{number % 250}.{stage}:9100',
+            availability_zone=f'z{number % ZONES}',
+            serves=f'm{number % MODELS}',
+            first_layer=stage * size,
+            last_layer=stage * size + size - 1,
+            step_ms=KINDS_MS[number // MODELS % len(KINDS_MS)],
+        )
+        for stage in range(STAGES)
+    ]
+
+
+def _bench_routes(view: View, part: float) -> list[DecisionFigures]:
+    tracemalloc.start()
+    routes = Routes(_settings())
+    routes.apply_view(view)
+    state_kb = tracemalloc.get_traced_memory()[0] / 1024
+    tracemalloc.stop()
+    prefix = tuple(f'{block:016x}' for block in range(16))
+    plain = RouteDemand('s', 'b0/w0', 'm0', prompt_tokens=256)
+    cached = replace(plain, prefix=prefix)
+    lost = replace(plain, avoid=frozenset(('e0.0', 'e17.1')))
+    loads = [_reported(view, number) for number in range(12)]
+    following = iter(loads * 2)
+    timed = [
+        ('path', lambda: routes.choose_path(plain), REPEATS),
+        ('path, prefix', lambda: routes.choose_path(cached), REPEATS),
+        ('path, failed', lambda: routes.choose_path(lost), REPEATS),
+        ('answered', lambda: routes.succeeded('e0.0', 0.01), REPEATS),
+        ('view, 1% new', lambda: routes.apply_view(next(following)), 10),
+    ]
+    return [_timed(each[0], part, *each[1:], state_kb) for each in timed]
+
+
+def _reported(view: View, number: int) -> View:
+    targets = dict(view.targets)
+    for index, (name, target) in enumerate(view.targets.items()):
+        if index % 100 == number:
+            targets[name] = replace(target, load=number + 1)
+    return replace(view, targets=targets)
+
+
+def _bench_desk(view: View, part: float) -> list[DecisionFigures]:
+    tracemalloc.start()
+    desk = Desk(100000, 'r0', lambda _: 1)
+    desk.apply_view(view, 0)
+    names = list(view.workspaces)
+    random = Random(1)
+    for number, name in enumerate(names):
+        ticket = Ticket(f'warm{number}', name, 1e9, 0, 64, f'm{number % 17}')
+        list(desk.arrive(ticket, 1))
+        list(desk.leave(ticket, 64, 1.5))
+    state_kb = tracemalloc.get_traced_memory()[0] / 1024
+    tracemalloc.stop()
+
+    def admit() -> None:
+        ticket = Ticket('t', random.choice(names), 1e9, 0, 64, 'm0')
+        list(desk.arrive(ticket, 3))
+        list(desk.leave(ticket, 64, 3.1))
+
+    timed = [
+        ('admit, leave', admit, REPEATS),
+        ('demand report', lambda: desk.ledger.report(5), 20),
+        ('desk view', lambda: desk.apply_view(view, 6), 10),
+    ]
+    return [_timed(each[0], part, *each[1:], state_kb) for each in timed]
+
+
+def bench_offline(layers: int) -> list[DecisionFigures]:
+    """
+    Time what is not decided for each request.
+    """
+    engines = [
+        BoundEngine(f'e{number}', first, first + layers // 2 - 1, 8, 16, 1)
+        for number in range(241)
+        for first in (0, layers // 2)
+    ]
+    classes = [
+        AcceleratorClass(f'k{number}', f'z{number % 3}', 2, ms / 16, 12)
+        for number, ms in enumerate(KINDS_MS)
+    ]
+    links = Links(0.1, {}, 10)
+    part = layers / LAYERS
+    return [
+        _timed('bound', part, lambda: throughput_bound(layers, engines), 3, 0),
+        _timed(
+            'placement',
+            part,
+            lambda: split_layers(layers, classes, links),
+            1,
+            0,
+        ),
+    ]
+
+
+def _settings() -> PolicySettings:
+    router = RouterSettings(HostSettings('r0', 'z0'), '', '', '', KeyRing())
+    return PolicySettings(router, SystemClock().steady, Random(1))
+
+
+def _timed(
+    name: str,
+    part: float,
+    act: Callable[[], object],
+    repeats: int,
+    state_kb: float,
+) -> DecisionFigures:
+    taken: list[float] = []
+    for _ in range(repeats):
+        begun = time.perf_counter()
+        act()
+        taken.append((time.perf_counter() - begun) * MICROS)
+    return DecisionFigures(
+        name, part, median(taken), percentile(taken, 0.99), state_kb
+    )
--- a/scripts/trials/traffic.py
+++ b/scripts/trials/traffic.py
@@ -24,7 +24,7 @@
 
 LINK_S = 0.0005  # one way
 SILENCE_S = 0.3  # until a call that brings no answer counts as failed
-THREADS = 4096  # of a router, so that its room is no limit
+THREADS = 192  # of a router
 BLOCKS = 8  # of a prompt
 
 
@@ -59,7 +59,8 @@
     refused: Refused | None = None
     ended: float | None = None
     route: Route | None = None
-    priority: int = 0
+    priority: int | None = None
+    forced_priority: int | None = None
 
     @property
     def prefix(self) -> tuple[str, ...]:
@@ -137,7 +138,9 @@
             self._end(job, route)
             return
         job.route = route
-        job.priority = self.desk.step_priority(job.ticket)
+        job.priority = job.forced_priority
+        if job.priority is None:
+            job.priority = self.desk.step_priority(job.ticket)
         self._send(job, 0, first=True)
 
     def engine_died(self, name: str) -> None:
@@ -155,9 +158,8 @@
     def _send(self, job: Job, index: int, *, first: bool) -> None:
         stage = job.route.stages[index]
         engine = self._engines[stage.target]
-        share = self.routes_share(
-            stage.target, stage.last_layer, stage.first_layer
-        )
+        layers = stage.last_layer - stage.first_layer + 1
+        share = layers / engine.layers
         cost: float = 1
         if first:
             tokens = job.shape.prompt_tokens + len(job.times)
@@ -205,11 +207,19 @@
         self.routes.failed(target, 0, 'no answer')
         if self._loop.now > job.ticket.deadline:
             self._end(job, None)
-        elif not self._has_budget or self.routes.may_retry(job.ticket.serves):
+        elif self._may_go_on(job):
             self.start(job)
         else:
             self._end(job, None)
 
+    def _may_go_on(self, job: Job) -> bool:
+        """
+        Tell whether a stream may look for a new path: once in any case.
+        """
+        if not self._has_budget or job.attempt < 2:
+            return True
+        return self.routes.may_retry(job.ticket.serves)
+
     def _end(self, job: Job, refused: Refused | None) -> None:
         job.refused = refused
         job.ended = self._loop.now
--- a/tests/test_limits_shares.py
+++ b/tests/test_limits_shares.py
@@ -29,14 +29,14 @@
         demands = [0.9, 0.5, 0.1, 0.05]
         hearing = Hearing(4, heard=True)
         parts = [
-            granted_part(Asked(own, own, sum(demands) - own), hearing)
+            granted_part(Asked(own, sum(demands) - own), hearing)
             for own in demands
         ]
         self.assertAlmostEqual(sum(parts), 1)
         self.assertEqual(parts, sorted(parts, reverse=True))
 
     def test_new_demand_gets_an_even_share_until_peers_have_heard_of_it(self):
-        fresh = Asked(now=1, settled=0, others=1)
+        fresh = Asked(others=1, is_new=True)
         self.assertEqual(granted_part(fresh, Hearing(4, heard=True)), 0.25)
 
     def test_cut_off_router_falls_back_to_an_even_share_of_all_it_knew(self):
@@ -44,7 +44,7 @@
         census.count(8, 0)
         hearing = census.count(1, 10)
         self.assertEqual(hearing, Hearing(8, heard=False))
-        self.assertEqual(granted_part(Asked(1, 1, 0), hearing), 1 / 8)
+        self.assertEqual(granted_part(Asked(1), hearing), 1 / 8)
 
     def test_smaller_fleet_is_believed_after_a_while(self):
         census = Census()
@@ -67,6 +67,19 @@
             admit(self.ledger, 200, 10), 10 * 10 + 10, delta=1
         )
 
+    def test_unreported_demand_takes_no_more_than_its_silent_part(self):
+        self.ledger.hear(Hearing(8, heard=True), {'b/w': 0.9})
+        admit(self.ledger, 200, 10)
+        self.assertAlmostEqual(self.ledger.granted('b/w', 10), 0.1 / 8)
+
+    def test_reported_demand_counts_once_peers_have_heard_of_it(self):
+        self.ledger.hear(Hearing(8, heard=True), {'b/w': 0.9})
+        for second in range(6):
+            admit(self.ledger, 200, 1, start=second)
+            self.ledger.report(second + 1)
+        self.assertGreater(self.ledger.granted('b/w', 6), 0.5)
+        self.assertEqual(self.ledger.granted('b/w', 12), 1 / 8)
+
     def test_refusal_says_when_to_come_back(self):
         admit(self.ledger, 1000, 1)
         over = self.ledger.take(WORKSPACE, 1, 1)
--- a/tests/test_overload_targets.py
+++ b/tests/test_overload_targets.py
@@ -65,10 +65,10 @@
 
     def test_stays_within_its_bounds(self):
         limit = first_limit(full_streams=32, routers=4)
-        for step in range(1, 200):
+        for step in range(1, 2000):
             limit = adjust(limit, 1, 5, now=step)
         self.assertEqual(limit.limit, limit.highest)
-        for step in range(200, 400):
+        for step in range(2000, 4000):
             limit = adjust(limit, 9, 5, now=step)
         self.assertEqual(limit.limit, limit.lowest)
 
