--- a/mallowcrank/agent/settings.py
+++ b/mallowcrank/agent/settings.py
@@ -188,7 +188,7 @@
             missing=0 if replica.is_complete else replica.since,
             age_s=round(self._around.clock.steady() - self._confirmed, 3),
             outage=self._notes.outage,
-            findings=tuple(map(str, self._notes.findings)),
+            findings=tuple(map(str, (*lacks(replica), *self._notes.findings))),
         )
 
     def age_s(self) -> float:
@@ -228,3 +228,21 @@
             record.offset, record.time, after, dict(record.body)
         )
         self._around.gossip.send(RECORD_TOPIC, to_plain(message))
+
+
+def lacks(replica: Replica) -> tuple[Finding, ...]:
+    """
+    Return what an operator must know of settings that are not there.
+    """
+    if not replica.is_complete:
+        return (
+            Finding(
+                'settings',
+                f'records before offset {replica.since} are missing',
+                'they come from a peer that has them; if there is none, '
+                'publish the whole tree with --restore',
+            ),
+        )
+    if replica.tree.version < 0:
+        return (Finding('settings', 'there are none', 'publish some'),)
+    return ()
--- a/tests/test_operator_publish.py
+++ b/tests/test_operator_publish.py
@@ -143,3 +143,26 @@
         self.assertEqual(run.status, ExitStatus.SUCCESS, run.stderr)
         again = self.publish(EXAMPLE.read_text(), '--restore')
         self.assertEqual(again.status, ExitStatus.REFUSED)
+
+    def test_snapshot_in_time_lets_a_late_agent_start(self):
+        admin = self.places.agent_admins[0]
+        text = '[platform]\nlog_retention_s = 4\n'
+        version = self.publish_version(text)
+        page = wait_for(
+            self.places.log,
+            '/records?from=0&limit=500&wait=0',
+            lambda read: read['records'][-1]['body']['type'] == 'snapshot',
+        )
+        self.fault('forget', offset=page['records'][-1]['offset'])
+        self.fleet.get('agent-0').kill()
+        self.layout.start_agent(0, 'a')
+        wait_for(
+            admin,
+            '/admin/status',
+            lambda fresh: fresh['version'] == version and not fresh['missing'],
+        )
+
+    def publish_version(self, text):
+        run = self.publish(text, '--wait')
+        self.assertEqual(run.status, ExitStatus.SUCCESS, run.stderr)
+        return get_json(self.places.agent_admins[0], '/admin/status')['version']
