--- /dev/null
+++ b/mallowcrank/agent/joining.py
@@ -0,0 +1,58 @@
+"""
+The parts that make an agent one of many: membership, gossip, orders.
+"""
+
+from dataclasses import dataclass
+
+from mallowcrank.agent.ports import GossipPort, MembershipPort
+from mallowcrank.context import Environment
+from mallowcrank.leases.part import OrdersPart, Surroundings
+from mallowcrank.leases.records import terms_of
+from mallowcrank.membership.inbox import Publish
+from mallowcrank.membership.part import MembershipPart, Platform
+from mallowcrank.metrics import open_metrics
+from mallowcrank.platform.hosts import HttpHostList
+from mallowcrank.platform.log import HttpLog
+from mallowcrank.settings import AgentSettings
+from mallowcrank.timeline import Timeline
+
+
+@dataclass(frozen=True)
+class Neighbours:
+    """
+    The parts that other modules bring to the agent.
+
+    :param orders: leases and orders.
+    """
+
+    membership: MembershipPort
+    gossip: GossipPort
+    orders: OrdersPart
+
+
+def join(
+    settings: AgentSettings, environment: Environment, timeline: Timeline
+) -> Neighbours:
+    """
+    Return the parts of an agent that joins others.
+    """
+    platform = Platform(
+        HttpHostList(settings.host_list),
+        environment.clock,
+        timeline,
+        open_metrics(settings.on.statsd, 'agent'),
+    )
+    membership = MembershipPart(settings, platform)
+    orders = OrdersPart(
+        Surroundings(
+            holder=f'{settings.on.host}.{environment.random.getrandbits(48):x}',
+            weights=settings.weights,
+            platform_log=HttpLog(settings.log),
+            targets=membership.targets,
+            publish=lambda hold: membership.tell(Publish((hold,))),
+            clock=environment.clock,
+            timeline=timeline,
+            terms=terms_of(settings.lease_s),
+        )
+    )
+    return Neighbours(membership, membership.gossip, orders)
--- a/mallowcrank/agent/program.py
+++ b/mallowcrank/agent/program.py
@@ -4,11 +4,11 @@
 
 import signal
 import threading
-from dataclasses import dataclass
 from typing import Any
 
 from mallowcrank.agent.admin import AdminPages, Desk
 from mallowcrank.agent.feed import FeedActor, FeedServer
+from mallowcrank.agent.joining import Neighbours, join
 from mallowcrank.agent.loops import (
     FeedBeat,
     LogFollower,
@@ -23,54 +23,23 @@
     RecordMessage,
     TreeQuestion,
 )
-from mallowcrank.agent.ports import Body, GossipPort, LogSink, MembershipPort
+from mallowcrank.agent.ports import Body
 from mallowcrank.agent.settings import SettingsActor, Surroundings
 from mallowcrank.clock import HybridClock
 from mallowcrank.codec import from_plain, to_plain
 from mallowcrank.context import Environment
+from mallowcrank.leases.pages import LeasePages
 from mallowcrank.logs import PartLog
-from mallowcrank.membership.part import MembershipPart, Platform
-from mallowcrank.metrics import open_metrics
-from mallowcrank.platform.hosts import HttpHostList
 from mallowcrank.platform.log import HttpLog
 from mallowcrank.ports import LogPage
 from mallowcrank.settings import AgentSettings
 from mallowcrank.timeline import Timeline
-from mallowcrank.web import WebServer
+from mallowcrank.web import Routes, WebServer
 
 ADMIN_THREADS = 4
 log = PartLog('agent')
 
 
-@dataclass(frozen=True)
-class Neighbours:
-    """
-    The parts that other modules bring to the agent.
-
-    :param sinks: parts that follow the log besides the settings.
-    """
-
-    membership: MembershipPort
-    gossip: GossipPort
-    sinks: tuple[LogSink, ...] = ()
-
-
-def join(
-    settings: AgentSettings, environment: Environment, timeline: Timeline
-) -> Neighbours:
-    """
-    Return the parts of an agent that joins others.
-    """
-    platform = Platform(
-        HttpHostList(settings.host_list),
-        environment.clock,
-        timeline,
-        open_metrics(settings.on.statsd, 'agent'),
-    )
-    membership = MembershipPart(settings, platform)
-    return Neighbours(membership, membership.gossip)
-
-
 class SettingsSink:
     """
     Passes the log on to the settings.
@@ -131,9 +100,7 @@
             self._feed,
             self._around.membership.apply_report,
         )
-        self._admin = WebServer(
-            settings.admin, AdminPages(self._desk()).routes(), ADMIN_THREADS
-        )
+        self._admin = WebServer(settings.admin, self._routes(), ADMIN_THREADS)
         self._loops = self._build_loops()
 
     @property
@@ -165,6 +132,7 @@
         self._feed_server.start()
         self._admin.start()
         self._around.membership.start()
+        self._around.orders.start()
         for loop in self._loops:
             loop.start()
         log.say('The agent serves.', incarnation=self._incarnation)
@@ -185,11 +153,17 @@
             loop.stop()
         self._feed_server.stop()
         self._feed.close().get()
+        self._around.orders.stop()
         self._around.membership.stop()
         self._admin.stop()
         self._actor_ref.stop()
         self._feed_ref.stop()
 
+    def _routes(self) -> Routes:
+        routes = AdminPages(self._desk()).routes()
+        LeasePages(self._around.orders).add_to(routes)
+        return routes
+
     def _desk(self) -> Desk:
         return Desk(
             settings=self._settings,
@@ -205,7 +179,7 @@
     def _build_loops(self) -> tuple[Loop, ...]:
         around = self._around
         platform_log = HttpLog(self._settings.log)
-        sinks = (SettingsSink(self._actor), *around.sinks)
+        sinks = (SettingsSink(self._actor), around.orders)
         refresher = Refresher(self._feed)
         around.membership.on_change(refresher.mark)
         jobs = {
--- a/mallowcrank/cli/agent.py
+++ b/mallowcrank/cli/agent.py
@@ -21,6 +21,8 @@
 from mallowcrank.status import ExitStatus
 
 PROGRAM = 'mallowcrank-agent'
+MIN_LEASE_S = 3
+MAX_LEASE_S = 3600
 
 app = Typer(add_completion=False, help='Run control on one entry host.')
 
@@ -69,6 +71,14 @@
             help='IP:PORT[,IP:PORT] of agents to start from.',
         ),
     ] = '',
+    lease: Annotated[
+        str,
+        Option(
+            envvar='MALLOWCRANK_LEASE',
+            help='Seconds of a lease for orders; the same on all agents. '
+            'A load of weights may take twice as long.',
+        ),
+    ] = '30',
     peer_keys: PeerKeys = '',
     statsd: Statsd = '',
     version: Version = False,
@@ -95,6 +105,7 @@
         weights=checker.address('--weights', weights, optional=True),
         peers=checker.addresses('--peers', peers),
         keys=checker.keys('--peer-keys', peer_keys),
+        lease_s=checker.number('--lease', lease, MIN_LEASE_S, MAX_LEASE_S),
     )
     require_no_findings(environment, PROGRAM, checker.findings)
     start_logs(environment.stderr, host, 'agent')
--- /dev/null
+++ b/mallowcrank/leases/actor.py
@@ -0,0 +1,258 @@
+"""
+The actor that holds leases and orders at hand.
+"""
+
+from dataclasses import dataclass, replace
+
+from pykka import ThreadingActor
+
+from mallowcrank.clock import Clock
+from mallowcrank.leases.engines import SentOrder, address_order
+from mallowcrank.leases.fold import LeaseTable
+from mallowcrank.leases.holding import Grant
+from mallowcrank.leases.keeper import LeaseKeeper
+from mallowcrank.leases.orders import (
+    Action,
+    EngineState,
+    Order,
+    Stage,
+    WeightRate,
+    order_life,
+)
+from mallowcrank.leases.records import (
+    TERMS,
+    WEIGHTS_GROUP,
+    LeaseRecord,
+    LeaseTerms,
+    group_of,
+)
+from mallowcrank.leases.steps import (
+    Drain,
+    Facts,
+    Job,
+    Move,
+    Step,
+    Wait,
+    next_step,
+    note_load,
+)
+from mallowcrank.logs import PartLog
+from mallowcrank.membership.events import Instant
+from mallowcrank.ports import LogPage
+from mallowcrank.timeline import Timeline
+
+MAX_ACTIVE = 32  # orders at work at a time; the others wait their turn
+MAX_KEPT = 500  # orders that are over and still shown
+log = PartLog('orders')
+
+
+@dataclass(frozen=True, slots=True)
+class Sending:
+    """
+    An order that may be sent now.
+
+    :param wire: the order as the engine gets it.
+    """
+
+    job: Job
+    wire: SentOrder
+
+
+@dataclass(frozen=True, slots=True)
+class OrdersStatus:
+    """
+    What an operator sees.
+
+    :param table: all leases, as the log has them.
+    :param is_out: whether the log can't be read.
+    :param jobs: all orders, the oldest first.
+    """
+
+    table: LeaseTable
+    is_out: bool
+    jobs: tuple[Job, ...]
+
+
+class OrdersActor(ThreadingActor):
+    """
+    Decides on leases and orders; what it decides is done outside.
+
+    :param holder: this agent's host and incarnation.
+    """
+
+    def __init__(
+        self,
+        holder: str,
+        clock: Clock,
+        timeline: Timeline,
+        terms: LeaseTerms = TERMS,
+    ) -> None:
+        super().__init__()
+        self._terms = terms
+        self._keeper = LeaseKeeper(holder, terms)
+        self._clock = clock
+        self._timeline = timeline
+        self._jobs: dict[str, Job] = {}
+
+    # Queries
+
+    def status(self) -> OrdersStatus:
+        """
+        Return what an operator sees.
+        """
+        return OrdersStatus(
+            self._keeper.table,
+            self._keeper.is_out,
+            tuple(self._jobs.values()),
+        )
+
+    def active(self) -> tuple[Job, ...]:
+        """
+        Return the orders to work on now.
+        """
+        unfinished = (
+            job for job in self._jobs.values() if not job.stage.is_over
+        )
+        return tuple(unfinished)[:MAX_ACTIVE]
+
+    # Commands
+
+    def apply_page(self, page: LogPage) -> None:
+        """
+        Take in a page of the log.
+        """
+        self._keeper.apply_page(page, self._now())
+
+    def apply_outage(self) -> None:
+        """
+        Take in that the log could not be read.
+        """
+        self._keeper.apply_outage()
+
+    def submit(self, name: str, order: Order) -> Job:
+        """
+        Take an order from an operator.
+        """
+        over = [job.id for job in self._jobs.values() if job.stage.is_over]
+        for old in over[:-MAX_KEPT]:
+            self._jobs.pop(old)
+        job = Job(name, order, created=self._clock.steady())
+        self._jobs[name] = job
+        self._note(job, 'is queued')
+        return job
+
+    def due_record(self) -> LeaseRecord | None:
+        """
+        Return the lease record to append now, if any.
+        """
+        wanted = {
+            group for job in self.active() for group in _groups(job.order)
+        }
+        return self._keeper.decide(wanted, self._now())
+
+    def advance(self, name: str, state: EngineState | None) -> Step:
+        """
+        Decide on the next step of an order, and note what it changes.
+
+        :param state: the engine as it was just read back.
+        """
+        job = self._jobs[name]
+        now = self._now()
+        if state is not None:
+            job = note_load(job, state, now.steady)
+        step = next_step(job, self._facts(job, state, now))
+        if isinstance(step, Wait):
+            job = replace(job, note=step.reason)
+        elif isinstance(step, Drain):
+            job = _at(job, Stage.DRAINING, now)
+            self._note(job, 'has its target drained')
+        elif isinstance(step, Move):
+            job = _at(replace(job, note=step.note), step.stage, now)
+            self._note(job, f'is {step.stage}')
+        self._jobs[name] = job
+        return step
+
+    def begin_send(self, name: str, rate: WeightRate | None) -> Sending | None:
+        """
+        Return an order ready to be sent, if the lease still lasts.
+
+        To be called right before it is sent: after a pause, the clocks tell
+        that the lease is over.
+        """
+        job = self._jobs[name]
+        now = self._now()
+        grant = self._grant(job, now)
+        life = order_life(job.order, rate, self._terms)
+        if life is None:
+            failed = replace(job, note='the weight store is too slow')
+            self._jobs[name] = _at(failed, Stage.FAILED, now)
+            return None
+        if grant is None:
+            return None
+        tries = job.tries + 1
+        job = replace(job, tries=tries, ends=now.steady + life)
+        self._jobs[name] = _at(job, Stage.SENT, now)
+        self._note(job, 'is sent')
+        wire = address_order(
+            f'{job.id}.{tries}', job.order, grant.fence, now.wall + life
+        )
+        return Sending(job, wire)
+
+    def refused(self, name: str, why: str) -> None:
+        """
+        An engine refused an order; it is not at work there.
+        """
+        job = self._jobs[name]
+        now = self._now()
+        job = replace(job, note=why, ends=now.steady - 1)
+        self._jobs[name] = _at(job, Stage.FAILED, now)
+        self._note(job, f'is refused: {why}')
+
+    def _facts(
+        self, job: Job, state: EngineState | None, now: Instant
+    ) -> Facts:
+        order = job.order
+        earlier = (
+            other
+            for other in self.active()
+            if other.order.target == order.target
+        )
+        return Facts(
+            steady=now.steady,
+            holds_lease=self._grant(job, now) is not None,
+            waited_out=self._keeper.is_waited_out(group_of(order.target), now),
+            is_first=next(earlier, job).id == job.id,
+            can_load=order.action is not Action.LOAD
+            or not any(
+                other.stage is Stage.SENT and other.order.action is Action.LOAD
+                for other in self.active()
+            ),
+            state=state,
+            terms=self._terms,
+        )
+
+    def _grant(self, job: Job, now: Instant) -> Grant | None:
+        grants = [
+            self._keeper.grant(group, now) for group in _groups(job.order)
+        ]
+        return None if None in grants else grants[0]
+
+    def _now(self) -> Instant:
+        return Instant(self._clock.steady(), self._clock.now())
+
+    def _note(self, job: Job, what: str) -> None:
+        log.say(f'An order {what}.', order=job.id, target=job.order.target)
+        self._timeline.record(
+            'orders', f'order {job.id} {what}', target=job.order.target
+        )
+
+
+def _groups(order: Order) -> tuple[str, ...]:
+    group = group_of(order.target)
+    if order.action is Action.LOAD:
+        return group, WEIGHTS_GROUP
+    return (group,)
+
+
+def _at(job: Job, stage: Stage, now: Instant) -> Job:
+    return replace(job, stage=stage, since=now.steady)
--- /dev/null
+++ b/mallowcrank/leases/engines.py
@@ -0,0 +1,128 @@
+"""
+Engines and the weight store over HTTP, as far as orders need them.
+"""
+
+import json
+from dataclasses import dataclass
+from typing import Any
+
+from mallowcrank import codec
+from mallowcrank.calls import HttpCaller
+from mallowcrank.leases.orders import EngineState, Order, WeightRate
+from mallowcrank.ports import Failure
+from mallowcrank.refusals import Ran
+
+CALL_TIMEOUT_S = 2
+OK = 200
+
+
+@dataclass(frozen=True, slots=True)
+class SentOrder:
+    """
+    An order as an engine gets it.
+
+    :param fence: the fencing number of the lease.
+    :param expires: seconds since the epoch.
+    """
+
+    order: str
+    fence: int
+    expires: float
+    action: str
+    serves: str
+    version: str
+    first_layer: int
+    last_layer: int
+    role: str
+
+
+def address_order(
+    name: str, order: Order, fence: int, expires: float
+) -> SentOrder:
+    """
+    Make an order ready to be sent.
+
+    :param expires: seconds since the epoch.
+    """
+    return SentOrder(
+        name,
+        fence,
+        expires,
+        str(order.action),
+        order.serves,
+        order.version,
+        order.first_layer,
+        order.last_layer,
+        order.role,
+    )
+
+
+def read_engine(address: str) -> EngineState | Failure:
+    """
+    Ask an engine for its state.
+    """
+    answer = _get(address, '/status')
+    if isinstance(answer, Failure):
+        return answer
+    try:
+        return _engine_state(answer)
+    except (KeyError, TypeError, ValueError) as error:
+        return Failure(f'{address}: malformed status: {error!r}', Ran.NO)
+
+
+def _engine_state(answer: dict[str, Any]) -> EngineState:
+    return EngineState(
+        serves=str(answer['serves']),
+        version=str(answer.get('version') or ''),
+        first_layer=int(answer.get('first_layer') or 0),
+        last_layer=int(answer.get('last_layer') or 0),
+        role=str(answer.get('role') or ''),
+        load=int(answer.get('load') or 0),
+        fencing=str(answer.get('fencing') or 'unstated'),
+        fence=answer.get('fence'),
+        leaving=bool(answer.get('leaving')),
+    )
+
+
+def send_order(address: str, order: SentOrder) -> int | Failure:
+    """
+    Send an order to an engine.
+
+    :returns: the HTTP status.
+    """
+    body = json.dumps(codec.to_plain(order)).encode()
+    reply = HttpCaller(address, connections=1).call(
+        'POST', '/orders', body, timeout_s=CALL_TIMEOUT_S
+    )
+    return reply if isinstance(reply, Failure) else reply.status
+
+
+def read_rate(address: str) -> WeightRate | None:
+    """
+    Ask the weight store for its rate.
+
+    :param address: `IP:PORT`, or an empty string where there is none.
+    """
+    answer = _get(address, '/rate') if address else {}
+    if isinstance(answer, Failure):
+        return None
+    try:
+        return WeightRate(
+            float(answer['bytes_per_s']), float(answer['bytes_per_layer'])
+        )
+    except (KeyError, TypeError, ValueError):
+        return None
+
+
+def _get(address: str, path: str) -> Any | Failure:
+    reply = HttpCaller(address, connections=1).call(
+        'GET', path, timeout_s=CALL_TIMEOUT_S
+    )
+    if isinstance(reply, Failure):
+        return reply
+    if reply.status != OK:
+        return Failure(f'{address}{path} answered {reply.status}', Ran.NO)
+    try:
+        return json.loads(reply.body)
+    except ValueError as error:
+        return Failure(f'{address}{path}: no JSON: {error}', Ran.UNKNOWN)
--- a/mallowcrank/leases/fold.py
+++ b/mallowcrank/leases/fold.py
@@ -100,16 +100,23 @@
     )
 
 
+def advance(table: LeaseTable, time: float) -> LeaseTable:
+    """
+    Return the table with the log's clock moved on; it never goes back.
+    """
+    return replace(table, log_time=max(time, table.log_time))
+
+
 def fold(
     table: LeaseTable, record: LeaseRecord, offset: int, time: float
 ) -> LeaseTable:
     """
     Return the table after a record.
 
-    :param time: seconds by the log's clock; it never counts as going back.
+    :param time: seconds by the log's clock.
     """
-    now = max(time, table.log_time)
-    table = replace(table, log_time=now)
+    table = advance(table, time)
+    now = table.log_time
     if record.release:
         return _release(table, record)
     unsure = [group for group in record.groups if now < table.sure_from(group)]
--- a/mallowcrank/leases/holding.py
+++ b/mallowcrank/leases/holding.py
@@ -37,8 +37,10 @@
     )
 
 
-def seconds_left(grant: Grant, now: Instant) -> float:
+def seconds_left(
+    grant: Grant, now: Instant, terms: LeaseTerms = TERMS
+) -> float:
     """
     Return for how many seconds a lease surely lasts.
     """
-    return TERMS.lease_s - TERMS.margin_s - (now.steady - grant.asked.steady)
+    return terms.lease_s - terms.margin_s - (now.steady - grant.asked.steady)
--- a/mallowcrank/leases/keeper.py
+++ b/mallowcrank/leases/keeper.py
@@ -8,17 +8,20 @@
 from mallowcrank.leases.fold import (
     LONG_AGO,
     LeaseTable,
+    advance,
     fold,
     forget,
     held_groups,
 )
 from mallowcrank.leases.holding import Grant, is_held, seconds_left
-from mallowcrank.leases.records import TERMS, LeaseRecord, read_record
+from mallowcrank.leases.records import (
+    TERMS,
+    LeaseRecord,
+    LeaseTerms,
+    read_record,
+)
 from mallowcrank.membership.events import Instant
-from mallowcrank.ports import LogPage
-
-APPEND_EVERY_S = 5  # at least, between lease records of one agent
-RENEW_S = TERMS.lease_s / 2  # left of a lease when it is renewed
+from mallowcrank.ports import LogPage, LogRecord
 
 
 @dataclass(frozen=True, slots=True)
@@ -34,16 +37,18 @@
     :param holder: this agent's host and incarnation.
     """
 
-    def __init__(self, holder: str) -> None:
+    def __init__(self, holder: str, terms: LeaseTerms = TERMS) -> None:
         self._holder = holder
-        self._table = LeaseTable()
+        self._terms = terms
+        self._table = LeaseTable(terms=terms)
         self._grants: dict[str, Grant] = {}
         self._asked: dict[str, _Asked] = {}
         self._appended: float | None = None
         self._next = 0
         self._numbers = 0
         self._read: float = 0
-        self._is_out = True
+        self._is_out = False
+        self._missed = False
 
     # Queries
 
@@ -77,7 +82,7 @@
             return None
         if lease.holder != self._holder or lease.fence != grant.fence:
             return None
-        return grant if is_held(grant, now) else None
+        return grant if is_held(grant, now, self._terms) else None
 
     def is_waited_out(self, group: str, now: Instant) -> bool:
         """
@@ -97,21 +102,12 @@
         Take in a page of the log.
         """
         self._is_out = False
-        if page.first > self._next and page.records:
-            self._table = forget(self._table, page.records[0].time)
-            self._grants.clear()
-        for record in page.records:
-            if record.offset < self._next:
-                continue
-            self._next = record.offset + 1
-            self._read = now.steady
-            lease = read_record(record.body)
-            if lease is not None:
-                self._table = fold(
-                    self._table, lease, record.offset, record.time
-                )
-                self._note_grants(lease)
+        self._missed = self._missed or page.first > self._next
         self._next = max(self._next, page.first)
+        for record in page.records:
+            if record.offset >= self._next:
+                self._next = record.offset + 1
+                self._apply(record, now)
 
     def apply_outage(self) -> None:
         """
@@ -128,7 +124,7 @@
         :param wanted: groups that orders at hand need.
         """
         waited = self._appended is None or (
-            now.steady - self._appended >= APPEND_EVERY_S
+            now.steady - self._appended >= self._terms.append_every_s
         )
         if self._is_out or not waited:
             return None
@@ -142,14 +138,28 @@
         due = [group for group in wanted if self._is_due(group, now)]
         return self._ask(due, now) if due else None
 
+    def _apply(self, record: LogRecord, now: Instant) -> None:
+        if self._missed:
+            self._missed = False
+            self._table = forget(self._table, record.time)
+            self._grants.clear()
+        self._read = now.steady
+        self._table = advance(self._table, record.time)
+        lease = read_record(record.body)
+        if lease is not None:
+            self._table = fold(self._table, lease, record.offset, record.time)
+            self._note_grants(lease)
+
     def _is_due(self, group: str, now: Instant) -> bool:
         grant = self.grant(group, now)
         if grant is not None:
-            return seconds_left(grant, now) < RENEW_S
+            return seconds_left(grant, now, self._terms) < self._terms.renew_s
         lease = self._table.get(group)
         if lease is not None and lease.holder == self._holder:
             return True
-        return self._table.is_free(group, self.log_time(now))
+        # Asking too early does no harm: the fold decides.
+        log_time = max(self.log_time(now), now.wall - self._terms.margin_s)
+        return self._table.is_free(group, log_time)
 
     def _ask(
         self, groups: Collection[str], now: Instant, *, release: bool = False
@@ -165,7 +175,7 @@
         stale = [
             each
             for each, asked in self._asked.items()
-            if now.steady - asked.at.steady > TERMS.lease_s
+            if now.steady - asked.at.steady > self._terms.lease_s
         ]
         for each in stale:
             self._asked.pop(each)
--- a/mallowcrank/leases/orders.py
+++ b/mallowcrank/leases/orders.py
@@ -5,9 +5,7 @@
 from dataclasses import dataclass
 from enum import StrEnum, unique
 
-from mallowcrank.leases.records import TERMS
-
-ORDER_LIFE_S = 10  # of an order that needs no weights
+from mallowcrank.leases.records import LeaseTerms
 
 
 @unique
@@ -109,7 +107,9 @@
     ) == (order.serves, order.version, order.first_layer, order.last_layer)
 
 
-def order_life(order: Order, rate: WeightRate | None) -> float | None:
+def order_life(
+    order: Order, rate: WeightRate | None, terms: LeaseTerms
+) -> float | None:
     """
     Return the seconds that an order may be at work.
 
@@ -117,10 +117,10 @@
     :returns: `None` where it would take longer than any order may.
     """
     if order.action is not Action.LOAD:
-        return ORDER_LIFE_S
+        return terms.short_order_s
     if rate is None or rate.bytes_per_s <= 0:
         return None
     layers = order.last_layer - order.first_layer + 1
     loading_s = layers * rate.bytes_per_layer / rate.bytes_per_s
-    life = ORDER_LIFE_S + 1.5 * loading_s
-    return life if life <= TERMS.order_s else None
+    life = terms.short_order_s + 1.5 * loading_s
+    return life if life <= terms.order_s else None
--- /dev/null
+++ b/mallowcrank/leases/pages.py
@@ -0,0 +1,126 @@
+"""
+The operators' endpoints for leases and orders.
+"""
+
+import uuid
+from collections.abc import Mapping
+from typing import Any
+
+from mallowcrank import codec
+from mallowcrank.findings import Finding
+from mallowcrank.leases.fold import LeaseTable
+from mallowcrank.leases.orders import Action, Order
+from mallowcrank.leases.part import OrdersPart
+from mallowcrank.view import Target, TargetKind, TargetState
+from mallowcrank.web import Request, Response, Routes, json_response
+
+BAD_REQUEST = 400
+UNAVAILABLE = 503
+
+
+class LeasePages:
+    """
+    Answers `/admin/leases` and `/admin/orders`.
+    """
+
+    def __init__(self, part: OrdersPart) -> None:
+        self._part = part
+
+    def add_to(self, routes: Routes) -> None:
+        """
+        Add the endpoints.
+        """
+        routes.add('GET', '/admin/leases', self.leases)
+        routes.add('POST', '/admin/orders', self.order)
+
+    def leases(self, _request: Request) -> Response:
+        """
+        Answer `GET /admin/leases`.
+        """
+        status = self._part.actor.status().get()
+        return json_response(
+            {
+                'log_is_out': status.is_out,
+                'leases': lease_rows(status.table),
+                'orders': codec.to_plain(status.jobs),
+            }
+        )
+
+    def order(self, request: Request) -> Response:
+        """
+        Answer `POST /admin/orders`.
+        """
+        try:
+            body = dict(request.json())
+        except (TypeError, ValueError):
+            return _refuse('the body is not a JSON object', BAD_REQUEST)
+        findings = check_order(body, self._part.targets())
+        if findings:
+            text = '; '.join(map(str, findings))
+            return _refuse(text, BAD_REQUEST)
+        actor = self._part.actor
+        if actor.status().get().is_out:
+            return _refuse('the log is out; no order is taken', UNAVAILABLE)
+        order = codec.from_plain(body, Order)
+        job = actor.submit(f'order-{uuid.uuid4().hex[:12]}', order).get()
+        return json_response({'order': job.id, 'stage': str(job.stage)})
+
+
+def lease_rows(table: LeaseTable) -> dict[str, Any]:
+    """
+    Return the leases by group, in plain form.
+    """
+    return {
+        group: {
+            'holder': lease.holder,
+            'fence': lease.fence,
+            'until': lease.until,
+            'released': lease.released,
+        }
+        for group, lease in sorted(table.leases.items())
+    }
+
+
+def check_order(
+    body: Mapping[str, Any], targets: Mapping[str, Target]
+) -> tuple[Finding, ...]:
+    """
+    Return all problems of an order.
+    """
+    findings = []
+    target = targets.get(str(body.get('target')))
+    if target is None or target.kind != TargetKind.ENGINE:
+        findings.append(Finding('target', 'no such engine is known'))
+    elif target.state == TargetState.GONE:
+        findings.append(Finding('target', 'it is gone'))
+    action = body.get('action')
+    if action not in set(Action):
+        known = ', '.join(Action)
+        findings.append(Finding('action', f'{action!r} is not one of {known}'))
+    findings.extend(_check_fields(body, action))
+    return tuple(findings)
+
+
+def _check_fields(body: Mapping[str, Any], action: Any) -> list[Finding]:
+    findings = []
+    if action == Action.ROLE and not body.get('role'):
+        findings.append(Finding('role', 'it is missing'))
+    if action == Action.ADAPTER and not body.get('version'):
+        findings.append(Finding('version', 'it is missing'))
+    if action == Action.LOAD:
+        first, last = body.get('first_layer'), body.get('last_layer')
+        if not body.get('serves'):
+            findings.append(Finding('serves', 'it is missing'))
+        if not _is_range(first, last):
+            findings.append(Finding('layers', f'{first}-{last} is no range'))
+    return findings
+
+
+def _is_range(first: Any, last: Any) -> bool:
+    return (
+        isinstance(first, int) and isinstance(last, int) and 0 <= first <= last
+    )
+
+
+def _refuse(message: str, status: int) -> Response:
+    return json_response({'error': {'message': message}}, status)
--- /dev/null
+++ b/mallowcrank/leases/part.py
@@ -0,0 +1,175 @@
+"""
+Leases and orders as a part of the agent.
+"""
+
+from collections.abc import Callable, Mapping
+from dataclasses import dataclass
+from typing import Any
+
+from mallowcrank.agent.loops import Loop
+from mallowcrank.clock import Clock
+from mallowcrank.leases.actor import OrdersActor
+from mallowcrank.leases.engines import read_engine, read_rate, send_order
+from mallowcrank.leases.orders import EngineState
+from mallowcrank.leases.records import (
+    TERMS,
+    LeaseTerms,
+    group_of,
+    write_record,
+)
+from mallowcrank.leases.steps import (
+    DRAIN_LIMIT_S,
+    Drain,
+    Job,
+    Move,
+    Send,
+    Step,
+)
+from mallowcrank.logs import PartLog
+from mallowcrank.membership.facts import Hold
+from mallowcrank.ports import Failure, LogPage, LogPort
+from mallowcrank.timeline import Timeline
+from mallowcrank.view import Target, TargetState
+
+WORK_S = 0.25  # between two looks at the orders at hand
+HOLD_S = DRAIN_LIMIT_S + 120  # until a hold ends by itself
+CONFLICT = 409
+OK = 200
+log = PartLog('orders')
+
+
+@dataclass(frozen=True)
+class Surroundings:
+    """
+    What orders need of the agent.
+
+    :param weights: `IP:PORT` of the weight store, or an empty string.
+    :param targets: returns the known targets.
+    :param publish: spreads a hold to all agents.
+    """
+
+    holder: str
+    weights: str
+    platform_log: LogPort
+    targets: Callable[[], Mapping[str, Target]]
+    publish: Callable[[Hold], None]
+    clock: Clock
+    timeline: Timeline
+    terms: LeaseTerms = TERMS
+
+
+class OrdersPart:
+    """
+    A `LogSink` that gives orders under leases.
+    """
+
+    def __init__(self, around: Surroundings) -> None:
+        self._around = around
+        self._actor_ref = OrdersActor.start(
+            around.holder, around.clock, around.timeline, around.terms
+        )
+        self._actor = self._actor_ref.proxy()
+        self._loop = Loop('orders', self._work)
+        self._holds = 0
+        self._fences: dict[str, int] = {}
+
+    @property
+    def actor(self) -> Any:
+        """
+        Return a proxy of the `OrdersActor`.
+        """
+        return self._actor
+
+    def targets(self) -> Mapping[str, Target]:
+        """
+        Return the known targets.
+        """
+        return self._around.targets()
+
+    def start(self) -> None:
+        """
+        Begin to work on orders.
+        """
+        self._loop.start()
+
+    def stop(self) -> None:
+        """
+        Work on no more orders.
+        """
+        self._loop.stop()
+        self._actor_ref.stop()
+
+    def apply_page(self, page: LogPage) -> None:
+        """
+        Take in a page of the log.
+        """
+        self._actor.apply_page(page).get()
+
+    def apply_outage(self, _reason: str) -> None:
+        """
+        Take in that the log could not be read.
+        """
+        self._actor.apply_outage().get()
+
+    def _work(self) -> float:
+        record = self._actor.due_record().get()
+        if record is not None:
+            answer = self._around.platform_log.append(write_record(record))
+            if isinstance(answer, Failure):
+                log.say('A lease record may be lost.', reason=answer.reason)
+        for job in self._actor.active().get():
+            self._advance(job)
+        return WORK_S
+
+    def _advance(self, job: Job) -> None:
+        target = self.targets().get(job.order.target)
+        state = _read(target)
+        step: Step = self._actor.advance(job.id, state).get()
+        if target is None:
+            return
+        if isinstance(step, Drain):
+            self._hold(job, active=True)
+        elif isinstance(step, Send):
+            self._send(job, target)
+        elif isinstance(step, Move) and (
+            step.stage.is_over or step.stage == 'applied'
+        ):
+            self._hold(job, active=False)
+
+    def _send(self, job: Job, target: Target) -> None:
+        rate = read_rate(self._around.weights)
+        sending = self._actor.begin_send(job.id, rate).get()
+        if sending is None:
+            return
+        answer = send_order(target.address, sending.wire)
+        if answer == CONFLICT:
+            why = 'the engine saw a newer fencing number'
+            self._actor.refused(job.id, why).get()
+            self._hold(job, active=False)
+        elif answer != OK:
+            log.say('An order may be lost.', order=job.id, why=str(answer))
+
+    def _hold(self, job: Job, *, active: bool) -> None:
+        fence = self._fences.get(job.id)
+        if fence is None:
+            table = self._actor.status().get().table
+            lease = table.get(group_of(job.order.target))
+            fence = lease.fence if lease else 0
+            self._fences[job.id] = fence
+        self._holds += 1
+        self._around.publish(
+            Hold(
+                job.order.target,
+                fence,
+                self._holds,
+                active,
+                self._around.clock.now() + HOLD_S,
+            )
+        )
+
+
+def _read(target: Target | None) -> EngineState | None:
+    if target is None or target.state is TargetState.GONE:
+        return None
+    state = read_engine(target.address)
+    return None if isinstance(state, Failure) else state
--- a/mallowcrank/leases/records.py
+++ b/mallowcrank/leases/records.py
@@ -29,6 +29,34 @@
     order_s: float = 60
     margin_s: float = 3
 
+    @property
+    def short_order_s(self) -> float:
+        """
+        Return the seconds that an order lives which needs no weights.
+        """
+        return self.order_s / 6
+
+    @property
+    def renew_s(self) -> float:
+        """
+        Return the seconds left of a lease when it is renewed.
+        """
+        return self.lease_s / 2
+
+    @property
+    def append_every_s(self) -> float:
+        """
+        Return the least seconds between lease records of one agent.
+        """
+        return self.lease_s / 6
+
+
+def terms_of(lease_s: float) -> LeaseTerms:
+    """
+    Return the terms for a length of leases.
+    """
+    return LeaseTerms(lease_s, order_s=2 * lease_s, margin_s=lease_s / 10)
+
 
 TERMS = LeaseTerms()
 
--- a/mallowcrank/leases/steps.py
+++ b/mallowcrank/leases/steps.py
@@ -114,7 +114,9 @@
     if not facts.is_first:
         return Wait('an earlier order for the target is at hand')
     if not facts.holds_lease:
-        return Wait('the lease is not held')
+        if job.stage is Stage.QUEUED:
+            return Wait('the lease is not held')
+        return Move(Stage.FAILED, 'the lease was lost; order again if wanted')
     if facts.state is None:
         return Wait('the engine can not be read back')
     if facts.state.leaving:
--- a/mallowcrank/settings.py
+++ b/mallowcrank/settings.py
@@ -175,6 +175,7 @@
     :param peers: addresses of agents to start from.
     :param keys: the peers' shared keys.
     :param weights: `IP:PORT` of the weight store, or an empty string.
+    :param lease_s: seconds of a lease for orders, the same on all agents.
     """
 
     on: HostSettings
@@ -186,3 +187,4 @@
     peers: tuple[str, ...]
     keys: KeyRing
     weights: str = ''
+    lease_s: float = 30
--- /dev/null
+++ b/tests/test_order_pause.py
@@ -0,0 +1,132 @@
+"""
+Orders under leases, with holders that pause and engines of each kind.
+"""
+
+from unittest import TestCase
+
+from mallowcrank.leases.orders import Stage
+from mallowcrank.leases.records import TERMS
+from tests.utils.lease_bench import Bench
+
+QUICK_S = 10
+LAPSE_S = 40
+WAIT_OUT_S = 120
+
+
+class OrderCase(TestCase):
+    fencing = 'checks'
+
+    def setUp(self):
+        self.bench = Bench(self.fencing)
+        self.addCleanup(self.bench.close)
+        self.engine = self.bench.engine
+
+    def is_done(self, agent, name):
+        return agent.jobs()[name].stage is Stage.DONE
+
+    def pause_holder(self):
+        """
+        Pause the first agent after its last check, before it sends.
+        """
+        first = self.bench.first
+        first.pauses_before_sending = True
+        first.order('old')
+        self.bench.run_until(lambda: first.is_paused, QUICK_S)
+
+
+class TestAnyEngine(OrderCase):
+    def test_order_under_a_lease_is_read_back_and_the_lease_given_back(self):
+        first = self.bench.first
+        first.order('standby')
+        self.bench.run_until(
+            lambda: self.is_done(first, 'standby-order'), QUICK_S
+        )
+        self.assertEqual(self.engine.role, 'standby')
+        self.bench.run(QUICK_S)
+        self.assertTrue(first.lease().released)
+
+    def test_work_in_flight_ends_before_the_order_is_sent(self):
+        self.engine.load = 1
+        self.bench.first.order('standby')
+        self.bench.run(60)
+        self.assertEqual(self.engine.fences, [])
+        self.engine.load = 0
+        self.bench.run(QUICK_S)
+        self.assertEqual(self.engine.role, 'standby')
+
+    def test_orders_for_one_target_go_one_at_a_time(self):
+        first = self.bench.first
+        first.order('one')
+        first.order('two')
+        self.bench.run_until(lambda: self.is_done(first, 'two-order'), 30)
+        self.assertEqual(self.engine.role, 'two')
+        self.assertTrue(self.is_done(first, 'one-order'))
+
+    def test_order_waits_while_another_agent_holds_the_lease(self):
+        self.engine.load = 1
+        self.bench.first.order('one')
+        self.bench.run(5)
+        self.bench.second.order('two')
+        self.bench.run(60)
+        self.assertEqual(
+            self.bench.second.jobs()['two-order'].stage, Stage.QUEUED
+        )
+
+    def test_lease_lapses_during_an_outage_of_the_log(self):
+        self.engine.load = 1
+        self.bench.first.order('standby')
+        self.bench.run(5)
+        self.bench.log.is_out = True
+        self.bench.run(TERMS.lease_s)
+        job = self.bench.first.jobs()['standby-order']
+        self.assertEqual(job.stage, Stage.FAILED)
+        self.engine.load = 0
+        self.bench.run(QUICK_S)
+        self.assertEqual(self.engine.fences, [])
+
+
+class TestCheckingEngine(OrderCase):
+    def test_order_of_a_paused_holder_is_refused(self):
+        self.pause_holder()
+        second = self.bench.second
+        second.order('new')
+        self.bench.run_until(lambda: self.engine.role == 'new', LAPSE_S)
+        self.bench.first.resume()
+        self.bench.run(WAIT_OUT_S)
+        self.assertEqual(self.engine.role, 'new')
+        self.assertEqual(self.engine.fences, sorted(self.engine.fences))
+        job = self.bench.first.jobs()['old-order']
+        self.assertEqual(job.stage, Stage.FAILED)
+
+
+class TestIgnoringEngine(OrderCase):
+    fencing = 'ignores'
+
+    def test_old_lease_and_its_orders_are_waited_out(self):
+        self.pause_holder()
+        second = self.bench.second
+        second.order('new')
+        waited_s = self.bench.run_until(
+            lambda: self.is_done(second, 'new-order'), WAIT_OUT_S
+        )
+        self.assertGreater(waited_s, TERMS.order_s)
+        self.bench.first.resume()
+        self.bench.run(WAIT_OUT_S)
+        self.assertEqual(self.engine.role, 'new')
+        self.assertEqual(self.engine.fences, sorted(self.engine.fences))
+
+    def test_holder_that_wakes_in_time_comes_before_the_next(self):
+        self.pause_holder()
+        second = self.bench.second
+        second.order('new')
+        self.bench.run(5)
+        self.bench.first.resume()
+        self.bench.run_until(
+            lambda: self.is_done(second, 'new-order'), WAIT_OUT_S
+        )
+        self.bench.run(WAIT_OUT_S)
+        self.assertEqual(self.engine.role, 'new')
+
+
+class TestUnstatedEngine(TestIgnoringEngine):
+    fencing = 'unstated'
