Ask peers for missed records while the log is out; tell of lost routers

And a router that died stayed in all views, though its agent saw the feed's connection end. Change: an agent whose log is out asks a random peer once a second whether it has folded more; only a tree with more records travels. The feed tells membership when a router's last connection ends.

--- a/mallowcrank/agent/feed.py
+++ b/mallowcrank/agent/feed.py
@@ -110,6 +110,7 @@
         self._membership = membership
         self._view = View()
         self._connections: list[Connection] = []
+        self._is_closing = False
 
     def show_settings(self, effective: Effective) -> None:
         """
@@ -137,13 +138,14 @@
             )
         )
 
-    def connect(self, connection: Connection) -> None:
+    def connect(self, connection: Connection, hello: Body) -> None:
         """
         Send a snapshot, and changes from now on.
 
         A router that holds newer settings keeps them: until this agent has
         caught up, it gets targets and peers only.
         """
+        self._membership.apply_report(hello)
         self._connections.append(connection)
         connection.holds_more = connection.version > self._view.version
         if connection.holds_more:
@@ -154,11 +156,16 @@
 
     def disconnect(self, connection: Connection) -> None:
         """
-        Forget a connection.
+        Forget a connection; a router that has no other one is lost.
         """
         connection.finish()
-        if connection in self._connections:
-            self._connections.remove(connection)
+        if connection not in self._connections:
+            return
+        self._connections.remove(connection)
+        names = {each.router for each in self._connections}
+        if connection.router not in names and not self._is_closing:
+            lost = {'type': 'lost', 'router': connection.router}
+            self._membership.apply_report({**lost, 'leaving': True})
 
     def beat(self, age_s: float) -> None:
         """
@@ -170,8 +177,9 @@
 
     def close(self) -> None:
         """
-        End all connections.
+        End all connections; the routers live on.
         """
+        self._is_closing = True
         for connection in self._connections:
             connection.close()
 
@@ -284,5 +292,6 @@
         if body['type'] == 'hello':
             connection.router = str(body['router'])
             log.say('A router connected.', router=connection.router)
-            self._feed.connect.defer(connection)
+            self._feed.connect.defer(connection, body)
+            return
         self._report(body)
--- a/mallowcrank/agent/loops.py
+++ b/mallowcrank/agent/loops.py
@@ -7,7 +7,13 @@
 from collections.abc import Callable, Sequence
 from typing import Any
 
-from mallowcrank.agent.messages import TREE_TOPIC, TreeAnswer, TreeQuestion
+from mallowcrank.agent.messages import (
+    NO_TREE,
+    TREE_TOPIC,
+    Need,
+    TreeAnswer,
+    TreeQuestion,
+)
 from mallowcrank.agent.ports import GossipPort, LogSink
 from mallowcrank.clock import Clock
 from mallowcrank.codec import from_plain, to_plain
@@ -24,8 +30,9 @@
 PAUSE_S = 0.05  # between two reads that brought records
 OUTAGE_PAUSE_S = 0.5
 UPKEEP_S = 0.5
-ASK_TIMEOUT_S = 5
-ASKED_PEERS = 3  # at a time
+ASK_TIMEOUT_S = 2
+ASKED_PEERS = 2  # at a time, where settings are missing
+OUTAGE_ASK_S = 1  # between two peers, while the log is out
 MAX_SPREAD_S = 60  # over which agents spread their snapshots
 BEAT_S = 1
 REFRESH_PAUSE_S = 0.05  # in which changes of membership are gathered
@@ -102,22 +109,29 @@
     :param settings: a proxy of the `SettingsActor`.
     """
 
-    def __init__(self, settings: Any, gossip: GossipPort) -> None:
+    def __init__(
+        self, settings: Any, gossip: GossipPort, chance: random.Random
+    ) -> None:
         self._settings = settings
         self._gossip = gossip
+        self._chance = chance
 
     def __call__(self) -> float:
         """
-        Ask some peers, where there is a need.
+        Ask peers at random, where there is a need.
         """
-        if self._settings.needs_peers().get():
-            for peer in self._gossip.addresses()[:ASKED_PEERS]:
-                self._ask(peer)
-        return UPKEEP_S
+        need = self._settings.need_of_peers().get()
+        if need is Need.NONE:
+            return UPKEEP_S
+        peers = self._gossip.addresses()
+        asked = ASKED_PEERS if need is Need.URGENT else 1
+        for peer in self._chance.sample(peers, min(asked, len(peers))):
+            self._ask(peer)
+        return UPKEEP_S if need is Need.URGENT else OUTAGE_ASK_S
 
     def _ask(self, peer: str) -> None:
         tree = self._settings.replica().get().tree
-        question = TreeQuestion(-1 if tree is None else tree.through)
+        question = TreeQuestion(NO_TREE if tree is None else tree.last)
         answer = self._gossip.ask(
             peer, TREE_TOPIC, to_plain(question), ASK_TIMEOUT_S
         )
--- a/mallowcrank/agent/messages.py
+++ b/mallowcrank/agent/messages.py
@@ -3,10 +3,12 @@
 """
 
 from dataclasses import dataclass, field
+from enum import StrEnum, unique
 from typing import Any
 
 RECORD_TOPIC = 'config.record'
 TREE_TOPIC = 'config.tree'
+NO_TREE = -2  # in place of the last folded record
 
 
 @dataclass(frozen=True, slots=True)
@@ -23,26 +25,40 @@
     body: dict[str, Any] = field(default_factory=dict)
 
 
+@unique
+class Need(StrEnum):
+    """
+    Whether an agent has to ask its peers for settings.
+    """
+
+    NONE = 'none'
+    OUTAGE = 'the log is out, so that a missed record is not read there'
+    URGENT = 'settings are missing'
+
+
 @dataclass(frozen=True, slots=True)
 class TreeQuestion:
     """
-    Asks for a tree that reaches further.
+    Asks for a tree that has folded more.
 
-    :param through: what the asker reaches.
+    :param last: the last record that the asker's tree has folded, or
+        `NO_TREE`.
     """
 
-    through: int
+    last: int
 
 
 @dataclass(frozen=True, slots=True)
 class TreeAnswer:
     """
-    A whole tree.
+    What a peer holds.
 
+    :param last: the last record that its tree has folded, or `NO_TREE`.
+    :param through: no record up to this offset is missing there.
     :param tree: packed by `mallowcrank.config.snapshots.pack_tree` and
-        compressed by zlib; empty where it reaches no further.
+        compressed by zlib; empty where the asker has folded as much.
     """
 
-    through: int
-    version: int
+    last: int
+    through: int = -1
     tree: bytes = b''
--- a/mallowcrank/agent/program.py
+++ b/mallowcrank/agent/program.py
@@ -184,7 +184,9 @@
         around.membership.on_change(refresher.mark)
         jobs = {
             'log': LogFollower(platform_log, sinks),
-            'peers': PeerReader(self._actor, around.gossip),
+            'peers': PeerReader(
+                self._actor, around.gossip, self._environment.random
+            ),
             'snapshots': SnapshotWriter(
                 self._settings.on.host,
                 self._actor,
--- a/mallowcrank/agent/settings.py
+++ b/mallowcrank/agent/settings.py
@@ -9,7 +9,9 @@
 from pykka import ThreadingActor
 
 from mallowcrank.agent.messages import (
+    NO_TREE,
     RECORD_TOPIC,
+    Need,
     RecordMessage,
     TreeAnswer,
     TreeQuestion,
@@ -27,6 +29,7 @@
     Replica,
     apply_message,
     apply_page,
+    apply_reach,
     apply_tree,
 )
 from mallowcrank.config.snapshots import pack_tree, unpack_tree
@@ -129,6 +132,8 @@
         Take in a peer's tree, where it reaches further.
         """
         if not answer.tree:
+            reached = apply_reach(self._replica, answer.last, answer.through)
+            self._take(reached)
             return
         try:
             offered = unpack_tree(zlib.decompress(answer.tree))
@@ -147,11 +152,12 @@
         Answer a peer that asks for a tree.
         """
         tree = self._replica.tree
-        if tree is None or tree.through <= question.through:
-            through = -1 if tree is None else tree.through
-            return TreeAnswer(through, self._effective.version)
+        if tree is None:
+            return TreeAnswer(NO_TREE)
+        if tree.last <= question.last:
+            return TreeAnswer(tree.last, tree.through)
         packed = zlib.compress(pack_tree(tree), 1)
-        return TreeAnswer(tree.through, tree.version, packed)
+        return TreeAnswer(tree.last, tree.through, packed)
 
     def replica(self) -> Replica:
         """
@@ -165,16 +171,16 @@
         """
         return self._effective
 
-    def needs_peers(self) -> bool:
+    def need_of_peers(self) -> Need:
         """
         Tell whether peers may know more than this agent.
         """
         tree = self._replica.tree
         if tree is None or tree.version < 0:
-            return True
-        if not self._replica.is_complete:
-            return True
-        return tree.through < self._peers_reach
+            return Need.URGENT
+        if not self._replica.is_complete or tree.through < self._peers_reach:
+            return Need.URGENT
+        return Need.OUTAGE if self._notes.outage else Need.NONE
 
     def status(self) -> SettingsStatus:
         """
--- a/mallowcrank/config/replica.py
+++ b/mallowcrank/config/replica.py
@@ -106,6 +106,18 @@
     return _settle(replace(replica, tree=offered))
 
 
+def apply_reach(replica: Replica, last: int, through: int) -> Replica:
+    """
+    Take in that a peer with the same tree misses nothing up to an offset.
+
+    :param last: the last record that the peer's tree has folded.
+    """
+    own = replica.tree
+    if own is None or own.last != last:
+        return replica
+    return apply_tree(replica, replace(own, through=through))
+
+
 def apply_message(replica: Replica, message: Message) -> Replica | None:
     """
     Take in a record that a peer passed on.
--- a/tests/test_agent_feed.py
+++ b/tests/test_agent_feed.py
@@ -13,6 +13,10 @@
 class Members:
     def __init__(self):
         self.known = {}
+        self.reports = []
+
+    def apply_report(self, report):
+        self.reports.append(report['type'])
 
     def targets(self):
         return dict(self.known)
@@ -62,7 +66,7 @@
         self.feed = self.ref.proxy()
 
     def connect(self, router):
-        self.feed.connect(router).get()
+        self.feed.connect(router, {'type': 'hello'}).get()
         return router
 
     def show_target(self, name):
@@ -91,6 +95,15 @@
         self.assertEqual(again.got, ['snapshot'])
         self.assertEqual(set(again.view.workspaces), {'a/y'})
 
+    def test_router_whose_last_connection_ends_is_lost(self):
+        first, second = RouterEnd(), RouterEnd()
+        self.connect(first)
+        self.connect(second)
+        self.feed.disconnect(first).get()
+        self.assertEqual(self.members.reports, ['hello', 'hello'])
+        self.feed.disconnect(second).get()
+        self.assertEqual(self.members.reports[-1], 'lost')
+
     def test_agent_without_settings_leaves_those_of_its_router(self):
         held = View(
             version=9, workspaces={'a/x': WorkspaceSettings('a/x', 'a')}
