--- a/mallowcrank/router/completion_calls.py
+++ b/mallowcrank/router/completion_calls.py
@@ -7,6 +7,7 @@
 
 from mallowcrank.refusals import Ran, Reason, Refused
 from mallowcrank.requests.calls import Completion
+from mallowcrank.requests.intake import MILLISECONDS
 from mallowcrank.requests.outcomes import ran_header, refusal_response
 from mallowcrank.router.parts import RouterParts
 from mallowcrank.router.ports import RouteDemand, Ticket
@@ -59,6 +60,7 @@
         self._open = True
         self._prompt = tokenize(admitted.call.prompt)
         self._count = 0
+        self._started = parts.clock.steady()
 
     @property
     def usage(self) -> Usage:
@@ -113,6 +115,9 @@
             return [], Ended(refused=_overdue())
         ended = taken.pop() if taken and isinstance(taken[-1], Ended) else None
         tokens = [each for each in taken if isinstance(each, int)]
+        if tokens and not self._count:
+            waited = self._parts.clock.steady() - self._started
+            self._parts.metrics.timing('first_token', waited * MILLISECONDS)
         self._count += len(tokens)
         self._open = self._open and ended is None
         return tokens, ended
--- a/mallowcrank/router/daemon.py
+++ b/mallowcrank/router/daemon.py
@@ -2,12 +2,14 @@
 The router's life: start all parts, serve, and stop gracefully.
 """
 
+import math
 import secrets
 import threading
 
 from mallowcrank.codec import to_plain
 from mallowcrank.context import Environment
 from mallowcrank.logs import PartLog
+from mallowcrank.requests.intake import MILLISECONDS
 from mallowcrank.requests.keepers import RouterId
 from mallowcrank.router.admin import admin_routes
 from mallowcrank.router.api import CallersApi
@@ -155,11 +157,22 @@
 
     def _make_report(self) -> dict[str, object]:
         in_flight = self._parts.in_flight
+        known = self._parts.known
+        self._measure()
         return {
-            'version': self._parts.known.view.version,
+            'version': known.view.version,
             'load': in_flight.count,
             'in_flight': in_flight.count,
             'leaving': in_flight.leaving_since is not None,
             'suspects': to_plain(list(self._routes.take_suspects())),
             'demand': dict(self._parts.admission.demands()),
         }
+
+    def _measure(self) -> None:
+        known = self._parts.known
+        metrics = self._parts.metrics
+        metrics.gauge('in_flight', self._parts.in_flight.count)
+        metrics.gauge('version', known.view.version)
+        metrics.gauge('targets', len(known.view.targets))
+        if math.isfinite(known.age_s):
+            metrics.gauge('view_age', known.age_s * MILLISECONDS)
