--- a/mallowcrank/overload/concurrency.py
+++ b/mallowcrank/overload/concurrency.py
@@ -9,12 +9,13 @@
 
 from dataclasses import dataclass, replace
 
-FULL_SLOWDOWN = 3.5  # of a call, where full batches run and others wait
-STEP = 0.03  # growth of each adjustment, in parts of an even share
+FULL_SLOWDOWN = 4  # of a call, where full batches run and others wait
+STEP = 0.05  # growth of each adjustment, in parts of an even share
 SHRINKING = 0.95  # factor of each adjustment
 PERIOD_S = 0.1  # between adjustments
-HEADROOM = 1.5  # over the streams that fill all batches, to start with
-MOST = 3  # times the streams that fill all batches
+LEAST = 2  # times the streams that fill all batches: calls take time too
+HEADROOM = 3  # the same, to start with
+MOST = 6  # the same, at most
 
 
 @dataclass(frozen=True, slots=True)
@@ -42,10 +43,10 @@
     :param full_streams: streams that reach the pool's throughput bound.
     """
     full = max(1, full_streams)
-    even = max(2, full * HEADROOM / max(1, routers))
+    even = full / max(1, routers)
     return PoolLimit(
-        limit=even,
-        lowest=max(1, even / 4),
+        limit=max(2, even * HEADROOM),
+        lowest=max(2, even * LEAST),
         highest=max(2, full * MOST),
         step=even * STEP,
     )
--- a/mallowcrank/overload/ejection.py
+++ b/mallowcrank/overload/ejection.py
@@ -5,12 +5,12 @@
 from collections.abc import Callable
 from dataclasses import dataclass, replace
 
-FIRST_EJECTION_S = 1
-MAX_EJECTION_S = 30
+FIRST_EJECTION_S = 0.5
+MAX_EJECTION_S = 8
 FAILURES_TO_EJECT = 3  # in a row, where calls fail but connections work
 SAME_EVENT_S = 0.25  # failures this close count once
-SLOW_START_S = 5
-LOWEST_WEIGHT = 0.1  # of a target at the start of its slow start
+SLOW_START_S = 3
+LOWEST_WEIGHT = 0.25  # of a target at the start of its slow start
 FATAL = frozenset(('no answer', 'the call went silent'))  # eject at once
 
 
@@ -65,7 +65,13 @@
     if health.on_trial:
         if now < health.ejected_until:
             return health
-        return replace(health, failures=0, on_trial=False, began=now)
+        return replace(
+            health,
+            failures=0,
+            ejections=health.ejections - 1,
+            on_trial=False,
+            began=now,
+        )
     if health.ejections and now - health.began > 2 * SLOW_START_S:
         return replace(health, failures=0, ejections=0)
     return replace(health, failures=0) if health.failures else health
--- a/mallowcrank/routing/book.py
+++ b/mallowcrank/routing/book.py
@@ -11,6 +11,8 @@
 from mallowcrank.routing.loads import LoadBook
 from mallowcrank.view import Target
 
+MOST_EJECTED = 0.5  # part of a pool's targets that may be ejected
+
 
 class TargetBook:
     """
@@ -52,8 +54,13 @@
     ) -> list[str]:
         """
         Leave out what is ejected or to be avoided.
+
+        Where most of a pool would be ejected, it is the router or the load
+        that is at fault, and nothing is left out for that.
         """
         blocked = self.health.blocked_now(now, self.loads.own)
+        if blocked and self._is_most(blocked, names):
+            blocked = frozenset()
         if not blocked and not avoid:
             return names
         return without(without(names, avoid), blocked)
@@ -99,6 +106,14 @@
         self.loads.answered(known, seconds, link_ms, now)
         self.health.succeeded(name, now)
 
+    def _is_most(self, blocked: frozenset[str], names: list[str]) -> bool:
+        serves = self.target(names[0]).serves if names else ''
+        in_pool = sum(
+            name in self.index.targets and self.target(name).serves == serves
+            for name in blocked
+        )
+        return in_pool > MOST_EJECTED * self.index.count(serves)
+
     def _mean_slowdown(self, names: list[str]) -> float:
         used = [name for name in names if self.loads.own(name)]
         if not used:
--- a/mallowcrank/routing/engines.py
+++ b/mallowcrank/routing/engines.py
@@ -52,6 +52,13 @@
         """
         return self._replicas.get(service, [])
 
+    def count(self, serves: str) -> int:
+        """
+        Return how many usable targets serve a model or service.
+        """
+        engines = sum(map(len, self.ranges(serves).values()))
+        return engines + len(self.replicas(serves))
+
     def engines_of(self, model: str) -> tuple[Target, ...]:
         """
         Return a model's engines.
--- a/mallowcrank/routing/loads.py
+++ b/mallowcrank/routing/loads.py
@@ -14,6 +14,8 @@
 MS_PER_S = 1000
 ROUNDING = 1e-6  # of work in flight that is counted up and down
 SMOOTHING = 0.2  # weight of the newest call in the mean slowdown
+MAX_CALL_MS = 10  # that a call may take beside the link and the step
+FORGETTING = 1.001  # growth of the shortest call's time with each call
 FRESH_S = 2  # how long the last call says more than a report
 
 
@@ -25,11 +27,13 @@
     :param slowdown: mean time of a call over the time of an idle step.
     :param own: what this router had in flight there.
     :param at: steady time of the last one, in seconds.
+    :param shortest_ms: milliseconds of the shortest call lately.
     """
 
     slowdown: float
     own: float
     at: float
+    shortest_ms: float
 
 
 class LoadBook:
@@ -105,14 +109,21 @@
         """
         Take in the time of one call of this router.
         """
-        ran_ms = max(0, seconds * MS_PER_S - link_ms)
-        slowdown = ran_ms / max(target.step_ms, ROUNDING)
         known = self._answered.get(target.name)
+        took_ms = seconds * MS_PER_S
+        shortest_ms = took_ms
+        if known is not None:
+            shortest_ms = min(took_ms, known.shortest_ms * FORGETTING)
+        idle_ms = target.step_ms + link_ms
+        # Calls take time of their own, more on a busy host.
+        idle_ms = min(max(idle_ms, shortest_ms), idle_ms + MAX_CALL_MS)
+        slowdown = took_ms / max(idle_ms, ROUNDING)
         if known is not None:
             newer = slowdown - known.slowdown
             slowdown = known.slowdown + SMOOTHING * newer
-        own = self.own(target.name)
-        self._answered[target.name] = Answered(slowdown, own, now)
+        self._answered[target.name] = Answered(
+            slowdown, self.own(target.name), now, shortest_ms
+        )
 
     def forget(self, name: str) -> None:
         """
--- a/tests/test_routing_paths.py
+++ b/tests/test_routing_paths.py
@@ -197,6 +197,13 @@
         self.routes.failed('only', 0, 'no answer')
         self.assertEqual(self._targets(1), ['only'])
 
+    def test_not_most_of_a_pool_is_ejected_at_a_time(self):
+        self.routes.apply_view(view_of(*map(engine, ('e0', 'e1', 'e2'))))
+        self.routes.failed('e0', 0, 'no answer')
+        self.assertEqual(set(self._targets(20)), {'e1', 'e2'})
+        self.routes.failed('e1', 0, 'no answer')
+        self.assertEqual(set(self._targets(20)), {'e0', 'e1', 'e2'})
+
     def test_restarted_target_is_used_again_at_once_but_slowly(self):
         self.routes.apply_view(view_of(engine('bad'), engine('good')))
         self.routes.failed('bad', 0, 'no answer')
