Tell the agent the settings' version; end keys of dead keepers at once

The agent waits for the version that routers run with. A key whose keeper's port is closed was refused with Retry-After, so that callers retried until their deadline; the incarnation has ended, and the answer is final now.

--- a/mallowcrank/router/feed.py
+++ b/mallowcrank/router/feed.py
@@ -107,13 +107,15 @@
 
     def _take(self, message: dict[str, Any]) -> None:
         kind = message.get('type')
+        view = self._ports.known.view
         if kind == 'snapshot':
             self._ports.take_view(read_snapshot(message))
         elif kind == 'change':
-            view = self._ports.known.view
             self._ports.take_view(fold_change(view, message))
         else:
             self._ports.known.hear()
+        if self._ports.known.view.version != view.version:
+            self._wake.set()
 
     def _report_loop(self) -> None:
         while not self._stopped.is_set():
@@ -122,17 +124,22 @@
             connection = self._socket
             if connection is None:
                 continue
-            report = {'type': 'report', **self._ports.make_report()}
+            report = {
+                'type': 'report',
+                'version': self._ports.known.view.version,
+                **self._ports.make_report(),
+            }
             try:
                 connection.sendall(pack_frame(report, self._settings.keys))
             except OSError as error:
                 self._log.say('Report was not sent', error=str(error))
 
-    def _hello(self) -> dict[str, str]:
+    def _hello(self) -> dict[str, Any]:
         return {
             'type': 'hello',
             'router': self._me.name,
             'incarnation': self._me.incarnation,
             'address': self._settings.listen,
             'availability_zone': self._settings.on.availability_zone,
+            'version': self._ports.known.view.version,
         }
--- a/mallowcrank/router/keyed_calls.py
+++ b/mallowcrank/router/keyed_calls.py
@@ -190,8 +190,12 @@
             left,
         )
         if isinstance(reply, Failure):
-            # An earlier try may have reached the keeper.
-            return refusal_response(replace(keeper_gone(), retry_after_s=1))
+            # An earlier try may have reached the keeper. One that only stays
+            # silent may come back; a closed port means that it has ended.
+            retry_after_s = None if reply.ran is Ran.NO else 1
+            return refusal_response(
+                replace(keeper_gone(), retry_after_s=retry_after_s)
+            )
         passed = tuple(
             (name, given)
             for name, given in reply.headers.items()
--- a/mallowcrank/streams/batches.py
+++ b/mallowcrank/streams/batches.py
@@ -7,7 +7,6 @@
 
 from mallowcrank.ports import Step, StepResult
 
-MAX_STEPS_PER_CALL = 256
 REPEATED = 'repeated'
 
 
@@ -33,15 +32,15 @@
 
 
 def split_call(
-    waiting: list[Step],
+    waiting: list[Step], limit: int
 ) -> tuple[tuple[Step, ...], list[Step]]:
     """
     Return the steps of the next call, the most urgent first, and the rest.
     """
-    if len(waiting) <= MAX_STEPS_PER_CALL:
+    if len(waiting) <= limit:
         return tuple(waiting), []
     ordered = sorted(waiting, key=lambda step: -step.priority)
-    return tuple(ordered[:MAX_STEPS_PER_CALL]), ordered[MAX_STEPS_PER_CALL:]
+    return tuple(ordered[:limit]), ordered[limit:]
 
 
 def is_answer_pending(refusal: StepResult, doubtful: list[EngineCall]) -> bool:
--- a/mallowcrank/streams/engine_actor.py
+++ b/mallowcrank/streams/engine_actor.py
@@ -30,8 +30,7 @@
     silence_limit,
 )
 
-MAX_CALLS = 2  # in flight and not in doubt
-SENDERS = 8  # threads of one engine, calls in doubt included
+DOUBTFUL_CALLS = 6  # that can stay open beside those in flight
 LATE_ANSWER_S = 0.05  # for the answer of a call in doubt to arrive
 HARD_LIMIT_FACTOR = 4  # silence limits until a call in doubt is closed
 HARD_LIMIT_S = 1
@@ -114,19 +113,31 @@
     reason: str
 
 
+@dataclass(frozen=True, slots=True)
+class CallLimits:
+    """
+    How steps share calls to one engine.
+
+    :param calls: calls in flight at a time, those in doubt not counted.
+    :param steps: steps of one call at most.
+    """
+
+    calls: int = 2
+    steps: int = 256
+
+
 @dataclass(frozen=True)
 class EngineSettings:
     """
     One engine, as the actor calls it.
 
     :param open_port: opens fresh connections to it.
-    :param max_calls: calls in flight at a time.
     """
 
     target: str
     step_ms: float
     open_port: Callable[[], EnginePort]
-    max_calls: int = MAX_CALLS
+    limits: CallLimits = CallLimits()
 
 
 class EngineActor(ThreadingActor):
@@ -151,7 +162,8 @@
         self._port = settings.open_port()
         self._pace: Pace = first_pace(settings.step_ms)
         self._senders = ThreadPoolExecutor(
-            SENDERS, thread_name_prefix=settings.target
+            settings.limits.calls + DOUBTFUL_CALLS,
+            thread_name_prefix=settings.target,
         )
         self._waiting: list[Step] = []
         self._calls: dict[int, EngineCall] = {}
@@ -188,8 +200,9 @@
         self._senders.shutdown(wait=False, cancel_futures=True)
 
     def _flush(self) -> None:
-        while self._waiting and len(self._calls) < self._settings.max_calls:
-            steps, rest = split_call(self._waiting)
+        limits = self._settings.limits
+        while self._waiting and len(self._calls) < limits.calls:
+            steps, rest = split_call(self._waiting, limits.steps)
             self._waiting = rest
             self._number += 1
             call = EngineCall(self._number, steps, self._clock.steady())
--- a/mallowcrank/streams/engine_pool.py
+++ b/mallowcrank/streams/engine_pool.py
@@ -14,6 +14,7 @@
 from mallowcrank.refusals import Ran
 from mallowcrank.streams.alarm import Alarm
 from mallowcrank.streams.engine_actor import (
+    CallLimits,
     EngineActor,
     EngineSettings,
     ForgetStreams,
@@ -30,13 +31,12 @@
     How engines are called.
 
     :param open_engine: opens connections to a target.
-    :param calls_per_engine: calls in flight to one engine.
     """
 
     open_engine: Callable[[Target], EnginePort]
     alarm: Alarm
     clock: Clock
-    calls_per_engine: int = 2
+    limits: CallLimits = CallLimits()
 
 
 class EnginePool:
@@ -117,7 +117,7 @@
                 target=name,
                 step_ms=target.step_ms,
                 open_port=partial(self._settings.open_engine, target),
-                max_calls=self._settings.calls_per_engine,
+                limits=self._settings.limits,
             ),
             self._driver,
             self._settings.alarm,
