Choose the way to rebuild KV state by measured speeds; measure requests

The estimates were constants. Engines' paces and transfers are measured now, and a step is in doubt after 100 ms of silence or four usual calls instead of 150 ms.

--- a/mallowcrank/streams/carrying.py
+++ b/mallowcrank/streams/carrying.py
@@ -7,6 +7,7 @@
 
 from mallowcrank.refusals import Ran, Refused
 from mallowcrank.requests.retry import Again, Situation, decide_retry
+from mallowcrank.router.ports import Route
 from mallowcrank.streams.actions import (
     Action,
     Emit,
@@ -20,10 +21,10 @@
     Transfer,
     Wait,
 )
+from mallowcrank.streams.costs import is_import_sooner
 from mallowcrank.streams.events import Event, NoRoute, RouteFound
 from mallowcrank.streams.orders import RouteWaitOver
 from mallowcrank.streams.outlet import Ended
-from mallowcrank.streams.recovery import is_import_sooner
 from mallowcrank.streams.table import Running, StreamTable
 
 ROUTE_WAIT_S = 0.1  # between looks for a path where there is none
@@ -62,8 +63,7 @@
         return NoRoute(found, _is_patient(running, table.now))
     running.waiting_since = None
     opened.outlet.route = str(found)
-    sooner = is_import_sooner(table.ports.cost, tokens)
-    return RouteFound(found, allow_import=sooner)
+    return RouteFound(found, _is_import_sooner(found, running, table))
 
 
 @carry_out.register
@@ -102,6 +102,20 @@
     table.end(running, Ended(refused=action.refused))
 
 
+def _is_import_sooner(
+    route: Route, running: Running, table: StreamTable
+) -> bool:
+    """
+    Compare the ways to rebuild the stage that the stream has no state on.
+    """
+    known = {each.stage for each in running.state.stages}
+    fresh = [stage for stage in route.stages if stage not in known]
+    if len(fresh) != 1:
+        return False
+    pace = table.pace_of(fresh[0].target)
+    return is_import_sooner(table.speed, pace, running.state.total)
+
+
 def _is_patient(running: Running, now: float) -> bool:
     """
     Tell whether there is time to wait for a target in a lost one's place.
--- /dev/null
+++ b/mallowcrank/streams/costs.py
@@ -0,0 +1,67 @@
+"""
+Which way to rebuild KV state is sooner, by measured speeds.
+"""
+
+from dataclasses import dataclass, replace
+
+from mallowcrank.streams.silence import Pace
+
+WEIGHT = 0.25  # of a new sample
+
+
+@dataclass(frozen=True, slots=True)
+class TransferSpeed:
+    """
+    What transfers of KV state took so far.
+
+    :param bytes_per_token: of exported state.
+    :param bytes_per_s: rate of a transfer.
+    :param call_s: seconds of the two calls without their bytes.
+    """
+
+    bytes_per_token: float = 1024
+    bytes_per_s: float = 50_000_000
+    call_s: float = 0.004
+
+
+def rerun_seconds(pace: Pace, tokens: int) -> float:
+    """
+    Estimate the time to run all tokens again on a fresh state.
+    """
+    return pace.mean_s + pace.prefill_s * tokens
+
+
+def import_seconds(speed: TransferSpeed, pace: Pace, tokens: int) -> float:
+    """
+    Estimate the time of an export, an import, and the step that waits.
+    """
+    moved = 2 * tokens * speed.bytes_per_token / speed.bytes_per_s
+    return speed.call_s + moved + pace.mean_s
+
+
+def is_import_sooner(speed: TransferSpeed, pace: Pace, tokens: int) -> bool:
+    """
+    Tell whether importing is estimated to be sooner than running again.
+    """
+    return import_seconds(speed, pace, tokens) < rerun_seconds(pace, tokens)
+
+
+def observe_transfer(
+    speed: TransferSpeed, tokens: int, size: int, seconds: float
+) -> TransferSpeed:
+    """
+    Take in one transfer.
+
+    :param tokens: tokens that the state held.
+    :param size: bytes of the exported state.
+    """
+    moving_s = max(seconds - speed.call_s, seconds / 2)
+    return replace(
+        speed,
+        bytes_per_token=_blend(speed.bytes_per_token, size / max(1, tokens)),
+        bytes_per_s=_blend(speed.bytes_per_s, 2 * size / moving_s),
+    )
+
+
+def _blend(old: float, sample: float) -> float:
+    return old + WEIGHT * (sample - old)
--- a/mallowcrank/streams/driver.py
+++ b/mallowcrank/streams/driver.py
@@ -10,6 +10,7 @@
 from mallowcrank.logs import PartLog
 from mallowcrank.refusals import Ran, Reason, Refused
 from mallowcrank.streams.carrying import carry_out
+from mallowcrank.streams.costs import observe_transfer
 from mallowcrank.streams.engine_actor import StepsAnswered, StepsLost
 from mallowcrank.streams.events import (
     Answered,
@@ -103,6 +104,7 @@
 def _(message: StepsAnswered, table: StreamTable) -> None:
     if message.seconds:
         table.ports.routes.succeeded(message.target, message.seconds)
+        table.paces[message.target] = message.pace
     for answer in message.answers:
         feed(table, answer.stream, Answered(message.target, answer))
 
@@ -137,6 +139,11 @@
 
 @take.register
 def _(message: TransferEnded, table: StreamTable) -> None:
+    running = table.get(message.stream)
+    if running is not None and message.done:
+        table.speed = observe_transfer(
+            table.speed, running.state.total, message.size, message.seconds
+        )
     feed(table, message.stream, Transferred(message.attempt, message.done))
 
 
@@ -144,6 +151,8 @@
 def _(message: TakeView, table: StreamTable) -> None:
     before = _leaving(table.view)
     table.view = message.view
+    for gone in table.paces.keys() - message.view.targets.keys():
+        table.paces.pop(gone)
     table.pool.apply_view(message.view)
     for target in _leaving(message.view) - before:
         table.ring(LEAVING_GRACE_S, LeaveTarget(target))
--- a/mallowcrank/streams/engine_actor.py
+++ b/mallowcrank/streams/engine_actor.py
@@ -94,11 +94,15 @@
 class StepsAnswered:
     """
     To the driver: answers to steps.
+
+    :param seconds: of the call, or 0 where it was counted before.
+    :param pace: what the engine's calls took so far.
     """
 
     target: str
     answers: tuple[StepResult, ...]
     seconds: float
+    pace: Pace
 
 
 @dataclass(frozen=True, slots=True)
@@ -264,7 +268,10 @@
     def _answer(self, answers: tuple[StepResult, ...], seconds: float) -> None:
         if answers:
             target = self._settings.target
-            _tell(self._driver, StepsAnswered(target, answers, seconds))
+            _tell(
+                self._driver,
+                StepsAnswered(target, answers, seconds, self._pace),
+            )
 
     def _lose(self, call: EngineCall, failure: Failure) -> None:
         lost = StepsLost(
--- a/mallowcrank/streams/engine_http.py
+++ b/mallowcrank/streams/engine_http.py
@@ -3,14 +3,14 @@
 """
 
 from collections.abc import Sequence
+from operator import index
 from types import MappingProxyType
 from typing import Any
 
 import msgpack
-from cattrs import BaseValidationError
 
 from mallowcrank.calls import HttpCaller
-from mallowcrank.codec import from_plain, to_plain
+from mallowcrank.codec import to_plain
 from mallowcrank.ports import Failure, Step, StepResult
 from mallowcrank.refusals import Ran
 
@@ -36,10 +36,15 @@
         Run the steps of many streams in one call.
         """
         packed = msgpack.packb({'steps': [to_plain(step) for step in steps]})
-        answer = self._post('/steps', packed, timeout_s)
-        if isinstance(answer, Failure):
-            return answer
-        return _read_results(answer)
+        reply = self._caller.call('POST', '/steps', packed, MSGPACK, timeout_s)
+        if isinstance(reply, Failure):
+            return reply
+        if reply.status == HTTP_OK:
+            return _read_results(reply.body)
+        if reply.headers.get('X-Ran') == Ran.NO:
+            # The engine answers, so that its KV states can be exported.
+            return tuple(_refuse_step(step) for step in steps)
+        return Failure(f'/steps answered {reply.status}', Ran.UNKNOWN)
 
     def cancel(self, streams: Sequence[tuple[str, int]]) -> Failure | None:
         """
@@ -92,6 +97,28 @@
     except (ValueError, msgpack.UnpackException) as error:
         return Failure(f'the answer is malformed: {error}', Ran.UNKNOWN)
     try:
-        return from_plain(answer['results'], tuple[StepResult, ...])
-    except (BaseValidationError, KeyError, TypeError) as error:
+        return tuple(_read_result(plain) for plain in answer['results'])
+    except (KeyError, TypeError) as error:
         return Failure(f'the answer is malformed: {error}', Ran.UNKNOWN)
+
+
+def _read_result(plain: dict[str, Any]) -> StepResult:
+    """
+    Read one answer by hand: there is one for each token of each stage, and
+    the codec takes three times as long.
+
+    :raises TypeError: when the shape is wrong.
+    """
+    outputs = tuple(map(index, plain.pop('outputs', ())))
+    return StepResult(**plain, outputs=outputs)
+
+
+def _refuse_step(step: Step) -> StepResult:
+    return StepResult(
+        step.stream,
+        step.attempt,
+        step.token,
+        step.first_layer,
+        step.last_layer,
+        refused='the engine takes no calls',
+    )
--- a/mallowcrank/streams/machine.py
+++ b/mallowcrank/streams/machine.py
@@ -7,7 +7,6 @@
 under a new attempt number, from the inputs that the stage had been given.
 """
 
-from dataclasses import replace
 from functools import singledispatch
 
 from mallowcrank.refusals import Ran
@@ -59,7 +58,7 @@
 
 @_apply.register
 def _(event: Started, state: StreamState) -> Outcome:
-    begun = replace(state, phase=Phase.ROUTING, inputs={0: state.task.prompt})
+    begun = state.evolve(phase=Phase.ROUTING, inputs={0: state.task.prompt})
     return begun, (FindRoute(state.avoid),)
 
 
@@ -71,7 +70,7 @@
     note = Note(f'route {event.route}')
     transfer = find_transfer(routed) if event.allow_import else None
     if transfer is not None:
-        return replace(routed, phase=Phase.TRANSFERRING), (note, transfer)
+        return routed.evolve(phase=Phase.TRANSFERRING), (note, transfer)
     return run_on(routed, (note,))
 
 
@@ -80,12 +79,10 @@
     if state.phase is not Phase.ROUTING:
         return state, ()
     if state.fallback:
-        staying = replace(
-            state, stages=state.fallback, fallback=(), source=None
-        )
+        staying = state.evolve(stages=state.fallback, fallback=(), source=None)
         return run_on(staying, ())
     if event.patient and state.used:
-        return replace(state, phase=Phase.WAITING), (Wait(),)
+        return state.evolve(phase=Phase.WAITING), (Wait(),)
     return fail(state, event.refused)
 
 
@@ -94,7 +91,7 @@
     if state.phase is not Phase.WAITING:
         return state, ()
     # A target that failed before may be the only one, and be back.
-    again = replace(state, phase=Phase.ROUTING, avoid=frozenset())
+    again = state.evolve(phase=Phase.ROUTING, avoid=frozenset())
     return again, (FindRoute(frozenset()),)
 
 
@@ -112,7 +109,7 @@
     if not _is_in_flight(state, event):
         return state, ()
     doubts = state.doubts + 1
-    known = replace(state, doubts=doubts, ran=combine(state.ran, event.ran))
+    known = state.evolve(doubts=doubts, ran=combine(state.ran, event.ran))
     target = event.target
     if event.ran is Ran.UNKNOWN and doubts < MAX_DOUBTS:
         # The step may have run; sent again it is then refused as repeated.
@@ -134,7 +131,7 @@
 
 @_apply.register
 def _(event: Leaving, state: StreamState) -> Outcome:
-    return replace(state, moving=state.moving | {event.target}), ()
+    return state.evolve(moving=state.moving | {event.target}), ()
 
 
 @_apply.register
--- a/mallowcrank/streams/orders.py
+++ b/mallowcrank/streams/orders.py
@@ -60,11 +60,15 @@
 class TransferEnded:
     """
     A KV transfer was done, or failed.
+
+    :param size: bytes of the exported state.
     """
 
     stream: str
     attempt: int
     done: bool
+    size: int = 0
+    seconds: float = 0
 
 
 @dataclass(frozen=True)
--- a/mallowcrank/streams/recovery.py
+++ b/mallowcrank/streams/recovery.py
@@ -3,54 +3,11 @@
 how the others get theirs.
 """
 
-from dataclasses import dataclass, replace
-
 from mallowcrank.router.ports import Route, Stage
 from mallowcrank.streams.actions import Transfer
 from mallowcrank.streams.state import StageState, StreamState
 
 
-@dataclass(frozen=True, slots=True)
-class RebuildCost:
-    """
-    Measured speeds, for the choice between the ways to rebuild KV state.
-
-    :param step_s: seconds of one step.
-    :param prefill_s: seconds for each further token of one step.
-    :param call_s: seconds of one call without work.
-    :param bytes_per_token: bytes of exported state for each token.
-    :param bytes_per_s: rate of a transfer.
-    """
-
-    step_s: float = 0.02
-    prefill_s: float = 0.001
-    call_s: float = 0.002
-    bytes_per_token: float = 1024
-    bytes_per_s: float = 50_000_000
-
-
-def rerun_seconds(cost: RebuildCost, tokens: int) -> float:
-    """
-    Estimate the time to run all tokens again on a fresh state.
-    """
-    return cost.call_s + cost.step_s + cost.prefill_s * tokens
-
-
-def import_seconds(cost: RebuildCost, tokens: int) -> float:
-    """
-    Estimate the time of an export and an import.
-    """
-    moved = 2 * tokens * cost.bytes_per_token / cost.bytes_per_s
-    return 2 * cost.call_s + moved
-
-
-def is_import_sooner(cost: RebuildCost, tokens: int) -> bool:
-    """
-    Tell whether importing is estimated to be sooner than running again.
-    """
-    return import_seconds(cost, tokens) < rerun_seconds(cost, tokens)
-
-
 def take_route(state: StreamState, route: Route) -> StreamState:
     """
     Put a stream on a path.
@@ -66,8 +23,7 @@
         if not stages[index].held and boundary not in state.inputs:
             before = stages[index - 1].stage
             stages[index - 1] = StageState(before, attempt)
-    return replace(
-        state,
+    return state.evolve(
         attempt=attempt,
         stages=tuple(stages),
         fallback=(),
@@ -109,7 +65,7 @@
         each if each.held else StageState(each.stage, attempt, held)
         for each in state.stages
     )
-    return replace(state, attempt=attempt, stages=stages)
+    return state.evolve(attempt=attempt, stages=stages)
 
 
 def _carry(state: StreamState, stage: Stage, attempt: int) -> StageState:
--- a/mallowcrank/streams/silence.py
+++ b/mallowcrank/streams/silence.py
@@ -4,7 +4,7 @@
 
 from dataclasses import dataclass, replace
 
-MIN_LIMIT_S = 0.15  # scheduling on a busy host delays answers by tens of ms
+MIN_LIMIT_S = 0.1  # scheduling on a busy host delays answers by tens of ms
 MAX_LIMIT_S = 10
 PACE_FACTOR = 4  # steps of silence until a call is in doubt
 DEVIATIONS = 4
--- a/mallowcrank/streams/state.py
+++ b/mallowcrank/streams/state.py
@@ -5,6 +5,7 @@
 from collections.abc import Mapping
 from dataclasses import dataclass, field
 from enum import StrEnum, unique
+from typing import Any, Self
 
 from mallowcrank.ports import Step
 from mallowcrank.refusals import Ran
@@ -56,7 +57,7 @@
     held: int = 0
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(frozen=True)
 class StreamState:
     """
     All that decides a stream's next action.
@@ -110,6 +111,17 @@
         """
         return self.stages[self.position]
 
+    def evolve(self, **changes: Any) -> Self:
+        """
+        Return a copy with some fields changed.
+
+        It is made for each token of each stage: `dataclasses.replace` would
+        set every field anew, which takes ten times as long.
+        """
+        after = object.__new__(type(self))
+        vars(after).update(vars(self), **changes)
+        return after
+
 
 def step_in_flight(state: StreamState) -> Step:
     """
--- a/mallowcrank/streams/table.py
+++ b/mallowcrank/streams/table.py
@@ -3,7 +3,7 @@
 """
 
 from concurrent.futures import ThreadPoolExecutor
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from functools import partial
 
 from pykka import ActorRef
@@ -12,10 +12,11 @@
 from mallowcrank.ports import EnginePort, Failure
 from mallowcrank.router.ports import RoutePort
 from mallowcrank.streams.actions import Transfer
+from mallowcrank.streams.costs import TransferSpeed
 from mallowcrank.streams.engine_pool import EnginePool, PoolSettings
 from mallowcrank.streams.orders import Open, TransferEnded
 from mallowcrank.streams.outlet import Ended
-from mallowcrank.streams.recovery import RebuildCost
+from mallowcrank.streams.silence import Pace, first_pace
 from mallowcrank.streams.state import StreamState
 from mallowcrank.timeline import Timeline
 from mallowcrank.view import View
@@ -42,14 +43,14 @@
     """
     What the driver works with.
 
-    :param cost: speeds, for the choice between the ways to rebuild KV state.
+    :param speed: of transfers of KV state, to start from.
     """
 
     pool: PoolSettings
     routes: RoutePort
     timeline: Timeline
     metrics: Metrics
-    cost: RebuildCost = field(default_factory=RebuildCost)
+    speed: TransferSpeed = TransferSpeed()
 
 
 class StreamTable:
@@ -61,6 +62,8 @@
         self.ports = ports
         self.pool = EnginePool(ports.pool, driver)
         self.view = View()
+        self.speed = ports.speed
+        self.paces: dict[str, Pace] = {}
         self._driver = driver
         self._streams: dict[str, Running] = {}
         self._transfers = ThreadPoolExecutor(TRANSFER_THREADS)
@@ -85,6 +88,14 @@
         """
         return self._streams.get(stream)
 
+    def pace_of(self, target: str) -> Pace:
+        """
+        Return a target's measured pace, or the one that it states.
+        """
+        known = self.view.targets.get(target)
+        step_ms = known.step_ms if known else 1
+        return self.paces.get(target) or first_pace(step_ms)
+
     def add(self, opened: Open) -> None:
         """
         Take in a new stream.
@@ -145,12 +156,21 @@
         transfer: Transfer,
     ) -> None:
         source, sink = engines
+        began = self.now
         layers = (transfer.stage.first_layer, transfer.stage.last_layer)
         exported = source.export(stream, transfer.attempt, layers)
         done = not isinstance(exported, Failure) and (
             sink.import_(stream, transfer.new_attempt, exported) is None
         )
-        self._tell(TransferEnded(stream, transfer.new_attempt, done=done))
+        self._tell(
+            TransferEnded(
+                stream,
+                transfer.new_attempt,
+                done=done,
+                size=0 if isinstance(exported, Failure) else len(exported),
+                seconds=self.now - began,
+            )
+        )
 
     def _tell(self, message: object) -> None:
         if self._driver.is_alive():
--- a/mallowcrank/streams/transitions.py
+++ b/mallowcrank/streams/transitions.py
@@ -63,12 +63,12 @@
         'rebuilds': 0,
     }
     if is_last:
-        return _take_token(replace(state, **fields), answer.outputs[-1])
+        return _take_token(state.evolve(**fields), answer.outputs[-1])
     boundary = active.stage.last_layer + 1
     before = state.inputs.get(boundary, ())[: answer.token]
     inputs = {**state.inputs, boundary: before + answer.outputs}
     position = state.position + 1
-    return _send(replace(state, inputs=inputs, position=position, **fields))
+    return _send(state.evolve(inputs=inputs, position=position, **fields))
 
 
 def _count_outputs(state: StreamState, *, is_last: bool) -> int:
@@ -78,8 +78,7 @@
 def _take_token(state: StreamState, token: int) -> Outcome:
     if token == END_TOKEN:
         return _finish(state, 'stop', ())
-    given = replace(
-        state,
+    given = state.evolve(
         answer=(*state.answer, token),
         inputs={**state.inputs, 0: (*state.inputs[0], token)},
         position=0,
@@ -97,12 +96,11 @@
     moving = [
         each for each in state.stages if each.stage.target in state.moving
     ]
-    still = replace(state, moving=frozenset())
+    still = state.evolve(moving=frozenset())
     if not moving:
         sent, actions = _send(still)
         return sent, (emit, *actions)
-    routing = replace(
-        still,
+    routing = still.evolve(
         phase=Phase.ROUTING,
         source=moving[0] if len(moving) == 1 else None,
         fallback=state.stages,
@@ -129,8 +127,7 @@
     attempt = state.attempt + 1
     stages = list(state.stages)
     stages[state.position] = StageState(state.active.stage, attempt)
-    rebuilt = replace(
-        state,
+    rebuilt = state.evolve(
         attempt=attempt,
         stages=tuple(stages),
         doubts=0,
@@ -158,8 +155,7 @@
         )
         return fail(state, refused)
     avoid = state.avoid | {target}
-    routing = replace(
-        state,
+    routing = state.evolve(
         phase=Phase.ROUTING,
         avoid=avoid,
         source=source if source and source.held else None,
@@ -177,7 +173,7 @@
     Go on along a path, freeing the state of the stage that was given up.
     """
     source = state.source
-    running = replace(state, phase=Phase.RUNNING, source=None, position=0)
+    running = state.evolve(phase=Phase.RUNNING, source=None, position=0)
     if source is not None:
         left = Forget(source.stage.target, source.attempt)
         actions = (*actions, left)
@@ -192,7 +188,7 @@
     while state.stages[position].held >= state.total:
         position += 1
     if position != state.position:
-        state = replace(state, position=position)
+        state = state.evolve(position=position)
     send = SendStep(state.active.stage.target, step_in_flight(state))
     return state, (*before, send)
 
@@ -200,7 +196,7 @@
 def _finish(
     state: StreamState, reason: str, actions: tuple[Action, ...]
 ) -> Outcome:
-    ended = replace(state, phase=Phase.ENDED)
+    ended = state.evolve(phase=Phase.ENDED)
     return ended, (*actions, *_forget_all(state), Finish(reason))
 
 
@@ -208,7 +204,7 @@
     """
     End the stream without its answer.
     """
-    ended = replace(state, phase=Phase.ENDED)
+    ended = state.evolve(phase=Phase.ENDED)
     honest = replace(refused, ran=ran_so_far(state))
     return ended, (*_forget_all(state), Fail(honest))
 
--- /dev/null
+++ b/scripts/measure_requests.py
@@ -0,0 +1,214 @@
+"""
+Measure the cost of keys, of shared calls, and of recovery.
+
+Run `python -m scripts.measure_requests`; it takes about half a minute. Each
+ratio comes from one run.
+"""
+
+import json
+import statistics
+import threading
+import time
+import tracemalloc
+from dataclasses import replace
+from functools import partial
+from types import MappingProxyType
+from typing import Any
+
+from mallowcrank.calls import HttpCaller
+from mallowcrank.refusals import Ran
+from mallowcrank.requests.keeper import Answer, FinishKey, KeyKeeper
+from mallowcrank.requests.keys import Claim, Room, claim, finish
+from mallowcrank.streams.costs import TransferSpeed
+from mallowcrank.streams.engine_actor import CallLimits
+from scripts.fleet import Fleet
+from scripts.stream_trials import (
+    Trial,
+    open_stream,
+    route_over,
+    start_engines,
+    take_all,
+)
+
+KEYS = 10_000
+STREAMS = 64
+TOKENS = 64
+STEP_MS = 10
+RECOVERY_STEP_MS = 20
+RECOVERY_TOKENS = 60
+RECOVERY_SLOTS = 4
+BREAK_AT = 30  # tokens given when the stage fails
+PROMPT_TOKENS = 400
+MICROSECONDS = 1_000_000
+STEPS_REFUSED = MappingProxyType({'fault': 'refuse', 'path': '/steps'})
+STEPS_PAUSED = MappingProxyType({'fault': 'pause', 'path': '/steps'})
+NEVER = TransferSpeed(bytes_per_s=1)  # importing is never estimated as sooner
+ALWAYS = TransferSpeed(bytes_per_token=0, call_s=0)
+
+
+def measure_keys() -> None:
+    """
+    Print what a key costs in microseconds and bytes.
+    """
+    wanted = [
+        Claim(
+            f'klang/quotes\0mc1.r1.0123456789abcdef.1800000000.{number}',
+            'f' * 32,
+            100,
+            0,
+        )
+        for number in range(KEYS)
+    ]
+    began = time.perf_counter()
+    for each in wanted:
+        started: Any = claim(None, each, Room(0))
+        finish(started.entry, Ran.YES, 100)
+    pure_s = time.perf_counter() - began
+    keeper = KeyKeeper.start()
+    answer = Answer(
+        200, (('Content-Type', 'application/json'),), b'{}', Ran.YES
+    )
+    tracemalloc.start()
+    before, _ = tracemalloc.get_traced_memory()
+    for each in wanted:
+        keeper.ask(each)
+        keeper.tell(FinishKey(each.key, answer))
+    keeper.ask(wanted[0])
+    after, _ = tracemalloc.get_traced_memory()
+    tracemalloc.stop()
+    keeper.stop()
+    keeper = KeyKeeper.start()
+    began = time.perf_counter()
+    for each in wanted:
+        keeper.ask(each)
+        keeper.tell(FinishKey(each.key, answer))
+    keeper.ask(wanted[0])
+    actor_s = time.perf_counter() - began
+    keeper.stop()
+    print(
+        f'key: decisions {pure_s / KEYS * MICROSECONDS:.1f} us, '
+        f'with the actor {actor_s / KEYS * MICROSECONDS:.0f} us, '
+        f'{(after - before) / KEYS:.0f} bytes without its answer'
+    )
+
+
+def run_streams(trial: Trial) -> tuple[float, float]:
+    """
+    Run many streams at once; return tokens a second, and the milliseconds of
+    this process's CPU for each token.
+    """
+    driver = trial.start()
+    time.sleep(0.2)
+    began, cpu = time.perf_counter(), time.process_time()
+    outlets = [open_stream(driver, 8, TOKENS) for _ in range(STREAMS)]
+    threads = [
+        threading.Thread(target=take_all, args=(each,)) for each in outlets
+    ]
+    for thread in threads:
+        thread.start()
+    for thread in threads:
+        thread.join()
+    count = STREAMS * TOKENS
+    rate = count / (time.perf_counter() - began)
+    cpu_ms = (time.process_time() - cpu) * 1000 / count
+    driver.stop()
+    return rate, cpu_ms
+
+
+def measure_sharing(fleet: Fleet) -> None:
+    """
+    Print shared calls beside one call for each step.
+    """
+    targets = start_engines(fleet, STEP_MS, STREAMS, (0, 11), (12, 23))
+    base = Trial(targets, (route_over(*targets),))
+    ways = (
+        ('one call a step', CallLimits(calls=STREAMS, steps=1)),
+        ('shared, 1 call in flight', CallLimits(calls=1)),
+        ('shared, 2 calls in flight', CallLimits(calls=2)),
+        ('shared, 4 calls in flight', CallLimits(calls=4)),
+    )
+    first = None
+    for name, limits in ways:
+        rate, cpu_ms = run_streams(replace(base, limits=limits))
+        first = first or (rate, cpu_ms)
+        print(
+            f'{STREAMS} streams over 2 stages, {name}: {rate:.0f} tokens/s '
+            f'({rate / first[0]:.2f} x), {cpu_ms:.3f} ms of CPU a token '
+            f'({cpu_ms / first[1]:.2f} x)'
+        )
+
+
+def measure_recovery(fleet: Fleet) -> None:
+    """
+    Print how long a stream stands still after a stage's end, in steps.
+    """
+    targets = start_engines(
+        fleet,
+        RECOVERY_STEP_MS,
+        RECOVERY_SLOTS,
+        (0, 11),
+        (12, 23),
+        (12, 23),
+        (0, 7),
+        (8, 23),
+        (12, 23),
+    )
+    same = route_over(targets[0], targets[2])
+    other = route_over(targets[3], targets[4])
+    victims = (*(targets[1],) * 4, targets[5])
+    ways = (
+        ('import of an export', same, ALWAYS, STEPS_REFUSED),
+        ('run again, stage alone', same, NEVER, STEPS_REFUSED),
+        ('run again, all stages', other, NEVER, STEPS_REFUSED),
+        ('silent for good, stage alone', same, NEVER, STEPS_PAUSED),
+        ('crash, stage alone', same, NEVER, {'fault': 'crash'}),
+    )
+    for victim, (name, route, speed, fault) in zip(victims, ways, strict=True):
+        old = route_over(targets[0], victim)
+        trial = Trial(targets, (old, route), speed=speed)
+        leave = partial(post_fault, victim.address)
+        gap, usual = break_stream(trial, partial(leave, dict(fault)))
+        print(
+            f'{name}: {gap * 1000:.0f} ms without a token, '
+            f'{(gap - usual) * 1000 / RECOVERY_STEP_MS:.1f} steps more than '
+            f'the usual {usual * 1000:.0f} ms'
+        )
+        if fault['fault'] != 'crash':
+            leave({'fault': 'none'})
+
+
+def post_fault(address: str, fault: dict[str, str]) -> None:
+    """
+    Order a fault; a process that crashes does not answer.
+    """
+    HttpCaller(address).call('POST', '/control', json.dumps(fault).encode())
+
+
+def break_stream(trial: Trial, fault: Any) -> tuple[float, float]:
+    """
+    Break a stage in mid-stream; return the longest gap between tokens, and
+    the usual one.
+    """
+    driver = trial.start()
+    time.sleep(0.2)
+    outlet = open_stream(driver, PROMPT_TOKENS, RECOVERY_TOKENS)
+    times = take_all(outlet, BREAK_AT, fault)
+    driver.stop()
+    gaps = [
+        later - sooner for sooner, later in zip(times, times[1:], strict=False)
+    ]
+    return max(gaps), statistics.median(gaps)
+
+
+def main() -> None:
+    """
+    Measure everything.
+    """
+    measure_keys()
+    with Fleet() as fleet:
+        measure_sharing(fleet)
+        measure_recovery(fleet)
+
+
+if __name__ == '__main__':
+    main()
--- a/tests/test_stream_recovery.py
+++ b/tests/test_stream_recovery.py
@@ -88,6 +88,8 @@
             self.assertEqual(tokens, list(range(len(tokens))))
 
     def test_state_is_imported_where_the_old_engine_still_answers(self):
+        # Slow by its own word, so that running all tokens again takes longer.
+        self.engines['e3'].step_ms = 50
         self.router.agent.send_view(self.view('e1', 'e2', 'e3'))
         self.router.wait_view(self.view('e1', 'e2', 'e3'))
         answers = []
--- a/tests/utils/fake_engine.py
+++ b/tests/utils/fake_engine.py
@@ -62,6 +62,7 @@
         self.runs_muted = False
         self.is_dead = False
         self.heals = True
+        self.step_ms = 1
         self._lock = threading.Lock()
         self._released = threading.Event()
         routes = Routes()
@@ -83,6 +84,7 @@
             incarnation=1,
             first_layer=self.first,
             last_layer=self.last,
+            step_ms=self.step_ms,
         )
 
     def stop(self):
