--- a/mallowcrank/router/api.py
+++ b/mallowcrank/router/api.py
@@ -109,15 +109,15 @@
 
     def _run(self, read: ReadCall, request: Request, name: str) -> Response:
         parts = self._parts
-        arrived = parts.clock.steady()
+        arrived = parts.pulse.arrival()
         parts.timeline.record(PART, f'{request.path} arrived', name)
         call = read(request)
         if isinstance(call, Refused):
             return self._refuse(call, name)
-        refused = self._check_leaving(call.terms, arrived)
+        deadline = arrived + call.terms.timeout_s
+        refused = self._check_time(call.terms, deadline)
         if refused is not None:
             return self._refuse(refused, name)
-        deadline = arrived + call.terms.timeout_s
         ticket = _make_ticket(call, name, deadline)
         runner = partial(self._admit, call, ticket)
         if call.terms.repeatable:
@@ -144,10 +144,18 @@
             return self._refuse(refused, ticket.request)
         return run_completion(Admitted(call, ticket, ticket.deadline), parts)
 
-    def _check_leaving(self, terms: Terms, now: float) -> Refused | None:
+    def _check_time(self, terms: Terms, deadline: float) -> Refused | None:
         """
-        Refuse new requests once no caller keeps this router's address.
+        Refuse requests past their deadline, and new ones once no caller keeps
+        this router's address.
         """
+        now = self._parts.clock.steady()
+        if now >= deadline:
+            return Refused(
+                Reason.DEADLINE_PASSED,
+                Ran.NO,
+                'the deadline passed before the request was started',
+            )
         since = self._parts.in_flight.leaving_since
         if since is None or terms.forwarded_by:
             return None
--- a/mallowcrank/router/assembly.py
+++ b/mallowcrank/router/assembly.py
@@ -12,6 +12,7 @@
 from mallowcrank.router.known import KnownView
 from mallowcrank.router.parts import InFlight, Names, RouterParts
 from mallowcrank.router.ports import AdmissionPort, FollowerPort, RoutePort
+from mallowcrank.router.pulse import Pulse
 from mallowcrank.settings import RouterSettings
 from mallowcrank.streams.alarm import Alarm
 from mallowcrank.streams.driver import StreamDriver
@@ -58,6 +59,7 @@
         known=KnownView(me, clock),
         in_flight=InFlight(),
         names=Names(me),
+        pulse=Pulse(clock),
         admission=policies.admission,
         routes=policies.routes,
         driver=StreamDriver.start(ports),
--- a/mallowcrank/router/daemon.py
+++ b/mallowcrank/router/daemon.py
@@ -84,6 +84,7 @@
         :raises OSError: when an address can't be bound.
         """
         self._alarm.start()
+        self._parts.pulse.start()
         self._feed.start()
         if self._follower is not None:
             self._follower.start()
@@ -139,6 +140,7 @@
         if self._follower is not None:
             self._follower.stop()
         self._alarm.stop()
+        self._parts.pulse.stop()
         self._parts.driver.stop(block=False)
         self._parts.keeper.stop(block=False)
 
--- a/mallowcrank/router/parts.py
+++ b/mallowcrank/router/parts.py
@@ -14,6 +14,7 @@
 from mallowcrank.requests.keepers import RouterId
 from mallowcrank.router.known import KnownView
 from mallowcrank.router.ports import AdmissionPort, RoutePort
+from mallowcrank.router.pulse import Pulse
 from mallowcrank.settings import RouterSettings
 from mallowcrank.timeline import Timeline
 
@@ -143,6 +144,7 @@
     known: KnownView
     in_flight: InFlight
     names: Names
+    pulse: Pulse
     admission: AdmissionPort
     routes: RoutePort
     driver: ActorRef
--- a/mallowcrank/streams/machine.py
+++ b/mallowcrank/streams/machine.py
@@ -67,7 +67,8 @@
     if state.phase is not Phase.ROUTING:
         return state, ()
     routed = take_route(state, event.route)
-    note = Note(f'route {event.route}')
+    kind = 'recovers over' if state.recoveries else 'takes'
+    note = Note(f'{kind} route {event.route}')
     transfer = find_transfer(routed) if event.allow_import else None
     if transfer is not None:
         return routed.evolve(phase=Phase.TRANSFERRING), (note, transfer)
