--- a/mallowcrank/load/figures.py
+++ b/mallowcrank/load/figures.py
@@ -124,9 +124,12 @@
     records: Sequence[CallRecord], fault_at: float
 ) -> float | None:
     """
-    Return the longest wait of any caller whose call was running at a fault: from its
+    Return the longest wait of any call that a fault could interrupt: from its
     last token before the fault, or the fault, to its next one.
 
+    Calls that had not got a token yet and whose tries went on are left out:
+    they waited in a queue.
+
     :param fault_at: seconds since the epoch.
     :returns: `None` where no call was running.
     """
@@ -134,11 +137,23 @@
         wait
         for record in records
         if record.started <= fault_at < record.ended
+        and _had_begun(record, fault_at)
         for wait in _waits_after(record, fault_at)
     ]
     return max(waits, default=None)
 
 
+def _had_begun(record: CallRecord, fault_at: float) -> bool:
+    if not record.token_times or record.outcome is not Outcome.COMPLETED:
+        return True
+    if record.token_times[0][0] <= fault_at:
+        return True
+    return any(
+        each.ended > fault_at and each.problem and each.ran != 'no'
+        for each in record.tries
+    )
+
+
 def _waits_after(record: CallRecord, fault_at: float) -> Iterator[float]:
     if record.outcome is not Outcome.COMPLETED:
         yield record.ended - fault_at
