--- a/mallowcrank/leases/part.py
+++ b/mallowcrank/leases/part.py
@@ -32,6 +32,7 @@
 from mallowcrank.view import Target, TargetState
 
 WORK_S = 0.25  # between two looks at the orders at hand
+IDLE_S = 1  # the same where there are none
 HOLD_S = DRAIN_LIMIT_S + 120  # until a hold ends by itself
 CONFLICT = 409
 OK = 200
@@ -117,9 +118,10 @@
             answer = self._around.platform_log.append(write_record(record))
             if isinstance(answer, Failure):
                 log.say('A lease record may be lost.', reason=answer.reason)
-        for job in self._actor.active().get():
+        jobs = self._actor.active().get()
+        for job in jobs:
             self._advance(job)
-        return WORK_S
+        return WORK_S if jobs else IDLE_S
 
     def _advance(self, job: Job) -> None:
         target = self.targets().get(job.order.target)
--- a/mallowcrank/membership/actor.py
+++ b/mallowcrank/membership/actor.py
@@ -123,7 +123,7 @@
         if any(targets.get(name) != changed[name] for name in changed):
             targets = {**targets, **changed}
         if self._membership.take_peers_changed():
-            peers = self._membership.peers(wall)
+            peers = self._membership.peers()
         if targets is not before.targets or peers != before.peers:
             self._known = Known(targets, peers)
             self._outside.show(self._known)
--- a/mallowcrank/membership/membership.py
+++ b/mallowcrank/membership/membership.py
@@ -44,7 +44,6 @@
 from mallowcrank.view import Peer, Target
 
 ROUTER_SILENCE_S = 5  # without a report until a router counts as leaving
-ROUTER_LINGER_S = 60  # that the router of a dead agent stays known
 
 
 class Membership:
@@ -91,7 +90,7 @@
         )
         return target_of(known, queries.load(store, fact.name), wall)
 
-    def peers(self, wall: float) -> dict[str, Peer]:
+    def peers(self) -> dict[str, Peer]:
         """
         Return the routers that are known, this host's among them.
         """
@@ -103,7 +102,7 @@
                 queries.demand(store, known.router),
             )
             for known in queries.members(store)
-            if known.router and not _is_long_dead(known, wall)
+            if known.router and known.state != MemberState.DEAD
         }
 
     # Commands
@@ -214,9 +213,3 @@
         if now.steady - self._reported < ROUTER_SILENCE_S:
             return []
         return self.gossip.change_me(replace(me, router_leaving=True), now)
-
-
-def _is_long_dead(known: Member, wall: float) -> bool:
-    return (
-        known.state == MemberState.DEAD and wall - known.stamp > ROUTER_LINGER_S
-    )
--- a/mallowcrank/membership/routers.py
+++ b/mallowcrank/membership/routers.py
@@ -20,7 +20,10 @@
 
 def with_router(me: Member, report: Mapping[str, Any]) -> Member:
     """
-    Return an agent with what its router said in a hello or report.
+    Return an agent with what is known of its router.
+
+    :param report: a hello or report of the router, or `lost` of the feed when
+        the router's last connection has ended.
     """
     if report.get('type') == 'hello':
         return replace(
@@ -30,9 +33,23 @@
             router_incarnation=str(report['incarnation']),
             router_leaving=False,
         )
+    if report.get('type') == 'lost':
+        return _without_router(me, str(report.get('router')))
     return replace(me, router_leaving=bool(report.get('leaving')))
 
 
+def _without_router(me: Member, router: str) -> Member:
+    if router != me.router:
+        return me
+    return replace(
+        me,
+        router='',
+        router_address='',
+        router_incarnation='',
+        router_leaving=True,
+    )
+
+
 def load_facts(
     store: FactStore, me: Member, report: Mapping[str, Any], wall: float
 ) -> Iterator[Fact]:
@@ -41,7 +58,7 @@
 
     :param wall: seconds since the epoch.
     """
-    if not me.router or report.get('type') == 'hello':
+    if not me.router or report.get('type') != 'report':
         return
     agents = store.count('m')
     known: Load | None = store.get(('l', f'{ROUTER_PREFIX}{me.router}'))
--- a/scripts/measure_membership.py
+++ b/scripts/measure_membership.py
@@ -22,13 +22,15 @@
 from mallowcrank.membership.facts import MemberState
 from mallowcrank.membership.inbox import Event, Publish, Tick
 from mallowcrank.membership.prober import read_reply
-from mallowcrank.membership.probing import PROBE_EVERY_S, PROBERS
+from mallowcrank.membership.probing import PROBE_EVERY_S
 from mallowcrank.web import WebServer, json_response
 from scripts.one_agent import ZONES, OneAgent, described, listed
+from scripts.probing_ways import WAYS, try_way
 from scripts.virtual_agents import VirtualFleet
 from scripts.virtual_network import Used
 from scripts.virtual_time import START
 
+LEAVING = range(2, 14)  # targets that leave one after the other
 STEADY_S = 60
 PROBE_CALLS = 1000
 PROBE_CPU_MS = 0.84  # of a probe over a kept connection, by `probe`
@@ -174,7 +176,14 @@
     """
     Times until all agents know, over whole fleets.
     """
-    show('agents', 'links', 'dead s', 'leaving s', 'spread s', 'agent dead s')
+    show(
+        'agents',
+        'links',
+        'dead s',
+        'leaving at most s',
+        'spread s',
+        'agent dead s',
+    )
     for agents, targets in ((8, 24), (32, 48), (95, 95), (380, 40)):
         started = time.perf_counter()
         fleet = build_fleet(agents, targets)
@@ -183,7 +192,7 @@
             agents,
             links,
             detect_dead(fleet, 'e1'),
-            detect_leaving(fleet, 'e2'),
+            detect_leaving(fleet),
             spread(fleet),
             detect_dead_agent(fleet, 'h3'),
             f'{time.perf_counter() - started:.0f} s of wall time',
@@ -201,11 +210,16 @@
     )
 
 
-def detect_leaving(fleet: VirtualFleet, name: str) -> float:
+def detect_leaving(fleet: VirtualFleet) -> float:
     """
-    Return the seconds until all know that a target leaves, the list out.
+    Return the most seconds until all know that a target leaves, the list out.
     """
     fleet.list_works = False
+    return max(_leave(fleet, f'e{number}') for number in LEAVING)
+
+
+def _leave(fleet: VirtualFleet, name: str) -> float:
+    fleet.time.run(PROBE_EVERY_S / len(LEAVING))
     fleet.change_target(name, leaving=True)
     agents = len(fleet.agents)
     return fleet.time.run_until(
@@ -238,45 +252,21 @@
 
 def measure_probing() -> None:
     """
-    Three ways to probe, in virtual time, for one target.
-
-    With `everyone` each agent probes at the period of its own. In the paper's
-    way the target tells each prober when to come next, at least `1 / 10` s
-    apart over all. In both, an agent knows by its own probe or, with word
-    passed on, 0.1 s after the first two that failed.
+    Three ways to probe, in one run in virtual time.
     """
-    show('way', 'agents', 'probes/s a target', 'probes/s an agent', 'found s')
+    show('way', 'agents', 'rate at a target', 'peak', 'by an agent', 'found s')
     for agents, targets in SIZES:
-        everyone = targets / PROBE_EVERY_S
-        show(
-            'everyone',
-            agents,
-            agents / PROBE_EVERY_S,
-            everyone,
-            _found(PROBE_EVERY_S, agents),
-        )
-        for rate in (10.0, PROBERS / PROBE_EVERY_S):
-            period = max(0.5, agents / rate)
+        for way in WAYS:
+            tried = try_way(way, agents)
+            by_agent = tried.rate * targets / agents
             show(
-                f'paper, {rate:.2g} a second',
+                way.name,
                 agents,
-                agents / period,
-                targets / period,
-                _found(period, agents),
+                tried.rate,
+                tried.peak,
+                by_agent,
+                tried.found_s,
             )
-        show(
-            'shared out',
-            agents,
-            PROBERS / PROBE_EVERY_S,
-            targets * PROBERS / PROBE_EVERY_S / agents,
-            _found(PROBE_EVERY_S, PROBERS),
-        )
-
-
-def _found(period_s: float, probers: int) -> float:
-    # Probers come in turns; two have to fail, each with a retry.
-    gap = period_s / probers
-    return 1.5 * gap + 2 * 0.6 + 0.2
 
 
 def measure_leases() -> None:
--- a/scripts/virtual_agents.py
+++ b/scripts/virtual_agents.py
@@ -84,7 +84,9 @@
         Count what the running agents tell their routers of a target.
         """
         return Counter(
-            agent.targets(self.time.now)[target].state
+            agent.target(
+                agent.gossip.store.get(('t', target)), self.time.now
+            ).state
             for name, agent in self.agents.items()
             if name not in self.network.stopped
         )
--- a/tests/test_membership_virtual.py
+++ b/tests/test_membership_virtual.py
@@ -3,6 +3,7 @@
 """
 
 from dataclasses import replace
+from types import MappingProxyType
 from unittest import TestCase
 
 from mallowcrank.membership.facts import MemberState
@@ -15,6 +16,14 @@
 TARGETS = 12
 DEATH_LIMIT_S = 10
 LEAVING_LIMIT_S = 3
+HELLO = MappingProxyType(
+    {
+        'type': 'hello',
+        'router': 'h2',
+        'incarnation': 'i1',
+        'address': '10.0.0.2:8000',
+    }
+)
 
 
 class TestMembership(TestCase):
@@ -218,6 +227,25 @@
         after = sum(each.probes for each in self.fleet.targets.values())
         self.assertEqual(after - before, TARGETS * PROBERS * 10)
 
+    def test_router_that_is_gone_is_out_of_all_views_at_once(self):
+        self.fleet.tell('h2', Reported(HELLO))
+        self.wait(lambda: self.know_router('h2', True), 1)
+        self.fleet.tell('h2', Reported({'type': 'lost', 'router': 'h2'}))
+        self.wait(lambda: self.know_router('h2', False), 1)
+
+    def test_router_goes_with_its_agent(self):
+        self.fleet.tell('h2', Reported(HELLO))
+        self.wait(lambda: self.know_router('h2', True), 1)
+        self.fleet.network.stopped.add('h2')
+        self.wait(lambda: self.know_router('h2', False), DEATH_LIMIT_S)
+
+    def know_router(self, router, known):
+        return all(
+            (router in agent.peers()) == known
+            for name, agent in self.fleet.agents.items()
+            if name not in self.fleet.network.stopped
+        )
+
     def test_message_of_another_part_reaches_connected_agents(self):
         self.fleet.tell('h0', Spread('config.record', {'n': 1}))
         self.fleet.time.run(1)
