Take a call's own time out of the slowdown

Cause: a call's own time on a busy host looked like slow engines, so that the concurrency limit fell to its least and engines idled. Change: up to 25 ms (was 10) of the shortest call lately count as the call's own.

--- a/mallowcrank/routing/loads.py
+++ b/mallowcrank/routing/loads.py
@@ -14,7 +14,7 @@
 MS_PER_S = 1000
 ROUNDING = 1e-6  # of work in flight that is counted up and down
 SMOOTHING = 0.2  # weight of the newest call in the mean slowdown
-MAX_CALL_MS = 10  # that a call may take beside the link and the step
+MAX_CALL_MS = 25  # that a call may take beside the link and the step
 FORGETTING = 1.001  # growth of the shortest call's time with each call
 FRESH_S = 2  # how long the last call says more than a report
 
