End the agent when an address can't be bound

Cause: the actors' threads kept the process alive after the error was reported. Change: the actors are stopped before the error ends the program.

--- a/mallowcrank/agent/program.py
+++ b/mallowcrank/agent/program.py
@@ -6,6 +6,8 @@
 import threading
 from typing import Any
 
+from pykka import ActorRegistry
+
 from mallowcrank.agent.admin import AdminPages, Desk
 from mallowcrank.agent.feed import FeedActor, FeedServer
 from mallowcrank.agent.joining import Neighbours, join
@@ -118,7 +120,12 @@
         """
         signal.signal(signal.SIGTERM, lambda *_: self.drain())
         signal.signal(signal.SIGINT, lambda *_: self.drain())
-        self.start()
+        try:
+            self.start()
+        except OSError:
+            # The actors' threads would keep the process alive.
+            ActorRegistry.stop_all()
+            raise
         self._stopping.wait()
         self.stop()
 
