--- a/mallowcrank/load/addresses.py
+++ b/mallowcrank/load/addresses.py
@@ -58,9 +58,9 @@
         others = tuple(each for each in self._kept.addresses if each != address)
         self._known = [each for each in self._known if each != address]
         self._known.append(address)
-        # The only address failed: ask the others that are known.
-        until = self._kept.until if others else 0
-        self._kept = Kept(others, self._kept.key_prefix, until)
+        # The key prefix may name the router that failed, so that the next
+        # call asks again.
+        self._kept = Kept(others, self._kept.key_prefix, 0)
 
     def _ask(self) -> None:
         for address in tuple(self._known):
--- a/mallowcrank/load/scenarios.py
+++ b/mallowcrank/load/scenarios.py
@@ -153,7 +153,7 @@
     ),
     Scenario(
         'log-outage',
-        'The log is out for 8 s, just after a change was published.',
+        'The log is out for 8 s while an operator publishes a change.',
         EVERYONE,
         (
             _at_process('settings', 'publish', race=1),
