Let an idle agent's loops wake up less often

Cause: an idle agent process used 12.0 and 11.5 ms/s before 6 targets with two peers (20 s, the demo's system); the budget at full size is 11 ms/s. Where settings are missing, peers are still asked every 0.5 s. With the membership's tick at 1 s in place of 0.25 s it was 5.5 and 6.0 ms/s (a trial): not taken, as detection times rest on the tick.

--- a/mallowcrank/agent/loops.py
+++ b/mallowcrank/agent/loops.py
@@ -29,7 +29,8 @@
 LONG_POLL_S = 5
 PAUSE_S = 0.05  # between two reads that brought records
 OUTAGE_PAUSE_S = 0.5
-UPKEEP_S = 0.5
+UPKEEP_S = 2
+URGENT_ASK_S = 0.5  # between two peers, while there are no settings
 ASK_TIMEOUT_S = 2
 ASKED_PEERS = 2  # at a time, where settings are missing
 OUTAGE_ASK_S = 1  # between two peers, while the log is out
@@ -127,7 +128,7 @@
         asked = ASKED_PEERS if need is Need.URGENT else 1
         for peer in self._chance.sample(peers, min(asked, len(peers))):
             self._ask(peer)
-        return UPKEEP_S if need is Need.URGENT else OUTAGE_ASK_S
+        return URGENT_ASK_S if need is Need.URGENT else OUTAGE_ASK_S
 
     def _ask(self, peer: str) -> None:
         tree = self._settings.replica().get().tree
