--- a/scripts/fleet.py
+++ b/scripts/fleet.py
@@ -42,6 +42,13 @@
                 stderr=subprocess.STDOUT,
             )
 
+    @property
+    def pid(self) -> int:
+        """
+        Return the process's number.
+        """
+        return self._popen.pid
+
     @property
     def status(self) -> int | None:
         """
