--- a/mallowcrank/calls.py
+++ b/mallowcrank/calls.py
@@ -2,9 +2,11 @@
 HTTP calls by urllib3, with no retries of the library's own.
 """
 
+import json
 import time
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass, field
+from typing import Any
 
 from urllib3 import BaseHTTPResponse, HTTPConnectionPool, Timeout
 from urllib3.exceptions import (
@@ -17,6 +19,7 @@
 from mallowcrank.refusals import Ran
 
 CONNECT_TIMEOUT_S = 1
+OK = 200
 
 
 @dataclass(frozen=True)
@@ -120,3 +123,22 @@
                 connect=min(CONNECT_TIMEOUT_S, timeout_s), read=timeout_s
             ),
         )
+
+
+def ask_json(address: str, path: str, timeout_s: float) -> Any | Failure:
+    """
+    Ask an address once, over a connection of its own.
+
+    :returns: the answer's JSON, or a `Failure`.
+    """
+    reply = HttpCaller(address, connections=1).call(
+        'GET', path, timeout_s=timeout_s
+    )
+    if isinstance(reply, Failure):
+        return reply
+    if reply.status != OK:
+        return Failure(f'{address}{path} answered {reply.status}', Ran.NO)
+    try:
+        return json.loads(reply.body)
+    except ValueError:
+        return Failure(f'{address}{path} answered no JSON', Ran.UNKNOWN)
--- a/mallowcrank/leases/engines.py
+++ b/mallowcrank/leases/engines.py
@@ -7,7 +7,7 @@
 from typing import Any
 
 from mallowcrank import codec
-from mallowcrank.calls import HttpCaller
+from mallowcrank.calls import HttpCaller, ask_json
 from mallowcrank.leases.orders import EngineState, Order, WeightRate
 from mallowcrank.ports import Failure
 from mallowcrank.refusals import Ran
@@ -61,7 +61,7 @@
     """
     Ask an engine for its state.
     """
-    answer = _get(address, '/status')
+    answer = ask_json(address, '/status', CALL_TIMEOUT_S)
     if isinstance(answer, Failure):
         return answer
     try:
@@ -103,7 +103,7 @@
 
     :param address: `IP:PORT`, or an empty string where there is none.
     """
-    answer = _get(address, '/rate') if address else {}
+    answer = ask_json(address, '/rate', CALL_TIMEOUT_S) if address else {}
     if isinstance(answer, Failure):
         return None
     try:
@@ -112,17 +112,3 @@
         )
     except (KeyError, TypeError, ValueError):
         return None
-
-
-def _get(address: str, path: str) -> Any | Failure:
-    reply = HttpCaller(address, connections=1).call(
-        'GET', path, timeout_s=CALL_TIMEOUT_S
-    )
-    if isinstance(reply, Failure):
-        return reply
-    if reply.status != OK:
-        return Failure(f'{address}{path} answered {reply.status}', Ran.NO)
-    try:
-        return json.loads(reply.body)
-    except ValueError as error:
-        return Failure(f'{address}{path}: no JSON: {error}', Ran.UNKNOWN)
--- a/mallowcrank/operators/desk.py
+++ b/mallowcrank/operators/desk.py
@@ -8,7 +8,7 @@
 from dataclasses import dataclass, field
 from typing import Any
 
-from mallowcrank.calls import HttpCaller
+from mallowcrank.calls import HttpCaller, ask_json
 from mallowcrank.platform.log import HttpLog
 from mallowcrank.ports import Failure, LogPort
 from mallowcrank.refusals import Ran
@@ -59,17 +59,7 @@
 
     :returns: the answer's JSON, or a `Failure`.
     """
-    reply = HttpCaller(address, connections=1).call(
-        'GET', path, timeout_s=ADMIN_TIMEOUT_S
-    )
-    if isinstance(reply, Failure):
-        return reply
-    if reply.status != OK:
-        return Failure(f'{address}{path} answered {reply.status}', Ran.NO)
-    try:
-        return json.loads(reply.body)
-    except ValueError:
-        return Failure(f'{address}{path} answered no JSON', Ran.NO)
+    return ask_json(address, path, ADMIN_TIMEOUT_S)
 
 
 def post_admin(address: str, path: str, body: Any) -> Any | Failure:
--- a/scripts/bench.py
+++ b/scripts/bench.py
@@ -20,6 +20,7 @@
 from mallowcrank.web import Request, Response, Routes, WebServer, json_response
 from scripts.fleet import ROOT, Fleet
 from scripts.layout import Engine, Layout, Service
+from scripts.system import System, start_all
 
 MODEL = 'assistant'
 LAYERS = 12
@@ -161,20 +162,6 @@
         return json_response({})
 
 
-def start_all(layout: Layout) -> None:
-    """
-    Start every process.
-    """
-    layout.start_platform()
-    for engine in ENGINES:
-        layout.start_engine(engine)
-    for service in SERVICES:
-        layout.start_service(service)
-    for number, zone in enumerate(ZONES):
-        layout.start_agent(number, zone)
-        layout.start_router(number, zone)
-
-
 def describe_site(fleet: Fleet, layout: Layout, control: str) -> Site:
     """
     Return what the load tool has to know.
@@ -315,7 +302,7 @@
     routes.add('POST', '/control', Control(fleet, operator).answer)
     control = WebServer(f'{fleet.ip(CONTROL_IP)}:{CONTROL_PORT}', routes)
     control.start()
-    start_all(layout)
+    start_all(layout, System(ENGINES, SERVICES, ZONES))
     site = describe_site(fleet, layout, control.address)
     layout.wait_until_up()
     status = operator.publish('settings', SETTINGS).wait(PUBLISH_LIMIT_S)
--- a/scripts/demo.py
+++ b/scripts/demo.py
@@ -9,6 +9,7 @@
 
 from scripts.fleet import Fleet, Process
 from scripts.layout import Engine, Layout, Service
+from scripts.system import System, publish, start_all
 
 SETTINGS = Path(__file__).parent.parent / 'examples' / 'demo.toml'
 ZONES = ('shah-alam', 'petaling', 'cyberjaya')
@@ -104,29 +105,13 @@
     print(f'    by {router} over {route}')
 
 
-def run_operator(fleet: Fleet, name: str, *words: str) -> Process:
+def finish(process: Process) -> int:
     """
-    Run the operators' client to its end and print what it said.
+    Wait for the operators' client, print what it said; return its status.
     """
-    process = fleet.start(name, 'operator', *words)
-    process.wait(LIMIT_S)
+    status = process.wait(LIMIT_S)
     print(process.log.read_text().rstrip())
-    return process
-
-
-def start_system(layout: Layout) -> None:
-    """
-    Start the platform, the targets, and three entry hosts.
-    """
-    layout.start_platform()
-    for engine in ENGINES:
-        layout.start_engine(engine)
-    for service in SERVICES:
-        layout.start_service(service)
-    for number, zone in enumerate(ZONES):
-        layout.start_agent(number, zone)
-        layout.start_router(number, zone)
-    layout.wait_until_up()
+    return status
 
 
 def show_requests(layout: Layout) -> str:
@@ -163,30 +148,23 @@
     with Fleet() as fleet:
         layout = Layout(fleet, hosts=len(ZONES))
         print('Starting log, host list, weight store, 6 targets, 3 hosts.')
-        start_system(layout)
-        admins = layout.addresses.agent_admins
-        published = run_operator(
-            fleet,
-            'publish',
-            'publish',
-            str(SETTINGS),
-            '--wait',
-            f'--log={layout.addresses.log}',
-            f'--agents={",".join(admins)}',
-        )
-        if published.status:
+        start_all(layout, System(ENGINES, SERVICES, ZONES))
+        layout.wait_until_up()
+        if finish(publish(fleet, layout, SETTINGS)):
             return 1
         layout.wait_until_known()
         request = show_requests(layout)
         print('The way of the streamed request:')
-        processes = (*layout.addresses.router_admins, *admins)
-        run_operator(
-            fleet,
+        addresses = layout.addresses
+        processes = (*addresses.router_admins, *addresses.agent_admins)
+        timeline = fleet.start(
             'timeline',
+            'operator',
             'timeline',
             f'--request={request}',
             f'--processes={",".join(processes)}',
         )
+        finish(timeline)
         failed = stop_gracefully(fleet)
         print(f'Stopped gracefully; failed: {", ".join(failed) or "none"}.')
     return 1 if failed else 0
--- a/scripts/measure_data_path.py
+++ b/scripts/measure_data_path.py
@@ -21,6 +21,7 @@
 
 from scripts.fleet import Fleet, Process
 from scripts.layout import Engine, Layout
+from scripts.system import publish
 
 CALLER_PROCESSES = 8
 LAYERS = 8
@@ -139,12 +140,12 @@
     layout.start_agent(0, 'a')
     layout.start_router(0, 'a', '--threads', '300')
     layout.wait_until_up()
-    publish(fleet, layout)
+    publish_settings(fleet, layout)
     layout.wait_until_known()
     return layout
 
 
-def publish(fleet: Fleet, layout: Layout) -> None:
+def publish_settings(fleet: Fleet, layout: Layout) -> None:
     """
     Publish the settings and wait until they are in force.
 
@@ -152,15 +153,7 @@
     """
     settings = fleet.folder / 'settings.toml'
     settings.write_text(SETTINGS)
-    process = fleet.start(
-        'publish',
-        'operator',
-        'publish',
-        str(settings),
-        '--wait',
-        f'--log={layout.addresses.log}',
-        f'--agents={layout.addresses.agent_admins[0]}',
-    )
+    process = publish(fleet, layout, settings)
     if process.wait():
         raise RuntimeError(process.log.read_text())
 
--- a/scripts/measure_membership.py
+++ b/scripts/measure_membership.py
@@ -1,7 +1,7 @@
 """
 Measures membership: processor time, bytes, memory, detection and spread.
 
-    python scripts/measure_membership.py whole|probe|churn|detect|probing|leases
+    python -m scripts.measure_membership whole|probe|churn|detect|probing|leases
 
 All times but the processor's are virtual. The state machines, codecs and
 frames are the product's own.
