Take stop signals in a thread that waits for nothing else

A stack dump of such an agent shows all threads idle and the main thread still in `Event.wait` of `Agent.run`: the handler had not run. Handlers run in the main thread when that wakes up; here the system had handed the signal to another thread, and a main thread that waits on a lock is not woken by that. Router and stand-ins waited in the same way.

Ruled out: actors that stop slowly, calls to a host list that is out, cheroot's stop (none of their threads was at work), and a lock held by the handler.

Change: the three daemons hold SIGTERM and SIGINT back in all threads, before any thread starts, and one thread takes them with `sigwait`. The handler no longer interrupts a main thread that may hold a lock, which also serves the router's second signal.

Conclusion: a planned stop no longer depends on which thread gets the signal.

--- a/mallowcrank/agent/program.py
+++ b/mallowcrank/agent/program.py
@@ -2,7 +2,6 @@
 The agent's program: builds the parts, starts them, and stops them.
 """
 
-import signal
 import threading
 from typing import Any
 
@@ -35,6 +34,7 @@
 from mallowcrank.platform.log import HttpLog
 from mallowcrank.ports import LogPage
 from mallowcrank.settings import AgentSettings
+from mallowcrank.stops import follow_stop_signals
 from mallowcrank.timeline import Timeline
 from mallowcrank.web import Routes, WebServer
 
@@ -118,8 +118,7 @@
 
         :raises OSError: when an address can't be bound.
         """
-        signal.signal(signal.SIGTERM, lambda *_: self.drain())
-        signal.signal(signal.SIGINT, lambda *_: self.drain())
+        follow_stop_signals(self.drain)
         try:
             self.start()
         except OSError:
--- a/mallowcrank/cli/router.py
+++ b/mallowcrank/cli/router.py
@@ -2,10 +2,8 @@
 The command line of `mallowcrank-router`.
 """
 
-import signal
 from dataclasses import replace
 from random import Random
-from types import FrameType
 from typing import Annotated
 
 from typer import Context, Option, Typer
@@ -25,6 +23,7 @@
 from mallowcrank.router.daemon import Router
 from mallowcrank.settings import Checker, HostSettings, RouterSettings
 from mallowcrank.status import ExitStatus
+from mallowcrank.stops import follow_stop_signals, hold_stop_signals
 
 PROGRAM = 'mallowcrank-router'
 MAX_KEEP_S = 300
@@ -108,6 +107,7 @@
     Exit statuses: 0 stopped with every request answered, 2 bad settings, 6
     requests in flight were cut by a second signal or the drain limit.
     """
+    hold_stop_signals()
     environment = environment_of(context)
     checker = Checker()
     settings = RouterSettings(
@@ -138,11 +138,6 @@
     fast = replace(environment, random=Random(environment.random.random()))
     policies = build_policies(settings, fast)
     router = Router(settings, policies, environment)
-
-    def stop(_number: int, _frame: FrameType | None) -> None:
-        router.ask_to_stop()
-
-    signal.signal(signal.SIGTERM, stop)
-    signal.signal(signal.SIGINT, stop)
+    follow_stop_signals(router.ask_to_stop)
     router.start()
     return router.run()
--- a/mallowcrank/standins/program.py
+++ b/mallowcrank/standins/program.py
@@ -3,7 +3,6 @@
 """
 
 import os
-import signal
 import threading
 from collections.abc import Callable
 from typing import Protocol
@@ -12,6 +11,7 @@
 from mallowcrank.standins.faults import Fault, FaultOrder, Faults
 from mallowcrank.standins.settings import StandinSettings
 from mallowcrank.status import ExitStatus
+from mallowcrank.stops import follow_stop_signals
 from mallowcrank.web import Request, Response, WebServer
 
 THREADS = 64  # silent connections hold one thread each
@@ -75,8 +75,7 @@
         """
         Serve until SIGTERM or SIGINT, then finish what is in flight.
         """
-        signal.signal(signal.SIGTERM, self._ask_to_stop)
-        signal.signal(signal.SIGINT, self._ask_to_stop)
+        follow_stop_signals(self._stopping.set)
         self.start()
         self._stopping.wait()
         self._standin.leave()
@@ -84,9 +83,6 @@
         # Threads of silent connections would hold up the interpreter's end.
         os._exit(ExitStatus.SUCCESS)
 
-    def _ask_to_stop(self, *_: object) -> None:
-        self._stopping.set()
-
     def _take_fault(self, order: FaultOrder) -> None:
         if order.fault is Fault.LEAVE:
             threading.Thread(target=self._standin.leave, daemon=True).start()
