Let queued orders expire, at once after a pause

Cause: an order that waited for its lease had no life but ORDER_LIMIT_S (600 s of the steady clock). The agent that held it could be paused, another agent take and carry out a newer order for the same target, and the first one carry out the older order when it woke: with a new lease and a higher number, so that neither fencing nor waiting out could see it.

An agent that did not look at its clocks for over 3 s (the least time in which another one has a newer order sent) drops all orders without a lease, also one that reaches it right after the pause. From the lease on, an order belongs to that fencing number. `mallowcrank order` says when it asked, and an order that lay in a paused agent's socket for over 8 s is refused. The operator sees `expired, ran: no`.

Ruled out: an invariant in the lease model. Two awake agents may carry out two orders in the order of their leases, whichever was given first, so that the strict statement is false there; with the life as part of it, it says no more than the rule itself. Dropping an order at any grant to another holder would also drop orders for other targets of the same group.

--- a/mallowcrank/cli/operator_agents.py
+++ b/mallowcrank/cli/operator_agents.py
@@ -3,6 +3,7 @@
 """
 
 import json
+import time
 from typing import Annotated, Any
 
 from typer import Argument, Context, Option, Typer
@@ -119,7 +120,11 @@
     """
     environment = environment_of(context)
     desk = open_checked(context, agents, '')
-    body: dict[str, Any] = {'target': target, 'action': action}
+    body: dict[str, Any] = {
+        'target': target,
+        'action': action,
+        'asked': time.time(),
+    }
     given = {'serves': serves, 'version': version, 'role': role}
     body |= {name: text for name, text in given.items() if text}
     if layers:
--- a/mallowcrank/clock.py
+++ b/mallowcrank/clock.py
@@ -61,12 +61,13 @@
     """
 
     seconds: float = 1000
+    suspended_s: float = 0
 
     def now(self) -> float:
         """
-        Return the virtual seconds.
+        Return the virtual seconds of the wall clock.
         """
-        return self.seconds
+        return self.seconds + self.suspended_s
 
     def steady(self) -> float:
         """
@@ -86,6 +87,12 @@
         """
         self.seconds += seconds
 
+    def suspend(self, seconds: float) -> None:
+        """
+        Let time pass that only the wall clock counts.
+        """
+        self.suspended_s += seconds
+
 
 class HybridClock:
     """
--- a/mallowcrank/leases/actor.py
+++ b/mallowcrank/leases/actor.py
@@ -19,6 +19,7 @@
     WeightRate,
     order_life,
 )
+from mallowcrank.leases.queueing import expire
 from mallowcrank.leases.records import (
     TERMS,
     WEIGHTS_GROUP,
@@ -27,6 +28,7 @@
     group_of,
 )
 from mallowcrank.leases.steps import (
+    NO_FENCE,
     Drain,
     Facts,
     Job,
@@ -93,6 +95,7 @@
         self._clock = clock
         self._timeline = timeline
         self._jobs: dict[str, Job] = {}
+        self._looked = Instant(clock.steady(), clock.now())
 
     # Queries
 
@@ -121,12 +124,13 @@
         """
         Take in a page of the log.
         """
-        self._keeper.apply_page(page, self._now())
+        self._keeper.apply_page(page, self._wake())
 
     def apply_outage(self) -> None:
         """
         Take in that the log could not be read.
         """
+        self._wake()
         self._keeper.apply_outage()
 
     def submit(self, name: str, order: Order) -> Job:
@@ -136,19 +140,23 @@
         over = [job.id for job in self._jobs.values() if job.stage.is_over]
         for old in over[:-MAX_KEPT]:
             self._jobs.pop(old)
-        job = Job(name, order, created=self._clock.steady())
+        now = Instant(self._clock.steady(), self._clock.now())
+        job = Job(name, order, created=now.steady, created_wall=now.wall)
         self._jobs[name] = job
         self._note(job, 'is queued')
-        return job
+        # Right after a pause, it may have come before the pause.
+        self._wake()
+        return self._jobs[name]
 
     def due_record(self) -> LeaseRecord | None:
         """
         Return the lease record to append now, if any.
         """
+        now = self._wake()
         wanted = {
             group for job in self.active() for group in _groups(job.order)
         }
-        return self._keeper.decide(wanted, self._now())
+        return self._keeper.decide(wanted, now)
 
     def advance(self, name: str, state: EngineState | None) -> Step:
         """
@@ -156,8 +164,11 @@
 
         :param state: the engine as it was just read back.
         """
+        now = self._wake()
         job = self._jobs[name]
-        now = self._now()
+        job = _with_fence(job, self._grant(job, now))
+        if job.stage.is_over:
+            return Wait(job.note)
         if state is not None:
             job = note_load(job, state, now.steady)
         step = next_step(job, self._facts(job, state, now))
@@ -179,8 +190,8 @@
         To be called right before it is sent: after a pause, the clocks tell
         that the lease is over.
         """
+        now = self._wake()
         job = self._jobs[name]
-        now = self._now()
         grant = self._grant(job, now)
         life = order_life(job.order, rate, self._terms)
         if life is None:
@@ -202,8 +213,8 @@
         """
         An engine refused an order; it is not at work there.
         """
+        now = self._wake()
         job = self._jobs[name]
-        now = self._now()
         job = replace(job, note=why, ends=now.steady - 1)
         self._jobs[name] = _at(job, Stage.FAILED, now)
         self._note(job, f'is refused: {why}')
@@ -235,10 +246,20 @@
         grants = [
             self._keeper.grant(group, now) for group in _groups(job.order)
         ]
-        return None if None in grants else grants[0]
-
-    def _now(self) -> Instant:
-        return Instant(self._clock.steady(), self._clock.now())
+        first = grants[0]
+        if first is None or None in grants:
+            return None
+        return first if job.fence in {NO_FENCE, first.fence} else None
+
+    def _wake(self) -> Instant:
+        now = Instant(self._clock.steady(), self._clock.now())
+        for job in tuple(self._jobs.values()):
+            expired = expire(job, self._looked, now, self._terms)
+            if expired is not None:
+                self._jobs[job.id] = expired
+                self._note(expired, f'is {expired.note}')
+        self._looked = now
+        return now
 
     def _note(self, job: Job, what: str) -> None:
         log.say(f'An order {what}.', order=job.id, target=job.order.target)
@@ -254,5 +275,9 @@
     return (group,)
 
 
+def _with_fence(job: Job, grant: Grant | None) -> Job:
+    return job if grant is None else replace(job, fence=grant.fence)
+
+
 def _at(job: Job, stage: Stage, now: Instant) -> Job:
     return replace(job, stage=stage, since=now.steady)
--- a/mallowcrank/leases/orders.py
+++ b/mallowcrank/leases/orders.py
@@ -26,7 +26,8 @@
 
     `DRAINING`: routers give its target nothing new, work in flight ends.
     `SENT`: the engine was told. `APPLIED`: the engine was read back and is as
-    ordered, but an order of an earlier lease may still be at work.
+    ordered, but an order of an earlier lease may still be at work. `EXPIRED`:
+    it waited too long for a lease, and was never sent.
     """
 
     QUEUED = 'queued'
@@ -35,13 +36,14 @@
     APPLIED = 'applied'
     DONE = 'done'
     FAILED = 'failed'
+    EXPIRED = 'expired'
 
     @property
     def is_over(self) -> bool:
         """
         Tell whether nothing more will be done.
         """
-        return self in {Stage.DONE, Stage.FAILED}
+        return self in {Stage.DONE, Stage.FAILED, Stage.EXPIRED}
 
 
 @dataclass(frozen=True, slots=True)
--- a/mallowcrank/leases/pages.py
+++ b/mallowcrank/leases/pages.py
@@ -11,11 +11,14 @@
 from mallowcrank.leases.fold import LeaseTable
 from mallowcrank.leases.orders import Action, Order
 from mallowcrank.leases.part import OrdersPart
+from mallowcrank.refusals import Ran
 from mallowcrank.view import Target, TargetKind, TargetState
 from mallowcrank.web import Request, Response, Routes, json_response
 
 BAD_REQUEST = 400
+GONE = 410
 UNAVAILABLE = 503
+ASKED_LIMIT_S = 8  # an operator waits for 5, and clocks differ by up to 3
 
 
 class LeasePages:
@@ -54,6 +57,8 @@
             body = dict(request.json())
         except (TypeError, ValueError):
             return _refuse('the body is not a JSON object', BAD_REQUEST)
+        if is_late(body, self._part.clock.now()):
+            return _refuse('expired: it was asked too long ago', GONE)
         findings = check_order(body, self._part.targets())
         if findings:
             text = '; '.join(map(str, findings))
@@ -81,6 +86,18 @@
     }
 
 
+def is_late(body: Mapping[str, Any], now: float) -> bool:
+    """
+    Tell whether an order has lain about, as with an agent that was paused.
+
+    :param now: seconds since the epoch.
+    """
+    asked = body.get('asked', now)
+    return not isinstance(asked, int | float) or (
+        abs(now - asked) > ASKED_LIMIT_S
+    )
+
+
 def check_order(
     body: Mapping[str, Any], targets: Mapping[str, Target]
 ) -> tuple[Finding, ...]:
@@ -123,4 +140,4 @@
 
 
 def _refuse(message: str, status: int) -> Response:
-    return json_response({'error': {'message': message}}, status)
+    return json_response({'error': {'message': message, 'ran': Ran.NO}}, status)
--- a/mallowcrank/leases/part.py
+++ b/mallowcrank/leases/part.py
@@ -81,6 +81,13 @@
         """
         return self._actor
 
+    @property
+    def clock(self) -> Clock:
+        """
+        Return the clock that it follows.
+        """
+        return self._around.clock
+
     def targets(self) -> Mapping[str, Target]:
         """
         Return the known targets.
--- /dev/null
+++ b/mallowcrank/leases/queueing.py
@@ -0,0 +1,55 @@
+"""
+The short life of orders that wait for a lease.
+
+While an order waits, another agent may take and carry out a newer one for
+the same target. So it must not wait for long, and not at all through a pause.
+"""
+
+from dataclasses import replace
+
+from mallowcrank.leases.orders import Stage
+from mallowcrank.leases.records import LeaseTerms
+from mallowcrank.leases.steps import IDLE_S, NO_FENCE, SPREAD_S, Job
+from mallowcrank.membership.events import Instant
+
+PAUSE_S = SPREAD_S + IDLE_S  # no agent has a newer order sent in less
+NOTE = 'expired, ran: no'
+
+
+def passed_s(before: Instant, now: Instant) -> float:
+    """
+    Return the seconds between two instants, by the clock that saw more.
+
+    The steady clock may stand still while a host is suspended; the wall clock
+    may be set back.
+    """
+    return max(now.steady - before.steady, abs(now.wall - before.wall))
+
+
+def is_paused(looked: Instant, now: Instant) -> bool:
+    """
+    Tell whether an agent was paused since it last looked at its clocks.
+    """
+    return passed_s(looked, now) > PAUSE_S
+
+
+def expire(
+    job: Job, looked: Instant, now: Instant, terms: LeaseTerms
+) -> Job | None:
+    """
+    Return an order as expired, or `None` where it is not.
+
+    :param looked: when the agent last looked at its clocks.
+    """
+    if job.stage is not Stage.QUEUED or job.fence != NO_FENCE:
+        return None
+    created = Instant(job.created, job.created_wall)
+    if is_paused(looked, now):
+        why = 'the agent was paused'
+    elif passed_s(created, now) > terms.order_s:
+        why = 'it waited too long for its lease'
+    else:
+        return None
+    return replace(
+        job, stage=Stage.EXPIRED, since=now.steady, note=f'{NOTE}; {why}'
+    )
--- a/mallowcrank/leases/steps.py
+++ b/mallowcrank/leases/steps.py
@@ -22,6 +22,7 @@
 DRAIN_LIMIT_S = 120  # for work in flight to end
 ORDER_LIMIT_S = 600  # for an order in all
 TRIES = 3
+NO_FENCE = -1
 
 
 @dataclass(frozen=True, slots=True)
@@ -29,8 +30,11 @@
     """
     An order at hand.
 
-    All times are steady seconds.
+    All times but one are steady seconds.
 
+    :param created_wall: when it was taken, by the wall clock.
+    :param fence: the lease under which it goes forward. Under another one
+        it is not gone on with, as others may have given orders meanwhile.
     :param since: when its stage began.
     :param idle_since: since when the engine had no load, or `None`.
     :param ends: until when the last sent order may be at work.
@@ -39,6 +43,8 @@
     id: str
     order: Order
     created: float
+    created_wall: float = 0
+    fence: int = NO_FENCE
     stage: Stage = Stage.QUEUED
     since: float = 0
     idle_since: float | None = None
@@ -114,7 +120,7 @@
     if not facts.is_first:
         return Wait('an earlier order for the target is at hand')
     if not facts.holds_lease:
-        if job.stage is Stage.QUEUED:
+        if job.fence == NO_FENCE:
             return Wait('the lease is not held')
         return Move(Stage.FAILED, 'the lease was lost; order again if wanted')
     if facts.state is None:
--- a/tests/test_order_pause.py
+++ b/tests/test_order_pause.py
@@ -5,6 +5,7 @@
 from unittest import TestCase
 
 from mallowcrank.leases.orders import Stage
+from mallowcrank.leases.pages import is_late
 from mallowcrank.leases.records import TERMS
 from tests.utils.lease_bench import Bench
 
@@ -98,6 +99,58 @@
         job = self.bench.first.jobs()['old-order']
         self.assertEqual(job.stage, Stage.FAILED)
 
+    def test_queued_order_of_a_paused_agent_is_not_carried_out(self):
+        first, second = self.bench.first, self.bench.second
+        first.order('old')
+        first.is_paused = True
+        second.order('new')
+        self.bench.run_until(lambda: self.is_done(second, 'new-order'), QUICK_S)
+        first.resume()
+        self.bench.run(WAIT_OUT_S)
+        self.assertEqual(self.engine.role, 'new')
+        job = first.jobs()['old-order']
+        self.assertEqual(job.stage, Stage.EXPIRED)
+        self.assertIn('expired, ran: no', job.note)
+
+    def test_queued_order_of_a_suspended_host_expires(self):
+        first = self.bench.first
+        first.order('old')
+        self.bench.clock.suspend(WAIT_OUT_S)
+        self.bench.run(QUICK_S)
+        self.assertEqual(first.jobs()['old-order'].stage, Stage.EXPIRED)
+        self.assertEqual(self.engine.fences, [])
+
+    def test_order_that_waits_too_long_for_a_lease_expires(self):
+        self.engine.load = 1
+        self.bench.first.order('one')
+        self.bench.run(5)
+        second = self.bench.second
+        second.order('two')
+        self.bench.run(TERMS.order_s + 1)
+        self.engine.load = 0
+        self.bench.run(WAIT_OUT_S)
+        self.assertEqual(self.engine.role, 'one')
+        self.assertEqual(second.jobs()['two-order'].stage, Stage.EXPIRED)
+
+    def test_order_under_a_held_lease_outlives_the_queue(self):
+        self.engine.load = 1
+        first = self.bench.first
+        first.order('one')
+        first.order('two')
+        self.bench.run(TERMS.order_s + QUICK_S)
+        self.engine.load = 0
+        self.bench.run_until(lambda: self.is_done(first, 'two-order'), LAPSE_S)
+
+
+class TestAskedOrder(TestCase):
+    def test_order_that_lay_about_is_late(self):
+        self.assertFalse(is_late({'asked': 1000}, 1005))
+        self.assertTrue(is_late({'asked': 1000}, 1030))
+        self.assertTrue(is_late({'asked': 'soon'}, 1000))
+
+    def test_order_without_a_time_is_taken(self):
+        self.assertFalse(is_late({}, 1000))
+
 
 class TestIgnoringEngine(OrderCase):
     fencing = 'ignores'
