Give up a silent engine after a few steps

Cause: a call was doubted after four usual calls, 100 ms at least, and an engine given up after two such calls, so that a stream stood still for ten steps and more.

Ruled out: one usual call (24 steps doubted at each of two step times and one stream that gave up a sound engine); one and a half, which doubted one call of some two thousand and leaves a stalled host 60 ms.

Change: two usual calls and four deviations, 50 ms at least. Prompts keep the factor of four, and those in calls before it count too, as an engine runs them first. The limits are a settings object, so that trials compare them.

--- a/mallowcrank/streams/engine_actor.py
+++ b/mallowcrank/streams/engine_actor.py
@@ -25,7 +25,9 @@
     split_call,
 )
 from mallowcrank.streams.silence import (
+    SILENCE_LIMITS,
     Pace,
+    SilenceLimits,
     first_pace,
     observe_call,
     silence_limit,
@@ -129,6 +131,7 @@
 
     calls: int = 2
     steps: int = 256
+    silence: SilenceLimits = SILENCE_LIMITS
 
 
 @dataclass(frozen=True)
@@ -220,7 +223,8 @@
             self._number += 1
             call = EngineCall(self._number, steps, self._clock.steady())
             self._calls[call.number] = call
-            limit = silence_limit(self._pace, call.further_tokens)
+            further = sum(each.further_tokens for each in self._calls.values())
+            limit = silence_limit(self._pace, further, limits.silence)
             overdue = CallOverdue(call.number)
             self._alarm.ring(limit, partial(_tell, self.actor_ref, overdue))
             hard = HARD_LIMIT_S + HARD_LIMIT_FACTOR * limit
--- a/mallowcrank/streams/silence.py
+++ b/mallowcrank/streams/silence.py
@@ -4,13 +4,32 @@
 
 from dataclasses import dataclass, replace
 
-MIN_LIMIT_S = 0.1  # scheduling on a busy host delays answers by tens of ms
 MAX_LIMIT_S = 10
-PACE_FACTOR = 4  # steps of silence until a call is in doubt
-DEVIATIONS = 4
 WEIGHT = 0.125  # of a new sample
 
 
+@dataclass(frozen=True, slots=True)
+class SilenceLimits:
+    """
+    When a call is in doubt; docs/REQUESTS.md has the false alarms of each.
+
+    :param min_s: seconds; scheduling on a busy host delays answers by tens
+        of ms.
+    :param pace_factor: usual calls.
+    :param prefill_factor: usual times of further tokens; cached prompts make
+        the usual time shorter than that of the next prompt.
+    :param deviations: mean deviations of a call beside them.
+    """
+
+    min_s: float = 0.05
+    pace_factor: float = 2
+    prefill_factor: float = 4
+    deviations: float = 4
+
+
+SILENCE_LIMITS = SilenceLimits()
+
+
 @dataclass(frozen=True, slots=True)
 class Pace:
     """
@@ -53,13 +72,23 @@
     )
 
 
-def silence_limit(pace: Pace, further_tokens: int) -> float:
+def silence_limit(
+    pace: Pace,
+    further_tokens: int,
+    limits: SilenceLimits = SILENCE_LIMITS,
+) -> float:
     """
     Return the seconds of silence after which a call is in doubt.
+
+    :param further_tokens: as above, of the call and of those in flight before
+        it.
     """
-    expected = pace.mean_s + pace.prefill_s * further_tokens
-    limit = PACE_FACTOR * expected + DEVIATIONS * pace.deviation_s
-    return min(MAX_LIMIT_S, max(MIN_LIMIT_S, limit))
+    limit = (
+        limits.pace_factor * pace.mean_s
+        + limits.prefill_factor * pace.prefill_s * further_tokens
+        + limits.deviations * pace.deviation_s
+    )
+    return min(MAX_LIMIT_S, max(limits.min_s, limit))
 
 
 def _blend(old: float, sample: float) -> float:
--- a/scripts/stream_trials.py
+++ b/scripts/stream_trials.py
@@ -9,9 +9,9 @@
 from typing import Any
 
 from mallowcrank.clock import HybridClock, SystemClock
-from mallowcrank.metrics import NoMetrics
+from mallowcrank.metrics import Metrics, NoMetrics
 from mallowcrank.refusals import Ran, Reason, Refused
-from mallowcrank.router.ports import Route, RouteDemand, Stage
+from mallowcrank.router.ports import Route, RouteDemand, RoutePort, Stage
 from mallowcrank.streams.alarm import Alarm
 from mallowcrank.streams.costs import TransferSpeed
 from mallowcrank.streams.driver import StreamDriver
@@ -76,9 +76,15 @@
     limits: CallLimits = CallLimits()
     speed: TransferSpeed = TransferSpeed()
 
-    def start(self) -> Any:
+    def start(
+        self,
+        routes: RoutePort | None = None,
+        metrics: Metrics | None = None,
+    ) -> Any:
         """
         Start a driver.
+
+        :param routes: by default, the first of the routes that fits.
         """
         clock = SystemClock()
         alarm = Alarm(clock)
@@ -91,7 +97,11 @@
         )
         timeline = Timeline('bench', HybridClock(clock))
         ports = DriverPorts(
-            pool, FixedRoutes(self.routes), timeline, NoMetrics(), self.speed
+            pool,
+            routes or FixedRoutes(self.routes),
+            timeline,
+            metrics or NoMetrics(),
+            self.speed,
         )
         driver = StreamDriver.start(ports)
         targets = {target.name: target for target in self.targets}
--- a/tests/test_request_deadlines.py
+++ b/tests/test_request_deadlines.py
@@ -6,8 +6,9 @@
 from unittest import TestCase
 
 from mallowcrank.router.pulse import Beats, earliest_arrival, note_beat
+from mallowcrank.streams.machine import MAX_DOUBTS
 from mallowcrank.streams.silence import (
-    MIN_LIMIT_S,
+    SILENCE_LIMITS,
     first_pace,
     observe_call,
     silence_limit,
@@ -34,10 +35,30 @@
         pace = first_pace(50)
         for _ in range(60):
             pace = observe_call(pace, 0.1, 0)
-        self.assertAlmostEqual(silence_limit(pace, 0), 0.4, 2)
+        self.assertAlmostEqual(silence_limit(pace, 0), 0.2, 2)
         for _ in range(60):
             pace = observe_call(pace, 2.1, 100)
-        self.assertAlmostEqual(silence_limit(pace, 100), 8.4, 1)
+        self.assertAlmostEqual(silence_limit(pace, 100), 8.2, 1)
+
+    def test_silent_engine_is_given_up_within_a_few_steps(self):
+        step_s = 0.02
+        pace = first_pace(20)
+        for _ in range(60):
+            pace = observe_call(pace, step_s, 0)
+        limit = silence_limit(pace, 0)
+        self.assertGreater(limit, 2 * step_s)
+        self.assertLess(MAX_DOUBTS * limit, 6 * step_s)
+
+    def test_unsteady_engine_is_given_more_time(self):
+        steady = unsteady = first_pace(50)
+        for number in range(60):
+            steady = observe_call(steady, 0.1, 0)
+            unsteady = observe_call(unsteady, 0.05 + 0.1 * (number % 2), 0)
+        self.assertGreater(
+            silence_limit(unsteady, 0), silence_limit(steady, 0) + 0.15
+        )
 
     def test_fast_engine_is_not_doubted_by_a_stall_of_this_host(self):
-        self.assertEqual(silence_limit(first_pace(0.1), 0), MIN_LIMIT_S)
+        self.assertEqual(
+            silence_limit(first_pace(0.1), 0), SILENCE_LIMITS.min_s
+        )
