--- /dev/null
+++ b/tests/test_verdict.py
@@ -0,0 +1,44 @@
+"""
+The verdict of a whole run of checks.
+"""
+
+from unittest import TestCase
+
+from scripts.verdict import NO_END, judge_tests, read_known
+
+NAME = 'tests.test_a.TestA.test_b'
+OTHER = 'tests.test_a.TestA.test_c'
+KNOWN = read_known(f'test: {NAME}\ncommand: make test\nissue: 6\n')
+FAILED = f"""
+FAIL: test_b ({NAME}) (name='x')
+ERROR: test_c ({OTHER})
+Ran 5 tests in 2.0s
+
+FAILED (failures=1, errors=1)
+make: *** [Makefile:18: test] Error 1
+"""
+
+
+class TestVerdict(TestCase):
+    def test_all_passed(self):
+        verdict = judge_tests('....\nRan 4 tests in 1.0s\n\nOK\n', KNOWN)
+        self.assertEqual((verdict.passed, verdict.failed), (4, ()))
+
+    def test_known_failure_is_told_apart(self):
+        verdict = judge_tests(FAILED, KNOWN)
+        self.assertEqual(verdict.passed, 3)
+        self.assertEqual(verdict.failed, (OTHER,))
+        self.assertEqual(verdict.known, (NAME,))
+
+    def test_without_an_entry_all_count(self):
+        verdict = judge_tests(FAILED, frozenset())
+        self.assertEqual(verdict.failed, (NAME, OTHER))
+
+    def test_run_that_did_not_end_has_failed(self):
+        for log in ('', 'Ran 4 tests in 1.0s\n', 'Segmentation fault\n'):
+            with self.subTest(log=log):
+                self.assertEqual(judge_tests(log, KNOWN).failed, (NO_END,))
+
+    def test_failure_without_a_name_counts(self):
+        log = 'Ran 0 tests in 1.0s\n\nFAILED (errors=1)\n'
+        self.assertEqual(judge_tests(log, KNOWN).failed, (NO_END,))
