Give each router under test an address that nothing else uses

Cause: tests asked for a free port, let it go and bound it later; another process could take it in between. The fake agent closed its listener while a thread was still accepting, which left sockets open.

Change: addresses of a network of each process with counted ports; the fake agent ends its accepting thread before it closes.

--- a/tests/utils/local_router.py
+++ b/tests/utils/local_router.py
@@ -2,7 +2,9 @@
 A router in this process, with a fake agent.
 """
 
+import itertools
 import json
+import os
 import socket
 import threading
 import time
@@ -28,6 +30,9 @@
 
 WORKSPACE = 'klang/quotes'
 LIMIT_S = 20
+BYTE_VALUES = 250
+NETWORKS = BYTE_VALUES * BYTE_VALUES
+PORTS = itertools.count(10_000)
 
 
 def make_view(targets=(), services=(), peers=()):
@@ -78,7 +83,8 @@
         self.address = address_of(self._listener)
         self._connections = []
         self._stopped = threading.Event()
-        threading.Thread(target=self._accept, daemon=True).start()
+        self._accepting = threading.Thread(target=self._accept, daemon=True)
+        self._accepting.start()
 
     def send_view(self, view):
         self.view = view
@@ -86,7 +92,11 @@
             connection.sendall(self._snapshot())
 
     def stop(self):
+        if self._stopped.is_set():
+            return
         self._stopped.set()
+        self._listener.shutdown(socket.SHUT_RDWR)
+        self._accepting.join()
         self._listener.close()
         for connection in self._connections:
             connection.close()
@@ -229,10 +239,11 @@
 
 def free_address():
     """
-    Return an address that was free a moment ago.
+    Return an address that nothing else in this or another process uses.
     """
-    with socket.create_server(('127.0.0.1', 0)) as probe:
-        return address_of(probe)
+    pid = os.getpid()
+    high, low = divmod(pid % NETWORKS, BYTE_VALUES)
+    return f'127.251.{high}.{low + 1}:{next(PORTS)}'
 
 
 def address_of(bound):
