--- a/mallowcrank/cli/standin.py
+++ b/mallowcrank/cli/standin.py
@@ -71,6 +71,23 @@
     )
 
 
+def _read_target(
+    checker: Checker,
+    common: StandinSettings,
+    availability_zone: str,
+    serves: str,
+    hosts_address: str,
+    trace: str,
+) -> TargetSettings:
+    return TargetSettings(
+        common,
+        checker.name('--availability-zone', availability_zone),
+        checker.name('--serves', serves),
+        checker.address('--hosts', hosts_address, optional=True),
+        trace,
+    )
+
+
 def _run(
     context: Context,
     checker: Checker,
@@ -194,12 +211,8 @@
     common = _read_common(checker, name, listen)
     total = int(checker.number('--total-layers', total_layers, 1, MAX_LAYERS))
     settings = EngineSettings(
-        TargetSettings(
-            common,
-            checker.name('--availability-zone', availability_zone),
-            checker.name('--serves', serves),
-            checker.address('--hosts', hosts_address, optional=True),
-            trace,
+        _read_target(
+            checker, common, availability_zone, serves, hosts_address, trace
         ),
         _read_layers(checker, layers, total),
         total,
@@ -232,12 +245,8 @@
     checker = Checker()
     common = _read_common(checker, name, listen)
     settings = ServiceSettings(
-        TargetSettings(
-            common,
-            checker.name('--availability-zone', availability_zone),
-            checker.name('--serves', serves),
-            checker.address('--hosts', hosts_address, optional=True),
-            trace,
+        _read_target(
+            checker, common, availability_zone, serves, hosts_address, trace
         ),
         checker.number('--work-ms', work_ms, 0, MAX_MS),
     )
