--- a/mallowcrank/cli/operator_agents.py
+++ b/mallowcrank/cli/operator_agents.py
@@ -18,6 +18,7 @@
     say,
 )
 from mallowcrank.cli.options import environment_of
+from mallowcrank.operators.asking import statuses_of
 from mallowcrank.operators.desk import Desk, get_admin, post_admin
 from mallowcrank.operators.tables import format_table, status_rows
 from mallowcrank.ports import Failure
@@ -65,7 +66,7 @@
     environment = environment_of(context)
     desk = open_checked(context, agents, '', routers)
     asked = (*desk.settings.agents, *desk.settings.routers)
-    answers = {each: get_admin(each, '/admin/status') for each in asked}
+    answers = statuses_of(asked)
     rows = status_rows(answers)
     if as_json:
         say(environment, json.dumps(rows, indent=2))
--- a/mallowcrank/operators/source.py
+++ b/mallowcrank/operators/source.py
@@ -11,6 +11,7 @@
 from mallowcrank.config.replica import Replica, apply_page
 from mallowcrank.config.search import Search, look_through
 from mallowcrank.config.tree import Entry, Tree, split_path
+from mallowcrank.operators.asking import ask_each
 from mallowcrank.operators.desk import Desk, get_admin
 from mallowcrank.ports import Failure, LogPort
 from mallowcrank.refusals import Ran
@@ -97,10 +98,10 @@
     """
     Return the trees of all agents that answer and have one.
     """
-    answers = [get_admin(each, '/admin/settings') for each in agents]
+    asked = ask_each(agents, lambda each: get_admin(each, '/admin/settings'))
     return [
         tree_of(answer)
-        for answer in answers
+        for answer in asked.values()
         if not isinstance(answer, Failure)
         and answer.get('settings') is not None
     ]
--- a/mallowcrank/operators/timeline.py
+++ b/mallowcrank/operators/timeline.py
@@ -6,19 +6,20 @@
 from collections.abc import Iterable, Sequence
 from dataclasses import dataclass
 from datetime import UTC, datetime
+from typing import Any
 from urllib.parse import urlencode
 
 from cattrs import BaseValidationError
 
-from mallowcrank.calls import HttpCaller
+from mallowcrank.calls import ask_json
 from mallowcrank.codec import from_plain, to_plain
 from mallowcrank.findings import Finding
 from mallowcrank.hlc import MICROSECONDS
+from mallowcrank.operators.asking import ask_each
 from mallowcrank.ports import Failure
 from mallowcrank.timeline import Event, Filter, merge_rings
 
 FETCH_TIMEOUT_S = 3
-OK = 200
 
 
 @dataclass(frozen=True)
@@ -42,8 +43,8 @@
     """
     rings: list[tuple[Event, ...]] = []
     findings: list[Finding] = []
-    for address in processes:
-        ring = _fetch(address, wanted)
+    asked = ask_each(processes, lambda address: _fetch(address, wanted))
+    for ring in asked.values():
         if isinstance(ring, Finding):
             findings.append(ring)
         else:
@@ -53,31 +54,25 @@
 
 def _fetch(address: str, wanted: Filter) -> tuple[Event, ...] | Finding:
     query = urlencode(to_plain(wanted))
-    reply = HttpCaller(address).call(
-        'GET', f'/admin/timeline?{query}', timeout_s=FETCH_TIMEOUT_S
-    )
+    answer = ask_json(address, f'/admin/timeline?{query}', FETCH_TIMEOUT_S)
     advice = 'its events are missing; ask again when it is back'
-    if isinstance(reply, Failure):
-        return Finding(address, reply.reason, advice)
-    if reply.status != OK:
-        return Finding(address, f'answered {reply.status}', advice)
+    if isinstance(answer, Failure):
+        return Finding(address, answer.reason, advice)
     try:
-        return read_events(reply.body)
-    except (ValueError, KeyError, BaseValidationError):
+        return read_events(answer)
+    except (TypeError, KeyError, BaseValidationError):
         return Finding(address, 'its answer is malformed', advice)
 
 
-def read_events(body: bytes) -> tuple[Event, ...]:
+def read_events(answer: Any) -> tuple[Event, ...]:
     """
-    Read the answer of `/admin/timeline`.
+    Read the answer of `/admin/timeline`, as JSON.
 
-    :raises ValueError: when it is not JSON.
+    :raises TypeError: when it is no object.
     :raises KeyError: when it has no events.
     :raises cattrs.BaseValidationError: when an event has another shape.
     """
-    return tuple(
-        from_plain(plain, Event) for plain in json.loads(body)['events']
-    )
+    return tuple(from_plain(plain, Event) for plain in answer['events'])
 
 
 def format_text(events: Iterable[Event]) -> str:
--- /dev/null
+++ b/scripts/measure_operators.py
@@ -0,0 +1,103 @@
+"""
+Measures the operators' client against many agents.
+
+One server in this process stands in for all agents, each under an address of
+its own; some more addresses accept connections and never answer.
+"""
+
+import json
+import socket
+import time
+from typing import Annotated
+
+from typer import Option, Typer, echo
+
+from mallowcrank.operators.desk import Desk, OperatorSettings
+from mallowcrank.operators.timeline import collect
+from mallowcrank.operators.waiting import wait_in_force
+from mallowcrank.timeline import Filter
+from mallowcrank.web import Request, Response, WebServer, json_response
+
+SIZES = (8, 95, 380)
+VERSION = 7
+NETWORK = 250  # addresses in the last byte
+SERVER_THREADS = 64
+MS_PER_S = 1000
+app = Typer(add_completion=False)
+
+
+class Agents:
+    """
+    Stands in for the admin endpoints of many agents.
+    """
+
+    def __init__(self, count: int) -> None:
+        self.asked = 0
+        self._peers = {
+            f'router-{number}': {'address': '127.0.0.1:1', 'leaving': False}
+            for number in range(count)
+        }
+        self._server = WebServer('0.0.0.0:0', self._answer, SERVER_THREADS)
+        self._server.start()
+        port = self._server.address.rpartition(':')[2]
+        self.addresses = tuple(
+            f'127.0.{1 + number // NETWORK}.{1 + number % NETWORK}:{port}'
+            for number in range(count)
+        )
+
+    def stop(self) -> None:
+        """
+        Stop the server.
+        """
+        self._server.stop()
+
+    def _answer(self, request: Request) -> Response:
+        self.asked += 1
+        number = self.addresses.index(request.headers['host'])
+        if request.path == '/admin/timeline':
+            return json_response({'events': []})
+        page = {
+            'host': f'host-{number}',
+            'version': VERSION,
+            'routers': {f'router-{number}': VERSION},
+            'peers': self._peers,
+        }
+        return Response(200, json.dumps(page).encode())
+
+
+@app.command()
+def main(
+    silent: Annotated[
+        int, Option(help='Agents that accept and never answer.')
+    ] = 0,
+) -> None:
+    """
+    Print the time of `publish --wait` and `timeline` once all have answered.
+    """
+    listeners = [socket.create_server(('127.0.0.1', 0)) for _ in range(silent)]
+    dead = tuple(
+        f'127.0.0.1:{listener.getsockname()[1]}' for listener in listeners
+    )
+    for count in SIZES:
+        agents = Agents(count)
+        _measure(agents, (*agents.addresses, *dead))
+        agents.stop()
+
+
+def _measure(agents: Agents, addresses: tuple[str, ...]) -> None:
+    desk = Desk(OperatorSettings(agents=addresses))
+    began = time.monotonic()
+    lags = wait_in_force(desk, VERSION, began)
+    waited = time.monotonic()
+    found = collect(addresses, Filter())
+    ended = time.monotonic()
+    echo(
+        f'{len(agents.addresses)} agents, {agents.asked} questions: '
+        f'wait {(waited - began) * MS_PER_S:.0f} ms, {len(lags)} behind; '
+        f'timeline {(ended - waited) * MS_PER_S:.0f} ms, '
+        f'{len(found.findings)} missing'
+    )
+
+
+if __name__ == '__main__':
+    app()
