Send a workspace's callers to home routers; divide by demands as told

Cause: 32 entries a second from 380 routers are 240 KB/s, so that the agents' bytes (1.2 KB/s) let a demand through once in 250 s, while routers took their own demand as known to all 2 s after they had reported it. The trial did not show that: it exchanged demands without the agents' turns.

Change: /v1/addresses names one router of the caller's zone first, by rendezvous hash of the workspace, unless it is eight times as busy. Such a home gives out up to half a limit unasked while peers don't ask for it. Reports hold 8 entries and cost O(workspaces in use); agents pass on what changed by a quarter, within 2.4 KB/s for all; a router counts its own demand only as its agent passed it on.

--- a/mallowcrank/limits/demand.py
+++ b/mallowcrank/limits/demand.py
@@ -33,12 +33,19 @@
         """
         return sum(self.past) / len(self.past)
 
+    @property
+    def is_idle(self) -> bool:
+        """
+        Tell whether nothing was asked for in the last seconds.
+        """
+        return not self.running and not any(self.past)
+
     def add(self, part: float, now: float) -> None:
         """
         Count what one request asks for.
         """
         self.roll(now)
-        if not self.running and not any(self.past):
+        if self.is_idle:
             self.busy_since = now
         self.running += part
 
--- a/mallowcrank/limits/ledger.py
+++ b/mallowcrank/limits/ledger.py
@@ -2,7 +2,6 @@
 The limits of all workspaces, as far as this router gives them out.
 """
 
-from collections.abc import Mapping
 from dataclasses import dataclass, replace
 from math import inf
 
@@ -12,11 +11,12 @@
     GRANT_S,
     SETTLED_S,
     Asked,
+    Heard,
     Hearing,
     demands_to_report,
     granted_part,
 )
-from mallowcrank.view import WorkspaceSettings
+from mallowcrank.view import WorkspaceSettings, demand_turn_s
 
 IDLE_S = 60  # until a workspace without requests is forgotten
 STREAM_RETRY_S = 1
@@ -51,9 +51,10 @@
 
     def __init__(self) -> None:
         self._accounts: dict[str, _Account] = {}
-        self._others: Mapping[str, float] = {}
-        self._hearing = Hearing(1, heard=True)
-        self._reported: dict[str, float] = {}
+        self._active: dict[str, _Account] = {}
+        self._heard = Heard(Hearing(1, heard=True))
+        self._told: dict[str, float] = {}
+        self._reported: frozenset[str] = frozenset()
         self._last_report = inf
 
     # Queries
@@ -68,46 +69,42 @@
         """
         Return the part of a workspace's limits that is granted here.
         """
-        hearing = self._hearing
+        hearing = self._heard.hearing
         if now - self._last_report > GRANT_S:
             hearing = replace(hearing, heard=False)
-        others = self._others.get(workspace, 0)
-        account = self._accounts.get(workspace)
-        if account is None:
-            asked = Asked(others=others, is_new=True)
-            return granted_part(asked, hearing)
-        meter = account.meter
-        since = self._reported.get(workspace, now)
+        settled: float = 0
+        if now - self._told.get(workspace, inf) >= SETTLED_S:
+            settled = self._heard.own.get(workspace, 0)
         asked = Asked(
-            settled=meter.mean if now - since >= SETTLED_S else 0,
-            others=others,
-            is_new=now - meter.busy_since <= NEW_S,
+            settled=settled,
+            others=self._heard.others.get(workspace, 0),
+            is_new=self._is_new(workspace, now),
+            is_home=self._heard.is_home(workspace),
         )
         return granted_part(asked, hearing)
 
     # Commands
 
-    def hear(self, hearing: Hearing, others: Mapping[str, float]) -> None:
+    def hear(self, heard: Heard, now: float) -> None:
         """
-        Take over what is known of the peers.
-
-        :param others: by workspace, the sum of the peers' demands.
+        Take over what is known of the peers, and what they know.
         """
-        self._hearing = hearing
-        self._others = others
+        self._heard = heard
+        self._told = {name: self._told.get(name, now) for name in heard.own}
 
     def report(self, now: float) -> dict[str, float]:
         """
-        Return the demands to report to the agent; they count from now on.
+        Return the demands to report to the agent: O(workspaces with requests
+        in the last seconds).
         """
         asked: dict[str, float] = {}
-        for name, account in self._accounts.items():
+        for name, account in tuple(self._active.items()):
             account.meter.roll(now)
             asked[name] = account.meter.mean
-        reported = demands_to_report(asked, self._hearing.routers)
-        self._reported = {
-            each: self._reported.get(each, now) for each in reported
-        }
+            if account.meter.is_idle:
+                self._active.pop(name)
+        reported = demands_to_report(asked, self._heard.hearing.routers)
+        self._reported = frozenset(reported)
         self._last_report = now
         return reported
 
@@ -119,6 +116,7 @@
         """
         account = self._account(workspace, now)
         account.meter.add(_part(workspace, account, tokens), now)
+        self._active[workspace.name] = account
         granted = self.granted(workspace.name, now)
         passed = _check(workspace, account, granted, now)
         if passed is None:
@@ -156,6 +154,25 @@
         ]
         for name in idle:
             self._accounts.pop(name)
+            self._active.pop(name, None)
+
+    def _is_new(self, workspace: str, now: float) -> bool:
+        """
+        Tell whether peers have had no time yet to hear of a demand.
+
+        A report may wait for its turn in the agents' bytes.
+        """
+        account = self._accounts.get(workspace)
+        if account is None:
+            return True
+        age_s = now - account.meter.busy_since
+        if age_s <= NEW_S:
+            return True
+        is_waiting = workspace in self._reported and (
+            workspace not in self._told
+        )
+        turn_s = demand_turn_s(self._heard.hearing.routers)
+        return is_waiting and age_s <= NEW_S + turn_s
 
     def _account(self, workspace: WorkspaceSettings, now: float) -> _Account:
         known = self._accounts.get(workspace.name)
--- a/mallowcrank/limits/peers.py
+++ b/mallowcrank/limits/peers.py
@@ -7,6 +7,7 @@
 from collections.abc import Iterable, Mapping
 from types import MappingProxyType
 
+from mallowcrank.limits.homes import home_router
 from mallowcrank.view import Peer
 
 UNITS = 1_000_000  # of a workspace's whole limits
@@ -22,7 +23,10 @@
     def __init__(self, router: str) -> None:
         self._router = router
         self._demands: dict[str, Mapping[str, float]] = {}
+        self._own: Mapping[str, float] = {}
         self._live = {router}
+        self._zones: dict[str, str] = {}
+        self._homes: dict[str, bool] = {}
         self._units: dict[str, int] = {}
         self._sums: dict[str, float] = {}
 
@@ -40,13 +44,46 @@
         """
         return MappingProxyType(self._sums)
 
+    @property
+    def own(self) -> Mapping[str, float]:
+        """
+        Return this router's demand, as its peers are told of it.
+        """
+        return self._own
+
+    def is_home(self, workspace: str) -> bool:
+        """
+        Tell whether callers of a workspace in this router's availability
+        zone are sent here.
+        """
+        known = self._homes.get(workspace)
+        if known is None:
+            home = home_router(workspace, self._neighbours())
+            known = home == self._router
+            self._homes[workspace] = known
+        return known
+
     def apply(self, peers: Mapping[str, Peer], names: Iterable[str]) -> None:
         """
         Take over the peers that changed.
         """
         for name in names:
+            peer = peers.get(name)
+            self._place(name, peer)
             if name != self._router:
-                self._take(name, peers.get(name))
+                self._take(name, peer)
+            else:
+                self._own = peer.demand if peer else {}
+
+    def _place(self, name: str, peer: Peer | None) -> None:
+        zone = peer.availability_zone if peer and not peer.leaving else None
+        if zone == self._zones.get(name):
+            return
+        if zone is None:
+            self._zones.pop(name)
+        else:
+            self._zones[name] = zone
+        self._homes.clear()
 
     def _take(self, name: str, peer: Peer | None) -> None:
         known = self._demands.pop(name, {})
@@ -70,3 +107,7 @@
             else:
                 self._units.pop(workspace, None)
                 self._sums.pop(workspace, None)
+
+    def _neighbours(self) -> list[str]:
+        own = self._zones.get(self._router)
+        return [name for name, zone in self._zones.items() if zone == own]
--- a/mallowcrank/limits/shares.py
+++ b/mallowcrank/limits/shares.py
@@ -2,24 +2,27 @@
 Which part of a workspace's limits each router may give out.
 
 Every router is silently granted a small part, so that few of them need to be
-heard of. The rest goes to the routers that report demand, in proportion. A
-demand counts for its own router only once its peers have had time to hear of
-it; until then the router may give out an even share. A grant lasts only as
+heard of. The rest goes to the routers that report demand, in proportion. All
+divide by the same numbers: a router counts its own demand as the agents pass
+it on, and only once its peers have had time to hear of it; until then it may
+give out an even share. A grant lasts only as
 long as the agents are heard; without them, each router falls back to an even
 share among the most routers that it has known.
 """
 
-from collections.abc import Mapping
-from dataclasses import dataclass
+from collections.abc import Callable, Mapping
+from dataclasses import dataclass, field
+from heapq import nsmallest
 from math import frexp
 
 from mallowcrank.view import MAX_DEMANDS
 
 SILENT_PART = 0.1  # of a limit, split evenly between all routers
-SETTLED_S = 2  # seconds until all peers have heard of a demand
+SETTLED_S = 2  # seconds until all peers have heard what an agent passes on
 GRANT_S = 5  # seconds that grants last after the last report to the agent
 REMEMBERED_S = 600  # how long missing routers count
 DIGITS = 5  # of a reported demand
+HOME_PART = 0.5  # of a limit that a home router gives out unasked
 REPORT_ABOVE = 0.5  # of the silent grant; less demand is not reported
 
 
@@ -37,6 +40,22 @@
     heard: bool
 
 
+@dataclass(frozen=True, slots=True)
+class Heard:
+    """
+    What the agents say of demands, in parts of the workspaces' limits.
+
+    :param others: by workspace, the sum of the peers' demands.
+    :param own: this router's demands, as its peers are told of them.
+    :param is_home: tells whether callers of a workspace are sent here.
+    """
+
+    hearing: Hearing
+    others: Mapping[str, float] = field(default_factory=dict)
+    own: Mapping[str, float] = field(default_factory=dict)
+    is_home: Callable[[str], bool] = field(default=lambda _: False)
+
+
 class Census:
     """
     Remembers the most routers known lately, to notice when most are missing.
@@ -65,14 +84,16 @@
     """
     What callers ask for, in parts of a workspace's limits (1 is all).
 
-    :param settled: of this router, heard of by its peers.
+    :param settled: of this router, as its peers have heard of it.
     :param others: the sum that the peers report.
     :param is_new: whether its peers have had no time yet to hear of it.
+    :param is_home: whether callers are sent to this router.
     """
 
     settled: float = 0
     others: float = 0
     is_new: bool = False
+    is_home: bool = False
 
 
 def granted_part(asked: Asked, hearing: Hearing) -> float:
@@ -84,11 +105,16 @@
         return even
     floor = report_floor(hearing.routers)
     settled = asked.settled if asked.settled > floor else 0
-    if not settled + asked.others:
-        return even
-    granted = SILENT_PART * even
-    granted += (1 - SILENT_PART) * settled / (settled + asked.others)
-    return max(granted, even) if asked.is_new else granted
+    total = settled + asked.others
+    unasked = even
+    if asked.is_home:
+        unasked = max(even, min(HOME_PART, 1 - SILENT_PART - asked.others))
+    if not total:
+        return unasked
+    granted = SILENT_PART * even + (1 - SILENT_PART) * settled / total
+    if asked.is_new or total < 1 - SILENT_PART:
+        return max(granted, unasked)
+    return granted
 
 
 def report_floor(routers: int) -> float:
@@ -113,7 +139,7 @@
         for name, asked in demands.items()
         if asked > floor
     ]
-    above.sort()
     return {
-        name: round(demands[name], DIGITS) for _, name in above[:MAX_DEMANDS]
+        name: round(demands[name], DIGITS)
+        for _, name in nsmallest(MAX_DEMANDS, above)
     }
--- a/mallowcrank/membership/routers.py
+++ b/mallowcrank/membership/routers.py
@@ -9,13 +9,12 @@
 from mallowcrank.membership import queries
 from mallowcrank.membership.facts import Demand, Fact, Load, Member
 from mallowcrank.membership.store import FactStore
-from mallowcrank.view import MAX_DEMANDS
+from mallowcrank.view import MAX_DEMANDS, demand_turn_s
 
 ROUTER_PREFIX = 'router:'  # of the name of a router's load
 LOADS_PER_S = 20  # loads that all agents together pass on in a second
-DEMAND_BYTES_PER_S = 1200  # of demand, by all agents together
-DEMAND_ENTRY_BYTES = 24
-DEMAND_CHANGE = 0.02  # of a workspace's limits
+DEMAND_CHANGE = 0.25  # of what was told, or of an even share, if greater
+DEMAND_DIGITS = 4
 
 
 def with_router(me: Member, report: Mapping[str, Any]) -> Member:
@@ -91,13 +90,15 @@
     """
     if known is None:
         return bool(demand.parts)
-    size = (len(demand.parts) + 1) * DEMAND_ENTRY_BYTES
     waited_s = demand.stamp - known.stamp
-    if waited_s < agents * size / DEMAND_BYTES_PER_S:
+    entries = max(len(known.parts), len(demand.parts))
+    if waited_s < demand_turn_s(agents, entries):
         return False
     before, after = dict(known.parts), dict(demand.parts)
+    even = 1 / max(1, agents)
     return any(
-        abs(before.get(name, 0) - after.get(name, 0)) > DEMAND_CHANGE
+        abs(before.get(name, 0) - after.get(name, 0))
+        > DEMAND_CHANGE * max(before.get(name, 0), even)
         for name in before | after
     )
 
@@ -105,6 +106,6 @@
 def _parts(demand: Mapping[str, Any]) -> tuple[tuple[str, float], ...]:
     largest = sorted(demand.items(), key=lambda entry: -float(entry[1]))
     return tuple(
-        (str(name), round(float(part), 3))
+        (str(name), round(float(part), DEMAND_DIGITS))
         for name, part in largest[:MAX_DEMANDS]
     )
--- a/mallowcrank/policy/desk.py
+++ b/mallowcrank/policy/desk.py
@@ -91,7 +91,7 @@
             changes = compare_views(self._view, view)
         self._view = view
         self.pools.apply_view(view, changes)
-        self.ledger.hear(*self.pools.hear(now))
+        self.ledger.hear(self.pools.hear(now), now)
         if changes.services:
             reserved = sum(each.reserved for each in view.services.values())
             threads = self._room.settings.threads
--- a/mallowcrank/policy/pools.py
+++ b/mallowcrank/policy/pools.py
@@ -2,12 +2,10 @@
 The pools of all models and services, sized by the targets of the view.
 """
 
-from collections.abc import Mapping
-
 from mallowcrank.changes import ViewChanges
 from mallowcrank.fairness.pool import Pool
 from mallowcrank.limits.peers import PeerDemands
-from mallowcrank.limits.shares import Census, Hearing
+from mallowcrank.limits.shares import Census, Heard
 from mallowcrank.overload.concurrency import PoolLimit, first_limit, resize
 from mallowcrank.routing.bound import Bound, BoundEngine, throughput_bound
 from mallowcrank.routing.engines import EngineIndex
@@ -85,12 +83,16 @@
             known = self._pools[serves]
             known.limit = resize(known.limit, self._limit(serves))
 
-    def hear(self, now: float) -> tuple[Hearing, Mapping[str, float]]:
+    def hear(self, now: float) -> Heard:
         """
-        Return what is heard of the peers, and the sums of their demands.
+        Return what is heard of the peers.
         """
-        hearing = self._census.count(self._peers.routers, now)
-        return hearing, self._peers.sums
+        return Heard(
+            self._census.count(self._peers.routers, now),
+            self._peers.sums,
+            self._peers.own,
+            self._peers.is_home,
+        )
 
     def forget_idle(self) -> None:
         """
--- a/mallowcrank/router/addresses.py
+++ b/mallowcrank/router/addresses.py
@@ -6,6 +6,7 @@
 from collections.abc import Iterable
 from dataclasses import dataclass
 
+from mallowcrank.limits.homes import home_router
 from mallowcrank.requests.key_names import key_prefix
 from mallowcrank.requests.keys import KEY_LIFE_S
 from mallowcrank.router.parts import RouterParts
@@ -13,6 +14,7 @@
 from mallowcrank.web import Request, Response, json_response
 
 MAX_ADDRESSES = 4
+HOME_LEAD = 3  # doublings of load that a home may have above others
 
 
 @dataclass(frozen=True, slots=True)
@@ -22,10 +24,13 @@
 
     :param availability_zone: the caller's; may be empty.
     :param seed: spreads callers over equal routers; any number.
+    :param workspace: the caller's; its home router goes first, unless it is
+        much busier than others.
     """
 
     availability_zone: str
     seed: int = 0
+    workspace: str = ''
 
 
 def order_routers(
@@ -33,7 +38,7 @@
 ) -> tuple[Peer, ...]:
     """
     Return the routers for a caller: its own availability zone first, then the
-    less loaded; none that is leaving.
+    workspace's home, then the less loaded; none that is leaving.
     """
     live = sorted(
         (peer for peer in routers if not peer.leaving),
@@ -43,23 +48,37 @@
         return ()
     turn = question.seed % len(live)
     spread = live[turn:] + live[:turn]
+    home = _home(live, question)
     ordered = sorted(
         spread,
         key=lambda peer: (
             peer.availability_zone != question.availability_zone,
-            _load_class(peer.load),
+            _load_class(peer.load) - HOME_LEAD * (peer.name == home),
+            peer.name != home,
         ),
     )
     return tuple(ordered[:MAX_ADDRESSES])
 
 
+def _home(routers: Iterable[Peer], question: AddressQuestion) -> str | None:
+    if not question.workspace:
+        return None
+    near = [
+        peer.name
+        for peer in routers
+        if peer.availability_zone == question.availability_zone
+    ]
+    return home_router(question.workspace, near)
+
+
 def answer_addresses(request: Request, parts: RouterParts) -> Response:
     """
     Answer `GET /v1/addresses`.
     """
     zone = request.headers.get('x-mallowcrank-availability-zone', '')
-    seed = sum(request.headers.get('x-mallowcrank-workspace', '').encode())
-    question = AddressQuestion(zone, seed + parts.in_flight.count)
+    workspace = request.headers.get('x-mallowcrank-workspace', '')
+    seed = sum(workspace.encode()) + parts.in_flight.count
+    question = AddressQuestion(zone, seed, workspace)
     ordered = order_routers(_all_routers(parts), question)
     first = ordered[0] if ordered else _myself(parts)
     keep_s = parts.settings.keep_s
--- a/mallowcrank/view.py
+++ b/mallowcrank/view.py
@@ -6,7 +6,19 @@
 from dataclasses import dataclass, field
 from enum import StrEnum, unique
 
-MAX_DEMANDS = 32  # workspaces in one router's demand
+MAX_DEMANDS = 8  # workspaces in one router's demand
+
+DEMAND_ENTRY_BYTES = 24  # on the wire
+DEMAND_BYTES_PER_S = 2400  # of demand, by all agents together
+
+
+def demand_turn_s(routers: int, entries: int = MAX_DEMANDS) -> float:
+    """
+    Return the seconds between two demands that an agent passes on, so that
+    those of all routers fit into their bytes.
+    """
+    size = (entries + 1) * DEMAND_ENTRY_BYTES
+    return routers * size / DEMAND_BYTES_PER_S
 
 
 @unique
--- a/scripts/measure_policy.py
+++ b/scripts/measure_policy.py
@@ -14,6 +14,7 @@
     bench_offline,
     bench_online,
 )
+from scripts.trials.limits_at_size import LimitsAtSize, SizeFigures
 from scripts.trials.limits_trial import LimitCase, LimitFigures, LimitsTrial
 from scripts.trials.overload_trial import (
     LoadCase,
@@ -110,6 +111,10 @@
         show(LimitsTrial(cut).run())
     show(LimitsTrial(LimitCase('even', 380, seed=seed)).run())
     show(LimitsTrial(LimitCase('even', 8, workspaces=64, seed=seed)).run())
+    show_header(SizeFigures)
+    for callers in ('any', 'zone', 'home'):
+        show(LimitsAtSize(callers, seed, cut_off=False).run())
+    show(LimitsAtSize('home', seed, cut_off=True).run())
 
 
 @app.command()
--- a/scripts/trials/full_size.py
+++ b/scripts/trials/full_size.py
@@ -48,6 +48,7 @@
 FULL_REPLICAS = 4100
 FULL_WORKSPACES = 6100
 MICROS = 1e6
+BUSY_REQUESTS = 22  # 7.1 a second for the 3 s that demand covers
 WIDE = 1e6  # requests a second, so that no limit ends the decision early
 
 
@@ -186,11 +187,12 @@
 
 def _names(view: View, number: int) -> ViewChanges:
     """
-    Name 1% of the targets, and the fifth of the peers that report demand.
+    Name 1% of the targets, and the peers whose demand the agents' bytes let
+    through in a second: 1 in 20.
     """
     return ViewChanges(
         targets=frozenset(tuple(view.targets)[number::100]),
-        peers=frozenset(tuple(view.peers)[number % 5 :: 5]),
+        peers=frozenset(tuple(view.peers)[number::20]),
     )
 
 
@@ -209,6 +211,8 @@
 
     following = iter([_desk_change(view, names, each) for each in range(10)])
 
+    turns = iter(range(REPEATS))
+
     def admit() -> None:
         ticket = Ticket('t', random.choice(names), 1e9, 0, 64, 'm0')
         list(desk.arrive(ticket, 3))
@@ -216,12 +220,25 @@
 
     timed = [
         ('admit, leave', admit, REPEATS),
-        ('demand report', lambda: desk.ledger.report(5), 20),
+        ('report, all', lambda: desk.ledger.report(5), 5),
+        ('22 and report', lambda: _report_busy(desk, names, next(turns)), 20),
         ('desk view', lambda: desk.apply_view(*next(following)), 10),
     ]
     return [_timed(each[0], part, *each[1:], state_kb) for each in timed]
 
 
+def _report_busy(desk: Desk, names: list[str], number: int) -> None:
+    """
+    Report after a node's share of the requests of the last seconds.
+    """
+    now = 10 + 10 * number
+    for each in range(BUSY_REQUESTS):
+        ticket = Ticket(f'{number}.{each}', names[each], 1e9, 0, 64, 'm0')
+        list(desk.arrive(ticket, now))
+        list(desk.leave(ticket, 64, now))
+    desk.ledger.report(now + 1)
+
+
 def _desk_change(
     view: View, names: list[str], number: int
 ) -> tuple[View, float, ViewChanges]:
--- a/scripts/trials/limits_trial.py
+++ b/scripts/trials/limits_trial.py
@@ -8,13 +8,13 @@
 from random import Random
 
 from mallowcrank.limits.ledger import Ledger
-from mallowcrank.limits.shares import Hearing
 from mallowcrank.view import WorkspaceSettings
+from scripts.trials.exchange import Exchange, worst
 
 LIMIT = 100  # requests a second of each workspace
 TICK_S = 0.01
-LAG_S = 1.5  # from a router's report to its peers
 RUN_S = 40
+CUT_OFF_AT_S = 15
 HOT = 3  # times the limit that callers ask for
 
 
@@ -45,7 +45,7 @@
     :param mean: over the run, from 5 s on.
     :param worst_10s: in the worst ten seconds.
     :param worst_1s: in the worst second.
-    :param reported: demands in the largest report.
+    :param bytes_per_s: of demand that all agents together pass on.
     """
 
     pattern: str
@@ -55,7 +55,7 @@
     mean: float
     worst_10s: float
     worst_1s: float
-    reported: int
+    bytes_per_s: float
 
 
 class LimitsTrial:
@@ -67,8 +67,7 @@
         self._case = case
         self._random = Random(case.seed)
         self._ledgers = [Ledger() for _ in range(case.routers)]
-        self._reports: list[list[dict[str, float]]] = []
-        self._reported = 0
+        self._exchange = Exchange(self._ledgers)
         self._workspaces = [
             WorkspaceSettings(
                 f'b/w{number}',
@@ -97,12 +96,13 @@
             mean=sum(warm) / (RUN_S - 5) / LIMIT,
             worst_10s=worst(admitted, 10 * per_s) / 10 / LIMIT,
             worst_1s=worst(admitted, per_s) / LIMIT,
-            reported=self._reported,
+            bytes_per_s=self._exchange.bytes_per_s,
         )
 
     def _tick(self, now: float) -> int:
         if abs(now - round(now)) < TICK_S / 2:
-            self._exchange(round(now))
+            cut = self._case.cut_off and now > CUT_OFF_AT_S
+            self._exchange.run(round(now), cut_off=cut)
         admitted = 0
         for index, workspace in enumerate(self._workspaces):
             for router in self._routers_at(now):
@@ -122,34 +122,3 @@
         if case.pattern == 'moving':
             return tuple(repeat(int(now / 8) % case.routers, count))
         return [self._random.randrange(case.routers) for _ in range(count)]
-
-    def _exchange(self, second: int) -> None:
-        case = self._case
-        self._reports.append([each.report(second) for each in self._ledgers])
-        self._reported = max(
-            self._reported, *(len(each) for each in self._reports[-1])
-        )
-        heard = self._reports[max(0, len(self._reports) - 1 - round(LAG_S))]
-        cut = case.cut_off and second > 15
-        for index, ledger in enumerate(self._ledgers):
-            if cut and index == 0:
-                ledger.hear(Hearing(case.routers, heard=False), {})
-                continue
-            others: dict[str, float] = {}
-            for other, report in enumerate(heard):
-                if other != index and not (cut and other == 0):
-                    for name, asked in report.items():
-                        others[name] = others.get(name, 0) + asked
-            ledger.hear(Hearing(case.routers - cut, heard=True), others)
-
-
-def worst(admitted: Sequence[int], window: int) -> int:
-    """
-    Return the greatest sum over a window.
-    """
-    current = sum(admitted[:window])
-    greatest = current
-    for entering, leaving in zip(admitted[window:], admitted, strict=False):
-        current += entering - leaving
-        greatest = max(greatest, current)
-    return greatest
--- a/tests/test_view_changes.py
+++ b/tests/test_view_changes.py
@@ -51,7 +51,7 @@
     def state(self):
         index = self.book.index
         where = self.known.whereabouts(forwarded=False)
-        _, sums = self.pools.hear(0)
+        heard = self.pools.hear(0)
         return {
             'targets': dict(index.targets),
             'engines': {
@@ -63,7 +63,9 @@
             'peers': where.peers,
             'routers': where.history[-1].routers,
             'count': self.peers.routers,
-            'sums': dict(sums),
+            'sums': dict(heard.others),
+            'own': dict(heard.own),
+            'homes': [heard.is_home(f'b/w{each}') for each in range(9)],
             'bounds': [_rate(self.pools.bound(each)) for each in ('m0', 'm1')],
             'share': self.pools.share_of(WorkspaceSettings('b/w', 'b')),
         }
@@ -170,7 +172,8 @@
     demand = {f'b/w{random.randrange(3)}': random.random() for _ in range(2)}
     leaving = random.randrange(10) < 2
     incarnation = str(random.randrange(2))
-    return Peer(name, '', 'a', incarnation, leaving=leaving, demand=demand)
+    zone = random.choice('ab')
+    return Peer(name, '', zone, incarnation, leaving=leaving, demand=demand)
 
 
 def target(name):
