Hold the engines in the driver's thread

Cause: a step went through four hand-overs between threads (driver, engine's actor, sender, engine's actor, driver), each a wake-up that waits for the interpreter.

Change: an engine is a plain object of the driver's thread, so that a step has two hand-overs. The driver takes in what waits, up to 16 messages, before it sends steps. A call that has ended costs no message when its limit rings.

--- a/mallowcrank/streams/driver.py
+++ b/mallowcrank/streams/driver.py
@@ -13,7 +13,14 @@
 from mallowcrank.streams.actions import SendStep
 from mallowcrank.streams.carrying import carry_out
 from mallowcrank.streams.costs import observe_transfer
-from mallowcrank.streams.engine_actor import StepsAnswered, StepsLost
+from mallowcrank.streams.engine import (
+    CallEnded,
+    CallOverdue,
+    EngineMessage,
+    RefusalsDue,
+    StepsAnswered,
+    StepsLost,
+)
 from mallowcrank.streams.events import (
     Answered,
     Cancelled,
@@ -38,6 +45,7 @@
 from mallowcrank.streams.table import DriverPorts, StreamTable
 from mallowcrank.view import TargetState, View
 
+MAX_GATHERED = 16  # messages until steps are sent, though more wait
 LEAVING_GRACE_S = 2  # a stream that ends within it stays where it is
 
 
@@ -52,21 +60,25 @@
         super().__init__()
         self._log = PartLog('stream')
         self._table = StreamTable(ports, self.actor_ref)
+        self._gathered = 0
 
     def on_receive(self, message: object) -> None:
         """
-        Take one message, then send what the streams asked for.
+        Take one message; once none waits, send what the streams asked for.
         """
         try:
             take(message, self._table)
         except Exception as error:
             # One stream's bad message must not stop all the others.
             self._log.say('Message failed', error=repr(error))
-        self._table.pool.flush()
+        self._gathered += 1
+        if self._gathered >= MAX_GATHERED or self.actor_inbox.empty():
+            self._gathered = 0
+            self._table.pool.flush()
 
     def on_stop(self) -> None:
         """
-        Stop the engines' actors.
+        Let go of the engines.
         """
         self._table.stop()
 
@@ -106,6 +118,15 @@
     feed(table, stream, Started())
 
 
+@take.register(CallEnded)
+@take.register(CallOverdue)
+@take.register(RefusalsDue)
+def _(message: EngineMessage, table: StreamTable) -> None:
+    outcome = table.pool.take(message)
+    if outcome is not None:
+        take(outcome, table)
+
+
 @take.register
 def _(message: StepsAnswered, table: StreamTable) -> None:
     if message.seconds:
--- a/mallowcrank/streams/engine_actor.py
+++ b/mallowcrank/streams/engine.py
@@ -1,10 +1,11 @@
 """
 One engine, as its streams see it: their steps share calls.
 
-Steps gather while calls are in flight. A call that stays silent for longer
-than the engine's pace allows is in doubt: its steps are reported as lost, and
-go again over a fresh connection. The late answer of a call in doubt still
-counts, where a stream still waits for it.
+It is used by the driver's thread only, so that a step has two threads to go
+through, the driver's and a sender's. Steps gather while calls are in flight. A
+call that stays silent for longer than the engine's pace allows is in doubt:
+its steps are reported as lost, and go again over a fresh connection. The late
+answer of a call in doubt still counts, where a stream still waits for it.
 """
 
 from collections.abc import Callable, Sequence
@@ -12,10 +13,7 @@
 from dataclasses import dataclass
 from functools import partial
 
-from pykka import ActorRef, ThreadingActor
-
 from mallowcrank.clock import Clock
-from mallowcrank.logs import PartLog
 from mallowcrank.ports import EnginePort, Failure, Step, StepResult
 from mallowcrank.refusals import Ran
 from mallowcrank.streams.alarm import Alarm
@@ -39,37 +37,15 @@
 HARD_LIMIT_S = 1
 
 
-@dataclass(frozen=True, slots=True)
-class RunSteps:
-    """
-    Run steps in the next call.
-    """
-
-    steps: tuple[Step, ...]
-
-
-@dataclass(frozen=True, slots=True)
-class ForgetStreams:
-    """
-    Free the states of streams, each up to an attempt.
-    """
-
-    streams: tuple[tuple[str, int], ...]
-
-
-@dataclass(frozen=True, slots=True)
-class Retire:
-    """
-    Stop once no call is in flight.
-    """
-
-
 @dataclass(frozen=True, slots=True)
 class CallEnded:
     """
-    A call brought its answer, or failed.
+    To the driver: a call brought its answer, or failed.
+
+    :param engine: the number of the engine in the pool.
     """
 
+    engine: int
     call: EngineCall
     answer: tuple[StepResult, ...] | Failure
     seconds: float
@@ -78,25 +54,30 @@
 @dataclass(frozen=True, slots=True)
 class CallOverdue:
     """
-    A call has been silent for too long.
+    To the driver: a call has been silent for too long.
     """
 
-    number: int
+    engine: int
+    call: int
 
 
 @dataclass(frozen=True, slots=True)
-class HeldBack:
+class RefusalsDue:
     """
-    Refusals that were held back for a late answer.
+    To the driver: refusals were held back for long enough.
     """
 
+    engine: int
     refusals: tuple[StepResult, ...]
 
 
+EngineMessage = CallEnded | CallOverdue | RefusalsDue
+
+
 @dataclass(frozen=True, slots=True)
 class StepsAnswered:
     """
-    To the driver: answers to steps.
+    What a call brought: answers to steps.
 
     :param seconds: of the call, or 0 where it was counted before.
     :param pace: what the engine's calls took so far.
@@ -111,7 +92,7 @@
 @dataclass(frozen=True, slots=True)
 class StepsLost:
     """
-    To the driver: steps without an answer.
+    What a call did not bring: steps without an answer.
     """
 
     target: str
@@ -120,6 +101,9 @@
     reason: str
 
 
+Outcome = StepsAnswered | StepsLost | None
+
+
 @dataclass(frozen=True, slots=True)
 class CallLimits:
     """
@@ -137,34 +121,36 @@
 @dataclass(frozen=True)
 class EngineSettings:
     """
-    One engine, as the actor calls it.
+    One engine, as it is called.
 
+    :param number: its number in the pool.
     :param open_port: opens fresh connections to it.
     """
 
     target: str
+    number: int
     step_ms: float
     open_port: Callable[[], EnginePort]
     limits: CallLimits = CallLimits()
 
 
-class EngineActor(ThreadingActor):
+class Engine:
     """
     Gathers the steps for one engine and sends them.
-    """
 
-    use_daemon_thread = True
+    :param tell: sends the driver a message, from any thread.
+    """
 
     def __init__(
         self,
         settings: EngineSettings,
-        driver: ActorRef,
+        tell: Callable[[EngineMessage], None],
         alarm: Alarm,
         clock: Clock,
     ) -> None:
-        super().__init__()
         self._settings = settings
-        self._driver = driver
+        self._target = settings.target
+        self._tell = tell
         self._alarm = alarm
         self._clock = clock
         self._port = settings.open_port()
@@ -176,59 +162,91 @@
         self._waiting: list[Step] = []
         self._calls: dict[int, EngineCall] = {}
         self._doubtful: dict[int, EngineCall] = {}
+        self._held_back = 0
         self._number = 0
-        self._retired = False
-        self._log = PartLog('stream')
 
-    def on_receive(self, message: object) -> None:
+    # Queries
+
+    @property
+    def settings(self) -> EngineSettings:
         """
-        Take one message, then send what has gathered.
+        Return how it is called.
         """
-        try:
-            self._take(message)
-        except Exception as error:
-            # The steps in it are missed by their calls' silence limits.
-            self._log.say('Message failed', error=repr(error))
-        if self._waiting and self.actor_inbox.empty():
-            self._flush()
-        if self._retired and not (self._waiting or self._calls):
-            self.stop()
-
-    def on_stop(self) -> None:
+        return self._settings
+
+    @property
+    def is_idle(self) -> bool:
+        """
+        Tell whether nothing waits, is in flight, in doubt or held back.
+        """
+        return not (
+            self._waiting or self._calls or self._doubtful or self._held_back
+        )
+
+    # Commands
+
+    def add_step(self, step: Step) -> None:
+        """
+        Gather a step.
+        """
+        self._waiting.append(step)
+
+    def forget(self, streams: tuple[tuple[str, int], ...]) -> None:
+        """
+        Free the states of streams, each up to an attempt.
+        """
+        self._senders.submit(self._port.cancel, streams)
+
+    def stop(self) -> None:
         """
         Let go of the threads.
         """
         self._senders.shutdown(wait=False, cancel_futures=True)
 
-    def _take(self, message: object) -> None:
-        match message:
-            case RunSteps(steps):
-                self._waiting.extend(steps)
-            case CallEnded():
-                self._end_call(message)
-            case CallOverdue(number):
-                self._doubt_call(number)
-            case ForgetStreams(streams):
-                self._senders.submit(self._port.cancel, streams)
-            case HeldBack(refusals):
-                self._answer(refusals, 0)
-            case Retire():
-                self._retired = True
-
-    def _flush(self) -> None:
+    def flush(self) -> None:
+        """
+        Send what has gathered, as far as calls may be in flight.
+        """
         limits = self._settings.limits
         while self._waiting and len(self._calls) < limits.calls:
             steps, rest = split_call(self._waiting, limits.steps)
             self._waiting = rest
-            self._number += 1
-            call = EngineCall(self._number, steps, self._clock.steady())
-            self._calls[call.number] = call
-            further = sum(each.further_tokens for each in self._calls.values())
-            limit = silence_limit(self._pace, further, limits.silence)
-            overdue = CallOverdue(call.number)
-            self._alarm.ring(limit, partial(_tell, self.actor_ref, overdue))
-            hard = HARD_LIMIT_S + HARD_LIMIT_FACTOR * limit
-            self._senders.submit(self._send, self._port, call, hard)
+            self._start_call(steps)
+
+    def take(self, message: EngineMessage) -> Outcome:
+        """
+        Take in what became of a call.
+
+        :returns: what its streams have to be told, if anything.
+        """
+        match message:
+            case CallEnded():
+                return self._end_call(message)
+            case CallOverdue(call=number):
+                return self._doubt_call(number)
+            case RefusalsDue(refusals=refusals):
+                self._held_back -= 1
+                return _answer(self._target, refusals, 0, self._pace)
+
+    def _start_call(self, steps: tuple[Step, ...]) -> None:
+        self._number += 1
+        call = EngineCall(self._number, steps, self._clock.steady())
+        self._calls[call.number] = call
+        further = sum(each.further_tokens for each in self._calls.values())
+        silence = self._settings.limits.silence
+        limit = silence_limit(self._pace, further, silence)
+        self._alarm.ring(limit, partial(self._ring_overdue, call.number))
+        hard = HARD_LIMIT_S + HARD_LIMIT_FACTOR * limit
+        self._senders.submit(self._send, self._port, call, hard)
+
+    def _ring_overdue(self, number: int) -> None:
+        """
+        Doubt a call that has not ended; runs in the alarm's thread.
+
+        Nearly every call has ended by then, and costs the driver no message.
+        """
+        if number in self._calls:
+            self._tell(CallOverdue(self._settings.number, number))
 
     def _send(self, port: EnginePort, call: EngineCall, limit_s: float) -> None:
         """
@@ -236,19 +254,20 @@
         """
         answer = port.run(call.steps, limit_s)
         seconds = self._clock.steady() - call.started
-        _tell(self.actor_ref, CallEnded(call, answer, seconds))
+        self._tell(CallEnded(self._settings.number, call, answer, seconds))
 
-    def _end_call(self, ended: CallEnded) -> None:
+    def _end_call(self, ended: CallEnded) -> Outcome:
         in_time = self._calls.pop(ended.call.number, None)
         self._doubtful.pop(ended.call.number, None)
         if isinstance(ended.answer, Failure):
-            if in_time:
-                self._lose(ended.call, ended.answer)
-            return
+            if in_time is None:
+                return None
+            return _lose(self._target, in_time, ended.answer)
         self._pace = observe_call(
             self._pace, ended.seconds, ended.call.further_tokens
         )
-        self._answer(self._hold_back(ended.answer), ended.seconds)
+        told = self._hold_back(ended.answer)
+        return _answer(self._target, told, ended.seconds, self._pace)
 
     def _hold_back(
         self, answers: Sequence[StepResult]
@@ -263,36 +282,28 @@
             each for each in answers if is_answer_pending(each, doubtful)
         )
         if held:
-            later = HeldBack(held)
-            self._alarm.ring(
-                LATE_ANSWER_S, partial(_tell, self.actor_ref, later)
-            )
+            self._held_back += 1
+            later = RefusalsDue(self._settings.number, held)
+            self._alarm.ring(LATE_ANSWER_S, partial(self._tell, later))
         return tuple(each for each in answers if each not in held)
 
-    def _doubt_call(self, number: int) -> None:
+    def _doubt_call(self, number: int) -> Outcome:
         call = self._calls.pop(number, None)
         if call is None:
-            return
+            return None
         self._doubtful[number] = call
         self._port = self._settings.open_port()
         silent = Failure('the call went silent', Ran.UNKNOWN)
-        self._lose(call, silent)
-
-    def _answer(self, answers: tuple[StepResult, ...], seconds: float) -> None:
-        if answers:
-            target = self._settings.target
-            _tell(
-                self._driver,
-                StepsAnswered(target, answers, seconds, self._pace),
-            )
-
-    def _lose(self, call: EngineCall, failure: Failure) -> None:
-        lost = StepsLost(
-            self._settings.target, call.steps, failure.ran, failure.reason
-        )
-        _tell(self._driver, lost)
+        return _lose(self._target, call, silent)
+
+
+def _answer(
+    target: str, answers: tuple[StepResult, ...], seconds: float, pace: Pace
+) -> Outcome:
+    if not answers:
+        return None
+    return StepsAnswered(target, answers, seconds, pace)
 
 
-def _tell(actor: ActorRef, message: object) -> None:
-    if actor.is_alive():
-        actor.tell(message)
+def _lose(target: str, call: EngineCall, failure: Failure) -> StepsLost:
+    return StepsLost(target, call.steps, failure.ran, failure.reason)
--- a/mallowcrank/streams/engine_pool.py
+++ b/mallowcrank/streams/engine_pool.py
@@ -1,11 +1,12 @@
 """
-The engines' actors, and what gathers for them while a message is handled.
+The engines, and what gathers for them while messages are handled.
 """
 
 from collections import defaultdict
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 from functools import partial
+from itertools import count
 
 from pykka import ActorRef
 
@@ -13,13 +14,12 @@
 from mallowcrank.ports import EnginePort, Step
 from mallowcrank.refusals import Ran
 from mallowcrank.streams.alarm import Alarm
-from mallowcrank.streams.engine_actor import (
+from mallowcrank.streams.engine import (
     CallLimits,
-    EngineActor,
+    Engine,
+    EngineMessage,
     EngineSettings,
-    ForgetStreams,
-    Retire,
-    RunSteps,
+    Outcome,
     StepsLost,
 )
 from mallowcrank.view import Target, View
@@ -41,15 +41,18 @@
 
 class EnginePool:
     """
-    One actor for each engine that streams use.
+    The engines that streams use; used by the driver's thread only.
     """
 
     def __init__(self, settings: PoolSettings, driver: ActorRef) -> None:
         self._settings = settings
         self._driver = driver
         self._view = View()
-        self._engines: dict[str, tuple[Target, ActorRef]] = {}
-        self._steps: defaultdict[str, list[Step]] = defaultdict(list)
+        self._numbers = count()
+        self._current: dict[str, tuple[Target, Engine]] = {}
+        # Those that are gone or have moved stay until their calls have ended.
+        self._engines: dict[int, Engine] = {}
+        self._ready: dict[int, Engine] = {}
         self._forgets: defaultdict[str, list[tuple[str, int]]] = defaultdict(
             list
         )
@@ -58,7 +61,13 @@
         """
         Gather a step.
         """
-        self._steps[target].append(step)
+        engine = self._find(target)
+        if engine is None:
+            lost = StepsLost(target, (step,), Ran.NO, 'the target is gone')
+            self._driver.tell(lost)
+            return
+        engine.add_step(step)
+        self._ready[engine.settings.number] = engine
 
     def add_forget(self, target: str, stream: str, attempt: int) -> None:
         """
@@ -66,69 +75,89 @@
         """
         self._forgets[target].append((stream, attempt))
 
+    def take(self, message: EngineMessage) -> Outcome:
+        """
+        Take in what became of a call.
+
+        :returns: what its streams have to be told, if anything.
+        """
+        engine = self._engines.get(message.engine)
+        if engine is None:
+            return None
+        self._ready[engine.settings.number] = engine
+        return engine.take(message)
+
     def flush(self) -> None:
         """
-        Hand what has gathered to the engines' actors.
+        Send what has gathered.
         """
-        for target, steps in self._steps.items():
-            self._send(target, tuple(steps))
-        self._steps.clear()
+        ready = tuple(self._ready.values())
+        self._ready.clear()
+        for engine in ready:
+            engine.flush()
+            self._drop_retired(engine)
         for target, streams in self._forgets.items():
-            engine = self._find(target)
-            if engine is not None:
-                engine.tell(ForgetStreams(tuple(streams)))
+            found = self._find(target)
+            if found is not None:
+                found.forget(tuple(streams))
         self._forgets.clear()
 
     def apply_view(self, view: View, names: Iterable[str]) -> None:
         """
-        Retire the actors of engines that are gone or have moved.
+        Retire the engines that are gone or have moved.
 
         :param names: the targets that changed.
         """
         self._view = view
-        for name in self._engines.keys() & names:
-            old, engine = self._engines[name]
+        for name in self._current.keys() & names:
+            old, engine = self._current[name]
             new = view.targets.get(name)
             if new is None or _place(new) != _place(old):
-                self._engines.pop(name)
-                engine.tell(Retire())
+                self._current.pop(name)
+                self._drop_retired(engine)
 
     def stop(self) -> None:
         """
-        Stop all actors.
+        Let go of all threads.
         """
-        for _, engine in self._engines.values():
-            engine.stop(block=False)
-
-    def _send(self, target: str, steps: tuple[Step, ...]) -> None:
-        engine = self._find(target)
-        if engine is None:
-            lost = StepsLost(target, steps, Ran.NO, 'the target is gone')
-            self._driver.tell(lost)
-            return
-        engine.tell(RunSteps(steps))
-
-    def _find(self, name: str) -> ActorRef | None:
-        known = self._engines.get(name)
+        for engine in self._engines.values():
+            engine.stop()
+
+    def _drop_retired(self, engine: Engine) -> None:
+        current = self._current.get(engine.settings.target)
+        is_current = current is not None and current[1] is engine
+        if engine.is_idle and not is_current:
+            self._engines.pop(engine.settings.number, None)
+            engine.stop()
+
+    def _find(self, name: str) -> Engine | None:
+        known = self._current.get(name)
         if known is not None:
             return known[1]
         target = self._view.targets.get(name)
-        if target is None:
-            return None
-        engine = EngineActor.start(
+        return None if target is None else self._open(target)
+
+    def _open(self, target: Target) -> Engine:
+        engine = Engine(
             EngineSettings(
-                target=name,
+                target=target.name,
+                number=next(self._numbers),
                 step_ms=target.step_ms,
                 open_port=partial(self._settings.open_engine, target),
                 limits=self._settings.limits,
             ),
-            self._driver,
+            self._tell,
             self._settings.alarm,
             self._settings.clock,
         )
-        self._engines[name] = target, engine
+        self._current[target.name] = target, engine
+        self._engines[engine.settings.number] = engine
         return engine
 
+    def _tell(self, message: EngineMessage) -> None:
+        if self._driver.is_alive():
+            self._driver.tell(message)
+
 
 def _place(target: Target) -> tuple[str, int]:
     return target.address, target.incarnation
--- a/mallowcrank/streams/table.py
+++ b/mallowcrank/streams/table.py
@@ -153,7 +153,7 @@
 
     def stop(self) -> None:
         """
-        Stop the engines' actors and the threads.
+        Let go of the engines and the threads.
         """
         self.pool.stop()
         self._transfers.shutdown(wait=False, cancel_futures=True)
--- a/scripts/measure_requests.py
+++ b/scripts/measure_requests.py
@@ -22,7 +22,7 @@
 from mallowcrank.requests.keys import Claim, Room, claim, finish
 from mallowcrank.router.ports import Route, Stage
 from mallowcrank.streams.costs import TransferSpeed
-from mallowcrank.streams.engine_actor import CallLimits
+from mallowcrank.streams.engine import CallLimits
 from mallowcrank.streams.events import Answered, RouteFound, Started
 from mallowcrank.streams.machine import apply_event
 from mallowcrank.streams.state import StreamState, Task, step_in_flight
--- a/scripts/measure_silence.py
+++ b/scripts/measure_silence.py
@@ -15,7 +15,7 @@
 
 from mallowcrank.router.ports import Route
 from mallowcrank.streams.costs import TransferSpeed
-from mallowcrank.streams.engine_actor import CallLimits
+from mallowcrank.streams.engine import CallLimits
 from mallowcrank.streams.silence import SilenceLimits
 from scripts.fleet import Fleet
 from scripts.measure_requests import (
--- a/scripts/stream_trials.py
+++ b/scripts/stream_trials.py
@@ -15,7 +15,7 @@
 from mallowcrank.streams.alarm import Alarm
 from mallowcrank.streams.costs import TransferSpeed
 from mallowcrank.streams.driver import StreamDriver
-from mallowcrank.streams.engine_actor import CallLimits
+from mallowcrank.streams.engine import CallLimits
 from mallowcrank.streams.engine_http import HttpEngine
 from mallowcrank.streams.engine_pool import PoolSettings
 from mallowcrank.streams.orders import Open, TakeView
