Refuse malformed input where it comes in; find it by rules

Cause: found by tests that make input by rules (hypothesis, fixed seed): - bytes from anyone who reaches a peer's or feed's address could end the thread that read them with an error other than BadFrameError, and its connection was then never closed; five bytes that announce a long array made the reader allocate for 67 million entries; - `"n": []` in a completion was answered 500, `ran: unknown`, in place of 400; - a log record that is no map stopped an agent's reading of the log for orders, as every read failed at it again; - a message of the agent without `view` ended the router's feed for good.

Change: the frame reader takes arrays of three and nothing deeper, checks the kinds of its parts before the MAC, and turns each failure into BadFrameError; the others are checked where they are read.

--- a/mallowcrank/leases/records.py
+++ b/mallowcrank/leases/records.py
@@ -95,11 +95,12 @@
     return {'type': RECORD_TYPE, **codec.to_plain(record)}
 
 
-def read_record(body: Mapping[str, Any]) -> LeaseRecord | None:
+def read_record(body: Any) -> LeaseRecord | None:
     """
-    Read a record's body; `None` for other types and malformed ones.
+    Read a record's body, whoever wrote it; `None` for other types and
+    malformed ones.
     """
-    if body.get('type') != RECORD_TYPE:
+    if not isinstance(body, Mapping) or body.get('type') != RECORD_TYPE:
         return None
     try:
         return codec.from_plain(body, LeaseRecord)
--- a/mallowcrank/requests/completion_intake.py
+++ b/mallowcrank/requests/completion_intake.py
@@ -17,6 +17,7 @@
 from mallowcrank.view import View
 from mallowcrank.web import Request
 
+ALLOWED_N = (None, 1)  # answers to one prompt
 UNBOUNDED = 1 << 30  # tokens, where the caller gives no bound
 
 
@@ -80,7 +81,7 @@
     for name in ('max_tokens', 'max_completion_tokens'):
         if not _is_count(body.get(name)):
             return refuse_input(f'{name} must be a whole number from 1', name)
-    if body.get('n') not in {None, 1}:
+    if body.get('n', 1) not in ALLOWED_N:
         return refuse_input('n must be 1', 'n')
     if not isinstance(body.get('stream') or False, bool):
         return refuse_input('stream must be true or false', 'stream')
--- a/mallowcrank/router/feed.py
+++ b/mallowcrank/router/feed.py
@@ -24,6 +24,15 @@
 RECONNECT_S = 0.2
 REPORT_S = 1
 RECEIVE_BYTES = 64 * 1024
+FEED_LOST = (
+    OSError,
+    BadFrameError,
+    BaseValidationError,
+    AttributeError,
+    KeyError,
+    TypeError,
+    ValueError,
+)
 
 
 @dataclass(frozen=True)
@@ -81,8 +90,8 @@
         while not self._stopped.is_set():
             try:
                 self._follow()
-            except (OSError, BadFrameError, BaseValidationError) as error:
-                self._log.say('Feed is lost', error=str(error))
+            except FEED_LOST as error:
+                self._log.say('Feed is lost', error=repr(error))
             self._socket = None
             self._stopped.wait(RECONNECT_S)
 
--- a/mallowcrank/wire.py
+++ b/mallowcrank/wire.py
@@ -15,6 +15,9 @@
 
 MAX_FRAME_BYTES = 64 * 1024 * 1024
 MAC_BYTES = 16
+FRAME_PARTS = 3
+
+END = object()  # no whole frame is left
 
 
 class BadFrameError(Exception):
@@ -69,7 +72,15 @@
 
     def __init__(self, keys: KeyRing) -> None:
         self._keys = keys
-        self._unpacker = msgpack.Unpacker(max_buffer_size=MAX_FRAME_BYTES)
+        # Nothing is known of the sender yet: a length that no frame has must
+        # not make this end allocate memory.
+        self._unpacker = msgpack.Unpacker(
+            max_buffer_size=MAX_FRAME_BYTES,
+            max_array_len=FRAME_PARTS,
+            max_map_len=0,
+            max_str_len=0,
+            max_ext_len=0,
+        )
 
     def feed(self, received: bytes) -> Iterator[dict[str, Any]]:
         """
@@ -81,13 +92,40 @@
             self._unpacker.feed(received)
         except msgpack.BufferFull as error:
             raise BadFrameError('the frame is too large') from error
-        for frame in self._unpacker:
+        for frame in iter(self._next, END):
             yield self._open(frame)
 
+    def _next(self) -> Any:
+        try:
+            return next(self._unpacker, END)
+        except (ValueError, msgpack.UnpackException) as error:
+            raise BadFrameError('the frame is malformed') from error
+
     def _open(self, frame: Any) -> dict[str, Any]:
-        if not isinstance(frame, list) or len(frame) != 3:
+        if not _is_frame(frame):
             raise BadFrameError('the frame is malformed')
         number, mac, packed = frame
         if not self._keys.verify(number, mac, packed):
             raise BadFrameError('the frame is not authentic')
-        return msgpack.unpackb(packed)
+        return _unpack(packed)
+
+
+def _is_frame(frame: Any) -> bool:
+    if not isinstance(frame, list) or len(frame) != FRAME_PARTS:
+        return False
+    number, mac, packed = frame
+    return (
+        isinstance(number, int)
+        and isinstance(mac, bytes)
+        and isinstance(packed, bytes)
+    )
+
+
+def _unpack(packed: bytes) -> dict[str, Any]:
+    try:
+        body = msgpack.unpackb(packed)
+    except (ValueError, msgpack.UnpackException) as error:
+        raise BadFrameError('the body is malformed') from error
+    if not isinstance(body, dict):
+        raise BadFrameError('the body is no map')
+    return body
--- a/tests/test_router_feed.py
+++ b/tests/test_router_feed.py
@@ -8,7 +8,14 @@
 from mallowcrank.codec import to_plain
 from mallowcrank.router.folding import fold_change, fold_snapshot
 from mallowcrank.view import Peer
-from tests.utils.local_router import make_view, service, service_target
+from mallowcrank.wire import KeyRing, pack_frame
+from tests.utils.local_router import (
+    LocalRouter,
+    make_view,
+    service,
+    service_target,
+    wait_until,
+)
 
 
 class TestFolding(TestCase):
@@ -41,3 +48,19 @@
         self.assertEqual(folded.targets, {'s2': other})
         self.assertEqual((folded.services, folded.version), ({}, 5))
         self.assertEqual(fold_change(folded, {'version': 3}).version, 5)
+
+
+class TestBadMessages(TestCase):
+    def test_router_connects_again_after_a_message_that_it_can_not_read(self):
+        router = LocalRouter(make_view())
+        self.addCleanup(router.stop)
+        bad = ({'type': 'snapshot'}, {'type': 'change', 'targets': [7]})
+        for count, message in enumerate(bad, start=2):
+            agent = router.agent
+            agent.connections[-1].sendall(pack_frame(message, KeyRing()))
+            wait_until(lambda many=count: len(agent.connections) == many)
+        newer = replace(make_view(), version=2)
+        agent.connections[-1].sendall(
+            pack_frame({'type': 'snapshot', 'view': to_plain(newer)}, KeyRing())
+        )
+        router.wait_view(newer)
--- a/tests/utils/local_router.py
+++ b/tests/utils/local_router.py
@@ -81,14 +81,14 @@
         self._keys = KeyRing()
         self._listener = socket.create_server(('127.0.0.1', 0))
         self.address = address_of(self._listener)
-        self._connections = []
+        self.connections = []
         self._stopped = threading.Event()
         self._accepting = threading.Thread(target=self._accept, daemon=True)
         self._accepting.start()
 
     def send_view(self, view):
         self.view = view
-        for connection in self._connections:
+        for connection in self.connections:
             connection.sendall(self._snapshot())
 
     def stop(self):
@@ -98,7 +98,7 @@
         self._listener.shutdown(socket.SHUT_RDWR)
         self._accepting.join()
         self._listener.close()
-        for connection in self._connections:
+        for connection in self.connections:
             connection.close()
 
     def _snapshot(self):
@@ -111,7 +111,7 @@
                 connection, _ = self._listener.accept()
             except OSError:
                 return
-            self._connections.append(connection)
+            self.connections.append(connection)
             connection.sendall(self._snapshot())
             for loop in (self._read, self._beat):
                 threading.Thread(
