Keep actors running after a message that fails

Cause: pykka stops an actor for good when a message that nobody waits for raises an exception. Membership, feed, settings, hints and keys could so end one by one while their daemon went on and said that it was well. The stream driver and the engines' actors had their own guard.

Change: one decorator for the methods that are called so. The exception is logged and the actor takes its next message; calls that are waited for raise it at the caller, as before.

Ruled out: ending the process. A request that brings it about would then be tried on one router after the other.

The new test fails with ActorDeadError without the decorator.

--- a/mallowcrank/agent/feed.py
+++ b/mallowcrank/agent/feed.py
@@ -11,6 +11,7 @@
 
 from pykka import ThreadingActor
 
+from mallowcrank.actors import keep_running
 from mallowcrank.agent.changes import find_changes, without_settings
 from mallowcrank.agent.ports import MembershipPort
 from mallowcrank.codec import to_plain
@@ -112,6 +113,7 @@
         self._connections: list[Connection] = []
         self._is_closing = False
 
+    @keep_running(log)
     def show_settings(self, effective: Effective) -> None:
         """
         Take over effective settings.
@@ -138,6 +140,7 @@
             )
         )
 
+    @keep_running(log)
     def connect(self, connection: Connection, hello: Body) -> None:
         """
         Send a snapshot, and changes from now on.
@@ -154,6 +157,7 @@
         else:
             self._send_snapshot(connection)
 
+    @keep_running(log)
     def disconnect(self, connection: Connection) -> None:
         """
         Forget a connection; a router that has no other one is lost.
@@ -167,6 +171,7 @@
             lost = {'type': 'lost', 'router': connection.router}
             self._membership.apply_report({**lost, 'leaving': True})
 
+    @keep_running(log)
     def beat(self, age_s: float) -> None:
         """
         Show the routers that this agent is alive.
--- a/mallowcrank/agent/settings.py
+++ b/mallowcrank/agent/settings.py
@@ -8,6 +8,7 @@
 
 from pykka import ThreadingActor
 
+from mallowcrank.actors import keep_running
 from mallowcrank.agent.messages import (
     NO_TREE,
     RECORD_TOPIC,
@@ -35,6 +36,7 @@
 from mallowcrank.config.snapshots import pack_tree, unpack_tree
 from mallowcrank.config.tree import Tree
 from mallowcrank.findings import Finding
+from mallowcrank.logs import PartLog
 from mallowcrank.ports import LogPage, LogRecord
 from mallowcrank.timeline import Timeline
 
@@ -73,6 +75,9 @@
     feed: Any = None
 
 
+log = PartLog('config')
+
+
 class SettingsActor(ThreadingActor):
     """
     Takes in records from the log and from peers, and tells the feed.
@@ -106,12 +111,14 @@
         if self._replica.reached >= page.next - 1:
             self._caught_up = True
 
+    @keep_running(log)
     def apply_outage(self, reason: str) -> None:
         """
         Take in that the log can't be read.
         """
         self._notes.take_outage(reason)
 
+    @keep_running(log)
     def apply_message(self, message: RecordMessage) -> None:
         """
         Take in a record that a peer passed on, and pass it on if it is new.
--- a/mallowcrank/membership/actor.py
+++ b/mallowcrank/membership/actor.py
@@ -8,6 +8,7 @@
 
 from pykka import ThreadingActor
 
+from mallowcrank.actors import keep_running
 from mallowcrank.clock import Clock
 from mallowcrank.logs import PartLog
 from mallowcrank.membership import queries
@@ -84,6 +85,7 @@
 
     # Commands
 
+    @keep_running(log)
     def take(self, event: Event) -> None:
         """
         Take in an event.
--- a/mallowcrank/policy/hint_follower.py
+++ b/mallowcrank/policy/hint_follower.py
@@ -9,6 +9,7 @@
 
 from pykka import ActorRef, ThreadingActor
 
+from mallowcrank.actors import keep_running
 from mallowcrank.calls import HttpCaller, Reply
 from mallowcrank.logs import PartLog
 from mallowcrank.policy.routes import Routes
@@ -41,6 +42,7 @@
         self._callers: dict[str, HttpCaller] = {}
         self._turn = 0
 
+    @keep_running(_log)
     def on_receive(self, message: Poll) -> None:
         """
         Take in a message.
--- a/mallowcrank/requests/keeper.py
+++ b/mallowcrank/requests/keeper.py
@@ -8,6 +8,8 @@
 
 from pykka import ThreadingActor
 
+from mallowcrank.actors import keep_running
+from mallowcrank.logs import PartLog
 from mallowcrank.refusals import Ran, Refused
 from mallowcrank.requests.keys import (
     Claim,
@@ -80,6 +82,8 @@
 
 ClaimReply = Start | Running | Answer | Refused
 
+log = PartLog('request')
+
 
 class KeyKeeper(ThreadingActor):
     """
@@ -115,6 +119,7 @@
             return Running(kept.answer)
         return decision
 
+    @keep_running(log)
     def _finish(self, message: FinishKey) -> None:
         kept = self._kept.get(message.key)
         if kept is None or kept.answer.done():
--- a/tests/test_agent_feed.py
+++ b/tests/test_agent_feed.py
@@ -48,6 +48,11 @@
         self.got.append('end')
 
 
+class BrokenEnd(RouterEnd):
+    def send(self, body):
+        raise KeyError(body['type'])
+
+
 def effective(version, *names):
     return Effective(
         version,
@@ -116,3 +121,11 @@
         self.feed.show_settings(effective(9, 'a/x')).get()
         self.assertEqual(router.got[-1], 'snapshot')
         self.assertEqual(router.view, self.feed.view().get())
+
+    def test_feed_goes_on_after_a_message_that_fails(self):
+        for message in ('connect', 'disconnect'):
+            getattr(self.feed, message).defer(BrokenEnd(), {})
+        self.feed.connect.defer(BrokenEnd(), {'type': 'hello'})
+        self.feed.beat.defer(0)
+        router = self.connect(RouterEnd())
+        self.assertEqual(router.got, ['snapshot'])
