End an agent that can't bind an address; ask peers less and less

Cause 1: where `--listen` was taken, the admin server was up already, and its threads kept the process alive after the error: exit status 1 never came. Found by the new test, which ran into its limit of 40 s; only the actors were stopped. Change: what was started is stopped again.

Cause 2: an agent without settings asked two peers twice a second on new connections, for as long as nothing was published. Change: the pause doubles from 0.5 s to 4 s with jitter, and starts again with each new need.

Tests: settings pulled from a peer while the log is out, a peer that is behind, growing pauses, an address that is taken (`python -m unittest tests.test_agent_peers`).

--- a/mallowcrank/agent/loops.py
+++ b/mallowcrank/agent/loops.py
@@ -31,6 +31,7 @@
 OUTAGE_PAUSE_S = 0.5
 UPKEEP_S = 2
 URGENT_ASK_S = 0.5  # between two peers, while there are no settings
+MAX_ASK_S = 4  # the same, after asking in vain for long
 ASK_TIMEOUT_S = 2
 ASKED_PEERS = 2  # at a time, where settings are missing
 OUTAGE_ASK_S = 1  # between two peers, while the log is out
@@ -116,19 +117,25 @@
         self._settings = settings
         self._gossip = gossip
         self._chance = chance
+        self._in_vain = 0
 
     def __call__(self) -> float:
         """
         Ask peers at random, where there is a need.
         """
         need = self._settings.need_of_peers().get()
+        if need is not Need.URGENT:
+            self._in_vain = 0
         if need is Need.NONE:
             return UPKEEP_S
         peers = self._gossip.addresses()
         asked = ASKED_PEERS if need is Need.URGENT else 1
         for peer in self._chance.sample(peers, min(asked, len(peers))):
             self._ask(peer)
-        return URGENT_ASK_S if need is Need.URGENT else OUTAGE_ASK_S
+        if need is Need.OUTAGE:
+            return OUTAGE_ASK_S
+        self._in_vain += 1
+        return growing_pause(self._in_vain, self._chance)
 
     def _ask(self, peer: str) -> None:
         tree = self._settings.replica().get().tree
@@ -140,6 +147,16 @@
             self._settings.apply_tree(from_plain(answer, TreeAnswer)).get()
 
 
+def growing_pause(in_vain: int, chance: random.Random) -> float:
+    """
+    Return the seconds until peers are asked again.
+
+    :param in_vain: how often they were asked without an end of the need.
+    """
+    pause = min(URGENT_ASK_S * 2 ** min(in_vain - 1, 10), MAX_ASK_S)
+    return pause * (1 + chance.random()) / 2
+
+
 class SnapshotWriter:
     """
     Writes a snapshot before the log's retention takes what it covers.
--- a/mallowcrank/agent/program.py
+++ b/mallowcrank/agent/program.py
@@ -3,6 +3,7 @@
 """
 
 import threading
+from contextlib import ExitStack
 from typing import Any
 
 from pykka import ActorRegistry
@@ -135,9 +136,14 @@
         :raises OSError: when an address can't be bound.
         """
         self._connect_gossip()
-        self._feed_server.start()
-        self._admin.start()
-        self._around.membership.start()
+        with ExitStack() as started:
+            self._feed_server.start()
+            started.callback(self._feed_server.stop)
+            self._admin.start()
+            # Its threads would keep the process alive.
+            started.callback(self._admin.stop)
+            self._around.membership.start()
+            started.pop_all()
         self._around.orders.start()
         for loop in self._loops:
             loop.start()
--- /dev/null
+++ b/tests/test_agent_peers.py
@@ -0,0 +1,139 @@
+"""
+An agent that asks its peers for settings, and one that can't start.
+"""
+
+import random
+import socket
+import subprocess
+import sys
+from unittest import TestCase
+
+from mallowcrank.agent.loops import MAX_ASK_S, PeerReader, growing_pause
+from mallowcrank.agent.messages import TreeQuestion
+from mallowcrank.agent.settings import SettingsActor, Surroundings
+from mallowcrank.clock import FakeClock, HybridClock
+from mallowcrank.codec import from_plain, to_plain
+from mallowcrank.config.parsing import to_body
+from mallowcrank.config.records import Change, ConfigRecord
+from mallowcrank.ports import LogPage, LogRecord
+from mallowcrank.timeline import Timeline
+
+LIMIT_S = 40
+
+
+class Feed:
+    def __init__(self):
+        self.show_settings = self
+        self.versions = []
+
+    def defer(self, effective):
+        self.versions.append(effective.version)
+
+
+class Gossip:
+    """
+    Reaches one peer, or none.
+    """
+
+    def __init__(self):
+        self.peer = None
+        self.asked = 0
+
+    def send(self, topic, body):
+        """
+        Lose what is passed on.
+        """
+
+    def addresses(self):
+        return ('peer',)
+
+    def ask(self, peer, topic, body, timeout_s):
+        self.asked += 1
+        if self.peer is None:
+            return None
+        question = from_plain(body, TreeQuestion)
+        return to_plain(self.peer.answer(question).get())
+
+
+class TestAskedPeers(TestCase):
+    def setUp(self):
+        self.clock = FakeClock()
+        self.gossip = Gossip()
+        self.feed = Feed()
+        self.reached = self.start(Feed())
+        self.settings = self.start(self.feed)
+        self.reader = PeerReader(self.settings, self.gossip, random.Random(1))
+
+    def start(self, feed):
+        timeline = Timeline('host', HybridClock(self.clock))
+        around = Surroundings(self.gossip, self.clock, timeline, feed)
+        ref = SettingsActor.start(around)
+        self.addCleanup(ref.stop)
+        return ref.proxy()
+
+    def page(self, offset, base, streams):
+        change = Change('organisation.streams', base, streams)
+        record = ConfigRecord(f'r{offset}', (change,), read=base)
+        record = LogRecord(offset, self.clock.now(), to_body(record))
+        return LogPage(0, offset + 1, (record,))
+
+    def version(self):
+        return self.settings.effective().get().version
+
+    def test_settings_come_from_a_peer_while_the_log_is_out(self):
+        first = self.page(0, -1, 10)
+        self.reached.apply_page(first).get()
+        self.settings.apply_page(first).get()
+        self.settings.apply_outage('it is out').get()
+        self.reached.apply_page(self.page(1, 0, 20)).get()
+        self.gossip.peer = self.reached
+        self.reader()
+        self.assertEqual(self.version(), 1)
+        self.assertEqual(self.feed.versions, [0, 1])
+
+    def test_peer_that_is_behind_changes_nothing(self):
+        first = self.page(0, -1, 10)
+        self.reached.apply_page(first).get()
+        self.settings.apply_page(first).get()
+        self.settings.apply_page(self.page(1, 0, 20)).get()
+        self.settings.apply_outage('it is out').get()
+        self.gossip.peer = self.reached
+        self.reader()
+        self.assertEqual(self.version(), 1)
+
+    def test_agent_without_settings_asks_less_and_less(self):
+        pauses = [self.reader() for _ in range(10)]
+        self.assertLess(pauses[0], MAX_ASK_S / 4)
+        self.assertGreater(min(pauses[-3:]), MAX_ASK_S / 3)
+        self.assertLessEqual(max(pauses), MAX_ASK_S)
+
+    def test_pauses_differ_between_agents(self):
+        pauses = {growing_pause(5, random.Random(seed)) for seed in range(10)}
+        self.assertEqual(len(pauses), 10)
+
+
+class TestTakenAddress(TestCase):
+    def test_agent_says_that_its_address_is_taken_and_exits_with_1(self):
+        with socket.create_server(('127.0.0.1', 0)) as taken:
+            address = f'127.0.0.1:{taken.getsockname()[1]}'
+            words = {
+                '--host': 'host-0',
+                '--availability-zone': 'a',
+                '--listen': address,
+                '--admin': '127.0.0.1:0',
+                '--feed': '127.0.0.1:0',
+                '--log': '127.0.0.1:1',
+                '--host-list': '127.0.0.1:1',
+                '--peer-keys': '1:6d616c6c6f77',
+            }
+            flags = [word for pair in words.items() for word in pair]
+            run = subprocess.run(
+                [sys.executable, '-m', 'mallowcrank', 'agent', *flags],
+                capture_output=True,
+                text=True,
+                timeout=LIMIT_S,
+                check=False,
+            )
+        self.assertEqual(run.returncode, 1, run.stderr)
+        self.assertIn('mallowcrank-agent: ', run.stderr)
+        self.assertIn('Address already in use', run.stderr)
