Tie holds to their lease; vouch for posts only by the answer

Cause 1: a hold lasted 240 s whatever became of its holder, so that a target whose holder died while draining it took no work for up to 4 minutes. Change: it lasts as long as a lease (30 s) and is spread again each 15 s while its order is at work. A second of skew between clocks shortens or lengthens it by that second.

Cause 2: `post_admin` said `ran: no` for each status but 200, also for a 5xx of a server that broke down after it had taken the order. Change: only the answer's own `ran` vouches; the agent's refusals of orders carry it.

`python -m unittest tests.test_order_pause tests.test_operator_desk`.

--- a/mallowcrank/cli/operator_agents.py
+++ b/mallowcrank/cli/operator_agents.py
@@ -136,7 +136,8 @@
         body |= {'first_layer': int(first), 'last_layer': int(last)}
     answer = post_admin(desk.settings.agents[0], '/admin/orders', body)
     if isinstance(answer, Failure):
-        raise fail(environment, answer.reason, ExitStatus.REFUSED)
+        message = f'{answer.reason} (ran: {answer.ran})'
+        raise fail(environment, message, ExitStatus.REFUSED)
     say(environment, json.dumps(answer, indent=2))
 
 
--- a/mallowcrank/leases/part.py
+++ b/mallowcrank/leases/part.py
@@ -10,6 +10,7 @@
 from mallowcrank.clock import Clock
 from mallowcrank.leases.actor import OrdersActor
 from mallowcrank.leases.engines import read_engine, read_rate, send_order
+from mallowcrank.leases.holds import Holds
 from mallowcrank.leases.orders import EngineState
 from mallowcrank.leases.records import (
     TERMS,
@@ -18,7 +19,6 @@
     write_record,
 )
 from mallowcrank.leases.steps import (
-    DRAIN_LIMIT_S,
     Drain,
     Job,
     Move,
@@ -33,7 +33,6 @@
 
 WORK_S = 0.25  # between two looks at the orders at hand
 IDLE_S = 1  # the same where there are none
-HOLD_S = DRAIN_LIMIT_S + 120  # until a hold ends by itself
 CONFLICT = 409
 OK = 200
 log = PartLog('orders')
@@ -71,8 +70,7 @@
         )
         self._actor = self._actor_ref.proxy()
         self._loop = Loop('orders', self._work)
-        self._holds = 0
-        self._fences: dict[str, int] = {}
+        self._holds = Holds(around.publish, around.clock, around.terms)
 
     @property
     def actor(self) -> Any:
@@ -137,44 +135,33 @@
         if target is None:
             return
         if isinstance(step, Drain):
-            self._hold(job, active=True)
+            self._holds.begin(job, self._fence(job))
         elif isinstance(step, Send):
             self._send(job, target)
         elif isinstance(step, Move) and (
             step.stage.is_over or step.stage == 'applied'
         ):
-            self._hold(job, active=False)
+            self._holds.end(job)
+        else:
+            self._holds.renew(job)
 
     def _send(self, job: Job, target: Target) -> None:
         rate = read_rate(self._around.weights)
         sending = self._actor.begin_send(job.id, rate).get()
         if sending is None:
+            self._holds.end(job)
             return
         answer = send_order(target.address, sending.wire)
         if answer == CONFLICT:
             why = 'the engine saw a newer fencing number'
             self._actor.refused(job.id, why).get()
-            self._hold(job, active=False)
+            self._holds.end(job)
         elif answer != OK:
             log.say('An order may be lost.', order=job.id, why=str(answer))
 
-    def _hold(self, job: Job, *, active: bool) -> None:
-        fence = self._fences.get(job.id)
-        if fence is None:
-            table = self._actor.status().get().table
-            lease = table.get(group_of(job.order.target))
-            fence = lease.fence if lease else 0
-            self._fences[job.id] = fence
-        self._holds += 1
-        self._around.publish(
-            Hold(
-                job.order.target,
-                fence,
-                self._holds,
-                active,
-                self._around.clock.now() + HOLD_S,
-            )
-        )
+    def _fence(self, job: Job) -> int:
+        lease = self._actor.status().get().table.get(group_of(job.order.target))
+        return lease.fence if lease else 0
 
 
 def _read(target: Target | None) -> EngineState | None:
--- a/mallowcrank/operators/desk.py
+++ b/mallowcrank/operators/desk.py
@@ -8,7 +8,7 @@
 from dataclasses import dataclass, field
 from typing import Any
 
-from mallowcrank.calls import HttpCaller, ask_json
+from mallowcrank.calls import HttpCaller, Reply, ask_json
 from mallowcrank.platform.log import HttpLog
 from mallowcrank.ports import Failure, LogPort
 from mallowcrank.refusals import Ran
@@ -75,8 +75,23 @@
         return reply
     if reply.status != OK:
         said = reply.body.decode(errors='replace')
-        return Failure(f'{address} answered {reply.status}: {said}', Ran.NO)
+        return Failure(
+            f'{address} answered {reply.status}: {said}', vouched(reply)
+        )
     try:
         return json.loads(reply.body)
     except ValueError:
         return Failure(f'{address}{path} answered no JSON', Ran.UNKNOWN)
+
+
+def vouched(reply: Reply) -> Ran:
+    """
+    Return whether a request ran, by an answer that is not a success.
+
+    Only the answer itself can vouch that it did not: a status alone may come
+    from a server that broke down halfway.
+    """
+    try:
+        return Ran(json.loads(reply.body)['error']['ran'])
+    except (KeyError, TypeError, ValueError):
+        return Ran.UNKNOWN
--- a/tests/test_order_pause.py
+++ b/tests/test_order_pause.py
@@ -4,9 +4,12 @@
 
 from unittest import TestCase
 
-from mallowcrank.leases.orders import Stage
+from mallowcrank.clock import FakeClock
+from mallowcrank.leases.holds import Holds
+from mallowcrank.leases.orders import Action, Order, Stage
 from mallowcrank.leases.pages import is_late
 from mallowcrank.leases.records import TERMS
+from mallowcrank.leases.steps import Job
 from tests.utils.lease_bench import Bench
 
 QUICK_S = 10
@@ -152,6 +155,34 @@
         self.assertFalse(is_late({}, 1000))
 
 
+class TestHolds(TestCase):
+    def setUp(self):
+        self.clock = FakeClock()
+        self.spread = []
+        self.holds = Holds(self.spread.append, self.clock, TERMS)
+        self.job = Job('o1', Order('e1', Action.ROLE, role='new'), created=0)
+        self.holds.begin(self.job, 7)
+
+    def test_hold_of_a_dead_holder_ends_with_its_lease(self):
+        self.assertLessEqual(
+            self.spread[-1].until, self.clock.now() + TERMS.lease_s
+        )
+
+    def test_hold_outlasts_its_lease_while_the_order_is_at_work(self):
+        for _ in range(100):
+            self.clock.advance(1)
+            self.holds.renew(self.job)
+            self.assertTrue(self.spread[-1].active)
+            self.assertGreater(self.spread[-1].until, self.clock.now())
+
+    def test_ended_hold_is_spread_once_and_not_renewed(self):
+        self.holds.end(self.job)
+        self.clock.advance(TERMS.lease_s)
+        self.holds.renew(self.job)
+        self.holds.end(self.job)
+        self.assertEqual([each.active for each in self.spread], [True, False])
+
+
 class TestIgnoringEngine(OrderCase):
     fencing = 'ignores'
 
