Use one framed connection for feed and peers

Cause: the agent's feed and its connections to peers each had a queue of frames with a sending thread, and each read frames in a loop of its own; they differed in details, such as what is done where the queue is full.

Change: mallowcrank.framing holds both; a connection ends after what is queued (`finish`) or at once (`cut`).

--- a/mallowcrank/agent/feed.py
+++ b/mallowcrank/agent/feed.py
@@ -2,7 +2,6 @@
 The feed from an agent to the routers of its host.
 """
 
-import queue
 import socket
 import threading
 from collections.abc import Callable, Mapping
@@ -16,89 +15,32 @@
 from mallowcrank.agent.ports import MembershipPort
 from mallowcrank.codec import to_plain
 from mallowcrank.config.effective import Effective
+from mallowcrank.framing import FramedSocket
 from mallowcrank.logs import PartLog
 from mallowcrank.view import View
-from mallowcrank.wire import BadFrameError, FrameReader, KeyRing, pack_frame
+from mallowcrank.wire import BadFrameError, KeyRing
 
-READ_BYTES = 64 * 1024
 MAX_QUEUED = 256  # frames for one router; it reconnects after more
-SEND_TIMEOUT_S = 10
-STOP: bytes = b''
 BAD_MESSAGE = (BadFrameError, KeyError, TypeError, ValueError)
 
 Body = Mapping[str, Any]
 log = PartLog('feed')
 
 
-class Connection:
+class Connection(FramedSocket):
     """
-    One router's connection; frames go out in a thread of their own.
+    One router's connection.
+
+    :param router: the router's name, once it greeted.
+    :param version: the settings' version that it has in force.
+    :param holds_more: whether it holds newer settings than this agent.
     """
 
     def __init__(self, sock: socket.socket, keys: KeyRing) -> None:
+        super().__init__(sock, keys, MAX_QUEUED)
         self.router = ''
         self.version = -1
         self.holds_more = False
-        self._sock = sock
-        self._keys = keys
-        self._frames: queue.Queue[bytes] = queue.Queue(MAX_QUEUED)
-
-    def start(self) -> None:
-        """
-        Send queued frames from now on.
-        """
-        self._sock.settimeout(None)
-        self._sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        threading.Thread(target=self._send_all, daemon=True).start()
-
-    def send(self, body: Body) -> None:
-        """
-        Queue a message; a router that does not read is cut off.
-        """
-        try:
-            self._frames.put_nowait(pack_frame(body, self._keys))
-        except queue.Full:
-            self.close()
-
-    def bodies(self) -> Any:
-        """
-        Yield the router's messages until the connection ends.
-        """
-        reader = FrameReader(self._keys)
-        while True:
-            try:
-                received = self._sock.recv(READ_BYTES)
-            except OSError:
-                return
-            if not received:
-                return
-            yield from reader.feed(received)
-
-    def close(self) -> None:
-        """
-        End the connection.
-        """
-        try:
-            self._sock.shutdown(socket.SHUT_RDWR)
-        except OSError:
-            log.say('The connection was closed before.', router=self.router)
-        self._sock.close()
-
-    def finish(self) -> None:
-        """
-        End the sending thread.
-        """
-        try:
-            self._frames.put_nowait(STOP)
-        except queue.Full:
-            self.close()
-
-    def _send_all(self) -> None:
-        while frame := self._frames.get():
-            try:
-                self._sock.sendall(frame)
-            except OSError:
-                return
 
 
 class FeedActor(ThreadingActor):
@@ -186,7 +128,7 @@
         """
         self._is_closing = True
         for connection in self._connections:
-            connection.close()
+            connection.cut()
 
     # Queries
 
@@ -282,7 +224,6 @@
             ).start()
 
     def _serve(self, connection: Connection) -> None:
-        connection.start()
         try:
             for body in connection.bodies():
                 self._take(connection, body)
@@ -290,7 +231,7 @@
             log.say('A router sent a bad frame.', error=repr(error))
         log.say('A router is gone.', router=connection.router)
         self._feed.disconnect.defer(connection)
-        connection.close()
+        connection.cut()
 
     def _take(self, connection: Connection, body: Body) -> None:
         connection.version = int(body.get('version', connection.version))
--- a/mallowcrank/membership/streams.py
+++ b/mallowcrank/membership/streams.py
@@ -3,12 +3,12 @@
 """
 
 import itertools
-import queue
 import socket
 import threading
-from collections.abc import Callable, Iterator
+from collections.abc import Callable
 from dataclasses import dataclass
 
+from mallowcrank.framing import FramedSocket, read_bodies
 from mallowcrank.logs import PartLog
 from mallowcrank.membership.inbox import (
     Closed,
@@ -25,12 +25,10 @@
     from_body,
     to_body,
 )
-from mallowcrank.wire import BadFrameError, FrameReader, KeyRing, pack_frame
+from mallowcrank.wire import BadFrameError, KeyRing, pack_frame
 
 CONNECT_TIMEOUT_S = 1
-READ_BYTES = 64 * 1024
 MAX_QUEUED = 4096  # messages on one connection; it is closed after more
-STOP: bytes = b''
 log = PartLog('members')
 
 
@@ -46,56 +44,6 @@
     keys: KeyRing
 
 
-class _Stream:
-    """
-    One open connection; frames go out in a thread of their own.
-    """
-
-    def __init__(self, number: int, sock: socket.socket, keys: KeyRing) -> None:
-        self.number = number
-        self._sock = sock
-        self._keys = keys
-        self._frames: queue.Queue[bytes] = queue.Queue(MAX_QUEUED)
-        sock.settimeout(None)
-        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        threading.Thread(target=self._send_all, daemon=True).start()
-
-    def send(self, message: Message) -> None:
-        """
-        Queue a message; a peer that does not read is cut off.
-        """
-        try:
-            self._frames.put_nowait(pack_frame(to_body(message), self._keys))
-        except queue.Full:
-            self.close()
-
-    def messages(self) -> Iterator[Message]:
-        """
-        Yield the peer's messages until the connection ends.
-
-        :raises BadFrameError: when its bytes can't be trusted.
-        :raises BadMessageError: when they can't be read.
-        """
-        yield from _read_all(self._sock, self._keys)
-
-    def close(self) -> None:
-        """
-        End the connection, after what is queued where it can be sent.
-        """
-        try:
-            self._frames.put_nowait(STOP)
-        except queue.Full:
-            _shut(self._sock)
-
-    def _send_all(self) -> None:
-        while frame := self._frames.get():
-            try:
-                self._sock.sendall(frame)
-            except OSError:
-                break
-        _shut(self._sock)
-
-
 class PeerStreams:
     """
     Takes and opens connections.
@@ -109,7 +57,7 @@
         self._settings = settings
         self._tell = tell
         self._listener: socket.socket | None = None
-        self._streams: dict[int, _Stream] = {}
+        self._streams: dict[int, FramedSocket] = {}
         self._numbers = itertools.count(1)
 
     def start(self) -> None:
@@ -144,7 +92,7 @@
         """
         stream = self._streams.get(number)
         if stream is not None:
-            stream.send(message)
+            stream.send(to_body(message))
 
     def close(self, number: int) -> None:
         """
@@ -152,7 +100,7 @@
         """
         stream = self._streams.pop(number, None)
         if stream is not None:
-            stream.close()
+            stream.finish()
 
     def _accept(self) -> None:
         while True:
@@ -174,12 +122,12 @@
 
     def _serve(self, sock: socket.socket, address: str) -> None:
         number = next(self._numbers)
-        stream = _Stream(number, sock, self._settings.keys)
+        stream = FramedSocket(sock, self._settings.keys, MAX_QUEUED)
         self._streams[number] = stream
         self._tell(Opened(number, address))
         try:
-            for message in stream.messages():
-                self._tell(Received(number, message))
+            for body in stream.bodies():
+                self._tell(Received(number, from_body(body)))
         except (BadFrameError, BadMessageError) as error:
             log.say('A peer sent a bad frame.', error=str(error))
         self.close(number)
@@ -205,33 +153,12 @@
 def _first_answer(sock: socket.socket, keys: KeyRing) -> Answer | None:
     answers = (
         message
-        for message in _read_all(sock, keys)
+        for message in map(from_body, read_bodies(sock, keys))
         if isinstance(message, Answer)
     )
     return next(answers, None)
 
 
-def _read_all(sock: socket.socket, keys: KeyRing) -> Iterator[Message]:
-    reader = FrameReader(keys)
-    while True:
-        try:
-            received = sock.recv(READ_BYTES)
-        except OSError:
-            return
-        if not received:
-            return
-        yield from map(from_body, reader.feed(received))
-
-
 def _place(address: str) -> tuple[str, int]:
     host, _, port = address.rpartition(':')
     return host, int(port)
-
-
-def _shut(sock: socket.socket) -> None:
-    try:
-        sock.shutdown(socket.SHUT_RDWR)
-    except OSError:
-        sock.close()
-        return
-    sock.close()
