Give a request's place back where it fails inside the router

Cause: a request that raised an exception after its admission kept its place for good; with a limit of one stream the workspace then got nothing but `rate_limited`. A service that was removed while its call waited in the queue raised one: 500, `ran: unknown`, for a call that had not been sent.

Change: the place is given back on any exception, and a removed service is refused as unknown with `ran: no`.

Both tests fail without the change, the first with `rate_limited` on the second request.

--- a/mallowcrank/router/api.py
+++ b/mallowcrank/router/api.py
@@ -13,6 +13,7 @@
 from mallowcrank.requests.intake import (
     find_workspace,
     read_service_call,
+    refuse_input,
 )
 from mallowcrank.requests.outcomes import refusal_response
 from mallowcrank.router.addresses import answer_addresses
@@ -146,11 +147,22 @@
         if refused is not None:
             return self._refuse(refused, ticket.request)
         parts.timeline.record(PART, 'request admitted', ticket.request)
+        try:
+            return self._run_admitted(call, ticket, caller, guard)
+        except Exception:
+            parts.admission.leave(ticket, 0)
+            raise
+
+    def _run_admitted(
+        self,
+        call: Completion | ServiceCall,
+        ticket: Ticket,
+        caller: CallerLink,
+        guard: Guard,
+    ) -> Response:
+        parts = self._parts
         if isinstance(call, ServiceCall):
-            settings = parts.known.view.services[call.service]
-            return self._services.run(
-                AdmittedCall(call, ticket, ticket.deadline, settings, guard)
-            )
+            return self._run_service(call, ticket, guard)
         refused = guard()
         if refused is not None:
             parts.admission.leave(ticket, 0)
@@ -158,6 +170,23 @@
         admitted = Admitted(call, ticket, ticket.deadline, caller)
         return run_completion(admitted, parts)
 
+    def _run_service(
+        self, call: ServiceCall, ticket: Ticket, guard: Guard
+    ) -> Response:
+        parts = self._parts
+        settings = parts.known.view.services.get(call.service)
+        if settings is None:
+            parts.admission.leave(ticket, 0)
+            removed = refuse_input(
+                f'the service {call.service!r} was removed',
+                'path',
+                Reason.UNKNOWN_SERVICE,
+            )
+            return self._refuse(removed, ticket.request)
+        return self._services.run(
+            AdmittedCall(call, ticket, ticket.deadline, settings, guard)
+        )
+
     def _check_time(self, terms: Terms, deadline: float) -> Refused | None:
         """
         Refuse requests past their deadline, and new ones once no caller keeps
--- a/tests/test_router_input.py
+++ b/tests/test_router_input.py
@@ -3,8 +3,10 @@
 """
 
 import json
+from dataclasses import replace
 from types import MappingProxyType
 from unittest import TestCase
+from unittest.mock import patch
 
 from mallowcrank.web import MAX_BODY_BYTES
 from tests.utils.local_router import WORKSPACE, LocalRouter, make_view, service
@@ -124,3 +126,41 @@
     def test_models_of_the_workspace_are_listed(self):
         listed = json.loads(self.router.send('GET', '/v1/models').whole)
         self.assertEqual([each['id'] for each in listed['data']], ['m'])
+
+
+class TestFailures(TestCase):
+    def setUp(self):
+        view = make_view((), (service('stock'),))
+        one = replace(view.workspaces[WORKSPACE], streams=1)
+        self.router = LocalRouter(replace(view, workspaces={WORKSPACE: one}))
+        self.addCleanup(self.router.stop)
+        self.parts = self.router.router.parts
+
+    def test_request_that_fails_inside_gives_its_place_back(self):
+        with patch.object(self.parts.driver, 'tell', side_effect=KeyError):
+            for _ in range(3):
+                path, body, headers = chat(max_tokens=1)
+                response = self.router.send(
+                    'POST',
+                    path,
+                    body,
+                    **headers,
+                    x_mallowcrank_deadline_ms='2000',
+                )
+                error = json.loads(response.whole)['error']
+                self.assertEqual(
+                    (error['code'], error['ran']), ('internal', 'unknown')
+                )
+
+    def test_service_that_is_removed_while_its_call_waits(self):
+        def enter(_ticket):
+            self.parts.known.apply(make_view())
+
+        with patch.object(self.parts.admission, 'enter', side_effect=enter):
+            response = self.router.send(
+                'GET', '/v1/services/stock/felt', x_mallowcrank_repeatable='yes'
+            )
+        error = json.loads(response.whole)['error']
+        self.assertEqual(
+            (error['code'], error['ran']), ('unknown_service', 'no')
+        )
