Serve callers before operators are told that the router is up

Cause: /admin/status answered a moment before the address for callers was bound. A test that waited for it had its first call refused on a busy machine (test_silent_connections_to_alert_replicas, ConnectionRefusedError); operators who wait for a replaced router would have met the same.

Change: the address for callers is bound first.

--- a/mallowcrank/router/daemon.py
+++ b/mallowcrank/router/daemon.py
@@ -89,8 +89,9 @@
         self._feed.start()
         if self._follower is not None:
             self._follower.start()
-        self._operators.start()
+        # Who is told that the router is up may send callers to it.
         self._callers.start()
+        self._operators.start()
         self._log.say(
             'Serving',
             address=self._callers.address,
