Write the tokens of all streams in one thread

Change: once the head and the first event are out, a stream's tokens go to one thread that writes them for all callers without ever waiting for one. What a slow caller does not take is gathered and goes out in one event later; a connection that breaks, or is closed with half a chunk out, ends the stream. The caller's thread sleeps until the end, looks at its connection each second, and writes the last events.

--- a/mallowcrank/router/assembly.py
+++ b/mallowcrank/router/assembly.py
@@ -13,6 +13,7 @@
 from mallowcrank.router.parts import InFlight, Names, RouterParts
 from mallowcrank.router.ports import AdmissionPort, FollowerPort, RoutePort
 from mallowcrank.router.pulse import Pulse
+from mallowcrank.router.pushing import Pusher
 from mallowcrank.settings import RouterSettings
 from mallowcrank.streams.alarm import Alarm
 from mallowcrank.streams.driver import StreamDriver
@@ -62,6 +63,7 @@
         pulse=Pulse(clock),
         admission=policies.admission,
         routes=policies.routes,
+        pusher=Pusher(),
         driver=StreamDriver.start(ports),
         keeper=KeyKeeper.start(),
     )
--- a/mallowcrank/router/completion_calls.py
+++ b/mallowcrank/router/completion_calls.py
@@ -2,8 +2,10 @@
 Runs completions: opens a stream and gives its tokens to the caller.
 """
 
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from dataclasses import dataclass, replace
+from errno import ECONNRESET
+from functools import partial
 
 from mallowcrank.refusals import Ran, Reason, Refused
 from mallowcrank.requests.calls import Completion
@@ -11,6 +13,11 @@
 from mallowcrank.requests.outcomes import ran_header, refusal_response
 from mallowcrank.router.parts import RouterParts
 from mallowcrank.router.ports import RouteDemand, Ticket
+from mallowcrank.router.pushing import (
+    SIGN_OF_LIFE,
+    PushedStream,
+    PushPorts,
+)
 from mallowcrank.router.shapes import Shaper, TokenText, Usage
 from mallowcrank.streams.orders import Close, Open
 from mallowcrank.streams.outlet import Ended, Outlet
@@ -130,6 +137,21 @@
         self._open = self._open and ended is None
         return tokens, ended
 
+    def push_to(self, shape: Callable[[list[int]], bytes]) -> PushedStream:
+        """
+        Have the tokens written by the pusher from now on; `take` gives the
+        end only.
+        """
+        pushed = PushedStream(
+            PushPorts(
+                self._admitted.caller.connection,
+                partial(self._count_shaped, shape),
+                self._outlet.tell,
+            )
+        )
+        self._outlet.push_to(partial(self._parts.pusher.put, pushed))
+        return pushed
+
     def close(self) -> None:
         """
         Cancel the stream, where it has not ended.
@@ -139,6 +161,12 @@
             closing = Close(self._admitted.request, CALLER_GONE)
             self._parts.driver.tell(closing)
 
+    def _count_shaped(
+        self, shape: Callable[[list[int]], bytes], tokens: list[int]
+    ) -> bytes:
+        self._count += len(tokens)
+        return shape(tokens)
+
     def _is_caller_gone(self) -> bool:
         """
         Look at the caller's connection, where it is time again.
@@ -174,6 +202,7 @@
         self._shaper = make_shaper(admitted, parts)
         self._events = self._make_events(first)
         self._closed = False
+        self._pushed: PushedStream | None = None
 
     def __iter__(self) -> Iterator[bytes]:
         return self
@@ -187,6 +216,8 @@
         """
         if not self._closed:
             self._closed = True
+            if self._pushed is not None:
+                self._pushed.close()
             self._tokens.close()
             leave(self._admitted, self._tokens, self._parts)
 
@@ -199,7 +230,11 @@
         while ended is None:
             yield before + self._shape(text.decode(tokens))
             before = b''
-            tokens, ended = self._tokens.take()
+            if self._admitted.caller.takes_chunks:
+                # The head is out: the rest can go past this thread.
+                tokens, ended = [], self._push(text)
+            else:
+                tokens, ended = self._tokens.take()
         last = self._shape(text.decode(tokens, final=True), keepalive=b'')
         if ended.refused is not None:
             closing = self._shaper.error(ended.refused)
@@ -207,6 +242,27 @@
             closing = self._shaper.closing(ended.finish, self._tokens.usage)
         yield b''.join((before, last, closing))
 
+    def _push(self, text: TokenText) -> Ended:
+        """
+        Let the pusher write until the end, and return the end.
+
+        :raises ConnectionResetError: when the caller's connection is broken.
+        """
+        pushed = self._tokens.push_to(
+            lambda tokens: self._shape(text.decode(tokens))
+        )
+        self._pushed = pushed
+        ended = None
+        while ended is None and not pushed.is_broken:
+            before = self._tokens.usage
+            _, ended = self._tokens.take()
+            if ended is None and self._tokens.usage == before:
+                self._parts.pusher.put(pushed, SIGN_OF_LIFE)
+        pushed.close()
+        if pushed.is_broken:
+            raise ConnectionResetError(ECONNRESET, 'the caller went away')
+        return ended
+
     def _shape(self, text: str, keepalive: bytes = KEEPALIVE) -> bytes:
         return self._shaper.text(text) if text else keepalive
 
--- a/mallowcrank/router/parts.py
+++ b/mallowcrank/router/parts.py
@@ -15,6 +15,7 @@
 from mallowcrank.router.known import KnownView
 from mallowcrank.router.ports import AdmissionPort, RoutePort
 from mallowcrank.router.pulse import Pulse
+from mallowcrank.router.pushing import Pusher
 from mallowcrank.settings import RouterSettings
 from mallowcrank.timeline import Timeline
 
@@ -147,5 +148,6 @@
     pulse: Pulse
     admission: AdmissionPort
     routes: RoutePort
+    pusher: Pusher
     driver: ActorRef
     keeper: ActorRef
--- a/mallowcrank/streams/outlet.py
+++ b/mallowcrank/streams/outlet.py
@@ -2,8 +2,10 @@
 The way of a stream's tokens from the driver to the caller's thread.
 """
 
+from collections.abc import Callable
 from dataclasses import dataclass
 from queue import Empty, SimpleQueue
+from threading import Lock
 
 from mallowcrank.refusals import Refused
 
@@ -27,16 +29,34 @@
     """
 
     def __init__(self) -> None:
-        self._queue: SimpleQueue[int | Ended] = SimpleQueue()
+        self._queue: SimpleQueue[int | Ended | None] = SimpleQueue()
+        self._lock = Lock()
+        self._push: Callable[[int | Ended], None] | None = None
         self.route = ''
 
     def put(self, given: int | Ended) -> None:
         """
         Add a token, or the end.
         """
-        self._queue.put(given)
+        with self._lock:
+            (self._push or self._queue.put)(given)
 
-    def take(self, timeout_s: float) -> list[int | Ended]:
+    def push_to(self, push: Callable[[int | Ended], None]) -> None:
+        """
+        Give tokens and the end to a pusher from now on, those that wait first.
+        """
+        with self._lock:
+            while not self._queue.empty():
+                push(self._queue.get())
+            self._push = push
+
+    def tell(self, ended: Ended | None) -> None:
+        """
+        Tell the caller's thread the end, or to look up, past the pusher.
+        """
+        self._queue.put(ended)
+
+    def take(self, timeout_s: float) -> list[int | Ended | None]:
         """
         Wait for the next token; return it with all that came after it.
 
--- a/mallowcrank/web.py
+++ b/mallowcrank/web.py
@@ -19,6 +19,7 @@
 DISCARD_BYTES = 64 * 1024
 JSON_TYPE = ('Content-Type', 'application/json')
 CONNECTION = 'mallowcrank.connection'
+HTTP_1_1 = 'HTTP/1.1'
 # Of them, an end of the caller's side is seen without reading from it.
 GONE_EVENTS = select.POLLRDHUP | select.POLLHUP | select.POLLERR
 
@@ -31,9 +32,11 @@
     The connection that a request came over.
 
     :param connection: its socket, or `None` where there is none to look at.
+    :param takes_chunks: whether a body of unknown length goes out in chunks.
     """
 
     connection: socket.socket | None = None
+    takes_chunks: bool = False
 
     def is_gone(self) -> bool:
         """
@@ -234,7 +237,11 @@
             too_large=too_large,
             target=_target(environ),
             peer=f'{environ["REMOTE_ADDR"]}:{environ["REMOTE_PORT"]}',
-            caller=CallerLink(environ[CONNECTION]),
+            caller=CallerLink(
+                environ[CONNECTION],
+                takes_chunks=environ['ACTUAL_SERVER_PROTOCOL'] == HTTP_1_1
+                and environ['SERVER_PROTOCOL'] == HTTP_1_1,
+            ),
         )
 
 
