Let callers name the routers that they can't reach

Ruled out: engines and routing; no wait over 0.7 s on a router that lived. Tried first: callers that put the dead address last by themselves. Change: /v1/addresses takes X-Mallowcrank-Avoid; addresses named there come last, and the key prefix is of the first one. A key of which no try had a connection is made anew. Callers' records keep when text came in broken tries.

--- a/mallowcrank/load/addresses.py
+++ b/mallowcrank/load/addresses.py
@@ -4,13 +4,15 @@
 
 import json
 import time
-from collections.abc import Sequence
+from collections.abc import Iterator, Sequence
 from dataclasses import dataclass
 
 from mallowcrank.calls import HttpCaller
 from mallowcrank.ports import Failure
 
 ASK_TIMEOUT_S = 1
+AVOID_HEADER = 'X-Mallowcrank-Avoid'
+AVOID_S = 5  # for which an address that failed is avoided
 
 
 @dataclass(frozen=True)
@@ -42,6 +44,7 @@
             'X-Mallowcrank-Workspace': workspace,
         }
         self._kept = Kept((), '', 0)
+        self._avoided: dict[str, float] = {}
 
     def current(self) -> Kept:
         """
@@ -55,6 +58,7 @@
         """
         Put an address that failed behind the others.
         """
+        self._avoided[address] = time.monotonic() + AVOID_S
         others = tuple(each for each in self._kept.addresses if each != address)
         self._known = [each for each in self._known if each != address]
         self._known.append(address)
@@ -62,10 +66,18 @@
         # call asks again.
         self._kept = Kept(others, self._kept.key_prefix, 0)
 
+    def _find_avoided(self) -> Iterator[str]:
+        now = time.monotonic()
+        return (each for each, until in self._avoided.items() if until > now)
+
     def _ask(self) -> None:
+        headers = {
+            **self._headers,
+            AVOID_HEADER: ','.join(self._find_avoided()),
+        }
         for address in tuple(self._known):
             reply = HttpCaller(address, connections=1).call(
-                'GET', '/v1/addresses', None, self._headers, ASK_TIMEOUT_S
+                'GET', '/v1/addresses', None, headers, ASK_TIMEOUT_S
             )
             if not isinstance(reply, Failure) and reply.status == 200:
                 self._keep(json.loads(reply.body))
--- a/mallowcrank/load/attempts.py
+++ b/mallowcrank/load/attempts.py
@@ -8,7 +8,7 @@
 from dataclasses import dataclass
 
 from urllib3 import BaseHTTPResponse, HTTPConnectionPool, Timeout
-from urllib3.exceptions import HTTPError
+from urllib3.exceptions import HTTPError, NewConnectionError
 
 from mallowcrank.load.records import CallKind, Plan, Try
 from mallowcrank.load.sse import EventReader, Streamed
@@ -42,12 +42,14 @@
     :param whole: whether the answer is whole.
     :param retry_after_s: seconds until a retry, or `None` for no retry.
     :param is_broken: whether the connection failed.
+    :param is_unsent: whether there never was a connection.
     """
 
     record: Try
     whole: bool = False
     retry_after_s: float | None = 0
     is_broken: bool = False
+    is_unsent: bool = False
     streamed: Streamed = Streamed()
 
 
@@ -116,7 +118,12 @@
             time.time(),
             problem=f'the connection broke: {error}',
         )
-        return Attempted(broken, is_broken=True, streamed=reader.streamed)
+        return Attempted(
+            broken,
+            is_broken=True,
+            is_unsent=isinstance(error, NewConnectionError),
+            streamed=reader.streamed,
+        )
 
 
 def _read(
@@ -155,7 +162,7 @@
         '' if whole else 'the stream broke',
     )
     broken = not whole and not code
-    return Attempted(record, whole, 0, broken, streamed)
+    return Attempted(record, whole, 0, broken, streamed=streamed)
 
 
 def _end_plain(
@@ -179,7 +186,7 @@
     )
     text = body.decode(errors='replace') if whole else ''
     return Attempted(
-        record, whole, _retry_after(headers), False, Streamed(text=text)
+        record, whole, _retry_after(headers), streamed=Streamed(text=text)
     )
 
 
--- a/mallowcrank/load/callers.py
+++ b/mallowcrank/load/callers.py
@@ -6,13 +6,14 @@
 import random
 import threading
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from itertools import count
 
 from mallowcrank.load.addresses import AddressBook
 from mallowcrank.load.attempts import Attempted, Connections, Sending, attempt
 from mallowcrank.load.records import CallKind, CallRecord, Outcome, Plan, Try
 from mallowcrank.load.scenario import Group
+from mallowcrank.load.sse import Streamed
 
 LETTERS = 'abcdefghijklmnopqrstuvwxyz '
 MIN_LEFT_S = 0.05
@@ -72,22 +73,23 @@
         """
         started = time.time()
         deadline = time.monotonic() + plan.deadline_s
-        key = self._key(plan)
-        tries: list[Try] = []
-        last: Attempted | None = None
+        key = ''
+        tries: list[Attempted] = []
         while deadline - time.monotonic() > MIN_LEFT_S:
             addresses = self._book.current().addresses
             if not addresses:
                 time.sleep(PAUSE_WHERE_NOBODY_ANSWERS_S)
                 continue
+            if all(each.is_unsent for each in tries):
+                key = self._key(plan)
             left = deadline - time.monotonic()
             last = attempt(
                 Sending(plan, addresses[0], left, key), self._connections
             )
-            tries.append(last.record)
+            tries.append(last)
             if last.whole or not self._may_retry(last, deadline):
                 break
-        return _make_record(plan, started, tuple(tries), last)
+        return _make_record(plan, started, tries)
 
     def _key(self, plan: Plan) -> str:
         if plan.repeatable:
@@ -108,22 +110,25 @@
 
 
 def _make_record(
-    plan: Plan,
-    started: float,
-    tries: tuple[Try, ...],
-    last: Attempted | None,
+    plan: Plan, started: float, attempted: Sequence[Attempted]
 ) -> CallRecord:
-    streamed = last.streamed if last else None
+    tries = tuple(each.record for each in attempted)
+    streamed = attempted[-1].streamed if attempted else Streamed()
+    whole = bool(attempted) and attempted[-1].whole
+    broken = (
+        came for each in attempted[:-1] for came, _ in each.streamed.pieces
+    )
     return CallRecord(
         plan,
-        decide_outcome(plan, tries, whole=bool(last and last.whole)),
+        decide_outcome(plan, tries, whole=whole),
         started,
         time.time(),
         tries,
-        streamed.text if streamed else '',
-        streamed.finish if streamed else '',
-        streamed.told_tokens if streamed else 0,
-        streamed.pieces if streamed else (),
+        streamed.text,
+        streamed.finish,
+        streamed.told_tokens,
+        streamed.pieces,
+        tuple(broken),
     )
 
 
--- a/mallowcrank/load/records.py
+++ b/mallowcrank/load/records.py
@@ -90,6 +90,7 @@
     :param told_tokens: the count of tokens that the answer says it has.
     :param token_times: when each piece of text came, seconds since the epoch,
         each with the characters that it brought.
+    :param broken_times: when text came in tries that broke.
     """
 
     plan: Plan
@@ -101,6 +102,14 @@
     finish: str = ''
     told_tokens: int = 0
     token_times: tuple[tuple[float, int], ...] = ()
+    broken_times: tuple[float, ...] = ()
+
+    @property
+    def heard_times(self) -> tuple[float, ...]:
+        """
+        Return when text came in any try, seconds since the epoch.
+        """
+        return (*self.broken_times, *(came for came, _ in self.token_times))
 
     @property
     def last_request(self) -> str:
--- a/mallowcrank/router/addresses.py
+++ b/mallowcrank/router/addresses.py
@@ -15,6 +15,7 @@
 
 MAX_ADDRESSES = 4
 HOME_LEAD = 3  # doublings of load that a home may have above others
+AVOID_HEADER = 'x-mallowcrank-avoid'
 
 
 @dataclass(frozen=True, slots=True)
@@ -26,19 +27,22 @@
     :param seed: spreads callers over equal routers; any number.
     :param workspace: the caller's; its home router goes first, unless it is
         much busier than others.
+    :param avoided: addresses that the caller could not reach.
     """
 
     availability_zone: str
     seed: int = 0
     workspace: str = ''
+    avoided: frozenset[str] = frozenset()
 
 
 def order_routers(
     routers: Iterable[Peer], question: AddressQuestion
 ) -> tuple[Peer, ...]:
     """
-    Return the routers for a caller: its own availability zone first, then the
-    workspace's home, then the less loaded; none that is leaving.
+    Return the routers for a caller: those that it could reach, its own
+    availability zone first, then the workspace's home, then the less loaded;
+    none that is leaving.
     """
     live = sorted(
         (peer for peer in routers if not peer.leaving),
@@ -52,6 +56,7 @@
     ordered = sorted(
         spread,
         key=lambda peer: (
+            peer.address in question.avoided,
             peer.availability_zone != question.availability_zone,
             _load_class(peer.load) - HOME_LEAD * (peer.name == home),
             peer.name != home,
@@ -78,7 +83,8 @@
     zone = request.headers.get('x-mallowcrank-availability-zone', '')
     workspace = request.headers.get('x-mallowcrank-workspace', '')
     seed = sum(workspace.encode()) + parts.in_flight.count
-    question = AddressQuestion(zone, seed, workspace)
+    avoided = request.headers.get(AVOID_HEADER, '').split(',')
+    question = AddressQuestion(zone, seed, workspace, frozenset(avoided))
     ordered = order_routers(_all_routers(parts), question)
     first = ordered[0] if ordered else _myself(parts)
     keep_s = parts.settings.keep_s
--- /dev/null
+++ b/tests/test_load_addresses.py
@@ -0,0 +1,95 @@
+"""
+Which router and key a caller tries after a router has failed.
+"""
+
+import json
+from dataclasses import replace
+from unittest import TestCase
+from unittest.mock import patch
+
+from mallowcrank.calls import Reply
+from mallowcrank.load.addresses import AddressBook
+from mallowcrank.load.attempts import Attempted
+from mallowcrank.load.callers import Caller
+from mallowcrank.load.records import CallKind, Plan, Try
+from mallowcrank.router.addresses import AddressQuestion, order_routers
+from mallowcrank.view import Peer
+
+PEERS = tuple(
+    Peer(name, f'{name}:1', f'zone-{name}', incarnation='1') for name in 'abc'
+)
+WHOLE = Attempted(Try('r', 'b:1', 0, 1, 200, 'yes'), whole=True)
+
+
+class FakeRouters:
+    """
+    Answer `/v1/addresses` as routers do that still take all for alive.
+    """
+
+    def __call__(self, address, connections):
+        return self
+
+    def call(self, method, path, body, headers, timeout_s):
+        question = AddressQuestion(
+            headers['X-Mallowcrank-Availability-Zone'],
+            avoided=frozenset(headers['X-Mallowcrank-Avoid'].split(',')),
+        )
+        ordered = order_routers(PEERS, question)
+        answer = {
+            'addresses': [peer.address for peer in ordered],
+            'keep_s': 5,
+            'key_prefix': f'mc1.{ordered[0].name}.1.9.',
+        }
+        return Reply(200, json.dumps(answer).encode())
+
+
+class TestAddressBook(TestCase):
+    def setUp(self):
+        caller = patch('mallowcrank.load.addresses.HttpCaller', FakeRouters())
+        caller.start()
+        self.addCleanup(caller.stop)
+        self.book = AddressBook(['a:1'], 'zone-a', 'topi/quotes')
+
+    def lose(self, *addresses):
+        for each in addresses:
+            self.book.current()
+            self.book.give_up(each)
+        return self.book.current()
+
+    def test_own_zone_is_used(self):
+        self.assertEqual(self.book.current().addresses[0], 'a:1')
+
+    def test_address_that_failed_is_last_though_routers_take_it_for_alive(self):
+        self.assertEqual(self.lose('a:1').addresses, ('b:1', 'c:1', 'a:1'))
+
+    def test_new_keys_name_no_router_that_failed(self):
+        self.assertEqual(self.lose('a:1').key_prefix, 'mc1.b.1.9.')
+
+    def test_two_that_failed_leave_the_third(self):
+        self.assertEqual(self.lose('a:1', 'b:1').addresses[0], 'c:1')
+
+
+class TestKeys(TestCase):
+    def setUp(self):
+        routers = patch('mallowcrank.load.addresses.HttpCaller', FakeRouters())
+        routers.start()
+        self.addCleanup(routers.stop)
+
+    def keys_of_tries(self, *attempted):
+        book = AddressBook(['a:1'], 'zone-a', 'topi/counter')
+        plan = Plan(1, CallKind.SERVICE, 'x/y', 'stock', '{}', repeatable=False)
+        with patch('mallowcrank.load.callers.attempt') as attempt:
+            attempt.side_effect = attempted
+            Caller(book, 'run').call(plan)
+        return [call.args[0].key for call in attempt.call_args_list]
+
+    def test_key_that_was_never_sent_is_made_anew_for_the_next_router(self):
+        unsent = Attempted(Try('', 'a:1', 0, 1), is_broken=True, is_unsent=True)
+        keys = self.keys_of_tries(unsent, WHOLE)
+        self.assertEqual(keys, ['mc1.a.1.9.run-1', 'mc1.b.1.9.run-1'])
+
+    def test_key_that_may_have_arrived_is_kept(self):
+        broken = Attempted(Try('', 'a:1', 0, 1), is_broken=True)
+        unsent = replace(broken, is_unsent=True)
+        keys = self.keys_of_tries(broken, unsent, WHOLE)
+        self.assertEqual((len(keys), set(keys)), (3, {'mc1.a.1.9.run-1'}))
