Measure recovery from the token before the interruption

Change: tokens of tries that broke count. The wait is from the last token at or before the fault to the next one of any try, and so on from there. For one fault this is stricter than before: a call that began again was counted from the fault, now from its last token before it. Failed calls count to their end.

--- a/mallowcrank/load/figures.py
+++ b/mallowcrank/load/figures.py
@@ -125,7 +125,9 @@
 ) -> float | None:
     """
     Return the longest wait of any call that a fault could interrupt: from its
-    last token before the fault, or the fault, to its next one.
+    last token before the fault, or the fault, to its next one, and from each
+    token after the fault to the one after it. Tokens of tries that broke
+    count as well, so that a wait never begins before what interrupted it.
 
     Calls that had not got a token yet and whose tries went on are left out:
     they waited in a queue.
@@ -144,9 +146,10 @@
 
 
 def _had_begun(record: CallRecord, fault_at: float) -> bool:
-    if not record.token_times or record.outcome is not Outcome.COMPLETED:
+    heard = record.heard_times
+    if not heard or record.outcome is not Outcome.COMPLETED:
         return True
-    if record.token_times[0][0] <= fault_at:
+    if heard[0] <= fault_at:
         return True
     return any(
         each.ended > fault_at and each.problem and each.ran != 'no'
@@ -155,15 +158,11 @@
 
 
 def _waits_after(record: CallRecord, fault_at: float) -> Iterator[float]:
-    if record.outcome is not Outcome.COMPLETED:
-        yield record.ended - fault_at
-        return
-    times = [came for came, _ in record.token_times] or [record.ended]
-    if times[0] > fault_at:
-        # It had not begun, or began again with a retry.
-        yield times[0] - fault_at
+    times = list(record.heard_times)
+    if not times or record.outcome is not Outcome.COMPLETED:
+        times.append(record.ended)
+    before = [came for came in times if came <= fault_at] or [fault_at]
     after = [came for came in times if came > fault_at]
-    before = [came for came in times if came <= fault_at]
     yield from gaps(before[-1:] + after)
 
 
--- a/tests/test_load_figures.py
+++ b/tests/test_load_figures.py
@@ -70,6 +70,20 @@
         again = call(6, 7, tries=(broken, Try('r', 'y', 3, 8)))
         self.assertEqual(recovery_seconds([again], 2), 4)
 
+    def test_recovery_counts_the_tokens_of_a_try_that_broke_later(self):
+        broken = Try('', 'x', 0, 3.2, problem='the stream broke')
+        again = call(
+            3.5,
+            4,
+            broken_times=(1, 2.2, 3),
+            tries=(broken, Try('r', 'y', 3.3, 8)),
+        )
+        self.assertAlmostEqual(recovery_seconds([again], 2), 1.2)
+
+    def test_recovery_begins_at_the_last_token_before_the_fault(self):
+        again = call(4, broken_times=(1,))
+        self.assertEqual(recovery_seconds([again], 2), 3)
+
     def test_recovery_leaves_out_calls_in_a_queue(self):
         queued = call(6, 7, tries=(Try('r', 'x', 0, 8, 200, 'yes'),))
         self.assertEqual(recovery_seconds([queued, call(1, 3)], 2), 2)
