Let callers notice a router that has frozen

No request waited for a lease. Ruled out: lease holder, orders, engines, the measure. Change: routers write to a stream after 0.2 s without a token (before: 1 s), and callers give up a stream after 0.6 s without a byte and go on elsewhere. Callers of alerts try another router after 0.1 s, and each host now has one of them. Calls that may not be repeated can't go on elsewhere while the router that has their key is frozen; they are reported beside the others, as recovery_keyed_s. Latencies also have their greatest value, since p99 hid a single stall.

--- a/mallowcrank/load/addresses.py
+++ b/mallowcrank/load/addresses.py
@@ -33,12 +33,18 @@
     The addresses that one caller knows.
 
     :param known: addresses to ask first.
+    :param silence_s: seconds until the next address is asked.
     """
 
     def __init__(
-        self, known: Sequence[str], availability_zone: str, workspace: str
+        self,
+        known: Sequence[str],
+        availability_zone: str,
+        workspace: str,
+        silence_s: float = ASK_TIMEOUT_S,
     ) -> None:
         self._known = list(known)
+        self._silence_s = silence_s
         self._headers = {
             'X-Mallowcrank-Availability-Zone': availability_zone,
             'X-Mallowcrank-Workspace': workspace,
@@ -77,7 +83,7 @@
         }
         for address in tuple(self._known):
             reply = HttpCaller(address, connections=1).call(
-                'GET', '/v1/addresses', None, headers, ASK_TIMEOUT_S
+                'GET', '/v1/addresses', None, headers, self._silence_s
             )
             if not isinstance(reply, Failure) and reply.status == 200:
                 self._keep(json.loads(reply.body))
--- a/mallowcrank/load/attempts.py
+++ b/mallowcrank/load/attempts.py
@@ -15,6 +15,8 @@
 
 CONNECT_S = 1
 MIN_SILENCE_S = 5  # until another router is tried
+# Routers write to a stream five times a second, also where no token comes.
+STREAM_SILENCE_S = 0.6
 MS_PER_S = 1000
 OK = 200
 
@@ -68,9 +70,7 @@
         :raises urllib3.exceptions.HTTPError: when there is no answer.
         """
         plan = sending.plan
-        silence = sending.left_s
-        if plan.kind is CallKind.COMPLETION:
-            silence = min(silence, max(MIN_SILENCE_S, silence / 2))
+        silence = _first_silence(plan, sending.left_s)
         return self._pool(sending.address).urlopen(
             'POST',
             _path(plan),
@@ -134,6 +134,7 @@
 ) -> Attempted:
     is_stream = response.headers.get('Content-Type', '') == 'text/event-stream'
     if response.status == OK and is_stream:
+        _expect_keepalives(response)
         for received in response.stream(1 << 16, decode_content=False):
             reader.feed(received, time.time())
         response.release_conn()
@@ -143,6 +144,23 @@
     return _end_plain(response, sending, body, started)
 
 
+def _first_silence(plan: Plan, left_s: float) -> float:
+    """
+    Return for how long a caller waits for an answer to begin, in seconds.
+    """
+    if plan.silence_s:
+        return min(left_s, plan.silence_s)
+    if plan.kind is CallKind.COMPLETION:
+        return min(left_s, max(MIN_SILENCE_S, left_s / 2))
+    return left_s
+
+
+def _expect_keepalives(response: BaseHTTPResponse) -> None:
+    connection = response.connection
+    if connection is not None and connection.sock is not None:
+        connection.sock.settimeout(STREAM_SILENCE_S)
+
+
 def _end_stream(
     response: BaseHTTPResponse,
     sending: Sending,
--- a/mallowcrank/load/callers.py
+++ b/mallowcrank/load/callers.py
@@ -52,6 +52,7 @@
             group.repeatable,
             group.deadline_s,
             group.priority,
+            group.silence_s,
         )
 
 
@@ -153,14 +154,14 @@
     """
     All callers of a run.
 
-    :param make_book: makes a caller's book by its number and workspace.
+    :param make_book: makes a caller's book by its number and group.
     """
 
     def __init__(
         self,
         groups: tuple[Group, ...],
         seed: int,
-        make_book: Callable[[int, str], AddressBook],
+        make_book: Callable[[int, Group], AddressBook],
     ) -> None:
         self._groups = groups
         self._seed = seed
@@ -201,7 +202,7 @@
             thread.join()
 
     def _loop(self, group: Group, number: int) -> None:
-        caller = Caller(self._make_book(number, group.workspace), self._run)
+        caller = Caller(self._make_book(number, group), self._run)
         planner = Planner(
             group,
             f'{self._seed} {group.name} {number}',
--- a/mallowcrank/load/latency.py
+++ b/mallowcrank/load/latency.py
@@ -14,15 +14,16 @@
 
 def percentiles_ms(seconds: Iterable[float]) -> dict[str, float]:
     """
-    Return percentiles in milliseconds, by `p50` and so on.
+    Return percentiles in milliseconds, by `p50` and so on, and `max`.
     """
     histogram = HdrHistogram(1, MAX_MICROSECONDS, DIGITS)
     for each in seconds:
         histogram.record_value(max(1, int(each * MICROSECONDS)))
-    return {
+    found = {
         f'p{percent}': histogram.get_value_at_percentile(percent) / 1000
         for percent in PERCENTILES
     }
+    return {**found, 'max': histogram.get_max_value() / 1000}
 
 
 def gaps(times: Sequence[float]) -> list[float]:
--- a/mallowcrank/load/records.py
+++ b/mallowcrank/load/records.py
@@ -38,6 +38,8 @@
     :param number: unique in the run.
     :param serves: the model's or service's name.
     :param prompt: a completion's prompt, or a service call's body.
+    :param silence_s: seconds without an answer until another router is
+        tried; 0: half of what is left of the deadline.
     """
 
     number: int
@@ -49,6 +51,7 @@
     repeatable: bool = True
     deadline_s: float = 20
     priority: int = 0
+    silence_s: float = 0
 
     @property
     def branch(self) -> str:
--- a/mallowcrank/load/report.py
+++ b/mallowcrank/load/report.py
@@ -2,6 +2,7 @@
 The report of a run, as it is written to JSON.
 """
 
+from collections.abc import Sequence
 from dataclasses import dataclass, field
 
 from mallowcrank.load.bound import bound_of
@@ -20,7 +21,7 @@
 )
 from mallowcrank.load.judge import Verdict, judge
 from mallowcrank.load.latency import percentiles_ms
-from mallowcrank.load.records import Outcome
+from mallowcrank.load.records import CallRecord, Outcome
 from mallowcrank.load.scenario import Scenario
 from mallowcrank.load.site import Site
 
@@ -49,6 +50,8 @@
     All figures; times in seconds but for those in `_ms`.
 
     :param unknown: calls of which the caller can't know whether they ran.
+    :param recovery_keyed_s: as `recovery_s`, of the calls that may not be
+        repeated: only the router that has their key can go on with them.
     :param bound: tokens a second that the engines could give at most.
     :param findings: the judge's words, a few of each kind.
     """
@@ -68,6 +71,7 @@
     bound: float
     ratio: float
     recovery_s: float | None
+    recovery_keyed_s: float | None
     first_token_ms: dict[str, float]
     between_tokens_ms: dict[str, float]
     alert_ms: dict[str, float]
@@ -121,7 +125,8 @@
         throughput=round(reached, 2),
         bound=round(bound, 2),
         ratio=round(reached / bound, 4) if bound else 0,
-        recovery_s=_find_recovery(evidence, times),
+        recovery_s=_find_recovery(records, times, repeatable=True),
+        recovery_keyed_s=_find_recovery(records, times, repeatable=False),
         first_token_ms=percentiles_ms(first_token_seconds(records)),
         between_tokens_ms=percentiles_ms(between_tokens_seconds(records)),
         alert_ms=percentiles_ms(call_seconds(records, ALERT)),
@@ -133,10 +138,13 @@
     )
 
 
-def _find_recovery(evidence: Evidence, times: Times) -> float | None:
+def _find_recovery(
+    records: Sequence[CallRecord], times: Times, *, repeatable: bool
+) -> float | None:
     if times.fault_at is None:
         return None
-    recovery = recovery_seconds(evidence.records, times.fault_at)
+    chosen = [each for each in records if each.plan.repeatable is repeatable]
+    recovery = recovery_seconds(chosen, times.fault_at)
     return None if recovery is None else round(recovery, 3)
 
 
--- a/mallowcrank/load/run.py
+++ b/mallowcrank/load/run.py
@@ -6,14 +6,14 @@
 from collections.abc import Callable
 from pathlib import Path
 
-from mallowcrank.load.addresses import AddressBook
+from mallowcrank.load.addresses import ASK_TIMEOUT_S, AddressBook
 from mallowcrank.load.callers import Crowd
 from mallowcrank.load.evidence import Evidence
 from mallowcrank.load.figures import Window, count_outcomes
 from mallowcrank.load.in_force import VersionWatch
 from mallowcrank.load.orders import TimeLine
 from mallowcrank.load.report import Report, Times, make_report
-from mallowcrank.load.scenario import Scenario
+from mallowcrank.load.scenario import Group, Scenario
 from mallowcrank.load.site import Site
 from mallowcrank.load.trace import read_traces
 
@@ -55,14 +55,15 @@
     return report, evidence
 
 
-def _book_maker(site: Site) -> Callable[[int, str], AddressBook]:
-    def make_book(number: int, workspace: str) -> AddressBook:
+def _book_maker(site: Site) -> Callable[[int, Group], AddressBook]:
+    def make_book(number: int, group: Group) -> AddressBook:
         turn = number % len(site.routers)
         routers = site.routers[turn:] + site.routers[:turn]
         return AddressBook(
             [router.address for router in routers],
             routers[0].availability_zone,
-            workspace,
+            group.workspace,
+            group.silence_s or ASK_TIMEOUT_S,
         )
 
     return make_book
--- a/mallowcrank/load/scenario.py
+++ b/mallowcrank/load/scenario.py
@@ -47,6 +47,8 @@
     :param prompt_bytes: least and most bytes after the prefix.
     :param max_tokens: least and most tokens of an answer.
     :param deadline_s: seconds for a call with all its tries.
+    :param silence_s: seconds without an answer until another router is
+        tried; 0: half of what is left of the deadline.
     """
 
     name: str
@@ -61,6 +63,7 @@
     repeatable: bool = True
     deadline_s: float = 20
     priority: int = 0
+    silence_s: float = 0
 
 
 @dataclass(frozen=True)
--- a/mallowcrank/load/scenarios.py
+++ b/mallowcrank/load/scenarios.py
@@ -49,9 +49,10 @@
     CallKind.SERVICE,
     'rail/alerts',
     'alert',
-    callers=2,
+    callers=3,
     pause_s=0.05,
     deadline_s=5,
+    silence_s=0.1,
 )
 EVERYONE = (QUOTES, FITTINGS, REPORTS, PERMITS, LOOKUPS, ALERTS)
 
--- a/mallowcrank/router/completion_calls.py
+++ b/mallowcrank/router/completion_calls.py
@@ -29,8 +29,9 @@
     ('Content-Type', 'text/event-stream'),
     ('Cache-Control', 'no-cache'),
 )
-# A caller whose connection went silent is noticed by writing to it.
-KEEPALIVE_S = 1
+# A caller whose connection went silent is noticed by writing to it, and a
+# caller notices by its silence a router that has frozen.
+KEEPALIVE_S = 0.2
 CALLER_CHECK_S = 0.25  # between looks at the caller's connection
 KEEPALIVE = b': waiting\n\n'
 GRACE_S = 0.5  # for the driver to end a stream at its deadline
--- /dev/null
+++ b/tests/test_load_attempts.py
@@ -0,0 +1,46 @@
+"""
+What a caller makes of a router that goes silent.
+"""
+
+import threading
+from unittest import TestCase
+
+from mallowcrank.load.attempts import Connections, Sending, attempt
+from mallowcrank.load.records import CallKind, Plan
+from mallowcrank.web import Response, WebServer
+
+PLAN = Plan(1, CallKind.COMPLETION, 'topi/quotes', 'assistant', 'hat', 3)
+ALERT = Plan(1, CallKind.SERVICE, 'rail/alerts', 'alert', '{}', silence_s=0.05)
+STREAM = (('Content-Type', 'text/event-stream'),)
+CHUNK = b'data: {"choices": [{"text": "h", "finish_reason": null}]}\n\n'
+
+
+class TestSilence(TestCase):
+    def setUp(self):
+        self.over = threading.Event()
+        self.addCleanup(self.over.set)
+
+    def try_once(self, plan, handler):
+        server = WebServer('127.0.0.1:0', handler)
+        server.start()
+        self.addCleanup(server.stop)
+        self.addCleanup(self.over.set)
+        sending = Sending(plan, server.address, 30, '')
+        return attempt(sending, Connections())
+
+    def freeze(self):
+        yield CHUNK
+        self.over.wait()
+
+    def test_stream_that_freezes_is_given_up_with_what_came(self):
+        frozen = self.try_once(
+            PLAN, lambda _: Response(200, self.freeze(), STREAM)
+        )
+        self.assertTrue(frozen.is_broken)
+        self.assertEqual(frozen.streamed.text, 'h')
+        self.assertFalse(self.over.is_set())
+
+    def test_urgent_call_without_an_answer_is_given_up(self):
+        frozen = self.try_once(ALERT, lambda _: Response(200, self.freeze()))
+        self.assertTrue(frozen.is_broken)
+        self.assertFalse(frozen.is_unsent)
