Add slow-link, crossed-answers and log-outage-after-publish

The list of the promises stood twice. Change: stand-ins count what their faults strike and tell it at GET /control; the judge finds ordered faults that struck nothing (idle_faults), and published settings that were not in force in 9 s (late_settings). load/promises.py names all promises for judge and report. A fault may begin after a request that holds a text, so that an outage comes right after a change was accepted; it cuts reads that wait.

--- a/mallowcrank/cli/load.py
+++ b/mallowcrank/cli/load.py
@@ -3,6 +3,7 @@
 """
 
 import json
+from dataclasses import replace
 from pathlib import Path
 from typing import Annotated
 
@@ -107,9 +108,7 @@
     length = checker.number('--seconds', seconds, 0, MAX_SECONDS)
     require_no_findings(environment, PROGRAM, checker.findings)
     if length:
-        chosen = Scenario(
-            chosen.name, chosen.about, chosen.groups, chosen.orders, length
-        )
+        chosen = replace(chosen, seconds=length)
 
     def say(line: str) -> None:
         environment.stderr.write(f'load: {line}\n')
--- a/mallowcrank/load/evidence.py
+++ b/mallowcrank/load/evidence.py
@@ -14,6 +14,22 @@
 from mallowcrank.standins.arithmetic import END_TOKEN, expected_answer
 
 
+@dataclass(frozen=True)
+class Observed:
+    """
+    What the load tool saw besides calls.
+
+    :param struck: how often each ordered fault struck, by stand-in and fault.
+    :param config_in_force_s: seconds from the order to publish settings until
+        they were in force on every router.
+    :param config_within_s: the time that is allowed; 0: none is set.
+    """
+
+    struck: Mapping[str, int] = field(default_factory=dict)
+    config_in_force_s: float | None = None
+    config_within_s: float = 0
+
+
 @dataclass(frozen=True)
 class Evidence:
     """
@@ -25,6 +41,7 @@
     records: Sequence[CallRecord]
     trace: Trace
     layers: Mapping[str, int]
+    observed: Observed = Observed()
     lineage: Lineage = field(init=False)
     expected: Mapping[int, str] = field(init=False)
 
--- a/mallowcrank/load/judge.py
+++ b/mallowcrank/load/judge.py
@@ -20,13 +20,14 @@
     name_of,
     requests_of,
 )
+from mallowcrank.load.promises import PromiseFields
 from mallowcrank.load.records import CallKind, CallRecord, Outcome
 
 MAX_SHOWN = 200  # characters of an answer in a finding
 
 
 @dataclass(frozen=True)
-class Verdict:
+class Verdict(PromiseFields):
     """
     What a run broke. Each list names the calls and what is wrong.
 
@@ -37,6 +38,9 @@
     :param layer_violations: answers whose lineage or text shows that a layer
         did not run exactly once for each token, in order.
     :param false_refusals: refusals that say `no` of calls that ran.
+    :param late_settings: published settings that were not in force in time.
+    :param idle_faults: ordered faults that struck nothing, so that the run
+        shows nothing of them.
     """
 
     lost: tuple[str, ...] = ()
@@ -44,21 +48,8 @@
     crossed: tuple[str, ...] = ()
     layer_violations: tuple[str, ...] = ()
     false_refusals: tuple[str, ...] = ()
-
-    @property
-    def is_clean(self) -> bool:
-        """
-        Tell whether every promise was kept.
-        """
-        return not any(
-            (
-                self.lost,
-                self.doubled,
-                self.crossed,
-                self.layer_violations,
-                self.false_refusals,
-            )
-        )
+    late_settings: tuple[str, ...] = ()
+    idle_faults: tuple[str, ...] = ()
 
 
 def judge(evidence: Evidence) -> Verdict:
@@ -71,6 +62,8 @@
         crossed=tuple(find_crossed(evidence)),
         layer_violations=tuple(find_layer_violations(evidence)),
         false_refusals=tuple(find_false_refusals(evidence)),
+        late_settings=tuple(find_late_settings(evidence)),
+        idle_faults=tuple(find_idle_faults(evidence)),
     )
 
 
@@ -153,6 +146,27 @@
             yield f'{name_of(record)} ran, though its last answer says no'
 
 
+def find_late_settings(evidence: Evidence) -> Iterator[str]:
+    """
+    Find settings that were not in force on each router in time.
+    """
+    limit_s = evidence.observed.config_within_s
+    took_s = evidence.observed.config_in_force_s
+    if limit_s and took_s is None:
+        yield 'some router never had the settings in force'
+    elif limit_s and took_s > limit_s:
+        yield f'in force after {took_s} s instead of {limit_s} s'
+
+
+def find_idle_faults(evidence: Evidence) -> Iterator[str]:
+    """
+    Find ordered faults that struck nothing.
+    """
+    for fault, count in evidence.observed.struck.items():
+        if not count:
+            yield f'{fault} struck nothing'
+
+
 def _is_whole_completion(record: CallRecord) -> bool:
     return (
         record.outcome is Outcome.COMPLETED
--- a/mallowcrank/load/orders.py
+++ b/mallowcrank/load/orders.py
@@ -13,6 +13,11 @@
 from mallowcrank.ports import Failure
 
 TIMEOUT_S = 10
+CONTROL_PATH = '/control'
+# Faults that stand-ins count by the requests that they strike.
+COUNTED = frozenset(
+    ('cross', 'delay', 'lose_answer', 'outage', 'refuse', 'slow_link')
+)
 Say = Callable[[str], None]
 
 
@@ -62,12 +67,11 @@
 
     def _post(self, order: Order) -> None:
         self._say(f'{order.name}: {json.dumps(order.body)}')
-        path = '/control'
         body = dict(order.body)
         if order.where is Where.PROCESS:
             body['name'] = order.name
-        reply = HttpCaller(self._address(order), connections=1).call(
-            'POST', path, json.dumps(body).encode(), timeout_s=TIMEOUT_S
+        reply = HttpCaller(_address(self._site, order), connections=1).call(
+            'POST', CONTROL_PATH, json.dumps(body).encode(), timeout_s=TIMEOUT_S
         )
         is_crash = body.get('fault') == 'crash'
         if isinstance(reply, Failure) and not is_crash:
@@ -75,13 +79,30 @@
         elif not isinstance(reply, Failure) and reply.status != 200:
             self._say(f'{order.name}: the order failed: {reply.body!r}')
 
-    def _address(self, order: Order) -> str:
-        if order.where is Where.PROCESS:
-            return self._site.control
-        if order.name == 'log':
-            return self._site.log
-        return next(
-            target.address
-            for target in self._site.targets
-            if target.name == order.name
+
+def ask_struck(scenario: Scenario, site: Site) -> dict[str, int]:
+    """
+    Ask the stand-ins how often each fault that the scenario ordered struck.
+    """
+    struck: dict[str, int] = {}
+    for order in scenario.orders:
+        fault = order.body.get('fault')
+        if fault not in COUNTED:
+            continue
+        reply = HttpCaller(_address(site, order), connections=1).call(
+            'GET', CONTROL_PATH, timeout_s=TIMEOUT_S
         )
+        if not isinstance(reply, Failure):
+            counts = json.loads(reply.body)['struck']
+            struck[f'{order.name} {fault}'] = counts.get(fault, 0)
+    return struck
+
+
+def _address(site: Site, order: Order) -> str:
+    if order.where is Where.PROCESS:
+        return site.control
+    if order.name == 'log':
+        return site.log
+    return next(
+        target.address for target in site.targets if target.name == order.name
+    )
--- a/mallowcrank/load/report.py
+++ b/mallowcrank/load/report.py
@@ -21,6 +21,7 @@
 )
 from mallowcrank.load.judge import Verdict, judge
 from mallowcrank.load.latency import percentiles_ms
+from mallowcrank.load.promises import PROMISES, PromiseFields
 from mallowcrank.load.records import CallRecord, Outcome
 from mallowcrank.load.scenario import Scenario
 from mallowcrank.load.site import Site
@@ -35,17 +36,14 @@
     When things happened, in seconds since the epoch.
 
     :param fault_at: when the fault was brought about.
-    :param config_in_force_s: seconds until published settings were in force
-        on every router.
     """
 
     window: Window
     fault_at: float | None = None
-    config_in_force_s: float | None = None
 
 
 @dataclass(frozen=True)
-class Report:
+class Report(PromiseFields):
     """
     All figures; times in seconds but for those in `_ms`.
 
@@ -67,6 +65,8 @@
     crossed: int
     layer_violations: int
     false_refusals: int
+    late_settings: int
+    idle_faults: int
     throughput: float
     bound: float
     ratio: float
@@ -81,21 +81,6 @@
     refusals: dict[str, int] = field(default_factory=dict)
     findings: dict[str, list[str]] = field(default_factory=dict)
 
-    @property
-    def is_clean(self) -> bool:
-        """
-        Tell whether every promise was kept.
-        """
-        return not any(
-            (
-                self.lost,
-                self.doubled,
-                self.crossed,
-                self.layer_violations,
-                self.false_refusals,
-            )
-        )
-
 
 def make_report(
     scenario: Scenario, seed: int, site: Site, evidence: Evidence, times: Times
@@ -105,7 +90,7 @@
     """
     records = evidence.records
     outcomes = count_outcomes(records)
-    verdict = judge(evidence)
+    broken = _findings_of(judge(evidence))
     reached = throughput(records, times.window)
     model = next(iter(site.layers))
     whole = completed_completions(records)
@@ -117,11 +102,7 @@
         completed=outcomes[Outcome.COMPLETED],
         refused_not_run=outcomes[Outcome.REFUSED_NOT_RUN],
         unknown=outcomes[Outcome.UNKNOWN],
-        lost=len(verdict.lost),
-        doubled=len(verdict.doubled),
-        crossed=len(verdict.crossed),
-        layer_violations=len(verdict.layer_violations),
-        false_refusals=len(verdict.false_refusals),
+        **{name: len(found) for name, found in broken.items()},
         throughput=round(reached, 2),
         bound=round(bound, 2),
         ratio=round(reached / bound, 4) if bound else 0,
@@ -131,10 +112,14 @@
         between_tokens_ms=percentiles_ms(between_tokens_seconds(records)),
         alert_ms=percentiles_ms(call_seconds(records, ALERT)),
         branch_shares=branch_shares(records, times.window),
-        config_in_force_s=times.config_in_force_s,
+        config_in_force_s=evidence.observed.config_in_force_s,
         leaving_last_work_s=leaving_last_work(evidence.trace),
         refusals=_count_refusals(evidence),
-        findings=_show(verdict),
+        findings={
+            name: list(found[:MAX_FINDINGS])
+            for name, found in broken.items()
+            if found
+        },
     )
 
 
@@ -161,16 +146,5 @@
     return counts
 
 
-def _show(verdict: Verdict) -> dict[str, list[str]]:
-    kinds = {
-        'lost': verdict.lost,
-        'doubled': verdict.doubled,
-        'crossed': verdict.crossed,
-        'layer_violations': verdict.layer_violations,
-        'false_refusals': verdict.false_refusals,
-    }
-    return {
-        kind: list(found[:MAX_FINDINGS])
-        for kind, found in kinds.items()
-        if found
-    }
+def _findings_of(verdict: Verdict) -> dict[str, tuple[str, ...]]:
+    return {name: getattr(verdict, name) for name in PROMISES}
--- a/mallowcrank/load/run.py
+++ b/mallowcrank/load/run.py
@@ -8,10 +8,10 @@
 
 from mallowcrank.load.addresses import ASK_TIMEOUT_S, AddressBook
 from mallowcrank.load.callers import Crowd
-from mallowcrank.load.evidence import Evidence
+from mallowcrank.load.evidence import Evidence, Observed
 from mallowcrank.load.figures import Window, count_outcomes
 from mallowcrank.load.in_force import VersionWatch
-from mallowcrank.load.orders import TimeLine
+from mallowcrank.load.orders import TimeLine, ask_struck
 from mallowcrank.load.report import Report, Times, make_report
 from mallowcrank.load.scenario import Group, Scenario
 from mallowcrank.load.site import Site
@@ -44,15 +44,20 @@
     watch.stop()
     time.sleep(SETTLE_S)
     say(f'{len(crowd.records)} calls ended; judging them')
-    trace = read_traces(Path(target.trace) for target in site.targets)
-    evidence = Evidence(crowd.records, trace, site.layers)
-    times = Times(
-        Window(started + scenario.warm_s, ends),
-        time_line.fault_at,
-        watch.seconds_since(time_line.published_at),
+    in_force_s = watch.seconds_since(time_line.published_at)
+    evidence = _gather(scenario, site, crowd, in_force_s)
+    times = Times(Window(started + scenario.warm_s, ends), time_line.fault_at)
+    return make_report(scenario, seed, site, evidence, times), evidence
+
+
+def _gather(
+    scenario: Scenario, site: Site, crowd: Crowd, in_force_s: float | None
+) -> Evidence:
+    observed = Observed(
+        ask_struck(scenario, site), in_force_s, scenario.config_within_s
     )
-    report = make_report(scenario, seed, site, evidence, times)
-    return report, evidence
+    trace = read_traces(Path(target.trace) for target in site.targets)
+    return Evidence(crowd.records, trace, site.layers, observed)
 
 
 def _book_maker(site: Site) -> Callable[[int, Group], AddressBook]:
--- a/mallowcrank/load/scenario.py
+++ b/mallowcrank/load/scenario.py
@@ -74,6 +74,8 @@
     :param about: one sentence.
     :param seconds: for which callers start calls.
     :param warm_s: seconds at the start that do not count for throughput.
+    :param config_within_s: seconds in which published settings must be in
+        force on every router; 0: it is not judged.
     """
 
     name: str
@@ -82,3 +84,4 @@
     orders: tuple[Order, ...] = ()
     seconds: float = 20
     warm_s: float = 3
+    config_within_s: float = 0
--- a/mallowcrank/load/scenarios.py
+++ b/mallowcrank/load/scenarios.py
@@ -10,6 +10,9 @@
 
 MODEL = 'assistant'
 FAULT_AT_S = 8
+IN_FORCE_S = 9  # the longest time that the users allow
+SLOW_BYTES_PER_S = 2000  # calls of 2 KB take a second instead of 10 ms
+CONFIG = '"config"'  # in the record that an operator appends
 QUOTE_PREFIX = 'You draft custom hat quotes for franchise milliners. Quote for '
 
 QUOTES = Group(
@@ -166,6 +169,7 @@
         'Two operators publish changes of the same setting at a time.',
         EVERYONE,
         (_at_process('settings', 'publish', race=2),),
+        config_within_s=IN_FORCE_S,
     ),
     Scenario(
         'lost-append-answer',
@@ -175,6 +179,7 @@
             _at_standin('log', 'lose_answer', count=1, path='/append'),
             _at_process('settings', 'publish', race=1),
         ),
+        config_within_s=IN_FORCE_S,
     ),
     Scenario(
         'paused-leaseholder',
@@ -200,6 +205,44 @@
             _at_process('agent-0', 'kill'),
         ),
     ),
+    Scenario(
+        'slow-link',
+        'The link to an engine becomes a hundred times slower.',
+        EVERYONE,
+        (_at_standin('engine-a1', 'slow_link', bytes_per_s=SLOW_BYTES_PER_S),),
+    ),
+    Scenario(
+        'crossed-answers',
+        'Engines mix results up and answer late; so does a service.',
+        EVERYONE,
+        (
+            *(
+                _at_standin(name, 'cross', count=200)
+                for name in ('engine-a1', 'engine-b2', 'engine-c1')
+            ),
+            *(
+                _at_standin(name, 'delay', seconds=0.3, count=20, path=path)
+                for name, path in (
+                    ('engine-b1', '/steps'),
+                    ('engine-c1', '/steps'),
+                    ('stock-1', '/calls'),
+                )
+            ),
+        ),
+    ),
+    Scenario(
+        'log-outage-after-publish',
+        'The log accepts a change, answers one read and is out for 12 s.',
+        EVERYONE,
+        (
+            _later(
+                _at_standin('log', 'outage', seconds=12, after=CONFIG, count=1),
+                -1,
+            ),
+            _at_process('settings', 'publish', race=1),
+        ),
+        config_within_s=IN_FORCE_S,
+    ),
     Scenario(
         'two-faults',
         'An engine crashes, and a second later a router does.',
--- a/mallowcrank/standins/faults.py
+++ b/mallowcrank/standins/faults.py
@@ -5,8 +5,9 @@
 import errno
 import os
 import threading
+from collections import Counter
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from enum import StrEnum, unique
 
 from cattrs import BaseValidationError
@@ -19,6 +20,7 @@
 SILENCE_LIMIT_S = 60
 POLL_S = 0.01
 CRASH_STATUS = 137
+OUT = json_response({'error': 'outage'}, 503)
 
 
 @unique
@@ -48,10 +50,13 @@
     One order.
 
     :param seconds: how long it lasts, or how long a delay is.
-    :param count: calls that it hits; 0 for all until it is healed.
+    :param count: calls that it hits; 0 for all until it is healed. For an
+        outage: reads that wait when it begins and are still answered.
     :param path: only calls whose path starts so.
     :param bytes_per_s: a slow link's rate.
     :param offset: the first log record that is kept.
+    :param after: where given, the fault begins once a request whose body
+        holds this text was answered.
     """
 
     fault: Fault
@@ -60,6 +65,7 @@
     path: str = ''
     bytes_per_s: float = 0
     offset: int = 0
+    after: str = ''
 
 
 @dataclass
@@ -89,6 +95,8 @@
         self._hook = hook
         self._lock = threading.Lock()
         self._active: dict[Fault, _Active] = {}
+        self._struck: Counter[Fault] = Counter()
+        self._pending: list[FaultOrder] = []
         self._seen: dict[str, float] = {}
         self._silent: set[str] = set()
 
@@ -105,6 +113,9 @@
         if refusal is not None:
             return refusal
         response = self._handler(request)
+        self._begin_pending(request)
+        if request.method == 'GET' and self._is_cut(request):
+            return OUT
         self._hold(request)
         if self.strikes(Fault.LOSE_ANSWER, request.path):
             raise _reset()
@@ -125,16 +136,21 @@
         """
         Tell whether a fault hits this call, and count it.
         """
+        return self._strike(fault, path) is not None
+
+    def _strike(self, fault: Fault, path: str) -> FaultOrder | None:
         with self._lock:
             active = self._find(fault, path)
             if active is None:
-                return False
+                return None
             active.left -= 1
             if active.left == 0:
                 self._active.pop(fault)
-            return True
+            return active.order
 
     def _control(self, request: Request) -> Response:
+        if request.method == 'GET':
+            return json_response({'struck': dict(self._struck)})
         try:
             order = from_plain(request.json(), FaultOrder)
         except (ValueError, BaseValidationError) as error:
@@ -149,10 +165,24 @@
         if order.fault is Fault.SILENCE:
             self._silent.update(self._seen)
             return
+        if order.after:
+            self._pending.append(order)
+            return
         lasting = order.seconds and order.fault is not Fault.DELAY
         ends = self._clock.steady() + order.seconds if lasting else float('inf')
         self._active[order.fault] = _Active(order, ends, order.count or -1)
 
+    def _begin_pending(self, request: Request) -> None:
+        with self._lock:
+            begun = [
+                order
+                for order in self._pending
+                if order.after.encode() in request.body
+            ]
+            for order in begun:
+                self._pending.remove(order)
+                self._apply_locked(replace(order, after=''))
+
     def _find(self, fault: Fault, path: str) -> _Active | None:
         active = self._active.get(fault)
         if active is None or not path.startswith(active.order.path):
@@ -160,6 +190,7 @@
         if active.ends <= self._clock.steady():
             self._active.pop(fault)
             return None
+        self._struck[fault] += 1
         return active
 
     def _hold(self, request: Request) -> None:
@@ -175,20 +206,27 @@
 
     def _refuse(self, request: Request) -> Response | None:
         if self._is_active(Fault.OUTAGE, request.path):
-            return json_response({'error': 'outage'}, 503)
+            return OUT
         if self.strikes(Fault.REFUSE, request.path):
             return json_response({'error': 'refused'}, 503, (('X-Ran', 'no'),))
         return None
 
-    def _slow(self, request: Request, response: Response) -> None:
+    def _is_cut(self, request: Request) -> bool:
         with self._lock:
-            delay = self._find(Fault.DELAY, request.path)
-            link = self._find(Fault.SLOW_LINK, request.path)
+            active = self._find(Fault.OUTAGE, request.path)
+            if active is None:
+                return False
+            active.left -= 1
+            return active.left < 0
+
+    def _slow(self, request: Request, response: Response) -> None:
+        delay = self._strike(Fault.DELAY, request.path)
+        link = self._strike(Fault.SLOW_LINK, request.path)
         if delay:
-            self._clock.sleep(delay.order.seconds)
+            self._clock.sleep(delay.seconds)
         if link and isinstance(response.body, bytes):
             size = len(request.body) + len(response.body)
-            self._clock.sleep(size / max(1, link.order.bytes_per_s))
+            self._clock.sleep(size / max(1, link.bytes_per_s))
 
 
 def _reset() -> OSError:
--- a/tests/test_judge.py
+++ b/tests/test_judge.py
@@ -8,8 +8,9 @@
 
 from xxhash import xxh64_hexdigest
 
-from mallowcrank.load.evidence import Evidence
-from mallowcrank.load.judge import judge
+from mallowcrank.load.evidence import Evidence, Observed
+from mallowcrank.load.judge import Verdict, judge
+from mallowcrank.load.promises import PROMISES
 from mallowcrank.load.records import (
     CallKind,
     CallRecord,
@@ -283,3 +284,46 @@
         )
         verdict = verdict_on(record, parse_lines(line.lines))
         self.assertEqual(len(verdict.false_refusals), 1)
+
+
+class TestScenarios(TestCase):
+    """
+    What a scenario demands besides the promises to callers.
+    """
+
+    def judge(self, **observed):
+        seen = Observed(**observed)
+        return judge(Evidence((), Trace(), {'model': LAYERS}, seen))
+
+    def test_settings_in_force_in_time_are_clean(self):
+        verdict = self.judge(config_in_force_s=1.5, config_within_s=9)
+        self.assertTrue(verdict.is_clean, verdict)
+
+    def test_settings_in_force_too_late(self):
+        verdict = self.judge(config_in_force_s=9.5, config_within_s=9)
+        self.assertIn('9.5 s', verdict.late_settings[0])
+        self.assertFalse(verdict.is_clean)
+
+    def test_settings_that_some_router_never_had(self):
+        verdict = self.judge(config_within_s=9)
+        self.assertIn('never', verdict.late_settings[0])
+
+    def test_settings_that_no_scenario_times_are_clean(self):
+        self.assertTrue(self.judge(config_in_force_s=20).is_clean)
+
+    def test_fault_that_struck_nothing(self):
+        verdict = self.judge(struck={'e1 slow_link': 0, 'log outage': 3})
+        self.assertEqual(verdict.idle_faults, ('e1 slow_link struck nothing',))
+        self.assertFalse(verdict.is_clean)
+
+    def test_results_that_were_crossed_inside_a_stream(self):
+        line = Line()
+        run_whole(line)
+        other = expected_answer(b'tudung', LAYERS, TOKENS).decode()
+        mixed = completion(answer=ANSWER[0] + other[1:])
+        verdict = verdict_on(mixed, parse_lines(line.lines))
+        self.assertEqual(len(verdict.layer_violations), 1)
+
+    def test_each_promise_counts(self):
+        for name in PROMISES:
+            self.assertFalse(Verdict(**{name: ('broken',)}).is_clean, name)
--- a/tests/test_standin_platform.py
+++ b/tests/test_standin_platform.py
@@ -64,6 +64,38 @@
             self.append('a')
         self.assertEqual(self.page()['records'][0]['body']['id'], 'a')
 
+    def test_outage_that_begins_right_after_a_change_was_accepted(self):
+        self.faults.apply(FaultOrder(Fault.OUTAGE, seconds=3, after='"config"'))
+        self.assertEqual(self.page()['next'], 0)
+        statuses = [self.append(number).status for number in range(2)]
+        self.assertEqual(statuses, [200, 503])
+        self.clock.advance(3)
+        self.assertEqual(self.page()['next'], 1)
+
+    def test_outage_cuts_waiting_reads_but_for_one(self):
+        statuses = []
+
+        def wait(request):
+            # Two reads wait when the outage begins.
+            if request.peer == 'first':
+                statuses.append(self.faults(get('/records', 'second')).status)
+            else:
+                self.faults.apply(FaultOrder(Fault.OUTAGE, count=1))
+            return self.log.answer(request)
+
+        self.faults = Faults(wait, self.clock, self.log.take_fault)
+        statuses.append(self.faults(get('/records', 'first')).status)
+        self.assertEqual(statuses, [200, 503])
+
+    def test_fault_is_counted_by_what_it_strikes(self):
+        self.faults.apply(FaultOrder(Fault.DELAY, seconds=2, count=2))
+        before = self.clock.steady()
+        for number in range(3):
+            self.append(number)
+        self.assertEqual(self.clock.steady(), before + 4)
+        counts = json.loads(self.faults(get('/control')).body)
+        self.assertEqual(counts['struck'], {'delay': 2})
+
     def test_outage_ends(self):
         self.faults.apply(FaultOrder(Fault.OUTAGE, seconds=3))
         self.assertEqual(self.append(1).status, 503)
