Name the request that ran in an answer that is given again

The permit ran once, as host-0-...-203; its retry with the same key got the kept answer, under the retry's own id, which no engine's trace has. Ruled out: a second run (the trace has one), a wrong text. Checked with: tests.test_request_services, whose test of the kept answer fails without the change.

--- a/mallowcrank/load/scenarios.py
+++ b/mallowcrank/load/scenarios.py
@@ -20,14 +20,14 @@
     CallKind.COMPLETION,
     'topi/quotes',
     MODEL,
-    callers=16,
+    callers=24,
     prefix=QUOTE_PREFIX,
 )
 FITTINGS = Group(
-    'fittings', CallKind.COMPLETION, 'topi/fittings', MODEL, callers=4
+    'fittings', CallKind.COMPLETION, 'topi/fittings', MODEL, callers=6
 )
 REPORTS = Group(
-    'reports', CallKind.COMPLETION, 'rail/reports', MODEL, callers=8
+    'reports', CallKind.COMPLETION, 'rail/reports', MODEL, callers=12
 )
 PERMITS = Group(
     'permits',
--- a/mallowcrank/router/api.py
+++ b/mallowcrank/router/api.py
@@ -133,7 +133,10 @@
         # What may not repeat runs to its end, so that a retry gets the answer.
         runner = partial(self._admit, call, ticket, NO_LINK)
         keyed = KeyedRequest(request, call.terms, deadline)
-        return self._keyed.run(keyed, runner)
+        # An answer that is given again names the request that ran.
+        return self._keyed.run(
+            keyed, lambda guard: self._name(runner(guard), name)
+        )
 
     def _admit(
         self,
@@ -222,19 +225,22 @@
         """
         Name the request in the answer, and count it until its body has ended.
         """
+        self._parts.metrics.incr('requests')
+        named = self._name(response, name)
+        if isinstance(response.body, bytes):
+            self._parts.in_flight.leave()
+            return named
+        body = TrackedBody(response.body, self._parts.in_flight.leave)
+        return replace(named, body=body)
+
+    def _name(self, response: Response, name: str) -> Response:
         given = {header.lower() for header, _ in response.headers}
         own = (
             ('X-Mallowcrank-Request', name),
             ('X-Mallowcrank-Router', self._parts.me.name),
         )
         added = (each for each in own if each[0].lower() not in given)
-        headers = (*response.headers, *added)
-        self._parts.metrics.incr('requests')
-        if isinstance(response.body, bytes):
-            self._parts.in_flight.leave()
-            return replace(response, headers=headers)
-        body = TrackedBody(response.body, self._parts.in_flight.leave)
-        return replace(response, headers=headers, body=body)
+        return replace(response, headers=(*response.headers, *added))
 
 
 class TrackedBody:
--- a/tests/test_request_services.py
+++ b/tests/test_request_services.py
@@ -74,6 +74,8 @@
         again = router.send('POST', PATH, b'body', idempotency_key=key)
         self.assertEqual(again.whole, first.whole)
         self.assertEqual(again.headers['x-mallowcrank-replayed'], 'yes')
+        ran = first.headers['x-mallowcrank-request']
+        self.assertEqual(again.headers['x-mallowcrank-request'], ran)
         other = router.send('POST', PATH, b'other', idempotency_key=key)
         self.assertEqual(self.outcome(other), ('key_reused', 'no'))
         self.assertEqual(len(replica.ran), 1)
