Show targets and broken promises in the report's picture

Cause (seen in a picture of eight reports of two versions): legends covered bars, labels ran into the frame and each other, 9298 read 9.3e+03, bars stood beside their scenario, the table had a scenario's versions far apart, and a broken promise did not show at all. Change: one legend above, room for labels, whole numbers from 1000 on, the users' targets as lines, a panel of broken promises in place of refusals, wider pictures for many scenarios; versions stand one below the other in the table.

--- a/mallowcrank/load/plots.py
+++ b/mallowcrank/load/plots.py
@@ -15,37 +15,54 @@
 from matplotlib.axes import Axes
 from matplotlib.figure import Figure
 
-PANELS = (
-    ('Throughput as a part of its bound', ('ratio',)),
-    ('Recovery after the fault, s', ('recovery_s',)),
-    ('First token, p95, ms', ('first_token_ms', 'p95')),
-    ('Between tokens, p95, ms', ('between_tokens_ms', 'p95')),
-    ('Alert calls, p99, ms', ('alert_ms', 'p99')),
-    ('Calls refused, not run', ('refused_not_run',)),
-)
+from mallowcrank.load.promises import PROMISES
+
+BROKEN = 'broken'  # the sum of all broken promises
 TABLE = (
-    'scenario',
-    'seed',
     'requests',
     'completed',
     'refused_not_run',
     'unknown',
-    'lost',
-    'doubled',
-    'crossed',
-    'layer_violations',
-    'false_refusals',
+    *PROMISES,
     'throughput',
     'bound',
     'ratio',
     'recovery_s',
+    'recovery_keyed_s',
     'config_in_force_s',
     'leaving_last_work_s',
 )
 COLUMNS = 2
 PANEL_INCHES = (7, 3)
+GROUP_INCHES = 0.5  # at least, along the axis
 DPI = 110
 GROUP_WIDTH = 0.8
+HEADROOM = 0.15  # above the bars, for their figures
+WHOLE_FROM = 1000  # figures from here on are shown as whole numbers
+
+
+@dataclass(frozen=True)
+class Panel:
+    """
+    One panel of the picture.
+
+    :param path: where a report has the figure.
+    :param target: what the figure should reach or stay under.
+    """
+
+    title: str
+    path: tuple[str, ...]
+    target: float | None = None
+
+
+PANELS = (
+    Panel('Throughput as a part of its bound', ('ratio',), 0.95),
+    Panel('Recovery after the fault, s', ('recovery_s',), 1),
+    Panel('First token, p95, ms', ('first_token_ms', 'p95'), 490),
+    Panel('Between tokens, p95, ms', ('between_tokens_ms', 'p95'), 33),
+    Panel('Alert calls, p99, ms', ('alert_ms', 'p99'), 250),
+    Panel('Promises broken', (BROKEN,), 0),
+)
 
 
 @dataclass(frozen=True)
@@ -67,6 +84,17 @@
         """
         return f'{self.fields["scenario"]} {self.fields["seed"]}'
 
+    def find(self, path: Sequence[str]) -> float:
+        """
+        Return a figure; not a number where the report has none.
+        """
+        if path[0] == BROKEN:
+            return sum(self.fields.get(name, 0) for name in PROMISES)
+        found: Any = self.fields
+        for name in path:
+            found = (found or {}).get(name)
+        return nan if found is None else found
+
 
 def read_reports(paths: Sequence[Path]) -> tuple[Drawn, ...]:
     """
@@ -103,22 +131,28 @@
     Draw all panels.
     """
     rows = len(PANELS) // COLUMNS
-    size = (PANEL_INCHES[0] * COLUMNS, PANEL_INCHES[1] * rows)
+    width = max(PANEL_INCHES[0], GROUP_INCHES * len(_scenarios(reports)))
+    size = (width * COLUMNS, PANEL_INCHES[1] * rows)
     figure = Figure(figsize=size, layout='constrained')
     axes = figure.subplots(rows, COLUMNS).flat
-    for panel, (title, path) in zip(axes, PANELS, strict=True):
-        panel.set_title(title)
-        _draw_bars(panel, reports, path)
+    for drawing, panel in zip(axes, PANELS, strict=True):
+        drawing.set_title(panel.title)
+        _draw_bars(drawing, reports, panel)
+    legend = figure.axes[0].get_legend_handles_labels()
+    figure.legend(*legend, loc='outside upper left', ncols=len(legend[0]))
     return figure
 
 
 def make_page(reports: Sequence[Drawn], picture: bytes) -> str:
     """
-    Return a page of HTML.
+    Return a page of HTML; a scenario's versions stand one below the other.
     """
     encoded = base64.b64encode(picture).decode()
-    rows = '\n'.join(_table_row(report) for report in reports)
-    heads = ''.join(f'<th>{name}</th>' for name in ('version', *TABLE))
+    order = _scenarios(reports)
+    ordered = sorted(reports, key=lambda each: order.index(each.scenario))
+    rows = '\n'.join(map(_table_row, ordered))
+    names = ('scenario', 'version', *TABLE)
+    heads = ''.join(f'<th>{name}</th>' for name in names)
     return (
         '<!doctype html>\n<meta charset="utf-8">\n'
         '<title>mallowcrank-load</title>\n'
@@ -128,33 +162,39 @@
 
 
 def _table_row(report: Drawn) -> str:
-    cells = (report.version, *(report.fields.get(name) for name in TABLE))
+    figures = (report.fields.get(name) for name in TABLE)
+    cells = (report.scenario, report.version, *figures)
     texts = ('' if cell is None else html.escape(str(cell)) for cell in cells)
     return f'<tr>{"".join(f"<td>{text}</td>" for text in texts)}</tr>'
 
 
-def _draw_bars(
-    panel: Axes, reports: Sequence[Drawn], path: tuple[str, ...]
-) -> None:
-    scenarios = list(dict.fromkeys(report.scenario for report in reports))
+def _scenarios(reports: Sequence[Drawn]) -> list[str]:
+    return list(dict.fromkeys(report.scenario for report in reports))
+
+
+def _draw_bars(drawing: Axes, reports: Sequence[Drawn], panel: Panel) -> None:
+    scenarios = _scenarios(reports)
     versions = list(dict.fromkeys(report.version for report in reports))
     width = GROUP_WIDTH / len(versions)
+    first = (width - GROUP_WIDTH) / 2
     for number, version in enumerate(versions):
         drawn = [report for report in reports if report.version == version]
-        bars = panel.bar(
-            [scenarios.index(each.scenario) + number * width for each in drawn],
-            [_find(each.fields, path) for each in drawn],
+        offset = first + number * width
+        bars = drawing.bar(
+            [scenarios.index(each.scenario) + offset for each in drawn],
+            [each.find(panel.path) for each in drawn],
             width,
             label=version,
         )
-        panel.bar_label(bars, fmt='%.3g', fontsize=7)
-    panel.set_xticks(range(len(scenarios)), scenarios, rotation=20, ha='right')
-    if len(versions) > 1:
-        panel.legend()
+        drawing.bar_label(bars, fmt=_show_figure, fontsize=7)
+    if panel.target is not None:
+        drawing.axhline(panel.target, color='black', linestyle='--')
+    drawing.margins(y=HEADROOM)
+    drawing.set_ylim(bottom=0)
+    drawing.set_xticks(
+        range(len(scenarios)), scenarios, rotation=30, ha='right'
+    )
 
 
-def _find(fields: Mapping[str, Any], path: tuple[str, ...]) -> float:
-    found: Any = fields
-    for name in path:
-        found = (found or {}).get(name)
-    return nan if found is None else found
+def _show_figure(figure: float) -> str:
+    return f'{figure:.0f}' if figure >= WHOLE_FROM else f'{figure:.3g}'
