--- a/mallowcrank/router/api.py
+++ b/mallowcrank/router/api.py
@@ -61,14 +61,12 @@
             '*', '/v1/services/', partial(self._answer, self._read_service)
         )
         routes.add('GET', '/v1/models', self._models)
-        routes.add('GET', '/v1/addresses', self._addresses)
+        addresses = partial(answer_addresses, parts=self._parts)
+        routes.add('GET', '/v1/addresses', addresses)
         return routes
 
     # Queries
 
-    def _addresses(self, request: Request) -> Response:
-        return answer_addresses(request, self._parts)
-
     def _models(self, request: Request) -> Response:
         workspace = find_workspace(request, self._parts.known.view)
         if isinstance(workspace, Refused):
