Hand an accepted record to agents, in case none can read it

Change: the client hands record and offset to three agents. One takes it in and passes it on where no record before it can be missing: it has read the log up to the offset itself, or the client had. The fold depends on all records before, so that otherwise it is left to the log.

Ruled out: taking it in any case, since a record in between could have won the same setting, and the change would then revert.

Tests: `python -m unittest tests.test_agent_peers`, ten, five of them new.

--- a/mallowcrank/agent/admin.py
+++ b/mallowcrank/agent/admin.py
@@ -4,16 +4,22 @@
 
 from collections.abc import Callable
 from dataclasses import dataclass
+from http import HTTPStatus
 from typing import Any
 
+from cattrs import BaseValidationError
+
+from mallowcrank.agent.messages import OfferedRecord
+from mallowcrank.agent.offers import take_offer
 from mallowcrank.agent.ports import MembershipPort
-from mallowcrank.codec import to_plain
+from mallowcrank.codec import from_plain, to_plain
 from mallowcrank.config.replica import Replica
 from mallowcrank.config.tree import find_outcome, walk
 from mallowcrank.settings import AgentSettings
 from mallowcrank.timeline import Filter, Timeline
 from mallowcrank.web import Request, Response, Routes, json_response
 
+MALFORMED = (BaseValidationError, TypeError, ValueError)
 FILTERS = ('request', 'host', 'target', 'part')
 
 
@@ -57,6 +63,7 @@
         routes.add('GET', '/admin/settings', self.settings)
         routes.add('GET', '/admin/timeline', self.timeline)
         routes.add('POST', '/admin/drain', self.drain)
+        routes.add('POST', '/admin/records', self.take_record)
         return routes
 
     # Queries
@@ -116,6 +123,18 @@
 
     # Commands
 
+    def take_record(self, request: Request) -> Response:
+        """
+        Answer `POST /admin/records`.
+        """
+        try:
+            offered = from_plain(request.json(), OfferedRecord)
+        except MALFORMED as error:
+            problem = {'message': f'the record is malformed: {error}'}
+            return json_response({'error': problem}, HTTPStatus.BAD_REQUEST)
+        taken = take_offer(offered, self._desk.settings_actor)
+        return json_response({'taken': taken})
+
     def drain(self, _request: Request) -> Response:
         """
         Answer `POST /admin/drain`.
--- a/mallowcrank/agent/messages.py
+++ b/mallowcrank/agent/messages.py
@@ -25,6 +25,22 @@
     body: dict[str, Any] = field(default_factory=dict)
 
 
+@dataclass(frozen=True, slots=True)
+class OfferedRecord:
+    """
+    A record that an operator's client has appended.
+
+    :param time: seconds since the epoch, by the client's clock.
+    :param after: the offset of the folded record before it, or `None` where
+        the client has not read the log up to it.
+    """
+
+    offset: int
+    time: float
+    after: int | None = None
+    body: dict[str, Any] = field(default_factory=dict)
+
+
 @unique
 class Need(StrEnum):
     """
--- a/mallowcrank/operators/publish.py
+++ b/mallowcrank/operators/publish.py
@@ -2,23 +2,27 @@
 Publishing: append a record once, and learn what became of it.
 """
 
+import time
 from collections.abc import Mapping
 from dataclasses import dataclass
 from typing import Any
 
-from mallowcrank.codec import from_plain
+from mallowcrank.agent.messages import OfferedRecord
+from mallowcrank.codec import from_plain, to_plain
 from mallowcrank.config.difference import Difference
 from mallowcrank.config.files import Draft
 from mallowcrank.config.outcomes import Outcome
 from mallowcrank.config.parsing import to_body
 from mallowcrank.config.records import ConfigRecord, RestoreRecord
 from mallowcrank.config.replica import Replica
-from mallowcrank.operators.desk import Desk, get_admin
+from mallowcrank.operators.asking import ask_each
+from mallowcrank.operators.desk import Desk, get_admin, post_admin
 from mallowcrank.operators.source import read_outcome
 from mallowcrank.ports import Failure
 from mallowcrank.refusals import Ran
 
 RETRY_S = 0.2
+OFFERED_AGENTS = 3
 TIMED_OUT = 'the time is over'
 
 
@@ -78,9 +82,30 @@
             reason = appended.reason
             may_be_there = appended.ran is not Ran.NO
             desk.sleep(RETRY_S)
+        else:
+            offer(desk, publication, appended)
     return Failure(reason, Ran.UNKNOWN if may_be_there else Ran.NO)
 
 
+def offer(desk: Desk, publication: Publication, offset: int) -> None:
+    """
+    Hand an accepted record to some agents, which pass it on: the log may be
+    out before any of them has read it.
+    """
+    tree = publication.replica.tree
+    is_next = tree is not None and tree.through == offset - 1
+    offered = OfferedRecord(
+        offset,
+        time.time(),
+        tree.last if is_next else None,
+        dict(publication.body),
+    )
+    ask_each(
+        desk.settings.agents[:OFFERED_AGENTS],
+        lambda agent: post_admin(agent, '/admin/records', to_plain(offered)),
+    )
+
+
 def look_for(desk: Desk, publication: Publication) -> Outcome | Failure | None:
     """
     Look for a record by its id, with the agents first and then in the log.
--- a/tests/test_agent_peers.py
+++ b/tests/test_agent_peers.py
@@ -9,7 +9,8 @@
 from unittest import TestCase
 
 from mallowcrank.agent.loops import MAX_ASK_S, PeerReader, growing_pause
-from mallowcrank.agent.messages import TreeQuestion
+from mallowcrank.agent.messages import OfferedRecord, TreeQuestion
+from mallowcrank.agent.offers import take_offer
 from mallowcrank.agent.settings import SettingsActor, Surroundings
 from mallowcrank.clock import FakeClock, HybridClock
 from mallowcrank.codec import from_plain, to_plain
@@ -55,6 +56,13 @@
         return to_plain(self.peer.answer(question).get())
 
 
+def page(offset, base, streams):
+    change = Change('organisation.streams', base, streams)
+    record = ConfigRecord(f'r{offset}', (change,), read=base)
+    record = LogRecord(offset, 5, to_body(record))
+    return LogPage(0, offset + 1, (record,))
+
+
 class TestAskedPeers(TestCase):
     def setUp(self):
         self.clock = FakeClock()
@@ -71,31 +79,25 @@
         self.addCleanup(ref.stop)
         return ref.proxy()
 
-    def page(self, offset, base, streams):
-        change = Change('organisation.streams', base, streams)
-        record = ConfigRecord(f'r{offset}', (change,), read=base)
-        record = LogRecord(offset, self.clock.now(), to_body(record))
-        return LogPage(0, offset + 1, (record,))
-
     def version(self):
         return self.settings.effective().get().version
 
     def test_settings_come_from_a_peer_while_the_log_is_out(self):
-        first = self.page(0, -1, 10)
+        first = page(0, -1, 10)
         self.reached.apply_page(first).get()
         self.settings.apply_page(first).get()
         self.settings.apply_outage('it is out').get()
-        self.reached.apply_page(self.page(1, 0, 20)).get()
+        self.reached.apply_page(page(1, 0, 20)).get()
         self.gossip.peer = self.reached
         self.reader()
         self.assertEqual(self.version(), 1)
         self.assertEqual(self.feed.versions, [0, 1])
 
     def test_peer_that_is_behind_changes_nothing(self):
-        first = self.page(0, -1, 10)
+        first = page(0, -1, 10)
         self.reached.apply_page(first).get()
         self.settings.apply_page(first).get()
-        self.settings.apply_page(self.page(1, 0, 20)).get()
+        self.settings.apply_page(page(1, 0, 20)).get()
         self.settings.apply_outage('it is out').get()
         self.gossip.peer = self.reached
         self.reader()
@@ -112,6 +114,52 @@
         self.assertEqual(len(pauses), 10)
 
 
+class TestOfferedRecord(TestCase):
+    """
+    An operator's client has appended a record; the log went out right after.
+    """
+
+    def setUp(self):
+        self.clock = FakeClock()
+        self.feed = Feed()
+        timeline = Timeline('host', HybridClock(self.clock))
+        around = Surroundings(Gossip(), self.clock, timeline, self.feed)
+        ref = SettingsActor.start(around)
+        self.addCleanup(ref.stop)
+        self.settings = ref.proxy()
+        self.settings.apply_page(page(0, -1, 10)).get()
+        self.settings.apply_outage('it is out').get()
+
+    def offer(self, offset, after=None, base=0):
+        body = dict(page(offset, base, 20).records[0].body)
+        offered = OfferedRecord(offset, 5, after, body)
+        return take_offer(offered, self.settings)
+
+    def version(self):
+        return self.settings.effective().get().version
+
+    def test_next_record_is_in_force(self):
+        self.assertTrue(self.offer(1))
+        self.assertEqual(self.version(), 1)
+
+    def test_record_that_may_follow_others_is_not_taken(self):
+        self.assertFalse(self.offer(3))
+        self.assertEqual(self.version(), 0)
+
+    def test_record_whose_client_has_read_all_before_it_is_taken(self):
+        self.assertTrue(self.offer(3, after=0))
+        self.assertEqual(self.version(), 3)
+
+    def test_record_after_one_that_is_missing_here_is_not_taken(self):
+        self.assertFalse(self.offer(3, after=2))
+        self.assertEqual(self.version(), 0)
+
+    def test_reading_it_again_changes_nothing(self):
+        self.offer(1)
+        self.settings.apply_page(page(1, 0, 20)).get()
+        self.assertEqual(self.feed.versions, [0, 1])
+
+
 class TestTakenAddress(TestCase):
     def test_agent_says_that_its_address_is_taken_and_exits_with_1(self):
         with socket.create_server(('127.0.0.1', 0)) as taken:
