Plan placements for operators: mallowcrank place

Operators had no way to use the placement: it was a function and a benchmark.

Change: `mallowcrank place FILE` reads accelerators, links and a model in TOML, reports all findings with their place, and prints the replicas, each engine's layers and overlap, memory, the throughput bound, and what the loss of each engine leaves; as text, JSON or settings to publish. It orders nothing. split_layers takes a bound on a replica's stages, which also bounds its search over many accelerators.

--- a/mallowcrank/cli/operator.py
+++ b/mallowcrank/cli/operator.py
@@ -6,6 +6,7 @@
 
 from mallowcrank.cli import (
     operator_agents,
+    operator_place,
     operator_processes,
     operator_publish,
     operator_settings,
@@ -35,3 +36,4 @@
 operator_publish.register(app)
 operator_agents.register(app)
 operator_processes.register(app)
+operator_place.register(app)
--- a/mallowcrank/routing/placement.py
+++ b/mallowcrank/routing/placement.py
@@ -111,26 +111,43 @@
     before: '_Reached | None' = None
 
 
+@dataclass(frozen=True, slots=True)
+class _Search:
+    """
+    What is searched in.
+    """
+
+    layers: int
+    classes: Sequence[AcceleratorClass]
+    links: Links
+    most_stages: int
+
+
 def split_layers(
-    layers: int, classes: Sequence[AcceleratorClass], links: Links
+    layers: int,
+    classes: Sequence[AcceleratorClass],
+    links: Links,
+    most_stages: int | None = None,
 ) -> Plan | NoPlan:
     """
     Split layers so that the slowest stage is as fast as can be.
 
+    :param most_stages: how many accelerators it may use, where bounded; for
+        many accelerators, it bounds the time of the search as well.
     :returns: the plan with the fewest stages among the fastest ones.
     """
+    search = _Search(layers, classes, links, most_stages or layers)
     times = _stage_times(layers, classes, links)
-    if not times or _reach(layers, classes, links, times[-1]) is None:
+    if not times or _reach(search, times[-1]) is None:
         return NoPlan(f'{layers} layers do not fit into the memory')
     low, high = 0, len(times) - 1
     while low < high:
         middle = (low + high) // 2
-        if _reach(layers, classes, links, times[middle]) is None:
+        if _reach(search, times[middle]) is None:
             low = middle + 1
         else:
             high = middle
-    end = _reach(layers, classes, links, times[low])
-    return _plan_of(end, classes, links)
+    return _plan_of(_reach(search, times[low]), classes, links)
 
 
 def _stage_times(
@@ -149,38 +166,32 @@
     return sorted(times)
 
 
-def _reach(
-    layers: int,
-    classes: Sequence[AcceleratorClass],
-    links: Links,
-    limit_ms: float,
-) -> _Reached | None:
+def _reach(search: _Search, limit_ms: float) -> _Reached | None:
     """
     Return the end of the shortest plan within a time, if there is one.
     """
-    start = _Reached(0, (0,) * len(classes), -1)
+    start = _Reached(0, (0,) * len(search.classes), -1)
     frontier = {(start.used, -1): start}
-    while frontier:
+    for _ in range(search.most_stages):
         found: dict[tuple[tuple[int, ...], int], _Reached] = {}
         for state in frontier.values():
-            for after in _extend(state, classes, links, limit_ms):
-                if after.layer >= layers:
-                    return _Reached(layers, after.used, after.last, state)
+            for after in _extend(state, search, limit_ms):
+                if after.layer >= search.layers:
+                    end = search.layers
+                    return _Reached(end, after.used, after.last, state)
                 _keep_furthest(found, after)
         frontier = found
     return None
 
 
 def _extend(
-    state: _Reached,
-    classes: Sequence[AcceleratorClass],
-    links: Links,
-    limit_ms: float,
+    state: _Reached, search: _Search, limit_ms: float
 ) -> list[_Reached]:
-    before = classes[state.last] if state.last >= 0 else None
+    before = search.classes[state.last] if state.last >= 0 else None
     reached = []
-    for index, after in enumerate(classes):
-        taken = _fitting(after, limit_ms - links.transfer_ms(before, after))
+    for index, after in enumerate(search.classes):
+        transfer_ms = search.links.transfer_ms(before, after)
+        taken = _fitting(after, limit_ms - transfer_ms)
         if taken and state.used[index] < after.count:
             used = list(state.used)
             used[index] += 1
