--- a/scripts/layout.py
+++ b/scripts/layout.py
@@ -13,6 +13,7 @@
 SERVICE_PORT = 9200
 ROUTER_PORT = 8000
 ROUTER_ADMIN_PORT = 8001
+PORTS_BESIDE = 10  # between the ports of routers on one host
 AGENT_PORT = 7000
 AGENT_ADMIN_PORT = 7001
 FEED_PORT = 7002
@@ -233,20 +234,30 @@
         )
 
     def start_router(
-        self, number: int, availability_zone: str, *flags: str
+        self,
+        number: int,
+        availability_zone: str,
+        *flags: str,
+        beside: int = 0,
     ) -> Process:
         """
-        Start the router of an entry host, numbered from 0.
+        Start a router of an entry host, numbered from 0.
+
+        :param beside: counts the further routers of the host from 1; they
+            share its agent.
         """
         at = self.addresses.on_host
+        ports = PORTS_BESIDE * beside
         words = {
             **self._host_words(number, availability_zone),
-            '--listen': at(number, ROUTER_PORT),
-            '--admin': at(number, ROUTER_ADMIN_PORT),
+            '--listen': at(number, ROUTER_PORT + ports),
+            '--admin': at(number, ROUTER_ADMIN_PORT + ports),
         }
-        return self._fleet.start(
-            f'router-{number}', 'router', *_flatten(words), *flags
-        )
+        name = f'router-{number}'
+        if beside:
+            name = f'{name}-{beside}'
+            words['--host'] = f'host-{number}-{beside}'
+        return self._fleet.start(name, 'router', *_flatten(words), *flags)
 
     def wait_until_up(self) -> None:
         """
--- a/scripts/measure_data_path.py
+++ b/scripts/measure_data_path.py
@@ -1,7 +1,8 @@
 """
-Measures one router process: tokens a second, processor time, and gaps.
+Measures a host's routers: tokens a second, processor time, and gaps.
 
-Run `python -m scripts.measure_data_path`. Callers are processes of their own,
+Run `python -m scripts.measure_data_path`, with `--routers 2` for two router
+processes beside each other, with one agent. Callers are processes of their own,
 so that their interpreters don't slow the router's. Engines answer a step in
 1 ms, so that the router is what limits.
 """
@@ -19,12 +20,13 @@
 import typer
 import urllib3
 
-from scripts.fleet import Fleet, Process
-from scripts.layout import Engine, Layout
+from scripts.fleet import POLL_S, Fleet, Process
+from scripts.layout import PORTS_BESIDE, ROUTER_PORT, Engine, Layout
 from scripts.system import publish
 
 CALLER_PROCESSES = 8
 LAYERS = 8
+THREADS = 300  # of all routers of the host
 LIMIT_S = 120
 MS_PER_S = 1000
 MICROS_PER_S = 1_000_000
@@ -51,11 +53,13 @@
     :param streams: streams at a time.
     :param tokens: bound on each stream's tokens.
     :param stages: engines on the path.
+    :param routers: router processes on the host.
     """
 
     streams: int
     tokens: int
     stages: int
+    routers: int = 1
 
 
 @dataclass
@@ -124,9 +128,11 @@
     return (int(user) + int(system)) / os.sysconf('SC_CLK_TCK')
 
 
-def start_system(fleet: Fleet, load: Load) -> Layout:
+def start_system(fleet: Fleet, load: Load) -> tuple[str, ...]:
     """
     Start one host and the engines of one path.
+
+    :returns: the routers' addresses.
     """
     layout = Layout(fleet, hosts=1)
     layout.start_platform()
@@ -138,11 +144,32 @@
             Engine(f'engine-{stage}', layers, 1, 'a', LAYERS, slots=512)
         )
     layout.start_agent(0, 'a')
-    layout.start_router(0, 'a', '--threads', '300')
+    flags = ('--threads', str(THREADS // load.routers))
+    for further in range(load.routers):
+        layout.start_router(0, 'a', *flags, beside=further)
     layout.wait_until_up()
     publish_settings(fleet, layout)
     layout.wait_until_known()
-    return layout
+    routers = tuple(
+        layout.addresses.on_host(0, ROUTER_PORT + PORTS_BESIDE * beside)
+        for beside in range(load.routers)
+    )
+    for router in routers:
+        wait_until_served(router)
+    return routers
+
+
+def wait_until_served(router: str) -> None:
+    """
+    Wait until a router serves the model.
+
+    :raises TimeoutError: when it doesn't.
+    """
+    end = time.monotonic() + LIMIT_S
+    while not call(router, 1, 'hat').tokens:
+        if time.monotonic() > end:
+            raise TimeoutError(f'{router} serves nothing')
+        time.sleep(POLL_S)
 
 
 def publish_settings(fleet: Fleet, layout: Layout) -> None:
@@ -163,20 +190,21 @@
     Run a load and return a row of the table.
     """
     with Fleet() as fleet:
-        layout = start_system(fleet, load)
+        addresses = start_system(fleet, load)
+        beside = (f'router-0-{number}' for number in range(1, load.routers))
+        routers = [fleet.get(name) for name in ('router-0', *beside)]
         context = get_context('fork')
         heard = context.Queue()
-        router = fleet.get('router-0')
-        used = cpu_seconds(router)
+        used = sum(map(cpu_seconds, routers))
         started = time.monotonic()
         for seed in range(CALLER_PROCESSES):
-            address = layout.addresses.routers[0]
+            address = addresses[seed % load.routers]
             context.Process(
                 target=run_callers, args=(address, load, seed, heard)
             ).start()
         parts = [heard.get() for _ in range(CALLER_PROCESSES)]
         seconds = time.monotonic() - started
-        used = cpu_seconds(router) - used
+        used = sum(map(cpu_seconds, routers)) - used
     return format_row(load, sum(parts, []), seconds, used)
 
 
@@ -208,9 +236,10 @@
 
 def main(
     tokens: Annotated[int, typer.Option(help='Bound on each answer.')] = 150,
+    routers: Annotated[int, typer.Option(help='Router processes.')] = 1,
 ) -> None:
     """
-    Measure one router process under three counts of streams and stages.
+    Measure a host's routers under three counts of streams and stages.
     """
     print(
         '| streams | stages | tokens/s | cores | CPU us/token | '
@@ -219,7 +248,7 @@
     print('| --- | --- | --- | --- | --- | --- | --- | --- |')
     for streams in (16, 64, 128):
         for stages in (1, 2, 4):
-            print(measure(Load(streams, tokens, stages)), flush=True)
+            print(measure(Load(streams, tokens, stages, routers)), flush=True)
 
 
 if __name__ == '__main__':
