Give up a caller that takes nothing for ten seconds

Cause: the server closed a connection that took nothing for 10 s; since one thread writes the tokens, such a stream stayed until its deadline, with its place in the limits and its KV states.

Ruled out: leaving it to the deadline (120 s and more is allowed).

Change: the caller's thread looks about each second whether anything more was taken, and gives the stream up after ten looks without.

Measured: no figure; two tests, one for a caller that takes nothing and one for a slow one.

--- a/mallowcrank/router/completion_calls.py
+++ b/mallowcrank/router/completion_calls.py
@@ -257,6 +257,7 @@
         while ended is None and not pushed.is_broken:
             before = self._tokens.usage
             _, ended = self._tokens.take()
+            pushed.look()
             if ended is None and self._tokens.usage == before:
                 self._parts.pusher.put(pushed, SIGN_OF_LIFE)
         pushed.close()
--- a/mallowcrank/router/pushing.py
+++ b/mallowcrank/router/pushing.py
@@ -20,6 +20,7 @@
 from mallowcrank.streams.outlet import Ended
 
 RETRY_S = 0.02  # until a slow caller's connection is tried again
+STUCK_LOOKS = 10  # of the caller's thread, about a second apart
 SIGN_OF_LIFE = None
 
 Given = int | Ended | None
@@ -52,6 +53,9 @@
         self._tokens: list[int] = []
         self._ended: Ended | None = None
         self._unsent = b''
+        self._sent = 0
+        self._seen = 0
+        self._looks = 0
         self._is_closed = False
         self._is_broken = False
 
@@ -96,6 +100,17 @@
             # Half a chunk can't be taken back.
             self._is_broken = self._is_broken or bool(self._unsent)
 
+    def look(self) -> None:
+        """
+        Give up where the caller took nothing between several looks.
+        """
+        with self._lock:
+            is_stuck = self._unsent and self._sent == self._seen
+            self._looks = self._looks + 1 if is_stuck else 0
+            self._seen = self._sent
+            if self._looks >= STUCK_LOOKS:
+                self.give_up()
+
     def give_up(self) -> None:
         """
         Write nothing more, as the connection is broken.
@@ -128,6 +143,7 @@
             self.give_up()
             return
         self._unsent = self._unsent[sent:]
+        self._sent += sent
 
 
 class Pusher:
--- a/tests/test_router_pushing.py
+++ b/tests/test_router_pushing.py
@@ -8,6 +8,7 @@
 
 from mallowcrank.router.pushing import (
     SIGN_OF_LIFE,
+    STUCK_LOOKS,
     PushedStream,
     Pusher,
     PushPorts,
@@ -88,6 +89,22 @@
             self.stream.close()
         self.assertTrue(self.stream.is_broken)
 
+    def test_caller_that_takes_nothing_for_long_is_given_up(self):
+        self.stream.write(list(range(TOKENS)))
+        for _ in range(STUCK_LOOKS):
+            self.assertFalse(self.stream.is_broken)
+            self.stream.look()
+        self.stream.look()
+        self.assertTrue(self.stream.is_broken)
+
+    def test_caller_that_takes_a_little_is_waited_for(self):
+        self.stream.write(list(range(10 * TOKENS)))
+        for _ in range(2 * STUCK_LOOKS):
+            self.caller.recv(8192)
+            self.stream.write([])
+            self.stream.look()
+        self.assertFalse(self.stream.is_broken)
+
     def test_tokens_that_wait_are_pushed_first(self):
         outlet, pushed = Outlet(), []
         outlet.put(1)
