--- a/tests/utils/local_router.py
+++ b/tests/utils/local_router.py
@@ -12,6 +12,7 @@
 from dataclasses import replace
 from http.client import HTTPConnection
 
+from mallowcrank.clock import SystemClock
 from mallowcrank.codec import to_plain
 from mallowcrank.context import Environment
 from mallowcrank.policy.start import build_policies
@@ -141,7 +142,9 @@
     A router, its agent and a caller.
     """
 
-    def __init__(self, view, name='r1', keep_s=0.2, threads=24, **given):
+    def __init__(
+        self, view, name='r1', keep_s=0.2, threads=24, clock=None, **given
+    ):
         self.agent = FakeAgent(view)
         settings = RouterSettings(
             on=HostSettings(name, 'a'),
@@ -155,7 +158,7 @@
         )
         self.address = settings.listen
         chosen = replace(settings, **given)
-        environment = Environment()
+        environment = Environment(clock=clock or SystemClock())
         policies = build_policies(chosen, environment)
         self.router = Router(chosen, policies, environment)
         self.router.start()
