Add the load scenario rolling-routers

Cause: that replacing all routers under load cuts nothing was never run; only one router's stop was.

Change: a scenario with one order, `replace`; the bench stops each router gracefully, waits for its end, starts the next one in its place and waits until that serves, before it goes on.

--- a/mallowcrank/load/scenarios.py
+++ b/mallowcrank/load/scenarios.py
@@ -146,6 +146,13 @@
         EVERYONE,
         (_at_process('router-0', 'terminate'),),
     ),
+    Scenario(
+        'rolling-routers',
+        'All routers are replaced gracefully, one after another.',
+        EVERYONE,
+        (_at_process('routers', 'replace'),),
+        seconds=45,
+    ),
     Scenario(
         'target-leaving',
         'An engine and a service replica leave.',
--- a/scripts/bench.py
+++ b/scripts/bench.py
@@ -11,6 +11,7 @@
 import threading
 import time
 from dataclasses import dataclass
+from functools import partial
 from pathlib import Path
 
 from mallowcrank.calls import HttpCaller
@@ -20,6 +21,7 @@
 from mallowcrank.web import Request, Response, Routes, WebServer, json_response
 from scripts.fleet import ROOT, Fleet
 from scripts.layout import Engine, Layout, Service
+from scripts.rolling import replace_routers
 from scripts.system import System, start_all
 
 MODEL = 'assistant'
@@ -156,6 +158,15 @@
         match order['action']:
             case 'publish':
                 self._operator.race(order['race'])
+            case 'replace':
+                work = partial(
+                    replace_routers,
+                    self._fleet,
+                    self._operator.layout,
+                    ZONES,
+                    is_ready,
+                )
+                threading.Thread(target=work, daemon=True).start()
             case 'kill' | 'pause' | 'resume' | 'terminate' as action:
                 process = self._fleet.get(order['name'])
                 threading.Thread(target=getattr(process, action)).start()
