Pass a forwarded stream on piece by piece

Cause: a router that is not the key's keeper read the keeper's whole answer before it gave the caller the first byte.

Ruled out: sending the caller to the keeper by a redirect (the OpenAI client follows it, but loses the body's key on some statuses, and plain callers would not follow).

Change: the call to a peer can be opened without reading its body; pieces are passed on as they come. A keeper that breaks off or stays silent for 4 s, and a hard stop of this router, end the stream in an error event with `unknown`, never in silence. Forwarding stands in a module of its own.

--- a/mallowcrank/calls.py
+++ b/mallowcrank/calls.py
@@ -33,6 +33,60 @@
     headers: Mapping[str, str] = field(default_factory=dict)
 
 
+@dataclass(frozen=True, slots=True)
+class StreamLimits:
+    """
+    How long a streamed answer may keep its caller waiting.
+
+    :param answer_s: seconds until the answer begins.
+    :param silence_s: seconds without a byte of its body.
+    """
+
+    answer_s: float
+    silence_s: float
+
+
+class StreamedReply:
+    """
+    An HTTP answer whose body still comes.
+    """
+
+    def __init__(self, response: BaseHTTPResponse, silence_s: float) -> None:
+        self._response = response
+        connection = response.connection
+        if connection is not None and connection.sock is not None:
+            connection.sock.settimeout(silence_s)
+
+    @property
+    def status(self) -> int:
+        """
+        Return the status.
+        """
+        return self._response.status
+
+    @property
+    def headers(self) -> Mapping[str, str]:
+        """
+        Return the headers.
+        """
+        return dict(self._response.headers)
+
+    def take(self) -> bytes | Failure:
+        """
+        Wait for the next piece; an empty one is the end.
+        """
+        try:
+            return self._response.read1()
+        except (HTTPError, OSError) as broken:
+            return Failure(f'the answer broke off: {broken}', Ran.UNKNOWN)
+
+    def close(self) -> None:
+        """
+        Close the connection.
+        """
+        self._response.close()
+
+
 class HttpCaller:
     """
     Calls one address over kept connections.
@@ -89,6 +143,27 @@
         self._proven = self._steady()
         return Reply(response.status, response.data, dict(response.headers))
 
+    def open(
+        self,
+        method: str,
+        path: str,
+        body: bytes | None,
+        headers: Mapping[str, str],
+        limits: StreamLimits,
+    ) -> 'StreamedReply | Failure':
+        """
+        Make one call; its answer's body can be taken while it still comes.
+        """
+        try:
+            response = self._request(
+                method, path, body, headers, limits.answer_s, preload=False
+            )
+        except (NewConnectionError, ConnectTimeoutError) as refused:
+            return Failure(f'can not connect: {refused}', Ran.NO)
+        except (HTTPError, OSError) as broken:
+            return Failure(f'no answer: {broken}', Ran.UNKNOWN)
+        return StreamedReply(response, limits.silence_s)
+
     def reset(self) -> None:
         """
         Close idle connections; the next call opens a fresh one.
@@ -111,6 +186,8 @@
         body: bytes | None,
         headers: Mapping[str, str] | None,
         timeout_s: float,
+        *,
+        preload: bool = True,
     ) -> BaseHTTPResponse:
         return self._pool.urlopen(
             method,
@@ -119,6 +196,7 @@
             headers=headers,
             retries=False,
             redirect=False,
+            preload_content=preload,
             timeout=Timeout(
                 connect=min(CONNECT_TIMEOUT_S, timeout_s), read=timeout_s
             ),
--- a/mallowcrank/router/completion_calls.py
+++ b/mallowcrank/router/completion_calls.py
@@ -121,7 +121,7 @@
         """
         if self._parts.in_flight.is_cut:
             self.close()
-            return [], Ended(refused=_stopped())
+            return [], Ended(refused=router_stopped())
         if self._is_caller_gone():
             self.close()
             return [], Ended(refused=CALLER_GONE)
@@ -349,7 +349,10 @@
     )
 
 
-def _stopped() -> Refused:
+def router_stopped() -> Refused:
+    """
+    Build the refusal of what a hard stop cut.
+    """
     return Refused(
         Reason.LEAVING,
         Ran.UNKNOWN,
--- /dev/null
+++ b/mallowcrank/router/forwarding.py
@@ -0,0 +1,119 @@
+"""
+Passes a request on to the router that keeps its key, and its answer back piece
+by piece.
+"""
+
+from collections.abc import Iterator
+from dataclasses import replace
+
+from mallowcrank.calls import HttpCaller, StreamedReply, StreamLimits
+from mallowcrank.ports import Failure
+from mallowcrank.refusals import Ran, Refused
+from mallowcrank.requests.intake import (
+    DEADLINE,
+    FORWARDED_BY,
+    MILLISECONDS,
+    passed_headers,
+)
+from mallowcrank.requests.keepers import keeper_gone
+from mallowcrank.requests.outcomes import refusal_response
+from mallowcrank.router.completion_calls import router_stopped
+from mallowcrank.router.parts import RouterParts
+from mallowcrank.router.service_calls import HOP_HEADERS
+from mallowcrank.router.shapes import error_event
+from mallowcrank.view import Peer
+from mallowcrank.web import Request, Response
+
+# The keeper writes at least each second to an answer that has begun.
+SILENCE_S = 4
+STREAM_TYPE = 'text/event-stream'
+EVENT_END = b'\n\n'  # a piece may end within an event
+
+
+def forward(
+    request: Request, deadline: float, peer: Peer, parts: RouterParts
+) -> Response:
+    """
+    Pass a request on, once.
+
+    :param deadline: steady time in seconds.
+    """
+    left = deadline - parts.clock.steady()
+    headers = passed_headers(request.headers)
+    headers[FORWARDED_BY] = parts.me.name
+    headers[DEADLINE] = str(int(left * MILLISECONDS))
+    reply = HttpCaller(peer.address, connections=1).open(
+        request.method,
+        request.target,
+        request.body,
+        headers,
+        StreamLimits(left, SILENCE_S),
+    )
+    if isinstance(reply, Failure):
+        return refusal_response(_refuse(reply))
+    passed = tuple(
+        (name, given)
+        for name, given in reply.headers.items()
+        if name.lower() not in HOP_HEADERS
+    )
+    if reply.headers.get('Content-Type', '').startswith(STREAM_TYPE):
+        return Response(reply.status, ForwardedBody(reply, parts), passed)
+    body = _collect(reply)
+    if isinstance(body, Failure):
+        return refusal_response(_refuse(body))
+    return Response(reply.status, body, passed)
+
+
+class ForwardedBody:
+    """
+    A streamed answer of another router. Where it breaks off, an event says so.
+    """
+
+    def __init__(self, reply: StreamedReply, parts: RouterParts) -> None:
+        self._reply = reply
+        self._parts = parts
+        self._ended = False
+
+    def __iter__(self) -> Iterator[bytes]:
+        return self
+
+    def __next__(self) -> bytes:
+        if self._ended:
+            raise StopIteration
+        if self._parts.in_flight.is_cut:
+            return self._break_off(router_stopped())
+        piece = self._reply.take()
+        if isinstance(piece, Failure):
+            return self._break_off(_refuse(piece))
+        if not piece:
+            raise StopIteration
+        return piece
+
+    def close(self) -> None:
+        """
+        Close the connection; the keeper goes on, so that a retry gets the
+        whole answer.
+        """
+        self._reply.close()
+
+    def _break_off(self, refused: Refused) -> bytes:
+        self._ended = True
+        return b''.join((EVENT_END, error_event(refused)))
+
+
+def _collect(reply: StreamedReply) -> bytes | Failure:
+    pieces: list[bytes] = []
+    while True:
+        piece = reply.take()
+        if isinstance(piece, Failure):
+            return piece
+        if not piece:
+            return b''.join(pieces)
+        pieces.append(piece)
+
+
+def _refuse(failure: Failure) -> Refused:
+    # An earlier try may have reached the keeper. One that only stays silent
+    # may come back; a closed port means that it has ended.
+    retry_after_s = None if failure.ran is Ran.NO else 1
+    return replace(keeper_gone(), retry_after_s=retry_after_s)
--- a/mallowcrank/router/keyed_calls.py
+++ b/mallowcrank/router/keyed_calls.py
@@ -8,30 +8,20 @@
 
 from xxhash import xxh128_hexdigest
 
-from mallowcrank.calls import HttpCaller
-from mallowcrank.ports import Failure
 from mallowcrank.refusals import Ran, Reason, Refused
 from mallowcrank.requests.calls import Terms
-from mallowcrank.requests.intake import (
-    DEADLINE,
-    FORWARDED_BY,
-    MILLISECONDS,
-    passed_headers,
-)
 from mallowcrank.requests.keeper import Answer, FinishKey, Running
 from mallowcrank.requests.keepers import (
     OWNED_KEY_LIFE_S,
     Forward,
     find_keeper,
     find_owner,
-    keeper_gone,
 )
 from mallowcrank.requests.key_names import read_key
 from mallowcrank.requests.keys import KEY_FIELD, Claim, may_send
 from mallowcrank.requests.outcomes import refusal_response
+from mallowcrank.router.forwarding import forward
 from mallowcrank.router.parts import RouterParts
-from mallowcrank.router.service_calls import HOP_HEADERS
-from mallowcrank.view import Peer
 from mallowcrank.web import Request, Response
 
 MAX_KEPT_BYTES = 256 * 1024  # of one answer
@@ -99,7 +89,9 @@
         if isinstance(found, Refused):
             return refusal_response(found)
         if isinstance(found, Forward):
-            return self._forward(found.peer, keyed)
+            return forward(
+                keyed.request, keyed.deadline, found.peer, self._parts
+            )
         return self._keep(keyed, expiry, runner)
 
     def _keep(
@@ -174,35 +166,6 @@
         answer = _bound(Answer(response.status, response.headers, body, ran))
         self._parts.keeper.tell(FinishKey(keyed.scoped_key, answer))
 
-    def _forward(self, peer: Peer, keyed: KeyedRequest) -> Response:
-        """
-        Pass the request on to the key's keeper, once.
-        """
-        left = keyed.deadline - self._parts.clock.steady()
-        headers = passed_headers(keyed.request.headers)
-        headers[FORWARDED_BY] = self._parts.me.name
-        headers[DEADLINE] = str(int(left * MILLISECONDS))
-        reply = HttpCaller(peer.address, connections=1).call(
-            keyed.request.method,
-            keyed.request.target,
-            keyed.request.body,
-            headers,
-            left,
-        )
-        if isinstance(reply, Failure):
-            # An earlier try may have reached the keeper. One that only stays
-            # silent may come back; a closed port means that it has ended.
-            retry_after_s = None if reply.ran is Ran.NO else 1
-            return refusal_response(
-                replace(keeper_gone(), retry_after_s=retry_after_s)
-            )
-        passed = tuple(
-            (name, given)
-            for name, given in reply.headers.items()
-            if name.lower() not in HOP_HEADERS
-        )
-        return Response(reply.status, reply.body, passed)
-
 
 class RecordedBody:
     """
--- a/mallowcrank/router/shapes.py
+++ b/mallowcrank/router/shapes.py
@@ -51,6 +51,13 @@
         return self._decoder.decode(bytes(tokens), final)
 
 
+def error_event(refused: Refused) -> bytes:
+    """
+    Return the event that ends a broken stream.
+    """
+    return _data(error_body(refused))
+
+
 class Shaper:
     """
     Shapes the parts of one answer.
@@ -118,7 +125,7 @@
         """
         Return the event that ends a broken stream.
         """
-        return _data(error_body(refused))
+        return error_event(refused)
 
     def _event(
         self, delta: dict[str, str], finish: str | None, text: str = ''
--- /dev/null
+++ b/tests/test_request_forwarding.py
@@ -0,0 +1,105 @@
+"""
+Streams that another router keeps: passed on piece by piece, never cut in
+silence.
+"""
+
+import json
+import socket
+import threading
+from unittest import TestCase
+
+from mallowcrank.view import Peer
+from tests.utils.fake_engine import FakeEngine
+from tests.utils.local_router import (
+    LIMIT_S,
+    WORKSPACE,
+    LocalRouter,
+    address_of,
+    make_view,
+    wait_until,
+)
+
+TOKENS = 24
+HEAD = (
+    b'HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n'
+    b'Transfer-Encoding: chunked\r\n\r\n'
+)
+PIECE = b'c\r\ndata: {"a":1\r\n'  # an event that is not whole
+
+
+class CutKeeper:
+    """
+    Begins a streamed answer, then closes the connection or stays silent.
+    """
+
+    def __init__(self, *, closes):
+        self._closes = closes
+        self._listener = socket.create_server(('127.0.0.1', 0))
+        self.address = address_of(self._listener)
+        self._ended = threading.Event()
+        threading.Thread(target=self._serve, daemon=True).start()
+
+    def stop(self):
+        self._ended.set()
+        self._listener.close()
+
+    def _serve(self):
+        connection, _ = self._listener.accept()
+        with connection:
+            connection.recv(65536)
+            connection.sendall(HEAD + PIECE)
+            if not self._closes:
+                self._ended.wait(LIMIT_S)
+
+
+class TestForwarding(TestCase):
+    def start(self, name, engines=(), peers=()):
+        view = make_view([each.target for each in engines], peers=peers)
+        router = LocalRouter(view, name)
+        self.addCleanup(router.stop)
+        return router
+
+    def ask(self, router, key):
+        headers = {
+            'x-mallowcrank-workspace': WORKSPACE,
+            'x-mallowcrank-repeatable': 'no',
+            'idempotency-key': key,
+        }
+        body = {
+            'model': 'm', 'prompt': 'hat', 'max_tokens': TOKENS, 'stream': True
+        }  # fmt: skip
+        connection = router.connect()
+        self.addCleanup(connection.close)
+        connection.request('POST', '/v1/completions', json.dumps(body), headers)
+        return connection.getresponse()
+
+    def test_first_tokens_come_while_the_stream_runs(self):
+        # Slow by its own word: it is not given up within the test's limit.
+        engine = FakeEngine('e1', 0, 5)
+        engine.step_ms = 50_000
+        engine.mute_after = 10
+        engine.heals = False
+        self.addCleanup(engine.stop)
+        keeper = self.start('keeper', [engine])
+        me = keeper.router.parts.me
+        peer = Peer(me.name, keeper.address, 'a', me.incarnation)
+        other = self.start('other', [engine], [peer])
+        addresses = json.loads(keeper.send('GET', '/v1/addresses').whole)
+        key = f'{addresses["key_prefix"]}a'
+        begun = self.ask(other, key)
+        self.assertTrue(begun.readline().startswith(b'data: '))
+        self.assertEqual(begun.headers['x-mallowcrank-router'], 'keeper')
+        wait_until(lambda: len(engine.ran) >= 10)
+
+    def test_stream_whose_keeper_breaks_off_ends_in_an_error_event(self):
+        for closes in (True, False):
+            with self.subTest(closes=closes):
+                keeper = CutKeeper(closes=closes)
+                self.addCleanup(keeper.stop)
+                peer = Peer('keeper', keeper.address, 'a', 'a' * 16)
+                other = self.start('other', peers=[peer])
+                key = f'mc1.keeper.{"a" * 16}.99999999999.a'
+                body = self.ask(other, key).read()
+                last = json.loads(body.split(b'data: ')[-1])
+                self.assertEqual(last['error']['code'], 'keeper_gone')
+                self.assertEqual(last['error']['ran'], 'unknown')
