Model a stream that is moved, imported and cancelled

Cause: the stream's model left out KV import, moving off a leaving engine, and the caller's end.

Change: a second specification of the stream, with transfers and orders to free states that overtake each other, and kept inputs that run out. The stream's first specification is unchanged.

A mutant's search now ends at 10,000 states if it has found a counterexample by then, which minicheck vouches for; without one it goes on to the end. Before, a mutant's search that did not end at all counted as killed; now it kills nothing. Both have a test.

No fault was found in the product.

--- a/mallowcrank/models/__main__.py
+++ b/mallowcrank/models/__main__.py
@@ -8,6 +8,10 @@
 from mallowcrank.models.specification import Specification, check
 from mallowcrank.status import ExitStatus
 
+# A counterexample counts in a search that has not ended too, and most are
+# short: mutants are searched this far first.
+MUTANT_STATES = 10_000
+
 
 def report_specification(specification: Specification) -> bool:
     """
@@ -32,7 +36,10 @@
     """
     Print the counterexample of a mutant; tell whether there is one.
     """
-    verdict = check(specification, frozenset((rule,)))
+    without = frozenset((rule,))
+    verdict = check(specification, without, MUTANT_STATES)
+    if not verdict.broken:
+        verdict = check(specification, without)
     if not verdict.broken:
         print(f'  without {rule}: NO COUNTEREXAMPLE')
         return False
--- a/mallowcrank/models/catalogue.py
+++ b/mallowcrank/models/catalogue.py
@@ -8,11 +8,13 @@
 from mallowcrank.models.replica import REPLICA
 from mallowcrank.models.specification import Specification
 from mallowcrank.models.stream import STREAM
+from mallowcrank.models.stream_moves import STREAM_MOVES
 
 SPECIFICATIONS: tuple[Specification, ...] = (
     FOLD,
     REPLICA,
     KEYED_REQUEST,
     STREAM,
+    STREAM_MOVES,
     LEASE,
 )
--- a/mallowcrank/models/specification.py
+++ b/mallowcrank/models/specification.py
@@ -49,17 +49,23 @@
 
 
 def check(
-    specification: Specification, without: frozenset[str] = frozenset()
+    specification: Specification,
+    without: frozenset[str] = frozenset(),
+    max_states: int | None = None,
 ) -> Verdict:
     """
     Check a specification, or its mutant with some rules taken out.
+
+    :param max_states: where the search ends; what it has found by then counts.
     """
-    report = check_safety(specification.build(without), MAX_STATES)
+    report = check_safety(
+        specification.build(without), max_states or MAX_STATES
+    )
     properties: dict[str, Any] = report['properties']
     broken = {
         name: _labels(found['counterexample'])
         for name, found in properties.items()
-        if not found['holds']
+        if found['holds'] is False
     }
     return Verdict(
         states=report['reachable_states'],
--- a/tests/test_models.py
+++ b/tests/test_models.py
@@ -49,6 +49,21 @@
         self.assertFalse(proved)
         self.assertIn('without no such rule: NO COUNTEREXAMPLE', printed)
 
+    def test_counterexample_beyond_the_first_search_is_found(self):
+        with patch('mallowcrank.models.__main__.MUTANT_STATES', 2):
+            proved, printed = self.report((BOUND,))
+        self.assertTrue(proved)
+        self.assertIn('mutants killed: 1 of 1', printed)
+
+    def test_unfinished_search_kills_no_mutant(self):
+        with (
+            patch('mallowcrank.models.__main__.MUTANT_STATES', 2),
+            patch('mallowcrank.models.specification.MAX_STATES', 2),
+        ):
+            proved, printed = self.report((BOUND,))
+        self.assertFalse(proved)
+        self.assertIn('NO COUNTEREXAMPLE', printed)
+
     def test_counterexample_names_its_moves(self):
         verdict = check(
             Specification('counter', build, ()), frozenset((BOUND,))
