Count the wait for a thread against the deadline

A connection that waited in the server's queue, as all threads were busy, was run after its caller had given up.

Ruled out: the caller states when it sent (clocks differ); refusing where the queue is long (admission refuses by measured time, and sees the terms).

Before: a call with a deadline of 100 ms behind one that held the only thread for 200 ms was run (the new test of tests/test_request_deadlines.py fails). After: `deadline_passed`, `no`, and nothing was sent.

--- a/mallowcrank/router/api.py
+++ b/mallowcrank/router/api.py
@@ -116,7 +116,8 @@
 
     def _run(self, read: ReadCall, request: Request, name: str) -> Response:
         parts = self._parts
-        arrived = parts.pulse.arrival()
+        waited_since = parts.clock.steady() - request.waited_s
+        arrived = min(parts.pulse.arrival(), waited_since)
         parts.timeline.record(PART, f'{request.path} arrived', name)
         call = read(request)
         if isinstance(call, Refused):
--- a/mallowcrank/router/daemon.py
+++ b/mallowcrank/router/daemon.py
@@ -78,6 +78,13 @@
         """
         return self._parts
 
+    @property
+    def waiting(self) -> int:
+        """
+        Return the callers' connections that wait for a thread.
+        """
+        return self._callers.waiting
+
     def start(self) -> None:
         """
         Start to serve.
--- a/mallowcrank/web.py
+++ b/mallowcrank/web.py
@@ -6,12 +6,14 @@
 import select
 import socket
 import threading
+import time
 from collections.abc import Callable, Iterable, Mapping
 from dataclasses import dataclass, field
 from http import HTTPStatus
 from typing import Any, BinaryIO
 from urllib.parse import parse_qsl, urlsplit
 
+from cheroot.server import HTTPConnection
 from cheroot.wsgi import Gateway_10, Server
 
 MAX_BODY_BYTES = 4 * 1024 * 1024
@@ -20,6 +22,7 @@
 JSON_TYPE = ('Content-Type', 'application/json')
 CONNECTION = 'mallowcrank.connection'
 HTTP_1_1 = 'HTTP/1.1'
+WAITED_S = 'mallowcrank.waited_s'
 # Of them, an end of the caller's side is seen without reading from it.
 GONE_EVENTS = select.POLLRDHUP | select.POLLHUP | select.POLLERR
 
@@ -66,6 +69,7 @@
     :param peer: `IP:PORT` of the other end of the connection.
     :param too_large: whether the body was over the limit and was not read.
     :param caller: tells whether the caller still waits.
+    :param waited_s: seconds that it waited for a thread.
     """
 
     method: str
@@ -77,6 +81,7 @@
     target: str = ''
     peer: str = ''
     caller: CallerLink = NO_LINK
+    waited_s: float = 0
 
     def json(self) -> Any:
         """
@@ -148,14 +153,44 @@
     return path == prefix
 
 
+class QueuedConnection(HTTPConnection):
+    """
+    A connection that knows how long it waited for a thread.
+    """
+
+    queued_at: float = 0
+    waited_s: float = 0
+
+    def communicate(self) -> bool:
+        """
+        Read a request and answer it, in a thread of the pool.
+        """
+        self.waited_s = time.monotonic() - self.queued_at
+        return bool(super().communicate())
+
+
+class QueueingServer(Server):
+    """
+    Notes when a connection begins to wait for a thread.
+    """
+
+    def process_conn(self, conn: QueuedConnection) -> None:
+        """
+        Queue a connection that has something to read.
+        """
+        conn.queued_at = time.monotonic()
+        super().process_conn(conn)
+
+
 class LinkedGateway(Gateway_10):
     """
-    Hands the connection's socket on with a request.
+    Hands the connection's socket and its wait on with a request.
     """
 
     def __init__(self, request: Any) -> None:
         super().__init__(request)
         self.env[CONNECTION] = request.conn.socket
+        self.env[WAITED_S] = request.conn.waited_s
 
 
 class WebServer:
@@ -176,7 +211,7 @@
         self._handler = handler
         self._max_body = max_body
         host, _, port = address.rpartition(':')
-        self._server = Server(
+        self._server = QueueingServer(
             (host, int(port)),
             self._wsgi,
             numthreads=threads,
@@ -184,6 +219,7 @@
             request_queue_size=512,
         )
         self._server.gateway = LinkedGateway
+        self._server.ConnectionClass = QueuedConnection
         self._thread: threading.Thread | None = None
 
     @property
@@ -194,6 +230,13 @@
         host, port = self._server.bind_addr[:2]
         return f'{host}:{port}'
 
+    @property
+    def waiting(self) -> int:
+        """
+        Return the connections that wait for a thread.
+        """
+        return int(self._server.requests.qsize)
+
     def start(self) -> None:
         """
         Bind the address and serve in a thread.
@@ -242,6 +285,7 @@
                 takes_chunks=environ['ACTUAL_SERVER_PROTOCOL'] == HTTP_1_1
                 and environ['SERVER_PROTOCOL'] == HTTP_1_1,
             ),
+            waited_s=environ[WAITED_S],
         )
 
 
--- a/tests/test_request_deadlines.py
+++ b/tests/test_request_deadlines.py
@@ -2,6 +2,9 @@
 Deadlines of requests that waited while the process was paused.
 """
 
+import json
+import threading
+import time
 from dataclasses import replace
 from unittest import TestCase
 
@@ -13,6 +16,16 @@
     observe_call,
     silence_limit,
 )
+from tests.utils.fake_service import FakeReplica
+from tests.utils.local_router import (
+    LocalRouter,
+    make_view,
+    service,
+    wait_until,
+)
+
+WAIT_MS = 100
+PATIENT = service(repeatable=True, timeout_s=20, silence_s=20)
 
 
 class TestPauses(TestCase):
@@ -30,6 +43,46 @@
         self.assertEqual(earliest_arrival(later, 17.51), 17.51)
 
 
+class TestQueue(TestCase):
+    def test_wait_for_a_thread_counts_against_the_deadline(self):
+        replica = FakeReplica('s1', mute=1)
+        self.addCleanup(replica.stop)
+        view = make_view([replica.target], [PATIENT])
+        router = LocalRouter(view, threads=1)
+        self.addCleanup(router.stop)
+        first = self.start(router, '20000', [])
+        wait_until(lambda: replica.ran)
+        answers = []
+        second = self.start(router, str(WAIT_MS), answers)
+        wait_until(lambda: router.router.waiting)
+        time.sleep(2 * WAIT_MS / 1000)
+        replica.stop()
+        for thread in (first, second):
+            thread.join()
+        error = json.loads(answers[0].whole)['error']
+        self.assertEqual(error['code'], 'deadline_passed')
+        self.assertEqual(error['ran'], 'no')
+        self.assertEqual(len(replica.ran), 1)
+
+    def start(self, router, deadline_ms, answers):
+        """
+        Call the service in a thread.
+        """
+
+        def call():
+            answers.append(
+                router.send(
+                    'POST',
+                    '/v1/services/stock/bolt',
+                    x_mallowcrank_deadline_ms=deadline_ms,
+                )
+            )
+
+        thread = threading.Thread(target=call)
+        thread.start()
+        return thread
+
+
 class TestSilence(TestCase):
     def test_limit_follows_the_engine(self):
         pace = first_pace(50)
