Replace a connection to a key's keeper that stays silent

Cause: a forwarded call waited for the keeper's answer until the deadline, also where only its connection had gone silent.

Ruled out: asking the keeper about itself beside the call (it tells nothing of this connection); racing two connections from the start (a second thread of the keeper for each call).

Change: where no answer has begun after 8 s, or the connection broke, the keeper is asked once more over a fresh connection; it lets the second join the first by the key, so nothing runs twice. A stream that has begun and is silent for 2 s, ten signs of life, ends in an error event (4 s before).

Before: the new test's call has no answer until its deadline; after: it has one from the second connection.

--- a/mallowcrank/router/forwarding.py
+++ b/mallowcrank/router/forwarding.py
@@ -24,8 +24,12 @@
 from mallowcrank.view import Peer
 from mallowcrank.web import Request, Response
 
-# The keeper writes at least each second to an answer that has begun.
-SILENCE_S = 4
+# The keeper writes five times a second to a stream that has begun.
+SILENCE_S = 2
+# A connection to the keeper that has brought no answer is replaced: it may
+# have gone silent. Few answers take longer to begin.
+FRESH_AFTER_S = 8
+PART = 'router'
 STREAM_TYPE = 'text/event-stream'
 EVENT_END = b'\n\n'  # a piece may end within an event
 
@@ -34,21 +38,11 @@
     request: Request, deadline: float, peer: Peer, parts: RouterParts
 ) -> Response:
     """
-    Pass a request on, once.
+    Pass a request on to its keeper.
 
     :param deadline: steady time in seconds.
     """
-    left = deadline - parts.clock.steady()
-    headers = passed_headers(request.headers)
-    headers[FORWARDED_BY] = parts.me.name
-    headers[DEADLINE] = str(int(left * MILLISECONDS))
-    reply = HttpCaller(peer.address, connections=1).open(
-        request.method,
-        request.target,
-        request.body,
-        headers,
-        StreamLimits(left, SILENCE_S),
-    )
+    reply = _ask(request, deadline, peer, parts)
     if isinstance(reply, Failure):
         return refusal_response(_refuse(reply))
     passed = tuple(
@@ -64,6 +58,42 @@
     return Response(reply.status, body, passed)
 
 
+def _ask(
+    request: Request, deadline: float, peer: Peer, parts: RouterParts
+) -> StreamedReply | Failure:
+    """
+    Ask the keeper; where its connection stays silent, once more over a fresh
+    one, as the keeper lets the second join the first.
+    """
+    left = deadline - parts.clock.steady()
+    reply = _open(request, left, min(left, FRESH_AFTER_S), peer, parts)
+    left = deadline - parts.clock.steady()
+    is_doubtful = isinstance(reply, Failure) and reply.ran is Ran.UNKNOWN
+    if is_doubtful and left > 0:
+        parts.timeline.record(PART, 'keeper asked again', target=peer.name)
+        return _open(request, left, left, peer, parts)
+    return reply
+
+
+def _open(
+    request: Request,
+    left: float,
+    answer_s: float,
+    peer: Peer,
+    parts: RouterParts,
+) -> StreamedReply | Failure:
+    headers = passed_headers(request.headers)
+    headers[FORWARDED_BY] = parts.me.name
+    headers[DEADLINE] = str(int(left * MILLISECONDS))
+    return HttpCaller(peer.address, connections=1).open(
+        request.method,
+        request.target,
+        request.body,
+        headers,
+        StreamLimits(answer_s, SILENCE_S),
+    )
+
+
 class ForwardedBody:
     """
     A streamed answer of another router. Where it breaks off, an event says so.
--- a/tests/test_request_forwarding.py
+++ b/tests/test_request_forwarding.py
@@ -7,8 +7,10 @@
 import socket
 import threading
 from unittest import TestCase
+from unittest.mock import patch
 
 from mallowcrank.view import Peer
+from mallowcrank.web import Routes, WebServer, json_response
 from tests.utils.fake_engine import FakeEngine
 from tests.utils.local_router import (
     LIMIT_S,
@@ -52,6 +54,31 @@
                 self._ended.wait(LIMIT_S)
 
 
+class MuteKeeper:
+    """
+    Leaves its first call without an answer.
+    """
+
+    def __init__(self):
+        self.keys = []
+        self._ended = threading.Event()
+        routes = Routes()
+        routes.add('POST', '/', self._answer)
+        self._server = WebServer('127.0.0.1:0', routes, threads=4)
+        self._server.start()
+        self.address = self._server.address
+
+    def stop(self):
+        self._ended.set()
+        self._server.stop()
+
+    def _answer(self, request):
+        self.keys.append(request.headers['idempotency-key'])
+        if len(self.keys) == 1:
+            self._ended.wait(LIMIT_S)
+        return json_response({}, headers=(('X-Mallowcrank-Ran', 'yes'),))
+
+
 class TestForwarding(TestCase):
     def start(self, name, engines=(), peers=()):
         view = make_view([each.target for each in engines], peers=peers)
@@ -91,6 +118,17 @@
         self.assertEqual(begun.headers['x-mallowcrank-router'], 'keeper')
         wait_until(lambda: len(engine.ran) >= 10)
 
+    def test_silent_connection_to_the_keeper_is_replaced(self):
+        keeper = MuteKeeper()
+        self.addCleanup(keeper.stop)
+        peer = Peer('keeper', keeper.address, 'a', 'a' * 16)
+        other = self.start('other', peers=[peer])
+        key = f'mc1.keeper.{"a" * 16}.99999999999.a'
+        with patch('mallowcrank.router.forwarding.FRESH_AFTER_S', 0.2):
+            answer = self.ask(other, key)
+        self.assertEqual(answer.status, 200)
+        self.assertEqual(keeper.keys, [key, key])
+
     def test_stream_whose_keeper_breaks_off_ends_in_an_error_event(self):
         for closes in (True, False):
             with self.subTest(closes=closes):
