Give the scenarios their callers back

It showed as 43 to 46 calls running at the fault instead of about 30, and as refused retries: recovery 5.5 to 11 s in zone-loss, two-faults and paused-leaseholder. Change: the callers are as before.

--- a/mallowcrank/load/scenarios.py
+++ b/mallowcrank/load/scenarios.py
@@ -20,14 +20,14 @@
     CallKind.COMPLETION,
     'topi/quotes',
     MODEL,
-    callers=24,
+    callers=16,
     prefix=QUOTE_PREFIX,
 )
 FITTINGS = Group(
-    'fittings', CallKind.COMPLETION, 'topi/fittings', MODEL, callers=6
+    'fittings', CallKind.COMPLETION, 'topi/fittings', MODEL, callers=4
 )
 REPORTS = Group(
-    'reports', CallKind.COMPLETION, 'rail/reports', MODEL, callers=12
+    'reports', CallKind.COMPLETION, 'rail/reports', MODEL, callers=8
 )
 PERMITS = Group(
     'permits',
