Give refused callers times of their own to come back; order the index

Cause: Retry-After named the queue's wait, about 1 s whatever the overload, so that callers who obeyed were refused again and again.

Change: a pool gives each refused caller the next free time, spaced by the rate at which requests start, at most 30 s. The index takes changed names in the order of their numbers.

--- a/mallowcrank/fairness/pool.py
+++ b/mallowcrank/fairness/pool.py
@@ -11,6 +11,7 @@
 
 from mallowcrank.fairness.queue import Entry, FairQueue
 from mallowcrank.overload.concurrency import PoolLimit
+from mallowcrank.overload.returning import ReturnTimes
 
 OVERCOMMIT = 2  # times the limit that run while lent share comes back
 LEAD = 1  # times its share that a branch may be served ahead of others
@@ -54,6 +55,7 @@
         self.limit = limit
         self.queue = FairQueue()
         self.holds = HoldMeter()
+        self.returns = ReturnTimes()
         self._running: Counter[str] = Counter()
         self._shares: dict[str, float] = {}
         self._total = 0
@@ -138,6 +140,14 @@
         if not self._running[branch]:
             self._running.pop(branch)
 
+    def come_back_s(self, entry: Entry, now: float) -> float:
+        """
+        Give a refused request the seconds after which to come back.
+        """
+        mean_s = self.holds.mean_s
+        rate = self.limit.limit / mean_s if mean_s else 0
+        return self.returns.give(now, self.wait_s(entry), rate)
+
     def forget_idle(self) -> None:
         """
         Forget branches that neither wait nor run.
--- a/mallowcrank/policy/desk.py
+++ b/mallowcrank/policy/desk.py
@@ -134,7 +134,7 @@
         yield from self._start(pool, held.entry.ticket.serves, now)
         if self._held[request].started is None:
             if pool.is_hopeless(held.entry, now):
-                yield self._drop(held.entry, pool)
+                yield self._drop(held.entry, pool, now)
 
     def leave(
         self, ticket: Ticket, tokens: int, now: float
@@ -170,14 +170,14 @@
         pool = self.pools.get(ticket.serves)
         if pool.is_hopeless(entry, now, arrives=True):
             self.ledger.withdraw(ticket.workspace, ticket.tokens)
-            refused = refusing.too_late(pool.wait_s(entry))
+            refused = refusing.too_late(pool.come_back_s(entry, now))
             yield Outcome(ticket.request, refused)
             return
         if self._room.is_full:
-            displaced = self._displace(entry)
+            displaced = self._displace(entry, now)
             if displaced is None:
                 self.ledger.withdraw(ticket.workspace, ticket.tokens)
-                refused = refusing.overloaded(pool.wait_s(entry))
+                refused = refusing.overloaded(pool.come_back_s(entry, now))
                 yield Outcome(ticket.request, refused)
                 return
             yield displaced
@@ -196,7 +196,7 @@
             self._held[request] = _Held(entry, started=now)
             yield Outcome(request)
 
-    def _displace(self, entry: Entry) -> Outcome | None:
+    def _displace(self, entry: Entry, now: float) -> Outcome | None:
         share = self.pools.share_of(entry.workspace)
         holder = self._room.largest_holder(entry.workspace.branch, share)
         waiting = [
@@ -207,11 +207,11 @@
         if holder is None or not waiting:
             return None
         last = min(waiting, key=_rank)
-        return self._drop(last, self.pools.get(last.ticket.serves))
+        return self._drop(last, self.pools.get(last.ticket.serves), now)
 
-    def _drop(self, entry: Entry, pool: Pool) -> Outcome:
+    def _drop(self, entry: Entry, pool: Pool, now: float) -> Outcome:
         ticket = entry.ticket
-        wait_s = pool.wait_s(entry)
+        wait_s = pool.come_back_s(entry, now)
         pool.queue.remove(entry)
         self._held.pop(ticket.request)
         self._room.give_back(entry.workspace.branch)
--- a/mallowcrank/routing/engines.py
+++ b/mallowcrank/routing/engines.py
@@ -78,7 +78,8 @@
         :returns: the models and services whose targets changed.
         """
         self._changed = set()
-        for name in names:
+        # Sorted, so that equal seeds choose alike in each process.
+        for name in sorted(names, key=_by_number):
             known = self._targets.get(name)
             target = targets.get(name)
             if target is not None:
@@ -128,3 +129,7 @@
         (target.step_ms, target.slots),
         target.state in USABLE,
     )
+
+
+def _by_number(name: str) -> tuple[int, str]:
+    return len(name), name
--- a/scripts/measure_policy.py
+++ b/scripts/measure_policy.py
@@ -21,6 +21,7 @@
     LoadFigures,
     OverloadTrial,
 )
+from scripts.trials.returning_trial import ReturnFigures, ReturningTrial
 from scripts.trials.ways_trial import WAYS, WayFigures, try_way
 
 MAX_PROCESSES = 4
@@ -117,6 +118,16 @@
     show(LimitsAtSize('home', seed, cut_off=True).run())
 
 
+@app.command()
+def returning(seed: int = 1) -> None:
+    """
+    Callers that come back when Retry-After says.
+    """
+    show_header(ReturnFigures)
+    for times in ('wait', 'spaced'):
+        show(ReturningTrial(times, seed).run())
+
+
 @app.command()
 def bench() -> None:
     """
--- a/scripts/trials/overload_trial.py
+++ b/scripts/trials/overload_trial.py
@@ -15,6 +15,8 @@
 RUN_S = 14
 CALLER_RETRIES = 2  # of a caller, as Retry-After says or after a deadline
 SLOTS = 4
+AFTER_S = (2, 7)  # since the loss, while streams recover
+SETTLED_S = (7, 11)
 
 
 @dataclass(frozen=True)
@@ -43,8 +45,9 @@
     :param late: answers that missed their deadline.
     :param refused: requests refused before they ran.
     :param refused_p99_s: seconds until a refusal.
-    :param after_loss: goodput from 2 s after the loss on, over the bound of
-        what is left; 0 without a loss.
+    :param after_loss: goodput from 2 s to 7 s after the loss, over the bound
+        of what is left; 0 without a loss.
+    :param settled: the same, from 7 s to 11 s.
     :param tries: starts over requests that started.
     """
 
@@ -52,6 +55,7 @@
     policy: bool
     goodput: float
     after_loss: float
+    settled: float
     requests: int
     late: int
     refused: int
@@ -88,7 +92,8 @@
         half = WARM_S + RUN_S / 2
         if self._case.loses_zone:
             self._fleet.loop.after(half, self._lose)
-        self._fleet.loop.run(WARM_S + RUN_S + self._case.timeout_s)
+        end = max(WARM_S + RUN_S, half + SETTLED_S[1])
+        self._fleet.loop.run(end + self._case.timeout_s)
         return self._figures(half)
 
     def _lose(self) -> None:
@@ -132,7 +137,6 @@
         end = WARM_S + RUN_S
         good = [job for job in self._jobs if _is_good(job)]
         before = _goodput(good, WARM_S, half if self._case.loses_zone else end)
-        after = _goodput(good, half + 2, end)
         started = [job for job in self._jobs if job.attempt]
         refused = [job for job in self._jobs if job.refused]
         waits = [job.ended - job.arrived for job in refused]
@@ -146,7 +150,8 @@
             load=self._case.load,
             policy=self._case.has_policy,
             goodput=before / self._bound,
-            after_loss=after / self._bound_after * self._case.loses_zone,
+            after_loss=self._after(good, half, AFTER_S),
+            settled=self._after(good, half, SETTLED_S),
             requests=len(self._jobs),
             late=sum(
                 job.ended is not None and not job.refused for job in self._jobs
@@ -159,6 +164,15 @@
             tries=sum(job.attempt for job in started) / max(1, len(started)),
         )
 
+    def _after(
+        self, good: list[Job], half: float, window: tuple[float, float]
+    ) -> float:
+        if not self._case.loses_zone:
+            return 0
+        start, end = window
+        goodput = _goodput(good, half + start, half + end)
+        return goodput / self._bound_after
+
 
 def _is_good(job: Job) -> bool:
     return (
--- /dev/null
+++ b/scripts/trials/returning_trial.py
@@ -0,0 +1,185 @@
+"""
+Callers that obey Retry-After, through a burst at more than the bound.
+"""
+
+from collections import Counter
+from collections.abc import Callable
+from dataclasses import dataclass, replace
+
+from mallowcrank.overload.returning import ReturnTimes
+from mallowcrank.router.ports import Ticket
+from mallowcrank.routing.bound import Work
+from mallowcrank.view import WorkspaceSettings
+from scripts.trials.fleet import MODEL, WIDE, FleetSettings, VirtualFleet
+from scripts.trials.traffic import Job, Shape
+from scripts.trials.virtual import PROMPT_TOKENS_PER_STEP
+from scripts.trials.ways_trial import PROMPTS, percentile
+
+BURST_S = 10  # from the start on
+ARRIVALS_S = 30
+RUN_S = 60
+BURST_LOAD = 2  # over what the bound allows
+QUIET_LOAD = 0.5
+TIMEOUT_S = 4  # of one try
+TRIES = 20  # of a caller, in all
+BRANCHES = 2
+
+
+@dataclass(frozen=True)
+class ReturnFigures:
+    """
+    What callers got.
+
+    :param times: `spaced` by the policy, or `wait` for the queue's wait alone.
+    :param goodput: tokens of whole answers in time within the time in which
+        callers arrive, over the bound.
+    :param served: part of the callers that were served in the end.
+    :param refusals: a caller, in the mean.
+    :param served_after_p95_s: from the first try to the end of the answer.
+    :param peak: tries in the worst tenth of a second after the burst, over
+        their mean.
+    :param least_branch: served part of the branch that was served least.
+    :param refused_p99_s: seconds until a refusal.
+    """
+
+    times: str
+    goodput: float
+    served: float
+    refusals: float
+    served_after_p95_s: float
+    peak: float
+    least_branch: float
+    refused_p99_s: float
+
+
+class _WaitOnly(ReturnTimes):
+    """
+    Names the queue's wait, as before.
+    """
+
+    def give(self, now: float, least_s: float, rate: float) -> float:
+        return least_s
+
+
+@dataclass
+class _Caller:
+    branch: int
+    came: float
+    refusals: int = 0
+    served: float | None = None
+
+
+class ReturningTrial:
+    """
+    Callers of two branches with equal shares.
+    """
+
+    def __init__(self, times: str, seed: int) -> None:
+        self._times = times
+        names = [f'b{number}' for number in range(BRANCHES)]
+        workspaces = [
+            WorkspaceSettings(
+                f'{name}/w',
+                name,
+                request_rate=WIDE,
+                token_rate=WIDE,
+                streams=10**6,
+            )
+            for name in names
+        ]
+        self._fleet = VirtualFleet(
+            FleetSettings(seed=seed, workspaces=workspaces)
+        )
+        if times == 'wait':
+            for router in self._fleet.routers:
+                router.desk.pools.get(MODEL).returns = _WaitOnly()
+        units = Shape().prompt_tokens / PROMPT_TOKENS_PER_STEP
+        work = Work(prompt_units=units, answer_tokens=Shape().answer)
+        self._bound = self._fleet.bound(work).tokens_per_s
+        self._callers: list[_Caller] = []
+        self._jobs: list[Job] = []
+
+    def run(self) -> ReturnFigures:
+        """
+        Run the trial.
+        """
+        self._fleet.loop.after(0, self._arrive)
+        self._fleet.loop.run(RUN_S)
+        return self._figures()
+
+    def _arrive(self) -> None:
+        loop, random = self._fleet.loop, self._fleet.random
+        if loop.now > ARRIVALS_S:
+            return
+        caller = _Caller(random.randrange(BRANCHES), loop.now)
+        self._callers.append(caller)
+        self._ask(caller)
+        load = BURST_LOAD if loop.now < BURST_S else QUIET_LOAD
+        rate = load * self._bound / Shape().answer
+        loop.after(random.expovariate(rate), self._arrive)
+
+    def _ask(self, caller: _Caller) -> None:
+        fleet, now = self._fleet, self._fleet.loop.now
+        shape = replace(Shape(), timeout_s=TIMEOUT_S)
+        ticket = Ticket(
+            f's{len(self._jobs)}',
+            f'b{caller.branch}/w',
+            now + TIMEOUT_S,
+            0,
+            shape.answer + shape.prompt_tokens,
+            MODEL,
+        )
+        prompt = int(PROMPTS * fleet.random.random() ** 2)
+        job = Job(ticket, prompt, shape, now, self._finished(caller))
+        self._jobs.append(job)
+        fleet.random.choice(fleet.routers).arrive(job)
+
+    def _finished(self, caller: _Caller) -> Callable[[Job], None]:
+        def finished(job: Job) -> None:
+            if job.refused is None:
+                if len(job.times) == job.shape.answer:
+                    caller.served = job.ended
+                return
+            caller.refusals += 1
+            if caller.refusals < TRIES:
+                pause = job.refused.retry_after_s or 0
+                self._fleet.loop.after(pause, lambda: self._ask(caller))
+
+        return finished
+
+    def _figures(self) -> ReturnFigures:
+        callers = self._callers
+        served = [each for each in callers if each.served is not None]
+        good = [job for job in self._jobs if len(job.times) == job.shape.answer]
+        tokens = sum(at <= ARRIVALS_S for job in good for at in job.times)
+        refused = [job for job in self._jobs if job.refused]
+        waits = [job.ended - job.arrived for job in refused]
+        parts = [
+            _part([each for each in callers if each.branch == branch])
+            for branch in range(BRANCHES)
+        ]
+        return ReturnFigures(
+            times=self._times,
+            goodput=tokens / ARRIVALS_S / self._bound,
+            served=len(served) / len(callers),
+            refusals=len(refused) / len(callers),
+            served_after_p95_s=percentile(
+                [each.served - each.came for each in served], 0.95
+            ),
+            peak=self._peak(),
+            least_branch=min(parts),
+            refused_p99_s=percentile(waits or [0], 0.99),
+        )
+
+    def _peak(self) -> float:
+        tenths = Counter(
+            int(job.arrived * 10)
+            for job in self._jobs
+            if BURST_S < job.arrived < ARRIVALS_S
+        )
+        span = (ARRIVALS_S - BURST_S) * 10
+        return max(tenths.values()) * span / tenths.total()
+
+
+def _part(callers: list[_Caller]) -> float:
+    return sum(each.served is not None for each in callers) / len(callers)
--- a/tests/test_fairness_queue.py
+++ b/tests/test_fairness_queue.py
@@ -115,6 +115,15 @@
         alert = ticket('alert', CREWS, serves='alert', is_service=True)
         self.assertEqual(self.arrive(alert), {'alert': None})
 
+    def test_refused_callers_are_told_different_times(self):
+        self.fill(QUOTES, 1)
+        self.end('head/quotes0', QUOTES, now=2)
+        refusals = [
+            each for each in self.fill(QUOTES, 90, now=2).values() if each
+        ]
+        times = {each.retry_after_s for each in refusals}
+        self.assertGreater(len(times), 3)
+
     def test_full_room_is_refused_at_once_and_did_not_run(self):
         refusals = [each for each in self.fill(QUOTES, 60).values() if each]
         self.assertEqual({each.ran for each in refusals}, {Ran.NO})
--- a/tests/test_overload_targets.py
+++ b/tests/test_overload_targets.py
@@ -13,6 +13,7 @@
     weight,
 )
 from mallowcrank.overload.retries import RetryBudget
+from mallowcrank.overload.returning import LONGEST_S, ReturnTimes
 
 
 class TestEjection(TestCase):
@@ -76,3 +77,24 @@
         limit = first_limit(full_streams=32, routers=2)
         half = resize(limit, first_limit(full_streams=16, routers=2))
         self.assertAlmostEqual(half.limit, limit.limit / 2)
+
+
+class TestReturns(TestCase):
+    def test_callers_refused_at_once_do_not_come_back_at_once(self):
+        returns = ReturnTimes()
+        given = [returns.give(100, 0.5, rate=4) for _ in range(40)]
+        self.assertEqual(given[:3], [0.5, 0.75, 1])
+        self.assertEqual(len(set(given)), 40)
+
+    def test_times_stay_within_the_longest_and_begin_anew(self):
+        returns = ReturnTimes()
+        given = [returns.give(0, 1, rate=2) for _ in range(500)]
+        self.assertLessEqual(max(given), LONGEST_S)
+        self.assertGreater(given.count(1), 5)
+
+    def test_times_that_are_over_hold_nobody_back(self):
+        returns = ReturnTimes()
+        for _ in range(40):
+            returns.give(0, 1, rate=4)
+        self.assertEqual(returns.give(60, 2, rate=4), 2)
+        self.assertEqual(ReturnTimes().give(0, 3, rate=0), 3)
