Name a home first only while it is lightly loaded or near its neighbours

Cause: a home went first until it had eight times its neighbours' load, so that one large workspace could fill one router of a zone of three, while a router process is bound by its processor at 16 to 64 streams.

Change: a home goes first below 16 requests in flight, or below twice the least busy neighbour's load; else the order is by load alone.

The test of a much busier home now asks that it gives way at 64 in flight beside idle neighbours and stays at 15 (5 before).

--- a/mallowcrank/router/addresses.py
+++ b/mallowcrank/router/addresses.py
@@ -14,7 +14,8 @@
 from mallowcrank.web import Request, Response, json_response
 
 MAX_ADDRESSES = 4
-HOME_LEAD = 3  # doublings of load that a home may have above others
+HOME_LEAD = 2  # times the least busy neighbour's load that a home may have
+LIGHT_LOAD = 16  # requests in flight, up to which a home is always first
 AVOID_HEADER = 'x-mallowcrank-avoid'
 
 
@@ -58,22 +59,30 @@
         key=lambda peer: (
             peer.address in question.avoided,
             peer.availability_zone != question.availability_zone,
-            _load_class(peer.load) - HOME_LEAD * (peer.name == home),
             peer.name != home,
+            _load_class(peer.load),
         ),
     )
     return tuple(ordered[:MAX_ADDRESSES])
 
 
 def _home(routers: Iterable[Peer], question: AddressQuestion) -> str | None:
+    """
+    Return the workspace's home, unless it is much busier than its neighbours.
+    """
     if not question.workspace:
         return None
-    near = [
-        peer.name
+    near = {
+        peer.name: peer.load
         for peer in routers
         if peer.availability_zone == question.availability_zone
-    ]
-    return home_router(question.workspace, near)
+    }
+    home = home_router(question.workspace, near)
+    if home is None:
+        return None
+    load = near.pop(home)
+    least = min(near.values(), default=load)
+    return home if load < max(LIGHT_LOAD, HOME_LEAD * least) else None
 
 
 def answer_addresses(request: Request, parts: RouterParts) -> Response:
