End a stream whose driver has ended with its error event

Cause: a stream that was cut told the driver so; where that had ended, the caller's thread raised ActorDeadError and the answer broke off without an event (seen once, on a machine at three times its load: IncompleteRead, and the test's process did not end, as its router was never stopped).

Change: a driver that has ended holds no stream, so that there is none to cancel. The tests' engine says that it is slow, so that a stall of the host is not taken for its silence, and a router whose test failed is stopped.

The new test fails without the change.

--- a/mallowcrank/router/completion_calls.py
+++ b/mallowcrank/router/completion_calls.py
@@ -3,10 +3,13 @@
 """
 
 from collections.abc import Callable, Iterator
+from contextlib import suppress
 from dataclasses import dataclass, replace
 from errno import ECONNRESET
 from functools import partial
 
+from pykka import ActorDeadError
+
 from mallowcrank.refusals import Ran, Reason, Refused
 from mallowcrank.requests.calls import Completion
 from mallowcrank.requests.intake import MILLISECONDS
@@ -160,7 +163,9 @@
         if self._open:
             self._open = False
             closing = Close(self._admitted.request, CALLER_GONE)
-            self._parts.driver.tell(closing)
+            # A driver that has ended holds no stream any more.
+            with suppress(ActorDeadError):
+                self._parts.driver.tell(closing)
 
     def _count_shaped(
         self, shape: Callable[[list[int]], bytes], tokens: list[int]
--- a/tests/test_router_stop.py
+++ b/tests/test_router_stop.py
@@ -23,6 +23,8 @@
 class TestStop(TestCase):
     def setUp(self):
         self.engine = FakeEngine('e1', 0, 5)
+        # Slow by its own word, so that a stall of this host is no silence.
+        self.engine.step_ms = 1000
         self.addCleanup(self.engine.stop)
         self.peer = Peer('r2', '127.0.0.1:1', 'b', '2' * 16)
         view = make_view([self.engine.target], peers=[self.peer])
@@ -31,6 +33,11 @@
         self.answers = []
         self.statuses = []
         self.threads = []
+        self.addCleanup(self.end_router)
+
+    def end_router(self):
+        if not self.statuses:
+            self.router.stop()
 
     def run_in_thread(self, work, into):
         thread = threading.Thread(target=lambda: into.append(work()))
@@ -63,10 +70,21 @@
         self.assertEqual(self.statuses, [ExitStatus.SUCCESS])
 
     def test_second_signal_cuts_with_an_error_event(self):
+        self.begin_stream_that_stalls()
+        self.cut_router()
+
+    def test_stream_without_a_driver_is_cut_with_an_error_event(self):
+        self.begin_stream_that_stalls()
+        self.router.router.parts.driver.stop()
+        self.cut_router()
+
+    def begin_stream_that_stalls(self):
         self.engine.mute_after = 10
         self.engine.heals = False
         self.run_in_thread(self.chat, self.answers)
         wait_until(lambda: len(self.engine.ran) >= 10)
+
+    def cut_router(self):
         self.stop_router()
         self.router.router.ask_to_stop()
         self.wait_all()
