--- a/mallowcrank/router/api.py
+++ b/mallowcrank/router/api.py
@@ -17,11 +17,12 @@
 )
 from mallowcrank.requests.outcomes import refusal_response
 from mallowcrank.router.addresses import answer_addresses
-from mallowcrank.router.completion_calls import Admitted, run_completion
+from mallowcrank.router.completion_calls import run_completion
 from mallowcrank.router.keyed_calls import Guard, KeyedCalls, KeyedRequest
 from mallowcrank.router.parts import RouterParts
 from mallowcrank.router.ports import Ticket
 from mallowcrank.router.service_calls import AdmittedCall, ServiceLink
+from mallowcrank.router.token_stream import Admitted
 from mallowcrank.streams.tokens import tokenize
 from mallowcrank.web import (
     NO_LINK,
