Make the trials' wide workspaces in one place

The fairness and the returning trial, and the fleet's default, each wrote the same workspaces without reachable limits.

--- a/scripts/trials/fairness_trial.py
+++ b/scripts/trials/fairness_trial.py
@@ -7,8 +7,12 @@
 
 from mallowcrank.router.ports import Ticket
 from mallowcrank.routing.bound import Work
-from mallowcrank.view import WorkspaceSettings
-from scripts.trials.fleet import MODEL, WIDE, FleetSettings, VirtualFleet
+from scripts.trials.fleet import (
+    MODEL,
+    FleetSettings,
+    VirtualFleet,
+    wide_workspaces,
+)
 from scripts.trials.traffic import Job, Shape
 from scripts.trials.virtual import PROMPT_TOKENS_PER_STEP
 from scripts.trials.ways_trial import PROMPTS, percentile
@@ -55,18 +59,8 @@
     def __init__(self, quiet_load: float, priorities: str, seed: int) -> None:
         self._quiet_load = quiet_load
         self._priorities = priorities
-        workspaces = [
-            WorkspaceSettings(
-                f'{name}/w',
-                name,
-                request_rate=WIDE,
-                token_rate=WIDE,
-                streams=10**6,
-            )
-            for name in BRANCHES
-        ]
         self._fleet = VirtualFleet(
-            FleetSettings(seed=seed, workspaces=workspaces)
+            FleetSettings(seed=seed, workspaces=wide_workspaces(BRANCHES))
         )
         units = Shape().prompt_tokens / PROMPT_TOKENS_PER_STEP
         work = Work(prompt_units=units, answer_tokens=Shape().answer)
--- a/scripts/trials/fleet.py
+++ b/scripts/trials/fleet.py
@@ -2,7 +2,7 @@
 A fleet of virtual engines and routers with lagging, gappy reports.
 """
 
-from collections.abc import Sequence
+from collections.abc import Iterable, Sequence
 from dataclasses import dataclass, field, replace
 from random import Random
 
@@ -33,6 +33,23 @@
 LAG_S = 1  # of the loads in a view
 GAP = 0.1  # of cache events that are never told
 WIDE = 1e9
+WIDE_STREAMS = 10**6
+
+
+def wide_workspaces(branches: Iterable[str]) -> list[WorkspaceSettings]:
+    """
+    Return one workspace a branch, with limits that are never reached.
+    """
+    return [
+        WorkspaceSettings(
+            f'{name}/w',
+            name,
+            request_rate=WIDE,
+            token_rate=WIDE,
+            streams=WIDE_STREAMS,
+        )
+        for name in branches
+    ]
 
 
 @dataclass(frozen=True)
@@ -55,11 +72,7 @@
     slots: int = 4
     cache_prompts: int = 8
     has_budget: bool = True
-    workspaces: Sequence[WorkspaceSettings] = (
-        WorkspaceSettings(
-            'b/w', 'b', request_rate=WIDE, token_rate=WIDE, streams=10**6
-        ),
-    )
+    workspaces: Sequence[WorkspaceSettings] = tuple(wide_workspaces(('b',)))
 
 
 class VirtualFleet:
--- a/scripts/trials/returning_trial.py
+++ b/scripts/trials/returning_trial.py
@@ -9,8 +9,12 @@
 from mallowcrank.overload.returning import ReturnTimes
 from mallowcrank.router.ports import Ticket
 from mallowcrank.routing.bound import Work
-from mallowcrank.view import WorkspaceSettings
-from scripts.trials.fleet import MODEL, WIDE, FleetSettings, VirtualFleet
+from scripts.trials.fleet import (
+    MODEL,
+    FleetSettings,
+    VirtualFleet,
+    wide_workspaces,
+)
 from scripts.trials.traffic import Job, Shape
 from scripts.trials.virtual import PROMPT_TOKENS_PER_STEP
 from scripts.trials.ways_trial import PROMPTS, percentile
@@ -77,18 +81,8 @@
     def __init__(self, times: str, seed: int) -> None:
         self._times = times
         names = [f'b{number}' for number in range(BRANCHES)]
-        workspaces = [
-            WorkspaceSettings(
-                f'{name}/w',
-                name,
-                request_rate=WIDE,
-                token_rate=WIDE,
-                streams=10**6,
-            )
-            for name in names
-        ]
         self._fleet = VirtualFleet(
-            FleetSettings(seed=seed, workspaces=workspaces)
+            FleetSettings(seed=seed, workspaces=wide_workspaces(names))
         )
         if times == 'wait':
             for router in self._fleet.routers:
