--- /dev/null
+++ b/mallowcrank/chains/__init__.py
@@ -0,0 +1,3 @@
+"""
+Decisions about chains of engines, without I/O: placing, paths, memory, retries.
+"""
--- /dev/null
+++ b/mallowcrank/chains/paths.py
@@ -0,0 +1,193 @@
+"""
+Which path a request takes over a chain of engines.
+
+A path stays inside one availability zone where one covers the model there:
+what engines pass on is large, and the pipe between zones is shared by all.
+The caller's own zone goes first, unless another is clearly faster. A path
+over several zones is the last resort.
+"""
+
+from collections import defaultdict
+from collections.abc import Collection, Iterable, Sequence
+from dataclasses import dataclass
+from enum import Enum, unique
+
+from mallowcrank.chains.engines import (
+    MILLISECONDS,
+    ChainEngine,
+    Need,
+    layer_ms,
+)
+from mallowcrank.gateway.desired import EngineRule
+from mallowcrank.gateway.targets import Lifetime
+from mallowcrank.routing.path import Candidate, Way, cheapest_way
+
+HOP_MS = 0.15  # of a token, between two engines in one zone
+AWAY_FACTOR = 1.1  # on the cost of a path in another zone than the router's
+CROWD_FACTOR = 1.5  # on the times of an engine whose memory is full
+CROSSING_FACTOR = 4  # on the time in the pipe, which others use too
+BITS = 8
+
+
+@dataclass(frozen=True, slots=True)
+class Part:
+    """
+    One engine's part of a path; the end is exclusive.
+    """
+
+    lifetime: Lifetime
+    first: int
+    end: int
+
+    @property
+    def layers(self) -> int:
+        """
+        Return how many layers it runs.
+        """
+        return self.end - self.first
+
+
+@dataclass(frozen=True, slots=True)
+class ChainPath:
+    """
+    A path, each layer once and in order.
+
+    :param cost_ms: expected time of the whole request.
+    """
+
+    parts: tuple[Part, ...]
+    version: int
+    cost_ms: float
+
+
+@unique
+class NoPath(Enum):
+    """
+    Why there is no path.
+    """
+
+    UNCOVERED = 'no engines cover all layers'
+    FULL = 'the engines have no memory for it'
+
+
+@dataclass(frozen=True, slots=True)
+class Choosing:
+    """
+    What a choice is made for.
+
+    :param zone: the router's own availability zone.
+    """
+
+    rule: EngineRule
+    need: Need
+    zone: str
+
+
+def choose_path(
+    choosing: Choosing,
+    engines: Sequence[ChainEngine],
+    avoided: Collection[Lifetime] = (),
+) -> ChainPath | NoPath:
+    """
+    Return the path that is expected to be done first.
+
+    :param avoided: engines not to use.
+    """
+    live = [each for each in engines if each.lifetime not in avoided]
+    roomy = [each for each in live if _has_room(each, choosing.need)]
+    found = _best(choosing, roomy)
+    if found:
+        return found
+    covered = _best(choosing, live)
+    return NoPath.FULL if covered else NoPath.UNCOVERED
+
+
+def _has_room(engine: ChainEngine, need: Need) -> bool:
+    return engine.room >= need.tokens * engine.held.count
+
+
+def _best(
+    choosing: Choosing, engines: Sequence[ChainEngine]
+) -> ChainPath | None:
+    versions = sorted({each.held.version for each in engines}, reverse=True)
+    for version in versions:
+        same = [each for each in engines if each.held.version == version]
+        found = _inside_zones(choosing, same) or _across(choosing, same)
+        if found:
+            return _as_path(found, same, version)
+    return None
+
+
+def _inside_zones(
+    choosing: Choosing, engines: Iterable[ChainEngine]
+) -> Way | None:
+    by_zone: dict[str, list[Candidate]] = defaultdict(list)
+    for engine in engines:
+        by_zone[engine.zone].append(_candidate(choosing, engine, 0))
+    best = None
+    best_ms = 0.0
+    for zone, candidates in by_zone.items():
+        way = cheapest_way(choosing.rule.layers, candidates)
+        cost_ms = way.cost_ms * (1 if zone == choosing.zone else AWAY_FACTOR)
+        if way.stages and (best is None or cost_ms < best_ms):
+            best = way
+            best_ms = cost_ms
+    return best
+
+
+def _across(choosing: Choosing, engines: Iterable[ChainEngine]) -> Way | None:
+    crossing_ms = _crossing_ms(choosing)
+    candidates = [
+        _candidate(
+            choosing, each, 0 if each.zone == choosing.zone else crossing_ms
+        )
+        for each in engines
+    ]
+    way = cheapest_way(choosing.rule.layers, candidates)
+    return way if way.stages else None
+
+
+def _crossing_ms(choosing: Choosing) -> float:
+    """
+    Return the time for a prompt to go through the pipe there and back.
+    """
+    rule = choosing.rule
+    if not rule.pipe_mbps:
+        return 0
+    megabits = choosing.need.prompt * rule.hop_bytes * BITS / 1_000_000
+    seconds = 2 * megabits / rule.pipe_mbps
+    return seconds * MILLISECONDS * CROSSING_FACTOR
+
+
+def _candidate(
+    choosing: Choosing, engine: ChainEngine, extra_ms: float
+) -> Candidate:
+    need = choosing.need
+    crowd = 1 + engine.used_share * CROWD_FACTOR
+    own_ms = layer_ms(choosing.rule, engine.kind, need)
+    first = engine.held.first
+    if first == 0 and not engine.takes_firsts:
+        # Without a place as the first, it can't begin a path.
+        first = 1
+    return Candidate(
+        target=engine.lifetime.identity,
+        incarnation=engine.lifetime.born_ms,
+        first_layer=first,
+        last_layer=engine.held.end - 1,
+        enter_ms=need.answer * HOP_MS + extra_ms,
+        layer_ms=own_ms * max(1, engine.pace) * crowd,
+    )
+
+
+def _as_path(
+    way: Way, engines: Iterable[ChainEngine], version: int
+) -> ChainPath:
+    parts = tuple(
+        Part(
+            Lifetime(stage.target, stage.incarnation),
+            stage.first_layer,
+            stage.last_layer + 1,
+        )
+        for stage in way.stages
+    )
+    return ChainPath(parts, version, way.cost_ms)
--- /dev/null
+++ b/mallowcrank/gateway/__init__.py
@@ -0,0 +1,3 @@
+"""
+The gateway: one event loop that serves callers over chains of engines.
+"""
--- /dev/null
+++ b/mallowcrank/gateway/duty.py
@@ -0,0 +1,157 @@
+"""
+Who is in the group of gateways, and who of them holds the duty of placing.
+
+Membership is a lease in the store's group; its first partition is the duty.
+A new holder shuts out those before it by the group's generation. Orders are
+absolute and name the state that they were made for, so that two holders for
+a moment do no harm.
+"""
+
+import asyncio
+from http import HTTPStatus
+from random import Random
+
+from mallowcrank.gateway.followers import Pauses
+from mallowcrank.gateway.journal import Journal
+from mallowcrank.gateway.peers import Peers, Word
+from mallowcrank.gateway.ports import Unreadable, Vocabulary
+from mallowcrank.gateway.settings import Address, GatewaySettings
+from mallowcrank.gateway.steady import steady
+from mallowcrank.gateway.store_link import StoreAnswer, StoreLink
+
+GROUP = 'mallowcrank'
+PERIOD_S = 1.0  # between renewals
+LEASE_S = 3.0  # three renewals
+ALONE_S = 20  # the last holder goes on while the store answers nobody
+DUTY_PARTITION = 0
+SEPARATOR = '/'
+
+
+class Duty:
+    """
+    This gateway's part in the group.
+    """
+
+    def __init__(
+        self,
+        settings: GatewaySettings,
+        incarnation: str,
+        link: StoreLink,
+        vocabulary: Vocabulary,
+        peers: Peers,
+        journal: Journal,
+        random: Random,
+    ) -> None:
+        self._settings = settings
+        self._member = SEPARATOR.join(
+            (settings.host, incarnation, str(settings.gossip))
+        )
+        self._link = link
+        self._calls = vocabulary.store
+        self._peers = peers
+        self._journal = journal
+        self._pauses = Pauses(random)
+        self._generation = 0
+        self._holds = False
+        self._renewed_at = -ALONE_S
+        self._known_generation = -1
+        self._lease_s = max(LEASE_S, settings.lease_least_s)
+
+    @property
+    def holding(self) -> int:
+        """
+        Return the generation in which this gateway holds the duty, or 0.
+        """
+        if not self._holds:
+            return 0
+        since_s = steady() - self._renewed_at
+        allowed_s = ALONE_S if self._link.lost_at else self._lease_s
+        return self._generation if since_s < allowed_s else 0
+
+    def hear(self, word: Word) -> None:
+        """
+        Give the duty up where another one holds it later.
+        """
+        if self._holds and word.holding > self._generation:
+            self._lose('another holds it', by=word.host)
+
+    async def run(self) -> None:
+        """
+        Stay in the group for good.
+        """
+        while True:
+            if await self._renew():
+                self._pauses.clear()
+                await asyncio.sleep(PERIOD_S)
+            else:
+                await self._pauses.wait()
+
+    async def leave(self) -> None:
+        """
+        Leave the group.
+        """
+        self._holds = False
+        await self._link.call('leave', self._calls.leave(GROUP, self._member))
+
+    async def _renew(self) -> bool:
+        asked_at = steady()
+        answer = await self._link.call(
+            'join',
+            self._calls.join(
+                GROUP,
+                self._member,
+                int(self._lease_s * 1000),
+                self._generation,
+            ),
+        )
+        if not isinstance(answer, StoreAnswer):
+            return False
+        joined = self._calls.open_membership(answer.body)
+        if answer.status != HTTPStatus.OK or isinstance(joined, Unreadable):
+            return False
+        self._generation = joined.generation
+        self._renewed_at = asked_at
+        holds = any(part == DUTY_PARTITION for _, part in joined.owned)
+        if holds and not self._holds:
+            await self._gain()
+        elif self._holds and not holds:
+            self._lose('passed on')
+        if joined.generation != self._known_generation:
+            await self._learn_members(joined.generation)
+        return True
+
+    async def _gain(self) -> None:
+        answer = await self._link.call(
+            'fence', self._calls.fence(GROUP, GROUP, self._generation)
+        )
+        if not isinstance(answer, StoreAnswer):
+            return
+        if answer.status == HTTPStatus.CONFLICT:
+            self._journal.say('duty: fenced', generation=self._generation)
+            return
+        self._holds = True
+        self._journal.say('duty: gained', generation=self._generation)
+
+    def _lose(self, why: str, **fields: object) -> None:
+        self._holds = False
+        self._journal.say(
+            'duty: lost', why=why, generation=self._generation, **fields
+        )
+
+    async def _learn_members(self, generation: int) -> None:
+        answer = await self._link.call('owners', self._calls.owners(GROUP))
+        if not isinstance(answer, StoreAnswer):
+            return
+        members = self._calls.open_owners(answer.body)
+        if answer.status != HTTPStatus.OK or isinstance(members, Unreadable):
+            return
+        self._known_generation = generation
+        self._peers.hint(
+            address for address in map(_address, members) if address
+        )
+        self._peers.tell_all()
+
+
+def _address(member: str) -> Address | None:
+    ip, _, port = member.rpartition(SEPARATOR)[2].rpartition(':')
+    return Address(ip, int(port)) if ip and port.isdigit() else None
--- /dev/null
+++ b/mallowcrank/gateway/followers.py
@@ -0,0 +1,296 @@
+"""
+Following the desired state and the targets' entries in the store.
+"""
+
+import asyncio
+from collections.abc import Callable
+from http import HTTPStatus
+from random import Random
+
+from mallowcrank.gateway.desired import Desired
+from mallowcrank.gateway.fleet import Fleet
+from mallowcrank.gateway.journal import Journal
+from mallowcrank.gateway.ports import (
+    NewestPage,
+    StoreRecord,
+    Unreadable,
+    Vocabulary,
+)
+from mallowcrank.gateway.steady import steady
+from mallowcrank.gateway.store_link import StoreAnswer, StoreLink
+
+DESIRED_WAIT_S = 10  # of a read for a newer desired state
+DESIRED_PAUSE_S = 0.4  # between reads, when versions come in quick succession
+TARGETS_PERIOD_S = 1.0  # between reads; a leaving target is bound to 2 s
+FIRST_PAUSE_S = 0.2  # after a failed call; then it doubles
+LONGEST_PAUSE_S = 1.5
+UNSURE_S = 5  # after an outage, entries that are gone may come back
+
+
+class Pauses:
+    """
+    Growing pauses after failed calls, spread so that hosts don't go in step.
+    """
+
+    def __init__(self, random: Random) -> None:
+        self._random = random
+        self._next = FIRST_PAUSE_S
+
+    def clear(self) -> None:
+        """
+        Begin anew after a call that went well.
+        """
+        self._next = FIRST_PAUSE_S
+
+    async def wait(self) -> None:
+        """
+        Wait before the next call.
+        """
+        pause = self._next * (0.5 + self._random.random())
+        self._next = min(LONGEST_PAUSE_S, self._next * 2)
+        await asyncio.sleep(pause)
+
+
+class KnownDesired:
+    """
+    The desired state in force; it never goes back.
+    """
+
+    def __init__(self, vocabulary: Vocabulary, journal: Journal) -> None:
+        self._vocabulary = vocabulary
+        self._journal = journal
+        self._newest: Desired | None = None
+        self.raw = b''
+
+    @property
+    def newest(self) -> Desired | None:
+        """
+        Return the newest version, if one is known.
+        """
+        return self._newest
+
+    @property
+    def version(self) -> int:
+        """
+        Return its version, or -1.
+        """
+        return self._newest.version if self._newest else -1
+
+    def take(self, raw: bytes, source: str) -> None:
+        """
+        Take in a version, unless a newer one is known.
+        """
+        if raw == self.raw:
+            return
+        read = self._vocabulary.read_desired(raw)
+        if isinstance(read, Unreadable):
+            self._journal.say('desired: unreadable', why=read.reason)
+            return
+        if read.version <= self.version:
+            return
+        self._newest = read
+        self.raw = raw
+        self._journal.say(
+            'desired: in force', version=read.version, source=source
+        )
+
+
+class DesiredFollower:
+    """
+    Reads the desired state as it changes.
+    """
+
+    def __init__(
+        self,
+        known: KnownDesired,
+        link: StoreLink,
+        vocabulary: Vocabulary,
+        random: Random,
+    ) -> None:
+        self._known = known
+        self._link = link
+        self._calls = vocabulary.store
+        self._pauses = Pauses(random)
+        self._next = -1
+        self._reading: asyncio.Task[bool] | None = None
+
+    def hurry(self) -> None:
+        """
+        Read at once: another gateway knows a newer version.
+        """
+        if self._reading:
+            self._reading.cancel()
+
+    async def run(self) -> None:
+        """
+        Follow for good.
+        """
+        while True:
+            step = self._read() if self._next >= 0 else self._read_newest()
+            self._reading = asyncio.create_task(step)
+            await asyncio.wait((self._reading,))
+            went_well = not self._reading.cancelled() and (
+                self._reading.result()
+            )
+            self._reading = None
+            if went_well:
+                self._pauses.clear()
+                await asyncio.sleep(DESIRED_PAUSE_S)
+            else:
+                await self._pauses.wait()
+
+    async def _read_newest(self) -> bool:
+        topic = self._calls.desired_topic
+        answer = await self._link.call(
+            'desired-newest', self._calls.newest(topic, '')
+        )
+        if not isinstance(answer, StoreAnswer):
+            return False
+        page = self._calls.open_newest(answer.body)
+        if answer.status != HTTPStatus.OK or isinstance(page, Unreadable):
+            return False
+        self._take(page.records)
+        self._next = page.end
+        return True
+
+    async def _read(self) -> bool:
+        call = self._calls.read(
+            self._calls.desired_topic,
+            self._next,
+            int(DESIRED_WAIT_S * 1000),
+        )
+        answer = await self._link.call('desired-read', call, DESIRED_WAIT_S)
+        if not isinstance(answer, StoreAnswer):
+            return False
+        if answer.status == HTTPStatus.GONE:
+            self._next = -1
+            return True
+        page = self._calls.open_slice(answer.body, self._next)
+        if answer.status != HTTPStatus.OK or isinstance(page, Unreadable):
+            return False
+        self._take(page.records)
+        self._next += len(page.records)
+        return True
+
+    def _take(self, records: tuple[StoreRecord, ...]) -> None:
+        # Older versions in between are never in force here.
+        for record in reversed(records):
+            if record.key == self._calls.desired_key and record.content:
+                self._known.take(record.content, 'store')
+                return
+
+
+class TargetsFollower:
+    """
+    Reads the targets' entries.
+    """
+
+    def __init__(
+        self,
+        fleet: Fleet,
+        link: StoreLink,
+        vocabulary: Vocabulary,
+        random: Random,
+    ) -> None:
+        self._fleet = fleet
+        self._link = link
+        self._vocabulary = vocabulary
+        self._calls = vocabulary.store
+        self._random = random
+        self._pauses = Pauses(random)
+        self._next = -1
+        self.on_change: Callable[[], None] = _nothing
+
+    @property
+    def is_informed(self) -> bool:
+        """
+        Return whether the entries were read at least once.
+        """
+        return self._next >= 0
+
+    async def run(self) -> None:
+        """
+        Follow for good.
+        """
+        while True:
+            if self._next >= 0:
+                went_well = await self._read()
+            else:
+                went_well = await self._read_newest()
+            self._fleet.drop_lapsed(steady())
+            if went_well:
+                self._pauses.clear()
+                self.on_change()
+                spread = 0.9 + 0.2 * self._random.random()
+                await asyncio.sleep(TARGETS_PERIOD_S * spread)
+            else:
+                await self._pauses.wait()
+
+    def take_raw(self, identity: str, raw: bytes) -> None:
+        """
+        Take in an entry as it lies in the store.
+        """
+        read = self._vocabulary.read_entry(identity, raw)
+        if not isinstance(read, Unreadable):
+            self._fleet.take_entry(read, raw, steady())
+
+    async def _read_newest(self) -> bool:
+        records: list[StoreRecord] = []
+        after = ''
+        while True:
+            page = await self._newest_page(after)
+            if page is None:
+                return False
+            records.extend(page.records)
+            if not page.has_more or not page.records:
+                break
+            after = page.records[-1].key
+        self._take(tuple(records))
+        kept = [each.key for each in records]
+        self._fleet.take_all(kept, steady())
+        self._next = page.end
+        return True
+
+    async def _newest_page(self, after: str) -> NewestPage | None:
+        topic = self._calls.targets_topic
+        answer = await self._link.call(
+            'targets-newest', self._calls.newest(topic, after)
+        )
+        if not isinstance(answer, StoreAnswer):
+            return None
+        page = self._calls.open_newest(answer.body)
+        if answer.status != HTTPStatus.OK or isinstance(page, Unreadable):
+            return None
+        return page
+
+    async def _read(self) -> bool:
+        call = self._calls.read(self._calls.targets_topic, self._next, 0)
+        answer = await self._link.call('targets-read', call)
+        if not isinstance(answer, StoreAnswer):
+            return False
+        if answer.status == HTTPStatus.GONE:
+            self._next = -1
+            return True
+        page = self._calls.open_slice(answer.body, self._next)
+        if answer.status != HTTPStatus.OK or isinstance(page, Unreadable):
+            return False
+        self._take(page.records)
+        self._next += len(page.records)
+        return True
+
+    def _take(self, records: tuple[StoreRecord, ...]) -> None:
+        newest = {record.key: record for record in records}
+        for record in newest.values():
+            if record.content is None:
+                self._fleet.take_removal(record.key, steady(), self._is_sure())
+            else:
+                self.take_raw(record.key, record.content)
+
+    def _is_sure(self) -> bool:
+        return steady() - self._link.regained_at > UNSURE_S
+
+
+def _nothing() -> None:
+    """
+    Stand in until a listener is set.
+    """
--- /dev/null
+++ b/mallowcrank/gateway/meters.py
@@ -0,0 +1,73 @@
+"""
+Counters and latency histograms. docs/OPERATIONS.md lists each with its unit.
+"""
+
+from prometheus_client import (
+    CollectorRegistry,
+    Counter,
+    Gauge,
+    Histogram,
+    generate_latest,
+)
+
+LATENCIES_S = (0.01, 0.025, 0.05, 0.1, 0.15, 0.25, 0.5, 1, 2.5, 5, 10, 20)
+
+
+class Meters:
+    """
+    All metrics of one gateway.
+    """
+
+    def __init__(self) -> None:
+        self._registry = CollectorRegistry()
+        self.requests = self._counter(
+            'requests', 'Requests by outcome.', ('kind', 'outcome')
+        )
+        self.sends = self._counter(
+            'sends', 'Requests sent to targets.', ('kind', 'try')
+        )
+        self.refusals = self._counter(
+            'refusals', 'Refused requests by reason.', ('reason',)
+        )
+        self.store_calls = self._counter(
+            'store_calls', 'Calls to the store.', ('call', 'outcome')
+        )
+        self.channels = self._counter(
+            'target_channels', 'New channels to targets.', ('outcome',)
+        )
+        self.probes = self._counter(
+            'probes', 'Reports asked of targets.', ('outcome',)
+        )
+        self.orders = self._counter(
+            'orders', 'Orders to engines.', ('outcome',)
+        )
+        self.first = Histogram(
+            'mallowcrank_first_event_seconds',
+            'From a request to its first event or its answer.',
+            ('kind',),
+            registry=self._registry,
+            buckets=LATENCIES_S,
+        )
+        self.in_flight = Gauge(
+            'mallowcrank_in_flight',
+            'Requests in flight.',
+            registry=self._registry,
+        )
+        self.waiting = Gauge(
+            'mallowcrank_waiting',
+            'Requests that wait for memory of engines.',
+            registry=self._registry,
+        )
+
+    def text(self) -> bytes:
+        """
+        Return all metrics in the exposition format.
+        """
+        return generate_latest(self._registry)
+
+    def _counter(
+        self, name: str, text: str, labels: tuple[str, ...]
+    ) -> Counter:
+        return Counter(
+            f'mallowcrank_{name}', text, labels, registry=self._registry
+        )
--- /dev/null
+++ b/mallowcrank/gateway/placing.py
@@ -0,0 +1,211 @@
+"""
+Giving engines the orders that the plan asks for.
+"""
+
+import asyncio
+from collections.abc import Callable
+from dataclasses import dataclass
+from http import HTTPStatus
+
+from mallowcrank.chains.engines import most_layers
+from mallowcrank.chains.placement import FILL, Card, Placing, plan_layers
+from mallowcrank.gateway.desired import Desired, EngineRule, ServiceRule
+from mallowcrank.gateway.fleet import Fleet
+from mallowcrank.gateway.journal import Journal
+from mallowcrank.gateway.meters import Meters
+from mallowcrank.gateway.ports import Vocabulary
+from mallowcrank.gateway.prober import Prober
+from mallowcrank.gateway.steady import steady
+from mallowcrank.gateway.target_channel import (
+    End,
+    Head,
+    Piece,
+    TargetPool,
+    Unreached,
+    request_bytes,
+)
+from mallowcrank.gateway.targets import HeldLayers, Lifetime, Report, Target
+
+TICK_S = 0.4  # between two looks at the plan
+SETTLED_S = 1.0  # after the last new target, before the first plan
+ANSWER_S = 1.0  # for an order
+PENDING_S = 14  # an order without an answer may be carried out for so long
+DEAD_S = 1.5  # a silent target is planned without after it
+
+
+@dataclass(frozen=True, slots=True)
+class Pending:
+    """
+    An order that was given and does not show in the entry yet.
+
+    :param at: steady time, in seconds.
+    """
+
+    placing: Placing
+    at: float
+
+
+class Placer:
+    """
+    Places layers while this gateway holds the duty.
+    """
+
+    def __init__(
+        self,
+        fleet: Fleet,
+        pool: TargetPool,
+        prober: Prober,
+        vocabulary: Vocabulary,
+        journal: Journal,
+        meters: Meters,
+    ) -> None:
+        self._fleet = fleet
+        self._pool = pool
+        self._prober = prober
+        self._vocabulary = vocabulary
+        self._journal = journal
+        self._meters = meters
+        self._pending: dict[Lifetime, Pending] = {}
+        self._orders: dict[Lifetime, int] = {}
+        self._has_held = False
+
+    async def run(
+        self,
+        holding: Callable[[], int],
+        desired: Callable[[], Desired | None],
+    ) -> None:
+        """
+        Place for good.
+        """
+        while True:
+            await asyncio.sleep(TICK_S)
+            known = desired()
+            if not holding():
+                self._pending.clear()
+            elif known:
+                for service in known.services.values():
+                    if service.engine:
+                        await self._place(service, service.engine)
+
+    async def _place(self, service: ServiceRule, rule: EngineRule) -> None:
+        now = steady()
+        targets = self._fleet.serving(service.name)
+        self._settle(targets, now)
+        cards = [
+            card
+            for card in (self._card(rule, target, now) for target in targets)
+            if card
+        ]
+        if not self._is_settled(cards, now):
+            return
+        placings = plan_layers(rule.layers, cards)
+        if placings:
+            await asyncio.gather(
+                *(self._order(placing, rule) for placing in placings)
+            )
+
+    def _is_settled(self, cards: list[Card], now: float) -> bool:
+        self._has_held = self._has_held or any(
+            not card.is_empty for card in cards
+        )
+        return self._has_held or now - self._fleet.changed_at > SETTLED_S
+
+    def _settle(self, targets: list[Target], now: float) -> None:
+        known = {target.lifetime: target for target in targets}
+        for lifetime, pending in list(self._pending.items()):
+            target = known.get(lifetime)
+            is_done = target is None or _shows(target, pending.placing)
+            if is_done or now - pending.at > PENDING_S:
+                self._pending.pop(lifetime)
+
+    def _card(
+        self, rule: EngineRule, target: Target, now: float
+    ) -> Card | None:
+        kind = rule.kinds.get(target.kind)
+        dead_since = self._fleet.dead().get(target.lifetime, now)
+        if kind is None or now - dead_since > DEAD_S:
+            return None
+        fitting = most_layers(rule, kind)
+        card = Card(
+            lifetime=target.lifetime,
+            zone=target.zone,
+            most=max(1, int(fitting * FILL)) if fitting else 0,
+            pace=kind.pace,
+        )
+        pending = self._pending.get(target.lifetime)
+        shown = pending.placing if pending else target.layers
+        if shown is None:
+            return card
+        return Card(
+            card.lifetime,
+            card.zone,
+            card.most,
+            card.pace,
+            shown.first,
+            shown.end,
+        )
+
+    async def _order(self, placing: Placing, rule: EngineRule) -> None:
+        target = self._fleet.find(placing.lifetime.identity)
+        if target is None or target.lifetime != placing.lifetime:
+            return
+        self._pending[placing.lifetime] = Pending(placing, steady())
+        expected = max(target.orders, self._orders.get(placing.lifetime, 0))
+        layers = HeldLayers(placing.first, placing.end, 0)
+        status = await self._send(target, layers, expected)
+        self._meters.orders.labels(str(status or 'none')).inc()
+        self._journal.say(
+            'placing: ordered',
+            target=target.identity,
+            layers=[placing.first, placing.end],
+            expected=expected,
+            status=status,
+            of=rule.layers,
+        )
+        if status == HTTPStatus.ACCEPTED:
+            self._orders[placing.lifetime] = expected + 1
+        elif status == HTTPStatus.CONFLICT:
+            await self._read_back(target)
+        elif status and status != HTTPStatus.OK:
+            self._pending.pop(placing.lifetime, None)
+
+    async def _read_back(self, target: Target) -> None:
+        report = await self._prober.report(target)
+        if isinstance(report, Report):
+            self._orders[target.lifetime] = report.orders
+            self._pending.pop(target.lifetime, None)
+
+    async def _send(
+        self, target: Target, layers: HeldLayers, expected: int
+    ) -> int:
+        """
+        Give an order.
+
+        :returns: the status of the answer, or 0 where none came.
+        """
+        opened = await self._pool.connect(target.address)
+        if isinstance(opened, Unreached):
+            return 0
+        call = self._vocabulary.place_call(layers, expected)
+        host = (b'Host', str(target.address).encode())
+        raw = request_bytes(
+            call.method, call.path.encode(), (host, *call.headers), call.body
+        )
+        opened.send(raw)
+        until = steady() + ANSWER_S
+        status = 0
+        while True:
+            event = await opened.next_event(until - steady())
+            if isinstance(event, Head):
+                status = event.status
+            elif not isinstance(event, Piece):
+                opened.close()
+                return status if isinstance(event, End) else 0
+
+
+def _shows(target: Target, placing: Placing) -> bool:
+    held = target.layers
+    return held is not None and (held.first, held.end) == (
+        placing.first,
+        placing.end,
+    )
--- /dev/null
+++ b/mallowcrank/gateway/plain_calls.py
@@ -0,0 +1,249 @@
+"""
+Calls of plain services: one target, or another where the call may repeat.
+
+An answer is passed on when it is whole. A call that may run once only goes
+over a channel of its own, since a kept one may have gone silent or be closed
+just when the call is sent.
+"""
+
+from dataclasses import dataclass
+from http import HTTPStatus
+
+from mallowcrank.chains.replicas import ReplicaRecords
+from mallowcrank.gateway.caller_channel import without_channel_headers
+from mallowcrank.gateway.core import Call, Core, conclude, refuse
+from mallowcrank.gateway.desired import Repeat
+from mallowcrank.gateway.ports import Sending
+from mallowcrank.gateway.steady import steady
+from mallowcrank.gateway.target_channel import (
+    Broken,
+    End,
+    Head,
+    Piece,
+    Silent,
+    TargetChannel,
+    Unreached,
+    request_bytes,
+)
+from mallowcrank.gateway.targets import Target
+
+MILLISECONDS = 1000
+OTHER_S = 0.35  # of silence, after which a repeatable call goes elsewhere
+MOST_TURNED_AWAY = 3  # targets that are asked where none ran the call
+FULL_RETURN_S = 0.2  # some calls' usual time
+RETURNS_PER_S = 50
+
+
+@dataclass(frozen=True, slots=True)
+class Whole:
+    """
+    A target's whole answer.
+    """
+
+    head: Head
+    body: bytes
+
+    @property
+    def is_failure(self) -> bool:
+        """
+        Return whether the target failed.
+        """
+        return self.head.status >= HTTPStatus.INTERNAL_SERVER_ERROR
+
+
+@dataclass(frozen=True, slots=True)
+class Nothing:
+    """
+    No whole answer.
+
+    :param has_run: false where the target surely did not run the call.
+    """
+
+    reason: str
+    has_run: bool
+
+
+class PlainCalls:
+    """
+    Serves calls of plain services.
+    """
+
+    def __init__(self, core: Core) -> None:
+        self._core = core
+        self._records = ReplicaRecords()
+
+    async def serve(self, call: Call) -> None:
+        """
+        Serve one call.
+        """
+        window = self._core.windows.of(call.service.name)
+        window.count_request(steady())
+        ended: Whole | Nothing = Nothing('no target is there', has_run=False)
+        while True:
+            target = self._pick(call)
+            if target is None:
+                break
+            ended = await self._try(call, target)
+            call.avoided.add(target.lifetime)
+            if isinstance(ended, Whole) and not ended.is_failure:
+                break
+            if not self._may_go_on(call):
+                break
+        self._end(call, ended)
+
+    def _pick(self, call: Call) -> Target | None:
+        fleet = self._core.fleet
+        targets = fleet.serving(call.service.name)
+        zone = self._core.settings.zone
+        drawn = self._core.random.random()
+        sound = {*call.avoided, *fleet.dead()}
+        return self._records.pick(
+            targets, zone, sound, drawn
+        ) or self._records.pick(targets, zone, call.avoided, drawn)
+
+    def _may_go_on(self, call: Call) -> bool:
+        if call.left_s() <= 0 or call.answer.has_ended:
+            return False
+        if call.refused > MOST_TURNED_AWAY:
+            return False
+        if call.sends and call.route.repeat is Repeat.ONCE:
+            return False
+        if call.sends >= call.route.most_sends:
+            return False
+        window = self._core.windows.of(call.service.name)
+        return window.allows(steady(), self._core.peers.count())
+
+    async def _try(self, call: Call, target: Target) -> Whole | Nothing:
+        channel = await self._open(call, target)
+        if isinstance(channel, Unreached):
+            call.refused += 1
+            self._core.prober.suspect((target.lifetime,))
+            return Nothing(f'unreached: {channel.reason}', has_run=False)
+        self._records.began(target.lifetime)
+        failed: bool | None = None
+        try:
+            self._send(call, target, channel)
+            ended = await self._read(call, channel)
+            failed = _is_bad(ended)
+        finally:
+            self._records.ended(target.lifetime, failed)
+            self._core.pool.give_back(channel)
+        return self._judge(call, target, ended)
+
+    async def _open(
+        self, call: Call, target: Target
+    ) -> TargetChannel | Unreached:
+        if call.route.repeat is not Repeat.ONCE:
+            kept = self._core.pool.take_kept(target.address)
+            if kept:
+                return kept
+        opened = await self._core.pool.connect(target.address)
+        outcome = 'failed' if isinstance(opened, Unreached) else 'opened'
+        self._core.meters.channels.labels(outcome).inc()
+        return opened
+
+    def _send(self, call: Call, target: Target, channel: TargetChannel) -> None:
+        request = call.request
+        headers = self._core.vocabulary.target_headers(
+            request.headers,
+            Sending(
+                target=target.identity,
+                remaining_ms=max(1, int(call.left_s() * MILLISECONDS)),
+                workspace=call.workspace,
+            ),
+        )
+        if call.sends or call.refused:
+            window = self._core.windows.of(call.service.name)
+            window.count_retry(steady())
+        call.sends += 1
+        self._core.meters.sends.labels(call.kind, str(call.sends)).inc()
+        channel.send(
+            request_bytes(
+                request.method, request.target, headers, request.body
+            ),
+            self._core.answers(call),
+            request.method == 'HEAD',
+        )
+
+    async def _read(
+        self, call: Call, channel: TargetChannel
+    ) -> Whole | Nothing:
+        until = call.until
+        if call.route.repeat is Repeat.ANY and self._has_other(call):
+            until = min(until, steady() + OTHER_S)
+        head: Head | None = None
+        pieces = []
+        while True:
+            event = await channel.next_event(until - steady())
+            match event:
+                case Head():
+                    head = event
+                case Piece():
+                    pieces.append(event.raw)
+                case End():
+                    assert head
+                    return Whole(head, b''.join(pieces))
+                case Broken():
+                    return Nothing(event.reason, has_run=True)
+                case Silent():
+                    channel.close()
+                    return Nothing('silent', has_run=True)
+
+    def _has_other(self, call: Call) -> bool:
+        return (
+            call.sends < call.route.most_sends
+            and len(self._core.fleet.serving(call.service.name)) > 1
+        )
+
+    def _judge(
+        self, call: Call, target: Target, ended: Whole | Nothing
+    ) -> Whole | Nothing:
+        if isinstance(ended, Nothing):
+            self._core.prober.suspect((target.lifetime,))
+            return ended
+        fields = self._core.vocabulary.answer_fields(ended.head.headers)
+        misdirected = ended.head.status == HTTPStatus.MISDIRECTED_REQUEST
+        if not (fields.did_not_run or misdirected):
+            return ended
+        call.sends -= 1
+        call.refused += 1
+        reason = f'{ended.head.status} at {target.identity}'
+        return Nothing(reason, has_run=False)
+
+    def _end(self, call: Call, ended: Whole | Nothing) -> None:
+        if isinstance(ended, Whole):
+            self._pass_on(call, ended)
+        elif call.sends:
+            status = (
+                HTTPStatus.BAD_GATEWAY
+                if call.left_s() > 0
+                else HTTPStatus.GATEWAY_TIMEOUT
+            )
+            refuse(call.answer, status, ended.reason)
+            conclude(
+                self._core, call, 'failed', why=ended.reason, status=status
+            )
+        else:
+            self._refuse(call, ended.reason)
+
+    def _pass_on(self, call: Call, whole: Whole) -> None:
+        self._core.meters.first.labels(call.kind).observe(call.age_s())
+        call.answer.send(
+            whole.head.status,
+            without_channel_headers(whole.head.headers),
+            whole.body,
+        )
+        outcome = 'failed' if whole.is_failure else 'served'
+        conclude(self._core, call, outcome, status=whole.head.status)
+
+    def _refuse(self, call: Call, reason: str) -> None:
+        return_s = self._core.returns.give(
+            steady(), FULL_RETURN_S, RETURNS_PER_S
+        )
+        self._core.meters.refusals.labels('plain').inc()
+        refuse(call.answer, HTTPStatus.SERVICE_UNAVAILABLE, reason, return_s)
+        conclude(self._core, call, 'refused', why=reason, return_s=return_s)
+
+
+def _is_bad(ended: Whole | Nothing) -> bool:
+    return isinstance(ended, Nothing) or ended.is_failure
--- /dev/null
+++ b/mallowcrank/gateway/prober.py
@@ -0,0 +1,175 @@
+"""
+Asking targets for their report: are they there, and how fast are they?
+
+A target is asked when its streams fall silent, when another gateway says so,
+and now and then for its pace; then the gateways share the targets among them.
+"""
+
+import asyncio
+from collections.abc import Callable, Iterable, Sequence
+from http import HTTPStatus
+
+import xxhash
+
+from mallowcrank.gateway.fleet import Fleet
+from mallowcrank.gateway.meters import Meters
+from mallowcrank.gateway.ports import Unreadable, Vocabulary
+from mallowcrank.gateway.steady import steady
+from mallowcrank.gateway.target_channel import (
+    Broken,
+    End,
+    Head,
+    Piece,
+    Silent,
+    TargetChannel,
+    TargetPool,
+    Unreached,
+    request_bytes,
+)
+from mallowcrank.gateway.targets import Lifetime, Report, Target
+
+ANSWER_S = 0.15  # for a report; it takes some ms, and a slow target's more
+TRIES = 2  # a packet may be lost
+APART_S = 0.3  # between two questions to one target
+SLOW_PACE = 4  # assumed where a target is there and gives no report in time
+RECHECK_S = 0.5  # between questions to a silent target
+PACE_PERIOD_S = 3  # between questions for a pace
+TICK_S = 0.25
+
+
+class Prober:
+    """
+    Asks targets.
+    """
+
+    def __init__(
+        self,
+        fleet: Fleet,
+        pool: TargetPool,
+        vocabulary: Vocabulary,
+        meters: Meters,
+    ) -> None:
+        self._fleet = fleet
+        self._pool = pool
+        self._vocabulary = vocabulary
+        self._meters = meters
+        self._asked: dict[Lifetime, float] = {}
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    def suspect(self, lifetimes: Iterable[Lifetime]) -> None:
+        """
+        Ask targets, unless they were asked just now.
+        """
+        for lifetime in lifetimes:
+            target = self._fleet.find(lifetime.identity)
+            if target and target.lifetime == lifetime:
+                self._ask_soon(target, APART_S)
+
+    async def report(self, target: Target) -> Report | str:
+        """
+        Ask one target for its report.
+
+        :returns: the report, or why there is none.
+        """
+        opened = await self._pool.connect(target.address)
+        if isinstance(opened, Unreached):
+            return opened.reason
+        call = self._vocabulary.report_call()
+        host = (b'Host', str(target.address).encode())
+        opened.send(
+            request_bytes(call.method, call.path.encode(), (host,), b'')
+        )
+        try:
+            body = await _read_body(opened)
+        finally:
+            opened.close()
+        if body is None:
+            return ''
+        report = self._vocabulary.read_report(target.identity, body)
+        return '' if isinstance(report, Unreadable) else report
+
+    async def run(
+        self,
+        service_names: Callable[[], Iterable[str]],
+        routers: Callable[[], tuple[str, Sequence[str]]],
+    ) -> None:
+        """
+        Ask for good: silent targets often, others for their pace.
+        """
+        while True:
+            await asyncio.sleep(TICK_S)
+            self._recheck_silent()
+            mine, hosts = routers()
+            for service in service_names():
+                for target in self._fleet.known(service):
+                    if _is_mine(target, mine, hosts):
+                        self._ask_soon(target, PACE_PERIOD_S)
+
+    def _recheck_silent(self) -> None:
+        for lifetime in list(self._fleet.dead()):
+            target = self._fleet.find(lifetime.identity)
+            if target and target.lifetime == lifetime:
+                self._ask_soon(target, RECHECK_S)
+
+    def _ask_soon(self, target: Target, apart_s: float) -> None:
+        now = steady()
+        if now - self._asked.get(target.lifetime, 0) < apart_s:
+            return
+        self._asked[target.lifetime] = now
+        if len(self._asked) > 2 * len(self._fleet) + 100:
+            self._asked.clear()
+        task = asyncio.get_running_loop().create_task(self._ask(target))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _ask(self, target: Target) -> None:
+        answer: Report | str = ''
+        for _ in range(TRIES):
+            began = steady()
+            answer = await self.report(target)
+            if not _is_timeout(answer, began):
+                break
+        now = steady()
+        if isinstance(answer, Report):
+            self._meters.probes.labels('answered').inc()
+            self._fleet.see_alive(target.lifetime, answer.pace, now)
+        elif answer:
+            self._meters.probes.labels('unreached').inc()
+            self._fleet.see_dead(target.lifetime, answer, now)
+        else:
+            self._meters.probes.labels('slow').inc()
+            self._fleet.see_alive(target.lifetime, SLOW_PACE, now)
+
+
+def _is_timeout(answer: Report | str, began: float) -> bool:
+    return isinstance(answer, str) and steady() - began >= ANSWER_S
+
+
+def _is_mine(target: Target, mine: str, hosts: Sequence[str]) -> bool:
+    """
+    Return whether this gateway is the one that asks a target.
+    """
+    if not hosts:
+        return True
+    return mine == max(
+        hosts,
+        key=lambda host: xxhash.xxh64_intdigest(host + target.identity),
+    )
+
+
+async def _read_body(channel: TargetChannel) -> bytes | None:
+    until = steady() + ANSWER_S
+    status = 0
+    pieces = []
+    while True:
+        event = await channel.next_event(until - steady())
+        match event:
+            case Head():
+                status = event.status
+            case Piece():
+                pieces.append(event.raw)
+            case End():
+                done = status == HTTPStatus.OK
+                return b''.join(pieces) if done else None
+            case Broken() | Silent():
+                return None
--- /dev/null
+++ b/mallowcrank/gateway/steady.py
@@ -0,0 +1,12 @@
+"""
+Steady time that goes on while the host is suspended.
+"""
+
+import time
+
+
+def steady() -> float:
+    """
+    Return seconds on a clock that neither jumps nor stands still.
+    """
+    return time.clock_gettime(time.CLOCK_BOOTTIME)
--- /dev/null
+++ b/mallowcrank/gateway/target_channel.py
@@ -0,0 +1,360 @@
+"""
+Channels to targets and to the store: one request at a time, events back.
+"""
+
+import asyncio
+from collections import deque
+from collections.abc import Callable
+from dataclasses import dataclass
+
+import httptools
+
+from mallowcrank.gateway.ports import Headers
+from mallowcrank.gateway.settings import Address
+from mallowcrank.gateway.steady import steady
+
+CONNECT_S = 0.25  # a link's round trip is a few ms; a lost packet costs 1 s
+IDLE_S = 3  # that a channel is kept where the target names no time
+IDLE_MARGIN_S = 1  # before the time that the target names
+MOST_KEPT = 32  # idle channels to one target
+
+
+@dataclass(frozen=True, slots=True)
+class Head:
+    """
+    Status and headers of an answer.
+    """
+
+    status: int
+    headers: Headers
+
+
+@dataclass(frozen=True, slots=True)
+class Piece:
+    """
+    A piece of an answer's body.
+    """
+
+    raw: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class End:
+    """
+    The answer's body is complete.
+    """
+
+
+@dataclass(frozen=True, slots=True)
+class Broken:
+    """
+    The channel can give nothing more.
+
+    :param reason: why.
+    """
+
+    reason: str
+
+
+@dataclass(frozen=True, slots=True)
+class Silent:
+    """
+    Nothing came in time.
+    """
+
+
+Event = Head | Piece | End | Broken | Silent
+
+
+@dataclass(frozen=True, slots=True)
+class Unreached:
+    """
+    A channel that could not be opened: nothing was sent.
+    """
+
+    reason: str
+
+
+IsMine = Callable[[Headers], bool]
+
+
+def _any(headers: Headers) -> bool:
+    return True
+
+
+class TargetChannel(asyncio.Protocol):
+    """
+    One channel.
+    """
+
+    def __init__(self, address: Address) -> None:
+        self.address = address
+        self.used_at = steady()
+        self.is_fresh = True
+        self._transport: asyncio.Transport | None = None
+        self._events: deque[Event] = deque()
+        self._waiter: asyncio.Future[None] | None = None
+        self._parser = httptools.HttpResponseParser(self)
+        self._headers: list[tuple[bytes, bytes]] = []
+        self._is_open = True
+        self._is_asked = False
+        self._head_only = False
+        self._until_close = False
+        self._is_mine: IsMine = _any
+        self._skips = False
+        self._keeps = False
+        self._idle_s: float = IDLE_S
+
+    @property
+    def is_reusable(self) -> bool:
+        """
+        Return whether the channel can carry another request.
+        """
+        return self._is_open and not self._is_asked and self._keeps
+
+    def is_kept(self, now: float) -> bool:
+        """
+        Return whether the target still keeps the idle channel.
+        """
+        return self.is_reusable and now - self.used_at < self._idle_s
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """
+        Take in the open channel.
+        """
+        self._transport = transport
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """
+        Take in the end of the channel.
+        """
+        if not self._is_open:
+            return
+        self._is_open = False
+        if self._is_asked:
+            reason = f'reset: {exc}' if exc else 'closed'
+            self._put(Broken(reason))
+
+    def eof_received(self) -> bool:
+        """
+        Take in the end of what the target sends.
+        """
+        if self._is_asked and self._until_close:
+            self._complete()
+        self._keeps = False
+        return False
+
+    def send(
+        self, raw: bytes, is_mine: IsMine | None = None, head_only: bool = False
+    ) -> None:
+        """
+        Send a request.
+
+        :param is_mine: tells from an answer's headers whether it is to this
+            request; others may come late, and are passed over.
+        """
+        self.used_at = steady()
+        self._is_asked = True
+        self._is_mine = is_mine or _any
+        self._head_only = head_only
+        self._until_close = False
+        if self._transport and self._is_open:
+            self._transport.write(raw)
+        else:
+            self._put(Broken('closed before the request'))
+
+    def data_received(self, raw: bytes) -> None:
+        """
+        Read the answer.
+        """
+        if not self._is_asked:
+            # Bytes that nobody asked for belong to no request.
+            self.close()
+            return
+        try:
+            self._parser.feed_data(raw)
+        except (httptools.HttpParserError, httptools.HttpParserUpgrade) as no:
+            if self._is_asked:
+                self._put(Broken(f'no HTTP answer: {no}'))
+            self.close()
+
+    async def next_event(self, within_s: float) -> Event:
+        """
+        Return the next event, or `Silent` after some seconds.
+        """
+        if not self._events and within_s > 0:
+            loop = asyncio.get_running_loop()
+            self._waiter = loop.create_future()
+            timer = loop.call_later(within_s, self._wake)
+            try:
+                await self._waiter
+            finally:
+                timer.cancel()
+                self._waiter = None
+        return self._events.popleft() if self._events else Silent()
+
+    def close(self) -> None:
+        """
+        Close at once; a target then stops work on the request.
+        """
+        self._is_open = False
+        self._keeps = False
+        if self._transport:
+            self._transport.abort()
+
+    def on_message_begin(self) -> None:
+        """
+        Begin an answer.
+        """
+        self._headers = []
+        if not self._is_asked:
+            self._keeps = False
+
+    def on_header(self, name: bytes, given: bytes) -> None:
+        """
+        Take in a header.
+        """
+        self._headers.append((name, given))
+
+    def on_headers_complete(self) -> None:
+        """
+        Take in the end of the head.
+        """
+        if not self._is_asked:
+            return
+        status = self._parser.get_status_code()
+        if status < 200:
+            return
+        self._skips = not self._is_mine(tuple(self._headers))
+        if self._skips:
+            return
+        self._until_close = not _is_framed(self._headers, status)
+        self._take_idle_time()
+        self._put(Head(status, tuple(self._headers)))
+        if self._head_only:
+            self._complete()
+            self._keeps = False
+
+    def on_body(self, raw: bytes) -> None:
+        """
+        Take in a piece of the body.
+        """
+        if self._is_asked and not self._skips:
+            self._put(Piece(raw))
+
+    def on_message_complete(self) -> None:
+        """
+        Take in the end of the body.
+        """
+        if self._skips:
+            self._skips = False
+        elif self._is_asked and self._parser.get_status_code() >= 200:
+            self._keeps = self._parser.should_keep_alive()
+            self._complete()
+
+    def _complete(self) -> None:
+        self._is_asked = False
+        self.is_fresh = False
+        self.used_at = steady()
+        self._put(End())
+
+    def _take_idle_time(self) -> None:
+        for name, given in self._headers:
+            if name.lower() != b'keep-alive':
+                continue
+            _, _, seconds = given.partition(b'timeout=')
+            digits = seconds.split(b',')[0].strip()
+            if digits.isdigit():
+                self._idle_s = max(0, int(digits) - IDLE_MARGIN_S)
+
+    def _put(self, event: Event) -> None:
+        self._events.append(event)
+        self._wake()
+
+    def _wake(self) -> None:
+        if self._waiter and not self._waiter.done():
+            self._waiter.set_result(None)
+
+
+def _is_framed(headers: list[tuple[bytes, bytes]], status: int) -> bool:
+    if status in {204, 304}:
+        return True
+    names = {name.lower() for name, _ in headers}
+    return not names.isdisjoint((b'content-length', b'transfer-encoding'))
+
+
+class TargetPool:
+    """
+    Channels to all targets; idle ones are kept for the next request.
+    """
+
+    def __init__(self) -> None:
+        self._idle: dict[Address, list[TargetChannel]] = {}
+
+    def take_kept(self, address: Address) -> TargetChannel | None:
+        """
+        Take an idle channel, if there is one.
+        """
+        now = steady()
+        kept = self._idle.get(address, [])
+        while kept:
+            channel = kept.pop()
+            if channel.is_kept(now):
+                return channel
+            channel.close()
+        return None
+
+    async def connect(self, address: Address) -> TargetChannel | Unreached:
+        """
+        Open a new channel.
+        """
+        loop = asyncio.get_running_loop()
+        try:
+            async with asyncio.timeout(CONNECT_S):
+                _, channel = await loop.create_connection(
+                    lambda: TargetChannel(address), address.ip, address.port
+                )
+        except TimeoutError:
+            return Unreached(f'no answer in {CONNECT_S} s')
+        except OSError as error:
+            return Unreached(str(error))
+        return channel
+
+    def give_back(self, channel: TargetChannel) -> None:
+        """
+        Keep a channel for the next request, or close it.
+        """
+        kept = self._idle.setdefault(channel.address, [])
+        if channel.is_reusable and len(kept) < MOST_KEPT:
+            kept.append(channel)
+        else:
+            channel.close()
+
+    def sweep(self) -> None:
+        """
+        Close channels that were idle for too long.
+        """
+        now = steady()
+        for address, kept in list(self._idle.items()):
+            staying = [each for each in kept if each.is_kept(now)]
+            for channel in kept:
+                if channel not in staying:
+                    channel.close()
+            if staying:
+                self._idle[address] = staying
+            else:
+                self._idle.pop(address)
+
+
+def request_bytes(
+    method: str, path: bytes, headers: Headers, body: bytes
+) -> bytes:
+    """
+    Encode a request.
+    """
+    lines = [b'%b %b HTTP/1.1' % (method.encode(), path)]
+    lines.extend(b'%b: %b' % pair for pair in headers)
+    if body or method not in {'GET', 'HEAD', 'DELETE'}:
+        lines.append(b'Content-Length: %d' % len(body))
+    lines.append(b'\r\n')
+    return b'\r\n'.join(lines) + body
--- /dev/null
+++ b/mallowcrank/platform/exchange.py
@@ -0,0 +1,136 @@
+"""
+Headers and bodies between callers, gateways and replicas.
+"""
+
+from collections.abc import Sequence
+from urllib.parse import parse_qs
+
+import orjson
+
+from mallowcrank.gateway.ports import (
+    AnswerFields,
+    CallerFields,
+    Headers,
+    Sending,
+)
+from mallowcrank.gateway.settings import Address
+
+REQUEST_ID = b'mallowcrank-request-id'
+DEADLINE = b'mallowcrank-deadline-ms'
+TOKENS = b'mallowcrank-token-count'
+LENGTH_HINT = b'mallowcrank-length-hint'
+LAST_EVENT = b'last-event-id'
+KEY = b'x-api-key'
+SEAL = b'mallowcrank-response-seal'
+DID_NOT_RUN = b'mallowcrank-not-executed'
+AT_REPLICA = b'at-server'
+
+SET_BY_GATEWAY = frozenset(
+    (
+        DEADLINE,
+        KEY,
+        b'mallowcrank-tenant',
+        b'mallowcrank-expect-instance',
+        b'mallowcrank-expect-version',
+        b'mallowcrank-hop-count',
+        b'mallowcrank-request-priority',
+    )
+)
+
+
+def caller_fields(headers: Headers) -> CallerFields:
+    """
+    Decode what a caller's headers say.
+    """
+    given = {name.lower(): raw.decode('latin-1') for name, raw in headers}
+    deadline = given.get(DEADLINE)
+    prompt, output = _tokens(given.get(TOKENS, ''))
+    problem = _problem(headers, deadline)
+    return CallerFields(
+        request=given.get(REQUEST_ID, ''),
+        deadline_ms=float(deadline) if deadline and not problem else None,
+        key=given.get(KEY, ''),
+        last_event=given.get(LAST_EVENT, ''),
+        prompt_tokens=prompt,
+        output_tokens=output,
+        output_guess=_count(given.get(LENGTH_HINT, '')),
+        problem=problem,
+    )
+
+
+def caller_zone(query: str) -> str:
+    """
+    Return the zone that a caller of the directory names.
+    """
+    return parse_qs(query).get('zone', [''])[0]
+
+
+def directory_answer(fronts: Sequence[Address], keep_s: float) -> bytes:
+    """
+    Encode the directory's answer.
+    """
+    return orjson.dumps(
+        {'addresses': [str(front) for front in fronts], 'ttl_s': keep_s}
+    )
+
+
+def target_headers(headers: Headers, sending: Sending) -> Headers:
+    """
+    Return the headers of a request to a replica.
+
+    :param headers: the caller's, without those of its channel.
+    """
+    dropped = SET_BY_GATEWAY
+    if sending.last_event:
+        dropped = dropped | {LAST_EVENT}
+    kept = [pair for pair in headers if pair[0].lower() not in dropped]
+    kept.append((b'Mallowcrank-Deadline-Ms', b'%d' % sending.remaining_ms))
+    kept.append((b'Mallowcrank-Expect-Instance', sending.target.encode()))
+    if sending.workspace:
+        kept.append((b'Mallowcrank-Tenant', sending.workspace.encode()))
+    if sending.hops:
+        path = ','.join(
+            f'{hop.address}={hop.first}-{hop.end}' for hop in sending.hops
+        )
+        kept.append((b'Mallowcrank-Hop-Count', path.encode()))
+    if sending.version is not None:
+        kept.append((b'Mallowcrank-Expect-Version', b'%d' % sending.version))
+    if sending.last_event:
+        kept.append((b'Last-Event-Id', sending.last_event.encode()))
+    return tuple(kept)
+
+
+def answer_fields(headers: Headers) -> AnswerFields:
+    """
+    Decode what a replica's headers say.
+    """
+    given = {name.lower(): raw.decode('latin-1') for name, raw in headers}
+    return AnswerFields(
+        request=given.get(REQUEST_ID, ''),
+        sealed=SEAL in given,
+        did_not_run=DID_NOT_RUN in given,
+        at=given.get(AT_REPLICA, ''),
+    )
+
+
+def _problem(headers: Headers, deadline: str | None) -> str:
+    names = [name.lower() for name, _ in headers]
+    if names.count(REQUEST_ID) > 1:
+        return 'the request id is given twice'
+    if deadline is not None and not _is_number(deadline):
+        return f'the deadline {deadline!r} is not a number of milliseconds'
+    return ''
+
+
+def _is_number(text: str) -> bool:
+    return text.replace('.', '', 1).isdecimal() and text.isascii()
+
+
+def _tokens(text: str) -> tuple[int, int]:
+    prompt, _, output = text.partition(',')
+    return _count(prompt), _count(output)
+
+
+def _count(text: str) -> int:
+    plain = text.strip()
+    return int(plain) if plain.isascii() and plain.isdecimal() else 0
--- /dev/null
+++ b/mallowcrank/platform/store.py
@@ -0,0 +1,193 @@
+"""
+The platform's store: its calls and their answers.
+"""
+
+import base64
+from collections.abc import Mapping
+from typing import Any
+from urllib.parse import quote
+
+import orjson
+
+from mallowcrank.gateway.ports import (
+    HttpCall,
+    LogSlice,
+    Membership,
+    NewestPage,
+    StoreRecord,
+    Unreadable,
+)
+from mallowcrank.platform.fields import (
+    MalformedError,
+    as_table,
+    decode_table,
+    rows_of,
+    text_of,
+    whole_of,
+)
+from mallowcrank.platform.orders import JSON_HEADERS
+
+MEMBERS_TOPIC = 'mallowcrank-members'
+LENGTH_BYTES = 4
+OFFSETS_BYTES = 16
+END_BYTES = 8
+
+
+class PlatformStore:
+    """
+    The store's calls.
+    """
+
+    desired_topic = 'keyed.op'
+    desired_key = 'config'
+    targets_topic = 'keyed.servers'
+
+    def newest(self, topic: str, after: str) -> HttpCall:
+        """
+        Ask for the newest record of each key.
+        """
+        query = f'topic={topic}&part=0'
+        if after:
+            query = f'{query}&after={quote(after)}'
+        return HttpCall('GET', f'/log-newest?{query}')
+
+    def read(self, topic: str, offset: int, wait_ms: int) -> HttpCall:
+        """
+        Ask for the records from an offset on.
+        """
+        query = f'topic={topic}&part=0&source={offset}&wait_ms={wait_ms}'
+        return HttpCall('GET', f'/log-read?{query}')
+
+    def join(
+        self, group: str, member: str, lease_ms: int, generation: int
+    ) -> HttpCall:
+        """
+        Join a group, or stay in it.
+        """
+        return _post(
+            '/log-join',
+            {
+                'group': group,
+                'member': member,
+                'topics': [MEMBERS_TOPIC],
+                'ttl_ms': lease_ms,
+                'generation': generation,
+            },
+        )
+
+    def leave(self, group: str, member: str) -> HttpCall:
+        """
+        Leave a group.
+        """
+        return _post('/log-leave', {'group': group, 'member': member})
+
+    def owners(self, group: str) -> HttpCall:
+        """
+        Ask who is in a group.
+        """
+        return HttpCall('GET', f'/log-owners?group={group}')
+
+    def fence(self, group: str, holder: str, epoch: int) -> HttpCall:
+        """
+        Shut out the holders of a duty before this one.
+        """
+        query = f'topic={MEMBERS_TOPIC}&part=0&producer={group}'
+        return HttpCall('POST', f'/log-append?{query}&epoch={epoch}&sequence=0')
+
+    def open_newest(self, body: bytes) -> NewestPage | Unreadable:
+        """
+        Decode the answer to `newest`.
+        """
+        try:
+            return _newest(decode_table(body))
+        except ValueError as error:
+            return Unreadable(str(error))
+
+    def open_slice(self, body: bytes, offset: int) -> LogSlice | Unreadable:
+        """
+        Decode the answer to `read`.
+        """
+        try:
+            return _slice(body, offset)
+        except ValueError as error:
+            return Unreadable(str(error))
+
+    def open_membership(self, body: bytes) -> Membership | Unreadable:
+        """
+        Decode the answer to `join`.
+        """
+        try:
+            table = decode_table(body)
+            owned = [_owned(row) for row in rows_of(table, 'parts')]
+            return Membership(whole_of(table, 'generation'), tuple(owned))
+        except ValueError as error:
+            return Unreadable(str(error))
+
+    def open_owners(self, body: bytes) -> tuple[str, ...] | Unreadable:
+        """
+        Decode the answer to `owners`: the members.
+        """
+        try:
+            rows = _owner_rows(orjson.loads(body))
+        except ValueError as error:
+            return Unreadable(str(error))
+        return tuple({row[2]: None for row in rows if _names_member(row)})
+
+
+def _post(path: str, body: Mapping[str, Any]) -> HttpCall:
+    return HttpCall('POST', path, orjson.dumps(body), JSON_HEADERS)
+
+
+def _newest(table: Mapping[str, Any]) -> NewestPage:
+    items = [as_table(row, 'item') for row in rows_of(table, 'items')]
+    return NewestPage(
+        records=tuple(_item(row) for row in items),
+        has_more=bool(table.get('has_more')),
+        end=whole_of(table, 'end_offset'),
+    )
+
+
+def _item(row: Mapping[str, Any]) -> StoreRecord:
+    raw = base64.b64decode(str(row.get('value', '')))
+    return StoreRecord(text_of(row, 'key'), raw, whole_of(row, 'offset'))
+
+
+def _slice(body: bytes, offset: int) -> LogSlice:
+    if len(body) < OFFSETS_BYTES:
+        raise MalformedError('the offsets are cut')
+    end = int.from_bytes(body[:END_BYTES], 'big')
+    records = []
+    start = OFFSETS_BYTES
+    while start < len(body):
+        head = start + LENGTH_BYTES
+        start = head + int.from_bytes(body[start:head], 'big')
+        if head > len(body) or start > len(body):
+            raise MalformedError('a record is cut')
+        records.append(_keyed(body[head:start], offset + len(records)))
+    return LogSlice(tuple(records), end)
+
+
+def _keyed(raw: bytes, offset: int) -> StoreRecord:
+    end = 1 + (raw[0] if raw else 0)
+    key = raw[1:end].decode(errors='replace')
+    return StoreRecord(key, raw[end:] or None, offset)
+
+
+def _owned(row: object) -> tuple[str, int]:
+    if isinstance(row, list) and len(row) > 1:
+        return str(row[0]), int(row[1])
+    raise MalformedError('a row of a membership is not a list')
+
+
+def _owner_rows(decoded: object) -> list[Any]:
+    if isinstance(decoded, dict):
+        # The rows are the only list in the answer.
+        lists = [each for each in decoded.values() if isinstance(each, list)]
+        decoded = lists[0] if lists else []
+    if isinstance(decoded, list):
+        return decoded
+    raise MalformedError('the owners are not rows')
+
+
+def _names_member(row: object) -> bool:
+    return isinstance(row, list) and len(row) > 2 and isinstance(row[2], str)
--- a/mallowcrank/routing/path.py
+++ b/mallowcrank/routing/path.py
@@ -42,6 +42,16 @@
     before: '_Run | None' = None
 
 
+@dataclass(frozen=True, slots=True)
+class Way:
+    """
+    A path and its cost; it has no stages where no path covers all layers.
+    """
+
+    stages: tuple[Stage, ...]
+    cost_ms: float
+
+
 def cheapest_path(
     layers: int, candidates: Sequence[Candidate]
 ) -> tuple[Stage, ...]:
@@ -50,8 +60,17 @@
 
     :returns: no stages where the candidates don't cover all layers.
     """
+    return cheapest_way(layers, candidates).stages
+
+
+def cheapest_way(layers: int, candidates: Sequence[Candidate]) -> Way:
+    """
+    Return the cheapest path with its cost.
+
+    An engine has one part of a path: it is never left and entered again.
+    """
     borders = _borders(layers, candidates)
-    best: _Run | None = _Run(0)
+    best = _Run(0)
     running: dict[str, _Run] = {}
     for start, end in zip(borders, borders[1:], strict=False):
         running = {
@@ -63,9 +82,9 @@
             and end <= candidate.last_layer + 1
         }
         if not running:
-            return ()
+            return Way((), inf)
         best = min(running.values(), key=_cost)
-    return _stages_of(best, layers)
+    return Way(_stages_of(best, layers), best.cost_ms)
 
 
 def _borders(layers: int, candidates: Sequence[Candidate]) -> list[int]:
@@ -89,6 +108,8 @@
 ) -> _Run:
     ran_ms = (end - start) * candidate.layer_ms
     entered_ms = best.cost_ms + candidate.enter_ms
+    if running and _visits(best, candidate.target):
+        entered_ms = inf
     kept_ms = running.cost_ms if running else inf
     if running and kept_ms <= entered_ms:
         return _Run(
@@ -97,6 +118,14 @@
     return _Run(entered_ms + ran_ms, candidate, start, best)
 
 
+def _visits(run: _Run | None, target: str) -> bool:
+    while run is not None and run.candidate is not None:
+        if run.candidate.target == target:
+            return True
+        run = run.before
+    return False
+
+
 def _stages_of(end: _Run | None, layers: int) -> tuple[Stage, ...]:
     stages: list[Stage] = []
     last = layers - 1
