--- a/mallowcrank/gateway/prober.py
+++ b/mallowcrank/gateway/prober.py
@@ -153,7 +153,9 @@
         return True
     return mine == max(
         hosts,
-        key=lambda host: xxhash.xxh64_intdigest(host + target.identity),
+        key=lambda host: xxhash.xxh64_intdigest(
+            f'{host}{target.identity}'.encode()
+        ),
     )
 
 
