--- a/mallowcrank/gateway/fleet.py
+++ b/mallowcrank/gateway/fleet.py
@@ -210,5 +210,4 @@
         'zone': target.zone,
         'leaving': target.leaving,
         'layers': [held.first, held.end] if held else None,
-        'orders': target.orders,
     }
--- a/mallowcrank/gateway/placing.py
+++ b/mallowcrank/gateway/placing.py
@@ -150,7 +150,7 @@
         if target is None or target.lifetime != placing.lifetime:
             return
         self._pending[placing.lifetime] = Pending(placing, steady())
-        expected = max(target.orders, self._orders.get(placing.lifetime, 0))
+        expected = self._orders.get(placing.lifetime, 0)
         layers = HeldLayers(placing.first, placing.end, 0)
         status = await self._send(target, layers, expected)
         self._meters.orders.labels(str(status or 'none')).inc()
--- a/mallowcrank/gateway/targets.py
+++ b/mallowcrank/gateway/targets.py
@@ -45,7 +45,6 @@
     :param leaving: whether it takes no new work.
     :param layers: none where it holds none, or is no engine.
     :param kind: its kind of accelerator, if it is an engine.
-    :param orders: how many orders it has taken in.
     """
 
     lifetime: Lifetime
@@ -56,7 +55,6 @@
     leaving: bool
     layers: HeldLayers | None
     kind: str
-    orders: int
 
     @property
     def identity(self) -> str:
@@ -74,6 +72,7 @@
     :param pace: factor on its usual times; over 1 where it is slow.
     :param used: memory in use, in tokens x layers.
     :param size: memory for requests, in tokens x layers.
+    :param orders: how many orders it has taken in.
     :param stalled: the addresses that its requests wait for, by request.
     """
 
--- a/mallowcrank/platform/entries.py
+++ b/mallowcrank/platform/entries.py
@@ -69,8 +69,6 @@
         leaving=state == DRAINING,
         layers=_layers(table),
         kind=str(table.get('kind', '')),
-        # In an entry, `sequence` counts orders, as it does in a report.
-        orders=whole_of(table, 'sequence', 0),
     )
 
 
@@ -83,6 +81,7 @@
         running=whole_of(table, 'running', 0),
         queued=whole_of(table, 'queued', 0),
         is_busy=bool(table.get('busy')),
+        # In an entry, `sequence` counts writes; in a report, orders.
         orders=whole_of(table, 'sequence', 0),
         layers=_layers(table),
         stalled=tuple(
