--- a/mallowcrank/chains/placement.py
+++ b/mallowcrank/chains/placement.py
@@ -66,6 +66,19 @@
     return tuple(placings)
 
 
+def find_gaps(layers: int, cards: Iterable[Card]) -> list[tuple[int, int]]:
+    """
+    Return the ranges of layers that nobody holds; the ends are exclusive.
+    """
+    counts = [1, *_counts(layers, cards), 1]
+    edges = [
+        layer
+        for layer in range(layers + 1)
+        if bool(counts[layer]) != bool(counts[layer + 1])
+    ]
+    return list(zip(edges[::2], edges[1::2], strict=True))
+
+
 def _groups(layers: int, cards: Sequence[Card]) -> Iterable[list[Card]]:
     by_zone: dict[str, list[Card]] = defaultdict(list)
     for card in cards:
--- a/mallowcrank/gateway/fleet.py
+++ b/mallowcrank/gateway/fleet.py
@@ -13,6 +13,9 @@
 LAPSE_S = 1.8
 PACE_KEPT_S = 4  # a report's pace is believed for so long
 HEARD_KEPT_S = 1  # a pace that another gateway tells, again and again
+FIRST_REST_S = 0.5  # for a target that refused; then it doubles
+LONGEST_REST_S = 4
+UNWILLING_REFUSALS = 4  # in a row, after which a target counts as leaving
 SLOW_PACE = 1.2  # from here on a target counts as slow
 
 
@@ -29,6 +32,18 @@
     at: float
 
 
+@dataclass(frozen=True, slots=True)
+class Refusals:
+    """
+    Refusals of a target in a row.
+
+    :param rests_until: steady time, in seconds.
+    """
+
+    count: int
+    rests_until: float
+
+
 class Fleet:
     """
     All targets, by identity.
@@ -42,6 +57,7 @@
         self._seen: dict[Lifetime, Seen] = {}
         self._heard: dict[Lifetime, Seen] = {}
         self._dead: dict[Lifetime, float] = {}
+        self._refusals: dict[Lifetime, Refusals] = {}
         self.changed_at = 0.0
 
     def __len__(self) -> int:
@@ -98,6 +114,44 @@
         """
         return self._dead
 
+    def resting(self, now: float) -> list[Lifetime]:
+        """
+        Return the lifetimes that refused requests just now.
+        """
+        return [
+            lifetime
+            for lifetime, refusals in self._refusals.items()
+            if refusals.rests_until > now
+        ]
+
+    def is_unwilling(self, lifetime: Lifetime) -> bool:
+        """
+        Return whether a target refuses all that it is sent.
+        """
+        refusals = self._refusals.get(lifetime)
+        return bool(refusals) and refusals.count >= UNWILLING_REFUSALS
+
+    def see_refusal(self, lifetime: Lifetime, now: float) -> None:
+        """
+        Take in that a target refused a request; it is left alone for a while.
+        """
+        before = self._refusals.get(lifetime)
+        count = before.count if before else 0
+        if before and before.rests_until > now:
+            return
+        rest_s = min(LONGEST_REST_S, FIRST_REST_S * 2**count)
+        self._refusals[lifetime] = Refusals(count + 1, now + rest_s)
+        self._journal.say(
+            'fleet: target refused', target=lifetime[0], rest_s=rest_s
+        )
+
+    def see_taken(self, lifetimes: Iterable[Lifetime]) -> None:
+        """
+        Take in that targets took a request.
+        """
+        for lifetime in lifetimes:
+            self._refusals.pop(lifetime, None)
+
     def pace(self, lifetime: Lifetime, now: float) -> float:
         """
         Return the factor on a target's usual times.
@@ -212,6 +266,7 @@
         if target:
             self._seen.pop(target.lifetime, None)
             self._heard.pop(target.lifetime, None)
+            self._refusals.pop(target.lifetime, None)
             self._dead.pop(target.lifetime, None)
 
 
--- a/mallowcrank/gateway/placing.py
+++ b/mallowcrank/gateway/placing.py
@@ -8,7 +8,13 @@
 from http import HTTPStatus
 
 from mallowcrank.chains.engines import most_layers
-from mallowcrank.chains.placement import FILL, Card, Placing, plan_layers
+from mallowcrank.chains.placement import (
+    FILL,
+    Card,
+    Placing,
+    find_gaps,
+    plan_layers,
+)
 from mallowcrank.gateway.desired import Desired, EngineRule, ServiceRule
 from mallowcrank.gateway.fleet import Fleet
 from mallowcrank.gateway.journal import Journal
@@ -28,9 +34,10 @@
 
 TICK_S = 0.4  # between two looks at the plan
 SETTLED_S = 1.0  # after the last new target, before the first plan
-ANSWER_S = 1.0  # for an order
+ANSWER_S = 0.5  # for an order; it takes some ms
+TRIES = 3  # of an order without an answer: it is the same each time
 PENDING_S = 14  # an order without an answer may be carried out for so long
-DEAD_S = 1.5  # a silent target is planned without after it
+DEAD_S = 0.8  # a silent target is planned without after it
 
 
 @dataclass(frozen=True, slots=True)
@@ -68,6 +75,7 @@
         self._pending: dict[Lifetime, Pending] = {}
         self._orders: dict[Lifetime, int] = {}
         self._has_held = False
+        self._gaps: dict[str, dict[str, list[tuple[int, int]]]] = {}
 
     async def run(
         self,
@@ -98,12 +106,26 @@
         ]
         if not self._is_settled(cards, now):
             return
+        self._note_gaps(service.name, rule, cards)
         placings = plan_layers(rule.layers, cards)
         if placings:
             await asyncio.gather(
                 *(self._order(placing, rule) for placing in placings)
             )
 
+    def _note_gaps(
+        self, service: str, rule: EngineRule, cards: list[Card]
+    ) -> None:
+        gaps = {
+            zone: find_gaps(
+                rule.layers, [card for card in cards if card.zone == zone]
+            )
+            for zone in sorted({card.zone for card in cards})
+        }
+        if gaps != self._gaps.get(service):
+            self._gaps[service] = gaps
+            self._journal.say('placing: gaps', service=service, gaps=gaps)
+
     def _is_settled(self, cards: list[Card], now: float) -> bool:
         self._has_held = self._has_held or any(
             not card.is_empty for card in cards
@@ -125,6 +147,8 @@
         dead_since = self._fleet.dead().get(target.lifetime, now)
         if kind is None or now - dead_since > DEAD_S:
             return None
+        if self._fleet.is_unwilling(target.lifetime):
+            return None
         fitting = most_layers(rule, kind)
         card = Card(
             lifetime=target.lifetime,
@@ -152,7 +176,9 @@
         self._pending[placing.lifetime] = Pending(placing, steady())
         expected = self._orders.get(placing.lifetime, 0)
         layers = HeldLayers(placing.first, placing.end, 0)
-        status = await self._send(target, layers, expected)
+        status = 0
+        for _ in range(TRIES):
+            status = status or await self._send(target, layers, expected)
         self._meters.orders.labels(str(status or 'none')).inc()
         self._journal.say(
             'placing: ordered',
--- a/mallowcrank/gateway/store_link.py
+++ b/mallowcrank/gateway/store_link.py
@@ -115,6 +115,9 @@
         return answer
 
     def _note(self, name: str, failure: str) -> None:
+        if failure:
+            # Others may have gone silent with it.
+            self._pool.drop_kept(self._address)
         if failure and self._lost_at is None:
             self._lost_at = steady()
             self._journal.say('store: lost', call=name, why=failure)
--- a/mallowcrank/gateway/streams.py
+++ b/mallowcrank/gateway/streams.py
@@ -44,7 +44,6 @@
 QUIET_S = 0.1  # between events
 MOVE_S = 0.9  # of silence, after which a stream moves without a culprit
 MOST_REFUSED = 3  # paths that are tried where none has run
-REFUSED_AVOID_S = 0.5
 CONNECT_TRIES = 3
 
 
@@ -125,7 +124,7 @@
         self._pieces = EventPieces()
         self._window = core.windows.of(call.service.name)
         self._gap_s = 0.0
-        self._path: ChainPath | None = None
+        self._is_untaken = True
         self._tried = 0
 
     async def run(self) -> None:
@@ -208,7 +207,7 @@
         avoided = {
             *fleet.dead(),
             *self._call.avoided,
-            *self._waiting.resting(now),
+            *fleet.resting(now),
         }
         choosing = Choosing(self._rule, self._need, self._core.settings.zone)
         return choose_path(choosing, engines, avoided)
@@ -234,7 +233,6 @@
     async def _try(self, path: ChainPath) -> Outcome:
         tokens = self._need.tokens
         self._core.ledger.reserve(path.parts, tokens)
-        self._path = path
         channel = None
         try:
             channel = await self._open(path)
@@ -307,13 +305,14 @@
         head: Head | None = None
         body: list[bytes] = []
         self._pieces.drop_rest()
+        self._is_untaken = True
         while True:
             event = await self._next(path, channel)
             match event:
                 case Head():
                     head = event
                 case Piece() if head and head.status == HTTPStatus.OK:
-                    await self._pass_events(head, event.raw)
+                    await self._pass_events(path, head, event.raw)
                 case Piece():
                     body.append(event.raw)
                 case End():
@@ -394,10 +393,15 @@
             return False
         return self._window.allows(steady(), self._core.peers.count())
 
-    async def _pass_events(self, head: Head, raw: bytes) -> None:
+    async def _pass_events(
+        self, path: ChainPath, head: Head, raw: bytes
+    ) -> None:
         whole = self._pieces.feed(raw)
         if not whole:
             return
+        if self._is_untaken:
+            self._is_untaken = False
+            self._core.fleet.see_taken(part.lifetime for part in path.parts)
         answer = self._call.answer
         if not answer.has_begun:
             self._core.meters.first.labels('stream').observe(self._call.age_s())
@@ -425,7 +429,7 @@
         culprit = self._core.fleet.at(fields.at) if fields.at else None
         lifetime = culprit.lifetime if culprit else path.parts[0].lifetime
         self._call.avoided.add(lifetime)
-        self._waiting.rest(lifetime, steady() + REFUSED_AVOID_S)
+        self._core.fleet.see_refusal(lifetime, steady())
         return TurnedAway(f'{head.status} at {lifetime.identity}')
 
     def _pass_on(self, failed: Failed) -> None:
--- a/mallowcrank/gateway/target_channel.py
+++ b/mallowcrank/gateway/target_channel.py
@@ -334,6 +334,13 @@
         else:
             channel.close()
 
+    def drop_kept(self, address: Address) -> None:
+        """
+        Close the idle channels to a target.
+        """
+        for channel in self._idle.pop(address, []):
+            channel.close()
+
     def sweep(self) -> None:
         """
         Close channels that were idle for too long.
--- a/mallowcrank/gateway/waiting.py
+++ b/mallowcrank/gateway/waiting.py
@@ -3,13 +3,11 @@
 """
 
 import asyncio
-from collections.abc import Collection
 from dataclasses import dataclass, field
 from heapq import heappop, heappush
 from itertools import count
 
 from mallowcrank.gateway.meters import Meters
-from mallowcrank.gateway.targets import Lifetime
 
 WOKEN = 2  # requests that look for a path when memory is given back
 LOOK_S = 0.1  # also without word, since other gateways give memory back
@@ -31,7 +29,6 @@
         self._meters = meters
         self._waiters: list[_Waiter] = []
         self._arrivals = count()
-        self._resting: dict[Lifetime, float] = {}
 
     async def wait(self, priority: int, within_s: float) -> None:
         """
@@ -61,25 +58,6 @@
                 waiter.turn.set_result(None)
                 woken += 1
 
-    def rest(self, lifetime: Lifetime, until: float) -> None:
-        """
-        Use an engine no more until a steady time: it refused a request.
-        """
-        self._resting[lifetime] = until
-
-    def resting(self, now: float) -> Collection[Lifetime]:
-        """
-        Return the engines that are not to be used now.
-        """
-        over = [
-            lifetime
-            for lifetime, until in self._resting.items()
-            if until <= now
-        ]
-        for lifetime in over:
-            self._resting.pop(lifetime)
-        return self._resting.keys()
-
 
 def _resolve(turn: asyncio.Future[None]) -> None:
     if not turn.done():
