--- a/mallowcrank/gateway/duty.py
+++ b/mallowcrank/gateway/duty.py
@@ -8,6 +8,7 @@
 """
 
 import asyncio
+from collections.abc import Sequence
 from http import HTTPStatus
 from random import Random
 
@@ -22,11 +23,27 @@
 GROUP = 'mallowcrank'
 PERIOD_S = 1.0  # between renewals
 LEASE_S = 3.0  # three renewals
+TAKEOVER_S = 1.5  # that the store is away; a lease is passed on sooner
 ALONE_S = 20  # the last holder goes on while the store answers nobody
 DUTY_PARTITION = 0
 SEPARATOR = '/'
 
 
+def takes_over(mine: str, others: Sequence[Word], lost_s: float) -> bool:
+    """
+    Return whether a gateway acts for a holder that nobody knows.
+
+    While the store answers nobody, the duty can't be passed on. Then the
+    first of the gateways that hear each other acts. Two of them do no harm:
+    orders are absolute and name the state that they were made for.
+
+    :param lost_s: how long the store has not answered this gateway.
+    """
+    if lost_s < TAKEOVER_S or any(word.holding for word in others):
+        return False
+    return all(mine < word.host for word in others)
+
+
 class Duty:
     """
     This gateway's part in the group.
--- a/mallowcrank/gateway/fleet.py
+++ b/mallowcrank/gateway/fleet.py
@@ -13,9 +13,9 @@
 LAPSE_S = 1.8
 PACE_KEPT_S = 4  # a report's pace is believed for so long
 HEARD_KEPT_S = 1  # a pace that another gateway tells, again and again
-FIRST_REST_S = 0.5  # for a target that refused; then it doubles
+FIRST_REST_S = 0.4  # for a target that refused; then it doubles
 LONGEST_REST_S = 4
-UNWILLING_REFUSALS = 4  # in a row, after which a target counts as leaving
+UNWILLING_REFUSALS = 3  # in a row, after which a target counts as leaving
 SLOW_PACE = 1.2  # from here on a target counts as slow
 
 
--- a/mallowcrank/gateway/program.py
+++ b/mallowcrank/gateway/program.py
@@ -24,7 +24,7 @@
 from mallowcrank.gateway.core import JSON, Core
 from mallowcrank.gateway.desired import Desired, Limits
 from mallowcrank.gateway.directory import KEEP_S, fronts_for
-from mallowcrank.gateway.duty import Duty
+from mallowcrank.gateway.duty import Duty, takes_over
 from mallowcrank.gateway.fleet import Fleet
 from mallowcrank.gateway.followers import (
     DesiredFollower,
@@ -256,7 +256,14 @@
         return [Address(seed.ip, port) for seed in self._settings.seeds]
 
     def _holding(self) -> int:
-        return 0 if self._is_stopping else self._duty.holding
+        if self._is_stopping:
+            return 0
+        lost_at = self._link.lost_at
+        if self._duty.holding or lost_at is None:
+            return self._duty.holding
+        others = [peer.word for peer in self._core.peers.live()]
+        mine = self._settings.host
+        return int(takes_over(mine, others, steady() - lost_at))
 
     def _newest(self) -> Desired | None:
         return self._known.newest
