--- a/mallowcrank/gateway/placing.py
+++ b/mallowcrank/gateway/placing.py
@@ -147,10 +147,10 @@
         self, rule: EngineRule, target: Target, now: float
     ) -> Card | None:
         kind = rule.kinds.get(target.kind)
-        dead_since = self._fleet.dead().get(target.lifetime, now)
+        dead_since = self._fleet.seen.dead().get(target.lifetime, now)
         if kind is None or now - dead_since > DEAD_S:
             return None
-        if self._fleet.is_unwilling(target.lifetime):
+        if self._fleet.seen.is_unwilling(target.lifetime):
             return None
         fitting = most_layers(rule, kind)
         card = Card(
--- a/mallowcrank/gateway/plain_calls.py
+++ b/mallowcrank/gateway/plain_calls.py
@@ -96,7 +96,7 @@
         targets = fleet.serving(call.service.name)
         zone = self._core.settings.zone
         drawn = self._core.random.random()
-        sound = {*call.avoided, *fleet.dead()}
+        sound = {*call.avoided, *fleet.seen.dead()}
         return self._records.pick(
             targets, zone, sound, drawn
         ) or self._records.pick(targets, zone, call.avoided, drawn)
--- a/mallowcrank/gateway/prober.py
+++ b/mallowcrank/gateway/prober.py
@@ -62,15 +62,15 @@
         """
         for lifetime in lifetimes:
             target = self._fleet.find(lifetime.identity)
-            if target and target.lifetime == lifetime:
+            if target and self._is_current(lifetime):
                 self._ask_soon(target, APART_S)
 
     def unreached(self, lifetime: Lifetime, failure: Unreached) -> None:
         """
         Take in that a target could not be reached.
         """
-        if failure.is_refused:
-            self._fleet.see_dead(lifetime, failure.reason, steady())
+        if failure.is_refused and self._is_current(lifetime):
+            self._fleet.seen.see_dead(lifetime, failure.reason, steady())
         else:
             self.suspect((lifetime,))
 
@@ -115,9 +115,9 @@
                         self._ask_soon(target, PACE_PERIOD_S)
 
     def _recheck_silent(self) -> None:
-        for lifetime in list(self._fleet.dead()):
+        for lifetime in list(self._fleet.seen.dead()):
             target = self._fleet.find(lifetime.identity)
-            if target and target.lifetime == lifetime:
+            if target and self._is_current(lifetime):
                 self._ask_soon(target, RECHECK_S)
 
     def _ask_soon(self, target: Target, apart_s: float) -> None:
@@ -138,17 +138,24 @@
             answer = await self.report(target)
             if not _is_timeout(answer, began):
                 break
-        now = steady()
+        if self._is_current(target.lifetime):
+            self._take(target, answer, steady())
+
+    def _is_current(self, lifetime: Lifetime) -> bool:
+        target = self._fleet.find(lifetime.identity)
+        return target is not None and target.lifetime == lifetime
+
+    def _take(self, target: Target, answer: Report | str, now: float) -> None:
         if isinstance(answer, Report):
             self._meters.probes.labels('answered').inc()
-            self._fleet.see_alive(target.lifetime, answer.pace, now)
+            self._fleet.seen.see_alive(target.lifetime, answer.pace, now)
             self._fleet.learn_layers(target.identity, answer.layers, now)
         elif answer:
             self._meters.probes.labels('unreached').inc()
-            self._fleet.see_dead(target.lifetime, answer, now)
+            self._fleet.seen.see_dead(target.lifetime, answer, now)
         else:
             self._meters.probes.labels('slow').inc()
-            self._fleet.see_alive(target.lifetime, SLOW_PACE, now)
+            self._fleet.seen.see_alive(target.lifetime, SLOW_PACE, now)
 
 
 def _is_timeout(answer: Report | str, began: float) -> bool:
--- a/mallowcrank/gateway/program.py
+++ b/mallowcrank/gateway/program.py
@@ -236,17 +236,19 @@
             holding=self._duty.holding,
             reserved=self._core.ledger.own(),
             silent=tuple(
-                lifetime.identity for lifetime in self._core.fleet.dead()
+                lifetime.identity for lifetime in self._core.fleet.seen.dead()
             ),
-            paces=self._core.fleet.slow(steady()),
-            layers=self._core.fleet.learned(steady()),
+            paces=self._core.fleet.seen.slow(steady()),
+            layers=self._core.fleet.seen.learned(steady()),
         )
 
     def _hear(self, word: Word) -> None:
         self._core.ledger.hear(word.host, Told(steady(), word.reserved))
         self._duty.hear(word)
         for identity, pace in word.paces.items():
-            self._core.fleet.hear_pace(identity, pace, steady())
+            target = self._core.fleet.find(identity)
+            if target:
+                self._core.fleet.seen.hear_pace(target.lifetime, pace, steady())
         for identity, held in word.layers.items():
             self._core.fleet.learn_layers(
                 identity, held, steady(), told_me=False
--- a/mallowcrank/gateway/streams.py
+++ b/mallowcrank/gateway/streams.py
@@ -205,9 +205,9 @@
             if engine
         ]
         avoided = {
-            *fleet.dead(),
+            *fleet.seen.dead(),
             *self._call.avoided,
-            *fleet.resting(now),
+            *fleet.seen.resting(now),
         }
         choosing = Choosing(self._rule, self._need, self._core.settings.zone)
         return choose_path(choosing, engines, avoided)
@@ -224,7 +224,7 @@
             zone=target.zone,
             held=target.layers,
             kind=kind,
-            pace=self._core.fleet.pace(target.lifetime, now),
+            pace=self._core.fleet.seen.pace(target.lifetime, now),
             room=size - used,
             size=size,
             takes_firsts=ledger.firsts(target.lifetime) < target.slots,
@@ -360,7 +360,9 @@
             return None
         lifetimes = [part.lifetime for part in path.parts]
         self._core.prober.suspect(lifetimes)
-        dead = [each for each in lifetimes if each in self._core.fleet.dead()]
+        dead = [
+            each for each in lifetimes if each in self._core.fleet.seen.dead()
+        ]
         if dead and self._can_move(()):
             names = ','.join(each.identity for each in dead)
             return CutOff(f'silent for {quiet_s:.3f} s at {names}')
@@ -401,7 +403,9 @@
             return
         if self._is_untaken:
             self._is_untaken = False
-            self._core.fleet.see_taken(part.lifetime for part in path.parts)
+            self._core.fleet.seen.see_taken(
+                part.lifetime for part in path.parts
+            )
         answer = self._call.answer
         if not answer.has_begun:
             self._core.meters.first.labels('stream').observe(self._call.age_s())
@@ -429,7 +433,7 @@
         culprit = self._core.fleet.at(fields.at) if fields.at else None
         lifetime = culprit.lifetime if culprit else path.parts[0].lifetime
         self._call.avoided.add(lifetime)
-        self._core.fleet.see_refusal(lifetime, steady())
+        self._core.fleet.seen.see_refusal(lifetime, steady())
         return TurnedAway(f'{head.status} at {lifetime.identity}')
 
     def _pass_on(self, failed: Failed) -> None:
