--- a/mallowcrank/gateway/core.py
+++ b/mallowcrank/gateway/core.py
@@ -20,8 +20,12 @@
 from mallowcrank.gateway.prober import Prober
 from mallowcrank.gateway.settings import GatewaySettings
 from mallowcrank.gateway.steady import steady
-from mallowcrank.gateway.target_channel import TargetPool
-from mallowcrank.gateway.targets import Lifetime
+from mallowcrank.gateway.target_channel import (
+    TargetChannel,
+    TargetPool,
+    Unreached,
+)
+from mallowcrank.gateway.targets import Lifetime, Target
 from mallowcrank.overload.returning import ReturnTimes
 
 
@@ -44,6 +48,23 @@
     peers: Peers
     returns: ReturnTimes
 
+    async def channel_to(
+        self, target: Target, may_be_kept: bool = True
+    ) -> TargetChannel | Unreached:
+        """
+        Take a kept channel to a target, or open one.
+        """
+        kept = self.pool.take_kept(target.address) if may_be_kept else None
+        if kept:
+            return kept
+        opened = await self.pool.connect(target.address)
+        if isinstance(opened, Unreached):
+            self.meters.channels.labels('failed').inc()
+            self.prober.unreached(target.lifetime, opened)
+        else:
+            self.meters.channels.labels('opened').inc()
+        return opened
+
     def answers(self, call: 'Call') -> Callable[[Headers], bool]:
         """
         Return what tells answers to a call from those to others.
--- a/mallowcrank/gateway/front.py
+++ b/mallowcrank/gateway/front.py
@@ -62,7 +62,7 @@
         if call is None:
             return
         if call.service.engine and call.route.streams:
-            await self._streams.serve(call)
+            await self._streams.serve(call, call.service.engine)
         else:
             await self._plain.serve(call)
 
--- a/mallowcrank/gateway/plain_calls.py
+++ b/mallowcrank/gateway/plain_calls.py
@@ -10,9 +10,9 @@
 from http import HTTPStatus
 
 from mallowcrank.chains.replicas import ReplicaRecords
-from mallowcrank.gateway.caller_channel import without_channel_headers
-from mallowcrank.gateway.core import Call, Core, conclude, refuse
+from mallowcrank.gateway.core import Call, Core
 from mallowcrank.gateway.desired import Repeat
+from mallowcrank.gateway.endings import Returning, give_up, pass_on
 from mallowcrank.gateway.ports import Sending
 from mallowcrank.gateway.steady import steady
 from mallowcrank.gateway.target_channel import (
@@ -30,8 +30,7 @@
 MILLISECONDS = 1000
 OTHER_S = 0.35  # of silence, after which a repeatable call goes elsewhere
 MOST_TURNED_AWAY = 3  # targets that are asked where none ran the call
-FULL_RETURN_S = 0.2  # some calls' usual time
-RETURNS_PER_S = 50
+RETURNING = Returning(least_s=0.2, per_s=50)
 
 
 @dataclass(frozen=True, slots=True)
@@ -114,10 +113,11 @@
         return window.allows(steady(), self._core.peers.count())
 
     async def _try(self, call: Call, target: Target) -> Whole | Nothing:
-        channel = await self._open(call, target)
+        channel = await self._core.channel_to(
+            target, may_be_kept=call.route.repeat is not Repeat.ONCE
+        )
         if isinstance(channel, Unreached):
             call.refused += 1
-            self._core.prober.unreached(target.lifetime, channel)
             return Nothing(f'unreached: {channel.reason}', has_run=False)
         self._records.began(target.lifetime)
         failed: bool | None = None
@@ -130,18 +130,6 @@
             self._core.pool.give_back(channel)
         return self._judge(call, target, ended)
 
-    async def _open(
-        self, call: Call, target: Target
-    ) -> TargetChannel | Unreached:
-        if call.route.repeat is not Repeat.ONCE:
-            kept = self._core.pool.take_kept(target.address)
-            if kept:
-                return kept
-        opened = await self._core.pool.connect(target.address)
-        outcome = 'failed' if isinstance(opened, Unreached) else 'opened'
-        self._core.meters.channels.labels(outcome).inc()
-        return opened
-
     def _send(self, call: Call, target: Target, channel: TargetChannel) -> None:
         request = call.request
         headers = self._core.vocabulary.target_headers(
@@ -212,37 +200,10 @@
 
     def _end(self, call: Call, ended: Whole | Nothing) -> None:
         if isinstance(ended, Whole):
-            self._pass_on(call, ended)
-        elif call.sends:
-            status = (
-                HTTPStatus.BAD_GATEWAY
-                if call.left_s() > 0
-                else HTTPStatus.GATEWAY_TIMEOUT
-            )
-            refuse(call.answer, status, ended.reason)
-            conclude(
-                self._core, call, 'failed', why=ended.reason, status=status
-            )
+            self._core.meters.first.labels(call.kind).observe(call.age_s())
+            pass_on(self._core, call, ended.head, ended.body)
         else:
-            self._refuse(call, ended.reason)
-
-    def _pass_on(self, call: Call, whole: Whole) -> None:
-        self._core.meters.first.labels(call.kind).observe(call.age_s())
-        call.answer.send(
-            whole.head.status,
-            without_channel_headers(whole.head.headers),
-            whole.body,
-        )
-        outcome = 'failed' if whole.is_failure else 'served'
-        conclude(self._core, call, outcome, status=whole.head.status)
-
-    def _refuse(self, call: Call, reason: str) -> None:
-        return_s = self._core.returns.give(
-            steady(), FULL_RETURN_S, RETURNS_PER_S
-        )
-        self._core.meters.refusals.labels('plain').inc()
-        refuse(call.answer, HTTPStatus.SERVICE_UNAVAILABLE, reason, return_s)
-        conclude(self._core, call, 'refused', why=reason, return_s=return_s)
+            give_up(self._core, call, ended.reason, RETURNING)
 
 
 def _is_bad(ended: Whole | Nothing) -> bool:
--- a/mallowcrank/gateway/streams.py
+++ b/mallowcrank/gateway/streams.py
@@ -6,22 +6,18 @@
 once, and moves when one of them doesn't answer.
 """
 
+from collections.abc import Sequence
 from dataclasses import dataclass
 from http import HTTPStatus
 
-from mallowcrank.chains.engines import ChainEngine, Need, request_room
-from mallowcrank.chains.paths import (
-    ChainPath,
-    Choosing,
-    NoPath,
-    Part,
-    choose_path,
-)
+from mallowcrank.chains.paths import ChainPath
 from mallowcrank.gateway.caller_channel import without_channel_headers
-from mallowcrank.gateway.core import Call, Core, conclude, refuse
+from mallowcrank.gateway.core import Call, Core, conclude
 from mallowcrank.gateway.desired import EngineRule, Repeat
+from mallowcrank.gateway.endings import TIMEOUT, Returning, give_up, pass_on
 from mallowcrank.gateway.event_pieces import EventPieces
-from mallowcrank.gateway.ports import Hop, Sending
+from mallowcrank.gateway.path_finder import PathFinder, path_text
+from mallowcrank.gateway.ports import Sending
 from mallowcrank.gateway.steady import steady
 from mallowcrank.gateway.target_channel import (
     Broken,
@@ -34,17 +30,19 @@
     Unreached,
     request_bytes,
 )
-from mallowcrank.gateway.targets import Lifetime, Target
+from mallowcrank.gateway.targets import Lifetime
 from mallowcrank.gateway.waiting import WaitingRoom
 
 MILLISECONDS = 1000
-GUESS_FACTOR = 1.3  # callers' estimates are right at the median only
 TICK_S = 0.05  # between looks at a silent stream
 FIRST_QUIET_S = 0.3  # before the first event; then engines are asked
 QUIET_S = 0.1  # between events
 MOVE_S = 0.9  # of silence, after which a stream moves without a culprit
 MOST_REFUSED = 3  # paths that are tried where none has run
-CONNECT_TRIES = 3
+MOST_TRIES = 4  # paths that are tried at all
+PATIENCE = 0.8  # part of the latency objective that a path is waited for
+GAP_PATIENCE = 4  # allowed pauses that a begun stream waits for a path
+RETURNING = Returning(least_s=0.3, per_s=20)
 
 
 @dataclass(frozen=True, slots=True)
@@ -57,7 +55,7 @@
 @dataclass(frozen=True, slots=True)
 class TurnedAway:
     """
-    The path took the request not in, and vouches for that.
+    The path did not take the request in, and vouches for that.
     """
 
     reason: str
@@ -101,12 +99,12 @@
         self._core = core
         self._waiting = waiting
 
-    async def serve(self, call: Call) -> None:
+    async def serve(self, call: Call, rule: EngineRule) -> None:
         """
         Serve one call.
         """
-        assert call.service.engine
-        await _Stream(self._core, self._waiting, call).run()
+        finder = PathFinder(self._core, call, rule)
+        await _Stream(self._core, self._waiting, call, finder).run()
 
 
 class _Stream:
@@ -114,18 +112,21 @@
     One call on its way.
     """
 
-    def __init__(self, core: Core, waiting: WaitingRoom, call: Call) -> None:
-        assert call.service.engine
+    def __init__(
+        self,
+        core: Core,
+        waiting: WaitingRoom,
+        call: Call,
+        finder: PathFinder,
+    ) -> None:
         self._core = core
         self._waiting = waiting
         self._call = call
-        self._rule: EngineRule = call.service.engine
-        self._need = _need(call, self._rule)
+        self._finder = finder
         self._pieces = EventPieces()
         self._window = core.windows.of(call.service.name)
-        self._gap_s = 0.0
-        self._is_untaken = True
-        self._tried = 0
+        self._tries = 0
+        self._is_taken = False
 
     async def run(self) -> None:
         """
@@ -135,177 +136,126 @@
         while True:
             path = await self._find_path()
             if isinstance(path, str):
-                self._give_up(path)
+                give_up(self._core, self._call, path, RETURNING)
                 return
             outcome = await self._try(path)
-            match outcome:
-                case Served():
-                    conclude(
-                        self._core,
-                        self._call,
-                        'served',
-                        events=self._pieces.events,
-                        path=_path_text(path),
-                    )
-                    return
-                case TimedOut():
-                    self._give_up('timeout')
-                    return
-                case Failed():
-                    if not self._may_go_on():
-                        self._pass_on(outcome)
-                        return
-                    reason = f'answered {outcome.head.status}'
-                case TurnedAway() | CutOff():
-                    reason = outcome.reason
-            self._log_try(path, reason)
-            if not self._may_go_on():
-                self._give_up(reason)
+            if self._is_over(path, outcome):
                 return
 
+    def _is_over(self, path: ChainPath, outcome: Outcome) -> bool:
+        """
+        End the call where no other path is to be tried.
+        """
+        match outcome:
+            case Served():
+                conclude(
+                    self._core,
+                    self._call,
+                    'served',
+                    events=self._pieces.events,
+                    path=path_text(path),
+                )
+                return True
+            case TimedOut():
+                give_up(self._core, self._call, TIMEOUT, RETURNING)
+                return True
+            case Failed():
+                reason = f'answered {outcome.head.status}'
+            case TurnedAway() | CutOff():
+                reason = outcome.reason
+        self._log_try(path, reason)
+        if self._may_go_on():
+            return False
+        if isinstance(outcome, Failed) and not self._call.answer.has_begun:
+            pass_on(self._core, self._call, outcome.head, outcome.body)
+        else:
+            give_up(self._core, self._call, reason, RETURNING)
+        return True
+
     async def _find_path(self) -> ChainPath | str:
         """
         Choose a path, waiting for memory for a while.
 
         :returns: the path, or why there is none.
         """
-        found = self._choose()
-        if isinstance(found, ChainPath):
-            return found
-        patience_s = self._patience_s()
-        until = steady() + patience_s
+        until = steady() + self._patience_s()
         while True:
+            found = self._finder.choose()
+            if isinstance(found, ChainPath):
+                return found
             left_s = until - steady()
             if left_s <= 0:
                 return found.value
             await self._waiting.wait(self._call.priority, left_s)
-            found = self._choose()
-            if isinstance(found, ChainPath):
-                return found
 
     def _patience_s(self) -> float:
         """
         Return how long a path is worth waiting for.
         """
-        left_s = self._call.left_s()
-        if self._call.answer.has_begun:
-            return min(left_s, self._call.route.gap_s * 4)
-        target_s = self._call.route.target_s
-        return min(left_s, max(0, 0.8 * target_s - self._call.age_s()))
-
-    def _choose(self) -> ChainPath | NoPath:
-        now = steady()
-        fleet = self._core.fleet
-        engines = [
-            engine
-            for engine in (
-                self._engine(target, now)
-                for target in fleet.serving(self._call.service.name)
-            )
-            if engine
-        ]
-        avoided = {
-            *fleet.seen.dead(),
-            *self._call.avoided,
-            *fleet.seen.resting(now),
-        }
-        choosing = Choosing(self._rule, self._need, self._core.settings.zone)
-        return choose_path(choosing, engines, avoided)
-
-    def _engine(self, target: Target, now: float) -> ChainEngine | None:
-        kind = self._rule.kinds.get(target.kind)
-        if kind is None or target.layers is None:
-            return None
-        size = request_room(self._rule, kind, target.layers.count)
-        ledger = self._core.ledger
-        used = ledger.reserved(target.lifetime, now)
-        return ChainEngine(
-            lifetime=target.lifetime,
-            zone=target.zone,
-            held=target.layers,
-            kind=kind,
-            pace=self._core.fleet.seen.pace(target.lifetime, now),
-            room=size - used,
-            size=size,
-            takes_firsts=ledger.firsts(target.lifetime) < target.slots,
-        )
+        call = self._call
+        if call.answer.has_begun:
+            return min(call.left_s(), call.route.gap_s * GAP_PATIENCE)
+        patience_s = PATIENCE * call.route.target_s - call.age_s()
+        return min(call.left_s(), max(0, patience_s))
 
     async def _try(self, path: ChainPath) -> Outcome:
-        tokens = self._need.tokens
+        tokens = self._finder.tokens
         self._core.ledger.reserve(path.parts, tokens)
-        channel = None
         try:
-            channel = await self._open(path)
-            if isinstance(channel, TurnedAway):
-                return channel
-            return await self._relay(path, channel)
+            return await self._send_and_relay(path)
         finally:
             self._core.ledger.release(path.parts, tokens)
             self._waiting.notify()
-            if isinstance(channel, TargetChannel):
-                self._core.pool.give_back(channel)
+
+    async def _send_and_relay(self, path: ChainPath) -> Outcome:
+        channel = await self._open(path)
+        if isinstance(channel, TurnedAway):
+            return channel
+        try:
+            return await self._relay(path, channel)
+        finally:
+            self._core.pool.give_back(channel)
 
     async def _open(self, path: ChainPath) -> TargetChannel | TurnedAway:
         first = self._core.fleet.find(path.parts[0].lifetime.identity)
-        hops = self._hops(path)
-        if first is None or hops is None:
+        hops = self._finder.hops(path)
+        if first is None or not hops:
             return TurnedAway('the fleet has changed')
-        channel = self._core.pool.take_kept(first.address)
-        opened = channel or await self._core.pool.connect(first.address)
-        if isinstance(opened, Unreached):
-            self._core.meters.channels.labels('failed').inc()
-            self._core.prober.unreached(first.lifetime, opened)
+        channel = await self._core.channel_to(first)
+        if isinstance(channel, Unreached):
             self._call.avoided.add(first.lifetime)
-            return TurnedAway(f'unreached: {opened.reason}')
-        if channel is None:
-            self._core.meters.channels.labels('opened').inc()
-        self._send(path, hops, opened)
-        return opened
+            return TurnedAway(f'unreached: {channel.reason}')
+        sending = Sending(
+            target=first.identity,
+            remaining_ms=max(1, int(self._call.left_s() * MILLISECONDS)),
+            workspace=self._call.workspace,
+            hops=hops,
+            last_event=self._pieces.last_id,
+        )
+        self._send(sending, channel)
+        return channel
 
-    def _send(
-        self,
-        path: ChainPath,
-        hops: tuple[Hop, ...],
-        channel: TargetChannel,
-    ) -> None:
+    def _send(self, sending: Sending, channel: TargetChannel) -> None:
         call = self._call
-        headers = self._core.vocabulary.target_headers(
-            call.request.headers,
-            Sending(
-                target=path.parts[0].lifetime.identity,
-                remaining_ms=max(1, int(call.left_s() * MILLISECONDS)),
-                workspace=call.workspace,
-                hops=hops,
-                last_event=self._pieces.last_id,
-            ),
-        )
         request = call.request
+        headers = self._core.vocabulary.target_headers(request.headers, sending)
+        if self._tries:
+            self._window.count_retry(steady())
+        self._tries += 1
+        call.sends += 1
+        self._core.meters.sends.labels(call.kind, str(self._tries)).inc()
         channel.send(
             request_bytes(
                 request.method, request.target, headers, request.body
             ),
             is_mine=self._core.answers(call),
         )
-        if self._tried:
-            self._window.count_retry(steady())
-        self._tried += 1
-        call.sends += 1
-        self._core.meters.sends.labels(call.kind, str(self._tried)).inc()
-
-    def _hops(self, path: ChainPath) -> tuple[Hop, ...] | None:
-        hops = []
-        for part in path.parts:
-            target = self._core.fleet.find(part.lifetime.identity)
-            if target is None or target.lifetime != part.lifetime:
-                return None
-            hops.append(Hop(target.address, part.first, part.end))
-        return tuple(hops)
 
     async def _relay(self, path: ChainPath, channel: TargetChannel) -> Outcome:
         head: Head | None = None
         body: list[bytes] = []
         self._pieces.drop_rest()
-        self._is_untaken = True
+        self._is_taken = False
         while True:
             event = await self._next(path, channel)
             match event:
@@ -315,20 +265,16 @@
                     await self._pass_events(path, head, event.raw)
                 case Piece():
                     body.append(event.raw)
-                case End():
-                    assert head
-                    if head.status != HTTPStatus.OK:
-                        return self._judge(path, head, b''.join(body))
+                case End() if head and head.status == HTTPStatus.OK:
                     self._finish(head)
                     return Served()
-                case Broken():
-                    return CutOff(event.reason)
-                case TimedOut():
-                    channel.close()
-                    return event
-                case CutOff():
+                case End() if head:
+                    return self._judge(path, head, b''.join(body))
+                case TimedOut() | CutOff():
                     channel.close()
                     return event
+                case Broken():
+                    return CutOff(event.reason)
 
     async def _next(
         self, path: ChainPath, channel: TargetChannel
@@ -344,8 +290,7 @@
             event = await channel.next_event(min(TICK_S, left_s))
             if not isinstance(event, Silent):
                 return event
-            quiet_s = steady() - began
-            moved = self._look(path, quiet_s)
+            moved = self._look(path, steady() - began)
             if moved:
                 return moved
 
@@ -356,13 +301,12 @@
         :returns: why it moves to another path, if it does.
         """
         allowed_s = QUIET_S if self._pieces.events else FIRST_QUIET_S
-        if quiet_s < max(allowed_s, 5 * self._gap_s):
+        if quiet_s < allowed_s:
             return None
         lifetimes = [part.lifetime for part in path.parts]
         self._core.prober.suspect(lifetimes)
-        dead = [
-            each for each in lifetimes if each in self._core.fleet.seen.dead()
-        ]
+        known = self._core.fleet.seen.dead()
+        dead = [each for each in lifetimes if each in known]
         if dead and self._can_move(()):
             names = ','.join(each.identity for each in dead)
             return CutOff(f'silent for {quiet_s:.3f} s at {names}')
@@ -371,14 +315,10 @@
             return CutOff(f'silent for {quiet_s:.3f} s')
         return None
 
-    def _can_move(self, avoided: list[Lifetime] | tuple[()]) -> bool:
-        if not self._may_go_on():
-            return False
-        before = set(self._call.avoided)
-        self._call.avoided.update(avoided)
-        found = self._choose()
-        self._call.avoided = before
-        return isinstance(found, ChainPath)
+    def _can_move(self, avoided: Sequence[Lifetime]) -> bool:
+        return self._may_go_on() and isinstance(
+            self._finder.choose(avoided), ChainPath
+        )
 
     def _may_go_on(self) -> bool:
         """
@@ -387,7 +327,7 @@
         call = self._call
         if call.left_s() <= 0 or call.answer.has_ended:
             return False
-        if call.refused > MOST_REFUSED or self._tried > CONNECT_TRIES:
+        if call.refused > MOST_REFUSED or self._tries >= MOST_TRIES:
             return False
         if call.sends and call.route.repeat is Repeat.ONCE:
             return False
@@ -401,8 +341,8 @@
         whole = self._pieces.feed(raw)
         if not whole:
             return
-        if self._is_untaken:
-            self._is_untaken = False
+        if not self._is_taken:
+            self._is_taken = True
             self._core.fleet.seen.see_taken(
                 part.lifetime for part in path.parts
             )
@@ -436,74 +376,14 @@
         self._core.fleet.seen.see_refusal(lifetime, steady())
         return TurnedAway(f'{head.status} at {lifetime.identity}')
 
-    def _pass_on(self, failed: Failed) -> None:
-        answer = self._call.answer
-        if answer.has_begun:
-            self._give_up(f'answered {failed.head.status}')
-            return
-        answer.send(
-            failed.head.status,
-            without_channel_headers(failed.head.headers),
-            failed.body,
-        )
-        conclude(self._core, self._call, 'failed', status=failed.head.status)
-
-    def _give_up(self, reason: str) -> None:
-        call = self._call
-        if call.answer.has_begun:
-            call.answer.cut()
-            conclude(
-                self._core, call, 'cut', why=reason, last=self._pieces.last_id
-            )
-        elif call.sends:
-            timed_out = reason == 'timeout'
-            status = (
-                HTTPStatus.GATEWAY_TIMEOUT
-                if timed_out
-                else HTTPStatus.BAD_GATEWAY
-            )
-            refuse(call.answer, status, reason)
-            conclude(self._core, call, 'failed', why=reason, status=status)
-        else:
-            self._refuse(reason)
-
-    def _refuse(self, reason: str) -> None:
-        call = self._call
-        return_s = self._core.returns.give(
-            steady(), RETURN_LEAST_S, RETURNS_PER_S
-        )
-        self._core.meters.refusals.labels(reason.split(':')[0][:40]).inc()
-        refuse(call.answer, HTTPStatus.SERVICE_UNAVAILABLE, reason, return_s)
-        conclude(self._core, call, 'refused', why=reason, return_s=return_s)
-
     def _log_try(self, path: ChainPath, reason: str) -> None:
         self._core.journal.say(
             'request: path failed',
             request=self._call.fields.request,
             why=reason,
-            path=_path_text(path),
+            path=path_text(path),
             sends=self._call.sends,
             refused=self._call.refused,
             events=self._pieces.events,
             age_s=round(self._call.age_s(), 4),
         )
-
-
-RETURN_LEAST_S = 0.3  # a request's usual time; then memory is free again
-RETURNS_PER_S = 20
-
-
-def _need(call: Call, rule: EngineRule) -> Need:
-    fields = call.fields
-    prompt = fields.prompt_tokens or rule.usual_prompt
-    most = fields.output_tokens or rule.usual_answer
-    guess = fields.output_guess or rule.usual_answer
-    return Need(prompt, min(most, guess * GUESS_FACTOR))
-
-
-def _path_text(path: ChainPath) -> str:
-    return ','.join(_part_text(part) for part in path.parts)
-
-
-def _part_text(part: Part) -> str:
-    return f'{part.lifetime.identity}:{part.first}-{part.end}'
