--- a/mallowcrank/chains/paths.py
+++ b/mallowcrank/chains/paths.py
@@ -11,6 +11,7 @@
 from collections.abc import Collection, Iterable, Sequence
 from dataclasses import dataclass
 from enum import Enum, unique
+from math import inf
 
 from mallowcrank.chains.engines import (
     MILLISECONDS,
@@ -125,11 +126,12 @@
     for engine in engines:
         by_zone[engine.zone].append(_candidate(choosing, engine, 0))
     best = None
-    best_ms = 0.0
+    best_ms = inf
     for zone, candidates in by_zone.items():
         way = cheapest_way(choosing.rule.layers, candidates)
-        cost_ms = way.cost_ms * (1 if zone == choosing.zone else AWAY_FACTOR)
-        if way.stages and (best is None or cost_ms < best_ms):
+        factor = 1 if zone == choosing.zone else AWAY_FACTOR
+        cost_ms = way.cost_ms * factor
+        if way.stages and cost_ms < best_ms:
             best = way
             best_ms = cost_ms
     return best
@@ -137,12 +139,10 @@
 
 def _across(choosing: Choosing, engines: Iterable[ChainEngine]) -> Way | None:
     crossing_ms = _crossing_ms(choosing)
-    candidates = [
-        _candidate(
-            choosing, each, 0 if each.zone == choosing.zone else crossing_ms
-        )
-        for each in engines
-    ]
+    candidates = []
+    for engine in engines:
+        extra_ms = 0 if engine.zone == choosing.zone else crossing_ms
+        candidates.append(_candidate(choosing, engine, extra_ms))
     way = cheapest_way(choosing.rule.layers, candidates)
     return way if way.stages else None
 
--- a/mallowcrank/chains/placement.py
+++ b/mallowcrank/chains/placement.py
@@ -85,7 +85,7 @@
         by_zone[card.zone].append(card)
     scarce: list[Card] = []
     for group in by_zone.values():
-        if sum(card.most for card in group) >= layers:
+        if sum(each.most for each in group) >= layers:
             yield group
         else:
             scarce.extend(group)
@@ -122,7 +122,7 @@
 
 
 def _counts(layers: int, holding: Iterable[Card]) -> list[int]:
-    counts = [0] * layers
+    counts = [0 for _ in range(layers)]
     for card in holding:
         for layer in range(card.first, min(layers, card.end)):
             counts[layer] += 1
@@ -165,7 +165,7 @@
     Weigh each layer by how much is lost with its holders.
     """
     counts = _counts(layers, holding)
-    largest = [0] * layers
+    largest = [0 for _ in range(layers)]
     for card in holding:
         for layer in range(card.first, min(layers, card.end)):
             largest[layer] = max(largest[layer], card.end - card.first)
--- a/mallowcrank/gateway/caller_channel.py
+++ b/mallowcrank/gateway/caller_channel.py
@@ -22,6 +22,8 @@
 BODY_S = 10  # for a body to arrive
 HIGH_WATER_BYTES = 262_144  # unsent bytes at which a relay waits
 
+REFUSAL = b'HTTP/1.1 %d %b\r\nContent-Length: 0\r\nConnection: close\r\n\r\n'
+
 # Headers that concern one channel only (RFC 9110, 7.6.1).
 CHANNEL_HEADERS = frozenset(
     (
@@ -398,8 +400,7 @@
             # The answer in progress goes first; then the channel ends.
             self._closes = True
             return
-        head = b'HTTP/1.1 %d %b\r\n' % (status, _phrase(status))
-        self.write(head + b'Content-Length: 0\r\nConnection: close\r\n\r\n')
+        self.write(REFUSAL % (status, _phrase(status)))
         self.close_after_answer()
 
     def _serve_next(self) -> None:
@@ -429,7 +430,7 @@
         self._channel = channel
         self._parser = httptools.HttpRequestParser(self)
         self._limits = Limits()
-        self.began_at = 0.0
+        self.began_at = steady()
         self._clear()
 
     def feed(self, raw: bytes) -> int:
--- a/mallowcrank/gateway/duty.py
+++ b/mallowcrank/gateway/duty.py
@@ -44,6 +44,13 @@
     return all(mine < word.host for word in others)
 
 
+def member_name(settings: GatewaySettings, incarnation: str) -> str:
+    """
+    Return the name in the group, which tells others where to speak to it.
+    """
+    return SEPARATOR.join((settings.host, incarnation, str(settings.gossip)))
+
+
 class Duty:
     """
     This gateway's part in the group.
@@ -52,22 +59,18 @@
     def __init__(
         self,
         settings: GatewaySettings,
-        incarnation: str,
+        member: str,
         link: StoreLink,
         vocabulary: Vocabulary,
         peers: Peers,
         journal: Journal,
-        random: Random,
     ) -> None:
-        self._settings = settings
-        self._member = SEPARATOR.join(
-            (settings.host, incarnation, str(settings.gossip))
-        )
+        self._member = member
         self._link = link
         self._calls = vocabulary.store
         self._peers = peers
         self._journal = journal
-        self._pauses = Pauses(random)
+        self._pauses = Pauses(Random())
         self._generation = 0
         self._holds = False
         self._renewed_at = -ALONE_S
--- a/mallowcrank/gateway/peers.py
+++ b/mallowcrank/gateway/peers.py
@@ -20,6 +20,7 @@
 from mallowcrank.gateway.targets import HeldLayers
 
 FORMAT = 1
+MALFORMED = (ValueError, TypeError, IndexError, AttributeError)
 PERIOD_S = 0.25  # between datagrams to each gateway
 SILENT_S = 0.9  # some datagrams may be lost
 FORGOTTEN_S = 30  # a gateway that is silent so long counts as gone
@@ -100,7 +101,7 @@
     """
     try:
         return _word(msgpack.unpackb(raw))
-    except (ValueError, TypeError, IndexError, AttributeError):
+    except MALFORMED:
         return None
 
 
--- a/mallowcrank/gateway/placing.py
+++ b/mallowcrank/gateway/placing.py
@@ -102,11 +102,8 @@
         self._settle(targets, now)
         if len(self._pending) <= MOST_WATCHED:
             self._prober.suspect(self._pending)
-        cards = [
-            card
-            for card in (self._card(rule, target, now) for target in targets)
-            if card
-        ]
+        found = [self._card(rule, target, now) for target in targets]
+        cards = [card for card in found if card]
         if not self._is_settled(cards, now):
             return
         self._note_gaps(service.name, rule, cards)
--- a/mallowcrank/gateway/program.py
+++ b/mallowcrank/gateway/program.py
@@ -24,7 +24,7 @@
 from mallowcrank.gateway.core import JSON, Core
 from mallowcrank.gateway.desired import Desired, Limits
 from mallowcrank.gateway.directory import KEEP_S, fronts_for
-from mallowcrank.gateway.duty import Duty, takes_over
+from mallowcrank.gateway.duty import Duty, member_name, takes_over
 from mallowcrank.gateway.fleet import Fleet
 from mallowcrank.gateway.followers import (
     DesiredFollower,
@@ -98,12 +98,11 @@
         self._targets = TargetsFollower(fleet, self._link, vocabulary, random)
         self._duty = Duty(
             settings,
-            self._incarnation,
+            member_name(settings, self._incarnation),
             self._link,
             vocabulary,
             self._core.peers,
             self._journal,
-            random,
         )
         self._placer = Placer(
             fleet, pool, prober, vocabulary, self._journal, self._meters
--- a/mallowcrank/gateway/store_link.py
+++ b/mallowcrank/gateway/store_link.py
@@ -5,6 +5,7 @@
 import asyncio
 from dataclasses import dataclass
 from http import HTTPStatus
+from math import inf
 
 from mallowcrank.gateway.journal import Journal
 from mallowcrank.gateway.meters import Meters
@@ -60,7 +61,7 @@
         self._meters = meters
         self._pool = TargetPool()
         self._lost_at: float | None = None
-        self._regained_at = 0.0
+        self._regained_at = -inf
         self._host = (b'Host', str(address).encode())
 
     @property
--- a/mallowcrank/platform/store.py
+++ b/mallowcrank/platform/store.py
@@ -168,7 +168,7 @@
 
 
 def _keyed(raw: bytes, offset: int) -> StoreRecord:
-    end = 1 + (raw[0] if raw else 0)
+    end = 1 + int.from_bytes(raw[:1], 'big')
     key = raw[1:end].decode(errors='replace')
     return StoreRecord(key, raw[end:] or None, offset)
 
