--- a/mallowcrank/gateway/core.py
+++ b/mallowcrank/gateway/core.py
@@ -4,6 +4,7 @@
 
 from collections.abc import Callable
 from dataclasses import dataclass, field
+from http import HTTPStatus
 from random import Random
 
 import orjson
@@ -21,6 +22,7 @@
 from mallowcrank.gateway.settings import GatewaySettings
 from mallowcrank.gateway.steady import steady
 from mallowcrank.gateway.target_channel import (
+    Head,
     TargetChannel,
     TargetPool,
     Unreached,
@@ -65,6 +67,14 @@
             self.meters.channels.labels('opened').inc()
         return opened
 
+    def is_success(self, head: Head) -> bool:
+        """
+        Return whether an answer is a target's success.
+        """
+        is_ok = HTTPStatus.OK <= head.status < HTTPStatus.MULTIPLE_CHOICES
+        fields = self.vocabulary.answer_fields(head.headers)
+        return is_ok and fields.is_genuine
+
     def answers(self, call: 'Call') -> Callable[[Headers], bool]:
         """
         Return what tells answers to a call from those to others.
--- a/mallowcrank/gateway/plain_calls.py
+++ b/mallowcrank/gateway/plain_calls.py
@@ -189,6 +189,9 @@
         if isinstance(ended, Nothing):
             self._core.prober.suspect((target.lifetime,))
             return ended
+        is_ok = ended.head.status < HTTPStatus.MULTIPLE_CHOICES
+        if is_ok and not self._core.is_success(ended.head):
+            return Nothing('an answer without a seal', has_run=True)
         fields = self._core.vocabulary.answer_fields(ended.head.headers)
         misdirected = ended.head.status == HTTPStatus.MISDIRECTED_REQUEST
         if not (fields.did_not_run or misdirected):
--- a/mallowcrank/gateway/ports.py
+++ b/mallowcrank/gateway/ports.py
@@ -89,13 +89,14 @@
     What a target's headers say.
 
     :param request: the id of the request that it answers.
-    :param sealed: whether it bears the target's seal.
+    :param is_genuine: whether it bears the target's seal, and its body is
+        not encoded on the way.
     :param did_not_run: whether the target vouches for that.
     :param at: the target at fault, as `IP:PORT`, if it is named.
     """
 
     request: str
-    sealed: bool
+    is_genuine: bool
     did_not_run: bool
     at: str
 
--- a/mallowcrank/gateway/streams.py
+++ b/mallowcrank/gateway/streams.py
@@ -266,6 +266,8 @@
                 case Piece():
                     body.append(event.raw)
                 case End() if head and head.status == HTTPStatus.OK:
+                    if self._pieces.rest:
+                        return CutOff('the last event is cut')
                     self._finish(head)
                     return Served()
                 case End() if head:
@@ -289,11 +291,17 @@
                 return TimedOut()
             event = await channel.next_event(min(TICK_S, left_s))
             if not isinstance(event, Silent):
-                return event
+                return self._check(event)
             moved = self._look(path, steady() - began)
             if moved:
                 return moved
 
+    def _check(self, event: Event) -> Event | CutOff:
+        if isinstance(event, Head) and event.status == HTTPStatus.OK:
+            if not self._core.is_success(event):
+                return CutOff('an answer without a seal')
+        return event
+
     def _look(self, path: ChainPath, quiet_s: float) -> CutOff | None:
         """
         Look at the engines of a silent stream.
@@ -357,7 +365,6 @@
         answer = self._call.answer
         if not answer.has_begun:
             answer.begin(head.status, without_channel_headers(head.headers))
-        answer.write(self._pieces.rest)
         answer.finish()
 
     def _judge(self, path: ChainPath, head: Head, body: bytes) -> Outcome:
--- a/mallowcrank/platform/exchange.py
+++ b/mallowcrank/platform/exchange.py
@@ -24,6 +24,7 @@
 SEAL = b'mallowcrank-response-seal'
 DID_NOT_RUN = b'mallowcrank-not-executed'
 AT_REPLICA = b'at-server'
+ENCODING = b'content-encoding'
 
 SET_BY_GATEWAY = frozenset(
     (
@@ -107,7 +108,7 @@
     given = {name.lower(): raw.decode('latin-1') for name, raw in headers}
     return AnswerFields(
         request=given.get(REQUEST_ID, ''),
-        sealed=SEAL in given,
+        is_genuine=SEAL in given and ENCODING not in given,
         did_not_run=DID_NOT_RUN in given,
         at=given.get(AT_REPLICA, ''),
     )
