--- a/mallowcrank/gateway/caller_channel.py
+++ b/mallowcrank/gateway/caller_channel.py
@@ -22,6 +22,7 @@
 BODY_S = 10  # for a body to arrive
 HIGH_WATER_BYTES = 262_144  # unsent bytes at which a relay waits
 
+VERSIONS = ('1.0', '1.1')
 REFUSAL = b'HTTP/1.1 %d %b\r\nContent-Length: 0\r\nConnection: close\r\n\r\n'
 
 # Headers that concern one channel only (RFC 9110, 7.6.1).
@@ -478,7 +479,8 @@
         """
         self.has_head = True
         names = [name.lower() for name, _ in self._headers]
-        if names.count(b'host') != 1:
+        version = self._parser.get_http_version()
+        if names.count(b'host') != 1 or version not in VERSIONS:
             self._status = HTTPStatus.BAD_REQUEST
         if b'expect' in names and not self._status:
             self._channel.write(b'HTTP/1.1 100 Continue\r\n\r\n')
--- a/mallowcrank/gateway/followers.py
+++ b/mallowcrank/gateway/followers.py
@@ -126,8 +126,7 @@
         Follow for good.
         """
         while True:
-            step = self._read() if self._next >= 0 else self._read_newest()
-            self._reading = asyncio.create_task(step)
+            self._reading = asyncio.create_task(self.step())
             await asyncio.wait((self._reading,))
             went_well = not self._reading.cancelled() and (
                 self._reading.result()
@@ -139,6 +138,16 @@
             else:
                 await self._pauses.wait()
 
+    async def step(self) -> bool:
+        """
+        Read once.
+
+        :returns: whether the store answered.
+        """
+        if self._next >= 0:
+            return await self._read()
+        return await self._read_newest()
+
     async def _read_newest(self) -> bool:
         topic = self._calls.desired_topic
         answer = await self._link.call(
@@ -213,10 +222,7 @@
         Follow for good.
         """
         while True:
-            if self._next >= 0:
-                went_well = await self._read()
-            else:
-                went_well = await self._read_newest()
+            went_well = await self.step()
             self._fleet.drop_lapsed(steady())
             if went_well:
                 self._pauses.clear()
@@ -234,6 +240,16 @@
         if not isinstance(read, Unreadable):
             self._fleet.take_entry(read, raw, steady())
 
+    async def step(self) -> bool:
+        """
+        Read once.
+
+        :returns: whether the store answered.
+        """
+        if self._next >= 0:
+            return await self._read()
+        return await self._read_newest()
+
     async def _read_newest(self) -> bool:
         records: list[StoreRecord] = []
         after = ''
--- a/mallowcrank/platform/entries.py
+++ b/mallowcrank/platform/entries.py
@@ -84,13 +84,15 @@
         # In an entry, `sequence` counts writes; in a report, orders.
         orders=whole_of(table, 'sequence', 0),
         layers=_layers(table),
-        stalled=tuple(
-            (text_of(row, 'id'), text_of(row, 'address'))
-            for row in rows_of(table, 'stalled')
-        ),
+        stalled=tuple(map(_stalled, rows_of(table, 'stalled'))),
     )
 
 
+def _stalled(row: object) -> tuple[str, str]:
+    table = as_table(row, 'stalled')
+    return text_of(table, 'id'), text_of(table, 'address')
+
+
 def _lifetime(identity: str, table: Mapping[str, Any]) -> Lifetime:
     return Lifetime(identity, whole_of(table, 'born', 0))
 
--- /dev/null
+++ b/tests/test_caller_channel.py
@@ -0,0 +1,216 @@
+"""
+Callers' channels: good input is served in order, bad input is refused.
+"""
+
+import asyncio
+from unittest import IsolatedAsyncioTestCase
+
+from mallowcrank.gateway.caller_channel import Channels
+from mallowcrank.gateway.desired import Limits
+from mallowcrank.gateway.steady import steady
+from tests.utils.fake_transport import FakeTransport
+
+GET = b'GET /a/b?c=d HTTP/1.1\r\nHost: shop.example\r\nX-Own: 1\r\n\r\n'
+LIMITS = Limits(header_bytes=400, body_bytes=100, header_s=3, idle_s=15)
+
+
+def post(headers, body):
+    return (
+        b'POST /a/ HTTP/1.1\r\nHost: shop.example\r\n'
+        + headers
+        + b'\r\n\r\n'
+        + body
+    )
+
+
+class TestCallerChannel(IsolatedAsyncioTestCase):
+    def setUp(self):
+        self.requests = []
+        self.gates = []
+        self.channels = Channels(self.serve, lambda: LIMITS)
+        self.transport = FakeTransport()
+        self.channel = self.channels.make()
+        self.channel.connection_made(self.transport)
+
+    async def serve(self, request, answer):
+        self.requests.append(request)
+        if self.gates:
+            await self.gates.pop(0)
+        answer.send(200, (), request.body or b'ok')
+
+    async def feed(self, raw):
+        self.channel.data_received(raw)
+        await self.settle()
+
+    async def settle(self):
+        for _ in range(5):
+            await asyncio.sleep(0)
+
+    def statuses(self):
+        parts = self.transport.written.split(b'HTTP/1.1 ')[1:]
+        return [int(part[:3]) for part in parts]
+
+    async def test_a_request_is_read_whole(self):
+        for place in range(len(GET)):
+            await self.feed(GET[place : place + 1])
+        request = self.requests[0]
+        self.assertEqual(request.target, b'/a/b?c=d')
+        self.assertEqual((request.path, request.query), ('/a/b', 'c=d'))
+        self.assertEqual(request.host, 'shop.example')
+        self.assertIn((b'X-Own', b'1'), request.headers)
+        self.assertEqual(self.statuses(), [200])
+        self.assertFalse(self.transport.is_closed)
+
+    async def test_chunks_are_joined(self):
+        chunks = b'3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n'
+        await self.feed(post(b'Transfer-Encoding: chunked', chunks))
+        self.assertEqual(self.requests[0].body, b'abcde')
+        names = [name.lower() for name, _ in self.requests[0].headers]
+        self.assertNotIn(b'transfer-encoding', names)
+
+    async def test_headers_of_the_channel_are_left_out(self):
+        await self.feed(
+            GET.replace(b'X-Own: 1', b'Connection: X-Own\r\nX-Own: 1')
+        )
+        names = [name for name, _ in self.requests[0].headers]
+        self.assertEqual(names, [b'Host'])
+
+    async def test_pipelined_requests_are_served_in_order(self):
+        gate = asyncio.get_running_loop().create_future()
+        self.gates.append(gate)
+        await self.feed(GET + post(b'Content-Length: 2', b'hi'))
+        self.assertEqual(len(self.requests), 1)
+        gate.set_result(None)
+        await self.settle()
+        self.assertEqual(len(self.requests), 2)
+        self.assertTrue(self.transport.written.endswith(b'hi'))
+
+    async def test_malformed_requests_are_refused_and_not_served(self):
+        for raw in (
+            post(b'Content-Length: 3\r\nTransfer-Encoding: chunked', b'abc'),
+            post(b'Content-Length: 3\r\nContent-Length: 4', b'abcd'),
+            post(b'Content-Length: -1', b''),
+            post(b'Content-Length: 1e1', b''),
+            post(b'Transfer-Encoding: chunked', b'x\r\n'),
+            post(b'Host: other.example\r\nContent-Length: 0', b''),
+            b'GET / HTTP/1.1\r\n\r\n',
+            b'GET / HTTP/1.1\nHost: a\n\n',
+            b'GET /\r\nHost: a\r\n\r\n',
+            b'GET / HTTP/1.1\r\nHost: a\r\nX Y: b\r\n\r\n',
+            b'\x16\x03\x01\x02\x00',
+        ):
+            with self.subTest(raw=raw):
+                self.setUp()
+                await self.feed(raw)
+                self.assertEqual(self.requests, [])
+                self.assertEqual(self.statuses(), [400])
+                self.assertTrue(self.transport.is_closed)
+
+    async def test_a_head_too_large_is_refused(self):
+        await self.feed(GET.replace(b'X-Own: 1', b'X-Own: ' + b'1' * 500))
+        self.assertEqual(self.statuses(), [431])
+        self.assertEqual(self.requests, [])
+
+    async def test_a_body_too_large_is_refused(self):
+        await self.feed(post(b'Content-Length: 200', b'x' * 200))
+        self.assertEqual(self.statuses(), [413])
+        self.assertEqual(self.requests, [])
+
+    async def test_slow_heads_are_refused_and_idle_channels_closed(self):
+        self.channel.check_time(steady() + 14, LIMITS)
+        self.assertFalse(self.transport.is_closed)
+        await self.feed(GET[:20])
+        self.channel.check_time(steady() + 2, LIMITS)
+        self.assertFalse(self.transport.is_closed)
+        self.channel.check_time(steady() + 4, LIMITS)
+        self.assertEqual(self.statuses(), [408])
+        self.setUp()
+        self.channel.check_time(steady() + 16, LIMITS)
+        self.assertTrue(self.transport.is_closed)
+        self.assertEqual(self.transport.written, b'')
+
+    async def test_work_stops_when_the_caller_leaves(self):
+        gate = asyncio.get_running_loop().create_future()
+        self.gates.append(gate)
+        await self.feed(GET)
+        self.channel.connection_lost(None)
+        await self.settle()
+        self.assertTrue(gate.cancelled())
+        self.assertEqual(self.transport.written, b'')
+
+    async def test_a_leaving_gateway_asks_for_the_channel_to_be_closed(self):
+        self.channels.is_leaving = True
+        await self.feed(GET)
+        self.assertIn(b'Connection: close', self.transport.written)
+        self.assertTrue(self.transport.is_closed)
+
+    async def test_a_request_in_flight_keeps_its_channel_open(self):
+        gate = asyncio.get_running_loop().create_future()
+        self.gates.append(gate)
+        await self.feed(GET)
+        self.channels.close_idle()
+        self.assertFalse(self.transport.is_closed)
+        gate.set_result(None)
+        await self.settle()
+        self.assertEqual(self.statuses(), [200])
+
+
+class TestAnswers(IsolatedAsyncioTestCase):
+    def setUp(self):
+        self.transport = FakeTransport()
+        self.step = None
+
+    async def play(self, step, raw=GET):
+        async def serve(request, answer):
+            step(answer)
+
+        channel = Channels(serve, lambda: LIMITS).make()
+        channel.connection_made(self.transport)
+        channel.data_received(raw)
+        for _ in range(5):
+            await asyncio.sleep(0)
+        return self.transport.written
+
+    async def test_a_finished_answer_has_its_last_chunk(self):
+        def step(answer):
+            answer.begin(200, ())
+            answer.write(b'abc')
+            answer.finish()
+
+        written = await self.play(step)
+        self.assertTrue(written.endswith(b'3\r\nabc\r\n0\r\n\r\n'))
+        self.assertFalse(self.transport.is_closed)
+
+    async def test_a_cut_answer_is_seen_to_be_cut(self):
+        def step(answer):
+            answer.begin(200, ())
+            answer.write(b'abc')
+            answer.cut()
+            answer.write(b'def')
+            answer.finish()
+
+        written = await self.play(step)
+        self.assertTrue(written.endswith(b'3\r\nabc\r\n'))
+        self.assertTrue(self.transport.is_closed)
+
+    async def test_nothing_follows_a_whole_answer(self):
+        def step(answer):
+            answer.send(200, (), b'abc')
+            answer.send(503, (), b'no')
+            answer.begin(200, ())
+            answer.write(b'more')
+
+        written = await self.play(step)
+        self.assertTrue(written.endswith(b'abc'))
+        self.assertEqual(written.count(b'HTTP/1.1'), 1)
+
+    async def test_an_old_caller_gets_no_chunks(self):
+        def step(answer):
+            answer.begin(200, ())
+            answer.write(b'abc')
+            answer.finish()
+
+        old = GET.replace(b'HTTP/1.1', b'HTTP/1.0')
+        written = await self.play(step, old)
+        self.assertTrue(written.endswith(b'\r\n\r\nabc'))
+        self.assertTrue(self.transport.is_closed)
--- /dev/null
+++ b/tests/test_platform_settings.py
@@ -0,0 +1,55 @@
+"""
+The platform's settings file.
+"""
+
+from unittest import TestCase
+
+from mallowcrank.gateway.settings import Address, GatewaySettings
+from mallowcrank.platform.node_settings import read_settings
+
+FILE = """
+node_name=edge-1
+zone=shah-alam
+region=klang-valley
+zones.shah-alam=klang-valley
+zones.petaling=klang-valley
+listen.front=10.1.0.40:8227
+listen.ready=10.1.0.40:8220
+listen.control=10.1.0.40:8229
+listen.directory=10.1.0.40:8224
+internal_ports=7340,7355
+seeds=10.1.0.40:8229,10.2.0.29:8229
+bounds.grace_s=8
+bounds.drain_ms=2000
+bounds.ttl_max_s=5
+bounds.retry_budget_ratio=0.2
+bounds.budget_window_s=10
+bounds.retry_budget_slack=198
+platform.address=10.200.1.7:8223
+platform.ttl_min_ms=1000
+something.new=1
+"""
+
+
+class TestSettingsFile(TestCase):
+    def test_reads_all_that_a_gateway_needs(self):
+        settings = read_settings(FILE)
+        self.assertIsInstance(settings, GatewaySettings)
+        self.assertEqual(settings.listening.front, Address('10.1.0.40', 8227))
+        self.assertEqual(settings.gossip, Address('10.1.0.40', 7340))
+        self.assertEqual(len(settings.seeds), 2)
+        self.assertEqual(settings.regions['petaling'], 'klang-valley')
+        self.assertEqual(settings.bounds.drain_s, 2)
+
+    def test_reports_all_findings_together(self):
+        broken = FILE.replace('listen.ready=10.1.0.40:8220', '')
+        broken = broken.replace('internal_ports=7340,7355', 'internal_ports=x')
+        broken = broken.replace('=10.200.1.7:8223', '=nowhere')
+        findings = read_settings(broken)
+        self.assertEqual(
+            {finding.place for finding in findings},
+            {'listen.ready', 'internal_ports', 'platform.address'},
+        )
+
+    def test_an_empty_file_misses_everything_that_is_needed(self):
+        self.assertGreater(len(read_settings('')), 10)
--- /dev/null
+++ b/tests/test_platform_store.py
@@ -0,0 +1,73 @@
+"""
+The calls of the platform's store and their answers.
+"""
+
+import base64
+import json
+from unittest import TestCase
+
+from mallowcrank.gateway.ports import Unreadable
+from mallowcrank.platform.store import PlatformStore
+from tests.utils.platform_pages import read_page
+
+
+class TestStoreCalls(TestCase):
+    def setUp(self):
+        self.store = PlatformStore()
+
+    def test_reads_keyed_records_in_order(self):
+        body = read_page(9, ('a', b'1'), ('b', None), ('a', b'2'))
+        found = self.store.open_slice(body, 6)
+        self.assertEqual(
+            [(each.key, each.content, each.offset) for each in found.records],
+            [('a', b'1', 6), ('b', None, 7), ('a', b'2', 8)],
+        )
+        self.assertEqual(found.end, 9)
+
+    def test_a_cut_answer_is_unreadable(self):
+        whole = read_page(7, ('a', b'12345'))
+        for length in (0, 5, len(whole) - 1, len(whole) - 7):
+            with self.subTest(length=length):
+                cut = self.store.open_slice(whole[:length], 6)
+                self.assertIsInstance(cut, Unreadable)
+
+    def test_reads_the_newest_of_each_key(self):
+        body = {
+            'items': [
+                {
+                    'key': 'config',
+                    'value': base64.b64encode(b'{}').decode(),
+                    'offset': 4,
+                }
+            ],
+            'has_more': True,
+            'end_offset': 6,
+        }
+        found = self.store.open_newest(json.dumps(body).encode())
+        self.assertEqual(found.records[0].content, b'{}')
+        self.assertTrue(found.has_more)
+        self.assertEqual(found.end, 6)
+
+    def test_malformed_answers_are_unreadable(self):
+        for body in (b'', b'[]', b'{"items": 7}', b'{"items": [{}]}'):
+            with self.subTest(body=body):
+                self.assertIsInstance(self.store.open_newest(body), Unreadable)
+        self.assertIsInstance(
+            self.store.open_membership(b'{"parts": [7]}'), Unreadable
+        )
+        self.assertIsInstance(self.store.open_owners(b'7'), Unreadable)
+
+    def test_reads_a_membership(self):
+        body = b'{"generation": 7, "parts": [["members", 0, -1]]}'
+        joined = self.store.open_membership(body)
+        self.assertEqual(joined.generation, 7)
+        self.assertEqual(joined.owned, (('members', 0),))
+
+    def test_reads_each_member_once(self):
+        body = b'{"parts": [["t", 0, "a", 1], ["t", 1, "b", 1], ["t", 2, "a"]]}'
+        self.assertEqual(self.store.open_owners(body), ('a', 'b'))
+
+    def test_a_fence_carries_the_generation(self):
+        call = self.store.fence('g', 'me', 12)
+        self.assertIn('epoch=12', call.path)
+        self.assertEqual(call.body, b'')
--- /dev/null
+++ b/tests/utils/fake_transport.py
@@ -0,0 +1,28 @@
+"""
+A transport that keeps what is written.
+"""
+
+
+class FakeTransport:
+    """
+    Stands in for a socket under a protocol.
+    """
+
+    def __init__(self):
+        self.written = b''
+        self.is_closed = False
+        self.is_aborted = False
+
+    def write(self, raw):
+        if not self.is_closed:
+            self.written += raw
+
+    def close(self):
+        self.is_closed = True
+
+    def abort(self):
+        self.is_closed = True
+        self.is_aborted = True
+
+    def set_write_buffer_limits(self, high):
+        self.high = high
