--- a/mallowcrank/gateway/__main__.py
+++ b/mallowcrank/gateway/__main__.py
@@ -8,6 +8,8 @@
 
 import uvloop
 
+from mallowcrank.gateway.journal import Journal
+from mallowcrank.gateway.ports import Vocabulary
 from mallowcrank.gateway.program import Gateway, read_settings_file
 from mallowcrank.gateway.settings import GatewaySettings
 from mallowcrank.platform.vocabulary import (
@@ -33,8 +35,8 @@
     return ExitStatus.SUCCESS
 
 
-async def _run(settings: GatewaySettings, vocabulary: object) -> None:
-    await Gateway(settings, vocabulary).run()
+async def _run(settings: GatewaySettings, vocabulary: Vocabulary) -> None:
+    await Gateway(settings, vocabulary, Journal(settings.host)).run()
 
 
 if __name__ == '__main__':
--- /dev/null
+++ b/mallowcrank/gateway/assembly.py
@@ -0,0 +1,101 @@
+"""
+The parts of a gateway, put together.
+"""
+
+import secrets
+from dataclasses import dataclass
+from random import Random
+
+from mallowcrank.chains.budget import RetryWindows
+from mallowcrank.chains.memory import MemoryLedger
+from mallowcrank.gateway.core import Core
+from mallowcrank.gateway.duty import Duty, member_name
+from mallowcrank.gateway.fleet import Fleet
+from mallowcrank.gateway.followers import (
+    DesiredFollower,
+    KnownDesired,
+    TargetsFollower,
+)
+from mallowcrank.gateway.gossip import Gossip
+from mallowcrank.gateway.handover import Handover
+from mallowcrank.gateway.journal import Journal
+from mallowcrank.gateway.meters import Meters
+from mallowcrank.gateway.peers import Peers
+from mallowcrank.gateway.placing import Placer
+from mallowcrank.gateway.ports import Vocabulary
+from mallowcrank.gateway.prober import Prober
+from mallowcrank.gateway.settings import GatewaySettings
+from mallowcrank.gateway.store_link import StoreLink
+from mallowcrank.gateway.target_channel import TargetPool
+from mallowcrank.overload.returning import ReturnTimes
+
+INCARNATION_BYTES = 4
+
+
+@dataclass(frozen=True, slots=True)
+class Parts:
+    """
+    The parts that have a life of their own.
+    """
+
+    core: Core
+    known: KnownDesired
+    desired: DesiredFollower
+    targets: TargetsFollower
+    duty: Duty
+    placer: Placer
+    handover: Handover
+    gossip: Gossip
+
+
+def build_core(
+    settings: GatewaySettings, vocabulary: Vocabulary, journal: Journal
+) -> Core:
+    """
+    Build what all parts share.
+    """
+    meters = Meters()
+    fleet = Fleet(journal)
+    pool = TargetPool()
+    return Core(
+        settings=settings,
+        vocabulary=vocabulary,
+        journal=journal,
+        meters=meters,
+        random=Random(),
+        fleet=fleet,
+        ledger=MemoryLedger(),
+        windows=RetryWindows(settings.bounds),
+        pool=pool,
+        prober=Prober(fleet, pool, vocabulary, meters),
+        peers=Peers(settings, journal),
+        returns=ReturnTimes(),
+    )
+
+
+def build_parts(
+    settings: GatewaySettings, vocabulary: Vocabulary, journal: Journal
+) -> Parts:
+    """
+    Build a gateway's parts.
+    """
+    core = build_core(settings, vocabulary, journal)
+    incarnation = secrets.token_hex(INCARNATION_BYTES)
+    link = StoreLink(settings.store, journal, core.meters)
+    known = KnownDesired(vocabulary, journal)
+    desired = DesiredFollower(known, link, vocabulary, core.random)
+    targets = TargetsFollower(core.fleet, link, vocabulary, core.random)
+    member = member_name(settings, incarnation)
+    duty = Duty(settings, member, link, vocabulary, core.peers, journal)
+    gossip = Gossip(core, known, duty, link, incarnation)
+    core.peers.listen(gossip.word, gossip.hear)
+    return Parts(
+        core=core,
+        known=known,
+        desired=desired,
+        targets=targets,
+        duty=duty,
+        placer=Placer(core),
+        handover=Handover(core, known, desired, targets),
+        gossip=gossip,
+    )
--- a/mallowcrank/gateway/caller_channel.py
+++ b/mallowcrank/gateway/caller_channel.py
@@ -241,6 +241,13 @@
         for channel in list(self.open):
             channel.check_time(now, limits)
 
+    def abort_all(self) -> None:
+        """
+        Close all channels at once.
+        """
+        for channel in list(self.open):
+            channel.abort()
+
     def close_idle(self) -> None:
         """
         Close the channels that wait for a request.
--- a/mallowcrank/gateway/core.py
+++ b/mallowcrank/gateway/core.py
@@ -82,6 +82,8 @@
 
         def is_mine(headers: Headers) -> bool:
             fields = self.vocabulary.answer_fields(headers)
+            if not fields.request:
+                return fields.did_not_run
             return fields.request == call.fields.request
 
         return is_mine
--- a/mallowcrank/gateway/directory.py
+++ b/mallowcrank/gateway/directory.py
@@ -2,7 +2,7 @@
 Which fronts a caller should use.
 """
 
-from collections.abc import Sequence
+from collections.abc import Mapping, Sequence
 
 from mallowcrank.gateway.peers import Word
 from mallowcrank.gateway.settings import Address
@@ -13,7 +13,7 @@
 
 
 def fronts_for(
-    zone: str, regions: dict[str, str], words: Sequence[Word]
+    zone: str, regions: Mapping[str, str], words: Sequence[Word]
 ) -> list[Address]:
     """
     Return the fronts for a caller: those of its zone, or of all zones.
--- a/mallowcrank/gateway/peers.py
+++ b/mallowcrank/gateway/peers.py
@@ -133,20 +133,32 @@
     All gateways that this one hears.
     """
 
-    def __init__(
-        self,
-        settings: GatewaySettings,
-        journal: Journal,
-        tell: Callable[[], Word],
-    ) -> None:
+    def __init__(self, settings: GatewaySettings, journal: Journal) -> None:
         self._settings = settings
         self._journal = journal
-        self._tell = tell
+        self._tell: Callable[[], Word] | None = None
+        self._hear: Callable[[Word], None] = _ignore
         self._transport: asyncio.DatagramTransport | None = None
         self._heard: dict[Address, Peer] = {}
         self._hinted: dict[Address, float] = {}
         self._last_tick = steady()
-        self.on_word: Callable[[Word], None] = _ignore
+
+    def listen(
+        self, tell: Callable[[], Word], hear: Callable[[Word], None]
+    ) -> None:
+        """
+        Set what is told to others, and who takes in their words.
+        """
+        self._tell = tell
+        self._hear = hear
+
+    def close(self) -> None:
+        """
+        Fall silent.
+        """
+        if self._transport:
+            self._transport.close()
+            self._transport = None
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """
@@ -168,7 +180,7 @@
             )
             self._send_to((word.gossip,))
         self._heard[word.gossip] = Peer(word, steady())
-        self.on_word(word)
+        self._hear(word)
 
     def hint(self, addresses: Iterable[Address]) -> None:
         """
@@ -236,7 +248,7 @@
                 self._hinted.pop(address)
 
     def _send_to(self, addresses: Iterable[Address]) -> None:
-        if not self._transport:
+        if not self._transport or not self._tell:
             return
         raw = pack_word(self._tell())
         for address in addresses:
--- a/mallowcrank/gateway/placing.py
+++ b/mallowcrank/gateway/placing.py
@@ -15,18 +15,13 @@
     find_gaps,
     plan_layers,
 )
+from mallowcrank.gateway.core import Core
 from mallowcrank.gateway.desired import Desired, EngineRule, ServiceRule
-from mallowcrank.gateway.fleet import Fleet
-from mallowcrank.gateway.journal import Journal
-from mallowcrank.gateway.meters import Meters
-from mallowcrank.gateway.ports import Vocabulary
-from mallowcrank.gateway.prober import Prober
 from mallowcrank.gateway.steady import steady
 from mallowcrank.gateway.target_channel import (
     End,
     Head,
     Piece,
-    TargetPool,
     Unreached,
     request_bytes,
 )
@@ -58,21 +53,13 @@
     Places layers while this gateway holds the duty.
     """
 
-    def __init__(
-        self,
-        fleet: Fleet,
-        pool: TargetPool,
-        prober: Prober,
-        vocabulary: Vocabulary,
-        journal: Journal,
-        meters: Meters,
-    ) -> None:
-        self._fleet = fleet
-        self._pool = pool
-        self._prober = prober
-        self._vocabulary = vocabulary
-        self._journal = journal
-        self._meters = meters
+    def __init__(self, core: Core) -> None:
+        self._fleet = core.fleet
+        self._pool = core.pool
+        self._prober = core.prober
+        self._vocabulary = core.vocabulary
+        self._journal = core.journal
+        self._meters = core.meters
         self._pending: dict[Lifetime, Pending] = {}
         self._orders: dict[Lifetime, int] = {}
         self._has_held = False
--- /dev/null
+++ b/mallowcrank/platform/standins/__init__.py
@@ -0,0 +1,3 @@
+"""
+Stand-ins of the platform for tests and the demo; no gateway imports them.
+"""
--- /dev/null
+++ b/mallowcrank/platform/standins/server.py
@@ -0,0 +1,51 @@
+"""
+A small HTTP server for stand-ins, on one address.
+"""
+
+import asyncio
+
+from mallowcrank.gateway.caller_channel import Channels, Serve
+from mallowcrank.gateway.desired import Limits
+from mallowcrank.gateway.settings import Address
+
+LIMITS = Limits(idle_s=60)
+
+
+class StandinServer:
+    """
+    Serves requests on an address until it is stopped.
+    """
+
+    def __init__(self, serve: Serve) -> None:
+        self._channels = Channels(serve, self._limits)
+        self._server: asyncio.Server | None = None
+        self.address = Address('127.0.0.1', 0)
+
+    async def start(self, address: Address) -> None:
+        """
+        Listen; port 0 takes a free one.
+        """
+        self._server = await asyncio.get_running_loop().create_server(
+            self._channels.make, address.ip, address.port
+        )
+        port = self._server.sockets[0].getsockname()[1]
+        self.address = Address(address.ip, port)
+
+    def stop(self) -> None:
+        """
+        Stop as a process that is killed: all channels end at once.
+        """
+        if self._server:
+            self._server.close()
+        for channel in list(self._channels.open):
+            channel.abort()
+
+    def reset_channels(self) -> None:
+        """
+        End all channels and go on listening.
+        """
+        for channel in list(self._channels.open):
+            channel.abort()
+
+    def _limits(self) -> Limits:
+        return LIMITS
--- a/tests/utils/platform_bodies.py
+++ b/tests/utils/platform_bodies.py
@@ -2,7 +2,11 @@
 Bodies in the platform's format.
 """
 
-KINDS = (('a100', 72_000, 2.4, 3.2), ('v100', 14_400, 5.3, 7.9))
+KINDS = (
+    ('a100', 72_000, 2.4, 3.2),
+    ('v100', 14_400, 5.3, 7.9),
+    ('huge', 200_000, 2.4, 3.2),
+)
 
 
 def route_row(name, **changes):
--- /dev/null
+++ b/tests/utils/platform_world.py
@@ -0,0 +1,222 @@
+"""
+Gateways in this process, before stand-ins of the platform.
+"""
+
+import asyncio
+import itertools
+import json
+import os
+
+from mallowcrank.gateway.journal import Journal
+from mallowcrank.gateway.program import Gateway
+from mallowcrank.gateway.settings import Address
+from mallowcrank.gateway.target_channel import (
+    End,
+    Head,
+    Piece,
+    TargetChannel,
+    request_bytes,
+)
+from mallowcrank.platform.node_settings import read_settings
+from mallowcrank.platform.standins.replica import StandinReplica
+from mallowcrank.platform.standins.store import StandinStore
+from mallowcrank.platform.vocabulary import platform_vocabulary
+from tests.utils.platform_bodies import desired_body
+
+LIMIT_S = 20
+LOOK_S = 0.02
+HOSTS = itertools.count(2)
+REQUESTS = itertools.count(1)
+PORTS = {'front': 8227, 'ready': 8220, 'control': 8229, 'directory': 8224}
+
+
+def settings_text(host, ip, zone, store, seeds):
+    """
+    Return a settings file.
+    """
+    lines = [
+        f'node_name={host}',
+        f'zone={zone}',
+        'region=r',
+        'zones.a=r',
+        'zones.b=r',
+        'internal_ports=7340,7355',
+        f'seeds={",".join(seeds)}',
+        'bounds.grace_s=3',
+        'bounds.drain_ms=2000',
+        'bounds.ttl_max_s=5',
+        'bounds.retry_budget_ratio=0.2',
+        'bounds.budget_window_s=10',
+        'bounds.retry_budget_slack=198',
+        f'platform.address={store}',
+        'platform.ttl_min_ms=1000',
+    ]
+    lines.extend(f'listen.{name}={ip}:{port}' for name, port in PORTS.items())
+    return '\n'.join(lines)
+
+
+class Answered:
+    """
+    What a caller got.
+    """
+
+    def __init__(self, status, headers, body, is_whole):
+        self.status = status
+        self.headers = {name.lower(): raw for name, raw in headers}
+        self.body = body
+        self.is_whole = is_whole
+
+    @property
+    def events(self):
+        """
+        Return the ids of the events, in order.
+        """
+        lines = self.body.decode().splitlines()
+        return [int(line[4:]) for line in lines if line.startswith('id: ')]
+
+
+class PlatformWorld:
+    """
+    A store, replicas and gateways on loopback addresses.
+    """
+
+    def __init__(self):
+        self.store = StandinStore()
+        self.replicas = {}
+        self.by_address = {}
+        self.gateways = []
+
+    async def start_store(self, **desired):
+        """
+        Start the store with a desired state.
+        """
+        await self.store.server.start(Address('127.0.0.1', 0))
+        self.publish(**desired)
+
+    def publish(self, **desired):
+        """
+        Write a desired state.
+        """
+        body = json.dumps(desired_body(**desired)).encode()
+        self.store.put('keyed.op', 'config', body)
+
+    async def start_replica(self, identity, service, **fields):
+        """
+        Start a replica and write its entry.
+        """
+        replica = StandinReplica(
+            identity, service, others=self.by_address, **fields
+        )
+        await replica.start(Address('127.0.0.1', 0))
+        self.replicas[identity] = replica
+        self.register(identity)
+        return replica
+
+    def register(self, identity):
+        """
+        Write a replica's entry.
+        """
+        entry = self.replicas[identity].entry()
+        self.store.put('keyed.servers', identity, entry)
+
+    async def start_engines(self, *ranges, zone='a', kind='huge'):
+        """
+        Start engines that hold layers.
+        """
+        for first, end in ranges:
+            await self.start_replica(
+                f'{zone}-{first}-{end}-{len(self.replicas)}',
+                'model',
+                zone=zone,
+                kind=kind,
+                held=(first, end),
+            )
+
+    async def start_gateway(self, zone='a', seeds=()):
+        """
+        Start a gateway and wait until it takes callers.
+        """
+        number = next(HOSTS)
+        ip = f'127.0.{number // 250}.{number % 250 + 2}'
+        text = settings_text(
+            f'edge-{number}', ip, zone, self.store.server.address, seeds
+        )
+        journal = Journal('test', os.open(os.devnull, os.O_WRONLY))
+        gateway = Gateway(read_settings(text), platform_vocabulary(), journal)
+        self.gateways.append(gateway)
+        await gateway.start()
+        await self.wait_for(lambda: gateway.is_ready)
+        return gateway
+
+    async def wait_for(self, condition):
+        """
+        Wait until a condition holds.
+        """
+        async with asyncio.timeout(LIMIT_S):
+            while not condition():
+                await asyncio.sleep(LOOK_S)
+
+    async def close(self):
+        """
+        Stop everything.
+        """
+        for gateway in self.gateways:
+            gateway.halt()
+        for replica in self.replicas.values():
+            replica.server.stop()
+        self.store.server.stop()
+
+    async def open(self, address):
+        """
+        Open a channel to a gateway.
+        """
+        loop = asyncio.get_running_loop()
+        _, channel = await loop.create_connection(
+            lambda: TargetChannel(address), address.ip, address.port
+        )
+        return channel
+
+    async def ask(self, gateway, path, method='GET', body=b'', **headers):
+        """
+        Send a caller's request and read its answer.
+        """
+        channel = await self.open(gateway.settings.listening.front)
+        self.send(channel, path, method, body, **headers)
+        answered = await self.read(channel)
+        channel.close()
+        return answered
+
+    def send(self, channel, path, method='GET', body=b'', **headers):
+        """
+        Send a caller's request.
+        """
+        given = {
+            'Host': 'shop.example',
+            'Mallowcrank-Request-Id': f'r{next(REQUESTS)}',
+            'Mallowcrank-Deadline-Ms': '8000',
+            **{name.replace('_', '-'): raw for name, raw in headers.items()},
+        }
+        pairs = tuple(
+            (name.encode(), raw.encode()) for name, raw in given.items()
+        )
+        channel.send(request_bytes(method, path.encode(), pairs, body))
+
+    async def read(self, channel):
+        """
+        Read an answer to its end, whole or not.
+        """
+        head = Head(0, ())
+        pieces = []
+        while True:
+            event = await channel.next_event(LIMIT_S)
+            if isinstance(event, Head):
+                head = event
+            elif isinstance(event, Piece):
+                pieces.append(event.raw)
+            else:
+                return Answered(
+                    head.status,
+                    head.headers,
+                    b''.join(pieces),
+                    isinstance(event, End),
+                )
