--- a/mallowcrank/gateway/prober.py
+++ b/mallowcrank/gateway/prober.py
@@ -31,7 +31,6 @@
 ANSWER_S = 0.15  # for a report; it takes some ms, and a slow target's more
 TRIES = 2  # a packet may be lost
 APART_S = 0.6  # between two questions to one target
-SLOW_PACE = 4  # assumed where a target is there and gives no report in time
 RECHECK_S = 0.5  # between questions to a silent target
 PACE_PERIOD_S = 1.5  # between questions for a pace
 TICK_S = 0.25
@@ -93,9 +92,9 @@
         finally:
             opened.close()
         if body is None:
-            return ''
+            return f'no report in {ANSWER_S} s'
         report = self._vocabulary.read_report(target.identity, body)
-        return '' if isinstance(report, Unreadable) else report
+        return report.reason if isinstance(report, Unreadable) else report
 
     async def run(
         self,
@@ -150,12 +149,9 @@
             self._meters.probes.labels('answered').inc()
             self._fleet.seen.see_alive(target.lifetime, answer.pace, now)
             self._fleet.learn_layers(target.identity, answer.layers, now)
-        elif answer:
-            self._meters.probes.labels('unreached').inc()
-            self._fleet.seen.see_dead(target.lifetime, answer, now)
         else:
-            self._meters.probes.labels('slow').inc()
-            self._fleet.seen.see_alive(target.lifetime, SLOW_PACE, now)
+            self._meters.probes.labels('unanswered').inc()
+            self._fleet.seen.see_dead(target.lifetime, answer, now)
 
 
 def _is_timeout(answer: Report | str, began: float) -> bool:
