--- a/mallowcrank/gateway/target_channel.py
+++ b/mallowcrank/gateway/target_channel.py
@@ -112,8 +112,12 @@
     def is_reusable(self) -> bool:
         """
         Return whether the channel can carry another request.
+
+        An answer that was not taken, as its caller left just then, is not
+        left for the next request.
         """
-        return self._is_open and not self._is_asked and self._keeps
+        is_free = not self._is_asked and not self._events
+        return self._is_open and is_free and self._keeps
 
     def is_kept(self, now: float) -> bool:
         """
--- a/tests/test_target_channel.py
+++ b/tests/test_target_channel.py
@@ -78,7 +78,7 @@
 
     async def test_bytes_after_an_answer_close_the_channel(self):
         self.ask()
-        self.channel.data_received(answer() + b'garbage')
+        self.channel.data_received(b'%bgarbage' % answer())
         self.assertIsInstance((await self.events())[-1], End)
         self.assertFalse(self.channel.is_reusable)
 
@@ -121,6 +121,13 @@
         self.assertIsInstance((await self.events())[0], Broken)
         self.assertTrue(self.transport.is_aborted)
 
+    async def test_an_answer_that_nobody_took_is_not_left_for_the_next(self):
+        self.ask()
+        self.channel.data_received(answer())
+        self.assertFalse(self.channel.is_reusable)
+        await self.events()
+        self.assertTrue(self.channel.is_reusable)
+
     async def test_an_interim_answer_is_passed_over(self):
         self.ask()
         self.channel.data_received(b'HTTP/1.1 100 Continue\r\n\r\n')
@@ -135,6 +142,7 @@
     async def test_an_idle_channel_is_given_up_before_the_target_does(self):
         self.ask()
         self.channel.data_received(answer(more=b'Keep-Alive: timeout=5\r\n'))
+        await self.events()
         used = self.channel.used_at
         self.assertTrue(self.channel.is_kept(used + 3.9))
         self.assertFalse(self.channel.is_kept(used + 4.1))
