--- a/mallowcrank/chains/budget.py
+++ b/mallowcrank/chains/budget.py
@@ -36,6 +36,12 @@
         self._sent: deque[Sent] = deque()
         self._retries = 0
 
+    def take_bounds(self, bounds: Bounds) -> None:
+        """
+        Take in changed bounds.
+        """
+        self._bounds = bounds
+
     def count_request(self, now: float) -> None:
         """
         Count a request.
@@ -78,6 +84,14 @@
         self._bounds = bounds
         self._windows: dict[str, RetryWindow] = {}
 
+    def take_bounds(self, bounds: Bounds) -> None:
+        """
+        Take in changed bounds; what was counted stays.
+        """
+        self._bounds = bounds
+        for window in self._windows.values():
+            window.take_bounds(bounds)
+
     def of(self, service: str) -> RetryWindow:
         """
         Return the window of a service.
--- a/mallowcrank/gateway/__main__.py
+++ b/mallowcrank/gateway/__main__.py
@@ -10,7 +10,8 @@
 
 from mallowcrank.gateway.journal import Journal
 from mallowcrank.gateway.ports import Vocabulary
-from mallowcrank.gateway.program import Gateway, read_settings_file
+from mallowcrank.gateway.program import Gateway
+from mallowcrank.gateway.reload import read_settings_file
 from mallowcrank.gateway.settings import GatewaySettings
 from mallowcrank.platform.vocabulary import (
     SETTINGS_VARIABLE,
@@ -31,12 +32,14 @@
         return ExitStatus.BAD_SETTINGS
     os.set_blocking(sys.stdout.fileno(), False)
     gc.freeze()
-    uvloop.run(_run(settings, vocabulary))
+    uvloop.run(_run(settings, vocabulary, path))
     return ExitStatus.SUCCESS
 
 
-async def _run(settings: GatewaySettings, vocabulary: Vocabulary) -> None:
-    await Gateway(settings, vocabulary, Journal(settings.host)).run()
+async def _run(
+    settings: GatewaySettings, vocabulary: Vocabulary, path: str
+) -> None:
+    await Gateway(settings, vocabulary, Journal(settings.host)).run(path)
 
 
 if __name__ == '__main__':
--- a/mallowcrank/gateway/core.py
+++ b/mallowcrank/gateway/core.py
@@ -31,10 +31,10 @@
 from mallowcrank.overload.returning import ReturnTimes
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(slots=True)
 class Core:
     """
-    What all parts share.
+    What all parts share. Only the settings change.
     """
 
     settings: GatewaySettings
@@ -50,6 +50,13 @@
     peers: Peers
     returns: ReturnTimes
 
+    def take_settings(self, settings: GatewaySettings) -> None:
+        """
+        Take in changed settings.
+        """
+        self.settings = settings
+        self.windows.take_bounds(settings.bounds)
+
     async def channel_to(
         self, target: Target, may_be_kept: bool = True
     ) -> TargetChannel | Unreached:
--- a/mallowcrank/gateway/program.py
+++ b/mallowcrank/gateway/program.py
@@ -6,10 +6,8 @@
 import os
 import signal
 from collections.abc import Coroutine
-from pathlib import Path
 from typing import Any
 
-from mallowcrank.findings import format_findings
 from mallowcrank.gateway.assembly import Parts, build_parts
 from mallowcrank.gateway.caller_channel import Channels, Serve
 from mallowcrank.gateway.core import Core
@@ -19,6 +17,7 @@
 from mallowcrank.gateway.journal import Journal
 from mallowcrank.gateway.local_answers import LocalAnswers
 from mallowcrank.gateway.ports import Vocabulary
+from mallowcrank.gateway.reload import SettingsWatch
 from mallowcrank.gateway.settings import Address, GatewaySettings
 from mallowcrank.gateway.steady import steady
 from mallowcrank.status import ExitStatus
@@ -82,15 +81,24 @@
         """
         return self._parts.gossip.is_ready
 
-    async def run(self) -> None:
+    async def run(self, settings_path: str) -> None:
         """
         Serve until a signal asks to stop.
+
+        :param settings_path: the file that the settings were read from.
         """
+        watch = SettingsWatch(
+            settings_path,
+            self._core.vocabulary,
+            self._journal,
+            self._take_settings,
+        )
         loop = asyncio.get_running_loop()
         for asking in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(asking, self._stop.set)
-        loop.add_signal_handler(signal.SIGHUP, self._hang_up)
+        loop.add_signal_handler(signal.SIGHUP, watch.ask)
         await self.start()
+        self._start_task(watch.run())
         await self._stop.wait()
         await self.leave()
 
@@ -105,10 +113,7 @@
             zone=self._settings.zone,
             front=str(self._settings.listening.front),
         )
-        port = self._settings.gossip.port
-        self._core.peers.hint(
-            Address(seed.ip, port) for seed in self._settings.seeds
-        )
+        self._hint_seeds()
 
     async def leave(self) -> None:
         """
@@ -224,23 +229,16 @@
             await asyncio.sleep(FLUSH_S)
             self._journal.flush()
 
-    def _hang_up(self) -> None:
-        self._journal.say('gateway: SIGHUP; settings are read at a start')
-
-
-def read_settings_file(
-    path: str, vocabulary: Vocabulary
-) -> GatewaySettings | str:
-    """
-    Read the settings file.
+    def _take_settings(self, settings: GatewaySettings) -> None:
+        """
+        Take in changed settings; addresses stay until the next start.
+        """
+        self._settings = settings
+        self._core.take_settings(settings)
+        self._hint_seeds()
 
-    :returns: all that is wrong, as text, where something is.
-    """
-    try:
-        text = Path(path).read_text(encoding='utf-8')
-    except OSError as error:
-        return f'{path}: {error.strerror}'
-    read = vocabulary.read_settings(text)
-    if isinstance(read, GatewaySettings):
-        return read
-    return format_findings(read)
+    def _hint_seeds(self) -> None:
+        port = self._settings.gossip.port
+        self._core.peers.hint(
+            Address(seed.ip, port) for seed in self._settings.seeds
+        )
