--- a/Makefile
+++ b/Makefile
@@ -31,6 +31,7 @@
 
 demo: $(STAMP)  ## Run the main job end to end on stand-ins
 	$(BIN)/python -m scripts.demo
+	$(BIN)/python -m scripts.platform_demo
 
 SCENARIO ?= steady
 SEED ?= 1
--- a/tests/utils/platform_world.py
+++ b/mallowcrank/platform/standins/world.py
@@ -19,10 +19,10 @@
     request_bytes,
 )
 from mallowcrank.platform.node_settings import read_settings
+from mallowcrank.platform.standins.bodies import desired_body
 from mallowcrank.platform.standins.replica import StandinReplica
 from mallowcrank.platform.standins.store import StandinStore
 from mallowcrank.platform.vocabulary import platform_vocabulary
-from tests.utils.platform_bodies import desired_body
 
 LIMIT_S = 20
 LOOK_S = 0.02
--- a/tests/test_chain_paths.py
+++ b/tests/test_chain_paths.py
@@ -14,8 +14,8 @@
 )
 from mallowcrank.gateway.desired import Accelerator
 from mallowcrank.gateway.targets import HeldLayers, Lifetime
+from mallowcrank.platform.standins.bodies import desired_body
 from mallowcrank.routing.path import Candidate, cheapest_way
-from tests.utils.platform_bodies import desired_body
 from tests.utils.vocabulary import desired_of
 
 RULE = desired_of(desired_body()).services['model'].engine
--- a/tests/test_gateway_beliefs.py
+++ b/tests/test_gateway_beliefs.py
@@ -22,8 +22,8 @@
 from mallowcrank.gateway.store_link import StoreAnswer, StoreFailure
 from mallowcrank.gateway.targets import HeldLayers, Lifetime
 from mallowcrank.platform.entries import read_entry
+from mallowcrank.platform.standins.bodies import desired_body, entry_body
 from mallowcrank.platform.vocabulary import platform_vocabulary
-from tests.utils.platform_bodies import desired_body, entry_body
 from tests.utils.platform_pages import newest_page, read_page
 
 VOCABULARY = platform_vocabulary()
--- a/tests/test_gateway_serving.py
+++ b/tests/test_gateway_serving.py
@@ -8,9 +8,9 @@
 from unittest import IsolatedAsyncioTestCase
 
 from mallowcrank.gateway.target_channel import Head
+from mallowcrank.platform.standins.bodies import route_row, stream_row
 from mallowcrank.platform.standins.replica import EVENTS, LAYERS
-from tests.utils.platform_bodies import route_row, stream_row
-from tests.utils.platform_world import PlatformWorld
+from mallowcrank.platform.standins.world import PlatformWorld
 
 TOKENS = MappingProxyType(
     {'Mallowcrank_Token_Count': '700,200', 'Mallowcrank_Model': 'm'}
--- a/tests/test_platform_desired.py
+++ b/tests/test_platform_desired.py
@@ -13,7 +13,7 @@
 )
 from mallowcrank.gateway.ports import Unreadable
 from mallowcrank.platform.desired_state import read_desired
-from tests.utils.platform_bodies import desired_body, route_row
+from mallowcrank.platform.standins.bodies import desired_body, route_row
 
 
 def read(**changes):
--- a/tests/test_platform_entries.py
+++ b/tests/test_platform_entries.py
@@ -9,7 +9,7 @@
 from mallowcrank.gateway.settings import Address
 from mallowcrank.gateway.targets import HeldLayers, Lifetime
 from mallowcrank.platform.entries import read_entry, read_report
-from tests.utils.platform_bodies import entry_body
+from mallowcrank.platform.standins.bodies import entry_body
 
 
 def read(**changes):
