--- a/mallowcrank/gateway/prober.py
+++ b/mallowcrank/gateway/prober.py
@@ -28,11 +28,11 @@
 )
 from mallowcrank.gateway.targets import Lifetime, Report, Target
 
-ANSWER_S = 0.15  # for a report; it takes some ms, and a slow target's more
-TRIES = 2  # a packet may be lost
+ANSWER_S = 0.12  # for a report; it takes some ms, and a slow target's more
+AGAIN_S = 0.04  # without an answer, until the target is asked once more
 APART_S = 0.6  # between two questions to one target
 RECHECK_S = 0.5  # between questions to a silent target
-PACE_PERIOD_S = 1.5  # between questions for a pace
+PACE_PERIOD_S = 2.5  # between questions for a pace
 TICK_S = 0.25
 
 
@@ -73,13 +73,17 @@
         else:
             self.suspect((lifetime,))
 
-    async def report(self, target: Target) -> Report | str:
+    async def report(
+        self, target: Target, may_be_kept: bool = True
+    ) -> Report | str:
         """
         Ask one target for its report.
 
+        :param may_be_kept: whether a kept channel will do; it may be silent.
         :returns: the report, or why there is none.
         """
-        opened = await self._pool.connect(target.address)
+        kept = self._pool.take_kept(target.address) if may_be_kept else None
+        opened = kept or await self._pool.connect(target.address)
         if isinstance(opened, Unreached):
             return opened.reason
         call = self._vocabulary.report_call()
@@ -90,7 +94,7 @@
         try:
             body = await _read_body(opened)
         finally:
-            opened.close()
+            self._pool.give_back(opened)
         if body is None:
             return f'no report in {ANSWER_S} s'
         report = self._vocabulary.read_report(target.identity, body)
@@ -131,15 +135,45 @@
         task.add_done_callback(self._tasks.discard)
 
     async def _ask(self, target: Target) -> None:
-        answer: Report | str = ''
-        for _ in range(TRIES):
-            began = steady()
-            answer = await self.report(target)
-            if not _is_timeout(answer, began):
-                break
+        if target.is_engine:
+            answer = await self._first_report(target)
+        else:
+            answer = await self._reach(target)
         if self._is_current(target.lifetime):
             self._take(target, answer, steady())
 
+    async def _first_report(self, target: Target) -> Report | str:
+        """
+        Ask for a report, and again if none comes at once: a packet may be
+        lost, and a kept channel may be silent.
+        """
+        first = asyncio.create_task(self.report(target))
+        done, _ = await asyncio.wait((first,), timeout=AGAIN_S)
+        if done:
+            return first.result()
+        second = asyncio.create_task(self.report(target, may_be_kept=False))
+        done, _ = await asyncio.wait(
+            (first, second), return_when=asyncio.FIRST_COMPLETED
+        )
+        answers = [task.result() for task in done]
+        reports = [each for each in answers if isinstance(each, Report)]
+        if reports:
+            return reports[0]
+        other = await (first if second in done else second)
+        return other if isinstance(other, Report) else answers[0]
+
+    async def _reach(self, target: Target) -> str:
+        """
+        Open a channel to a target that gives no reports.
+
+        :returns: why it can't be reached, or nothing.
+        """
+        opened = await self._pool.connect(target.address)
+        if isinstance(opened, Unreached):
+            return opened.reason
+        opened.close()
+        return ''
+
     def _is_current(self, lifetime: Lifetime) -> bool:
         target = self._fleet.find(lifetime.identity)
         return target is not None and target.lifetime == lifetime
@@ -149,15 +183,13 @@
             self._meters.probes.labels('answered').inc()
             self._fleet.seen.see_alive(target.lifetime, answer.pace, now)
             self._fleet.learn_layers(target.identity, answer.layers, now)
+        elif not answer:
+            self._fleet.seen.see_alive(target.lifetime, 1, now)
         else:
             self._meters.probes.labels('unanswered').inc()
             self._fleet.seen.see_dead(target.lifetime, answer, now)
 
 
-def _is_timeout(answer: Report | str, began: float) -> bool:
-    return isinstance(answer, str) and steady() - began >= ANSWER_S
-
-
 def _is_mine(target: Target, mine: str, hosts: Sequence[str]) -> bool:
     """
     Return whether this gateway is the one that asks a target.
--- a/mallowcrank/gateway/targets.py
+++ b/mallowcrank/gateway/targets.py
@@ -56,6 +56,13 @@
     layers: HeldLayers | None
     kind: str
 
+    @property
+    def is_engine(self) -> bool:
+        """
+        Return whether it is a model engine.
+        """
+        return bool(self.kind)
+
     @property
     def identity(self) -> str:
         """
