Reserve what a stream holds on average; keep directory answers half a second

Cause: requests were refused for memory that was free: a stream holds its whole answer only at its end.

--- a/mallowcrank/gateway/directory.py
+++ b/mallowcrank/gateway/directory.py
@@ -9,7 +9,7 @@
 
 LEAST = 2  # fronts that a caller is told, if there are as many
 MOST = 64  # fronts that a caller takes in
-KEEP_S = 1.0  # that an answer is kept; some callers keep it thrice as long
+KEEP_S = 0.5  # that an answer is kept; some callers keep it thrice as long
 
 
 def fronts_for(
--- a/mallowcrank/gateway/path_finder.py
+++ b/mallowcrank/gateway/path_finder.py
@@ -17,7 +17,9 @@
 from mallowcrank.gateway.steady import steady
 from mallowcrank.gateway.targets import Lifetime, Target
 
-GUESS_FACTOR = 1.3  # callers' estimates are right at the median only
+# Of the estimate; a stream holds half of its answer on average, and estimates
+# are right at the median only.
+GUESS_FACTOR = 0.8
 
 
 class PathFinder:
