--- a/mallowcrank/gateway/path_finder.py
+++ b/mallowcrank/gateway/path_finder.py
@@ -19,7 +19,7 @@
 
 # Of the estimate; a stream holds half of its answer on average, and estimates
 # are right at the median only.
-GUESS_FACTOR = 0.8
+GUESS_FACTOR = 0.5
 
 
 class PathFinder:
