--- a/mallowcrank/gateway/followers.py
+++ b/mallowcrank/gateway/followers.py
@@ -24,7 +24,9 @@
 TARGETS_PERIOD_S = 1.0  # between reads; a leaving target is bound to 2 s
 FIRST_PAUSE_S = 0.2  # after a failed call; then it doubles
 LONGEST_PAUSE_S = 1.5
-UNSURE_S = 5  # after an outage, entries that are gone may come back
+# After an outage, entries that lapsed meanwhile may come back; what is removed
+# later is gone.
+UNSURE_S = 1.5
 
 
 class Pauses:
@@ -223,7 +225,6 @@
         """
         while True:
             went_well = await self.step()
-            self._fleet.drop_lapsed(steady())
             if went_well:
                 self._pauses.clear()
                 self.on_change()
--- a/mallowcrank/gateway/program.py
+++ b/mallowcrank/gateway/program.py
@@ -223,6 +223,7 @@
             for channels in (self._fronts, *self._others):
                 channels.sweep()
             self._core.pool.sweep()
+            self._core.fleet.drop_lapsed(steady())
 
     async def _flush(self) -> None:
         while True:
--- a/tests/test_gateway_beliefs.py
+++ b/tests/test_gateway_beliefs.py
@@ -258,6 +258,16 @@
         await follower.step()
         self.assertIsNotNone(self.fleet.find('i-1'))
 
+    async def test_soon_after_an_outage_a_removed_entry_is_gone(self):
+        follower = self.targets(
+            StoreAnswer(200, newest_page(9, {'i-1': entry()})),
+            StoreAnswer(200, read_page(10, ('i-1', None))),
+        )
+        await follower.step()
+        self.link.regained_at = steady() - 2
+        await follower.step()
+        self.assertIsNone(self.fleet.find('i-1'))
+
     async def test_only_the_newest_of_many_versions_comes_into_force(self):
         known = KnownDesired(VOCABULARY, quiet_journal())
         pages = read_page(
