--- a/mallowcrank/chains/paths.py
+++ b/mallowcrank/chains/paths.py
@@ -28,6 +28,8 @@
 CROWD_FACTOR = 1.5  # on the times of an engine whose memory is full
 CROSSING_FACTOR = 4  # on the time in the pipe, which others use too
 BITS = 8
+LEAST_PART = 0.3  # of an engine's layers, that a path is likely to run
+MOST_LOOKS = 4  # for a path whose engines all have room
 
 
 @dataclass(frozen=True, slots=True)
@@ -95,16 +97,42 @@
     :param avoided: engines not to use.
     """
     live = [each for each in engines if each.lifetime not in avoided]
-    roomy = [each for each in live if _has_room(each, choosing.need)]
-    found = _best(choosing, roomy)
+    found = _best_with_room(choosing, live)
     if found:
         return found
     covered = _best(choosing, live)
     return NoPath.FULL if covered else NoPath.UNCOVERED
 
 
-def _has_room(engine: ChainEngine, need: Need) -> bool:
-    return engine.room >= need.tokens * engine.held.count
+def _best_with_room(
+    choosing: Choosing, engines: Sequence[ChainEngine]
+) -> ChainPath | None:
+    """
+    Return the best path that fits into the memory of its engines.
+
+    A path may run few of an engine's layers, so that what it needs there is
+    known only when it is found.
+    """
+    tokens = choosing.need.tokens
+    able = [
+        each
+        for each in engines
+        if each.room >= tokens * each.held.count * LEAST_PART
+    ]
+    for _ in range(MOST_LOOKS):
+        found = _best(choosing, able)
+        if found is None:
+            return None
+        rooms = {each.lifetime: each.room for each in able}
+        full = {
+            part.lifetime
+            for part in found.parts
+            if rooms[part.lifetime] < tokens * part.layers
+        }
+        if not full:
+            return found
+        able = [each for each in able if each.lifetime not in full]
+    return None
 
 
 def _best(
--- a/mallowcrank/gateway/streams.py
+++ b/mallowcrank/gateway/streams.py
@@ -42,7 +42,9 @@
 MOST_TRIES = 4  # paths that are tried at all
 PATIENCE = 0.8  # part of the latency objective that a path is waited for
 GAP_PATIENCE = 4  # allowed pauses that a begun stream waits for a path
-RETURNING = Returning(least_s=0.3, per_s=20)
+# Memory is short for seconds where engines are lost; those who come back
+# sooner find none.
+RETURNING = Returning(least_s=1, per_s=4)
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/test_chain_paths.py
+++ b/tests/test_chain_paths.py
@@ -103,6 +103,35 @@
         huge = Need(prompt=1e6, answer=1)
         self.assertIs(choose(engines, need=huge), NoPath.FULL)
 
+    def test_a_few_layers_of_a_nearly_full_engine_are_used(self):
+        engines = [
+            engine('a1', 0, 78),
+            engine('a2', 70, 80, room=NEED.tokens * 4),
+        ]
+        path = choose(engines)
+        self.assertEqual(names(path), ['a1', 'a2'])
+        self.assertLessEqual(path.parts[1].layers, 4)
+
+    def test_no_engine_gets_more_than_it_has_room_for(self):
+        random = Random(11)
+        for _ in range(200):
+            engines = [
+                engine(
+                    f'{first}-{number}',
+                    first,
+                    first + 20,
+                    room=random.uniform(0, 30) * NEED.tokens,
+                )
+                for first in (0, 20, 40, 60)
+                for number in range(3)
+            ]
+            path = choose(engines)
+            rooms = {each.lifetime: each.room for each in engines}
+            if isinstance(path, ChainPath):
+                for part in path.parts:
+                    needed = NEED.tokens * part.layers
+                    self.assertLessEqual(needed, rooms[part.lifetime])
+
     def test_zones_are_joined_where_none_is_whole(self):
         engines = [engine('a1', 0, 40), engine('b2', 40, 80, zone='b')]
         self.assertEqual(names(choose(engines)), ['a1', 'b2'])
