--- a/mallowcrank/router/ports.py
+++ b/mallowcrank/router/ports.py
@@ -8,6 +8,7 @@
 
 from mallowcrank.changes import ViewChanges
 from mallowcrank.refusals import Refused
+from mallowcrank.routing.stage import Stage
 from mallowcrank.view import View
 
 
@@ -74,18 +75,6 @@
         """
 
 
-@dataclass(frozen=True, slots=True)
-class Stage:
-    """
-    One engine's part of a route; the layers are inclusive.
-    """
-
-    target: str
-    incarnation: int
-    first_layer: int
-    last_layer: int
-
-
 @dataclass(frozen=True, slots=True)
 class Route:
     """
--- a/mallowcrank/routing/path.py
+++ b/mallowcrank/routing/path.py
@@ -10,7 +10,7 @@
 from dataclasses import dataclass
 from math import inf
 
-from mallowcrank.router.ports import Stage
+from mallowcrank.routing.stage import Stage
 
 
 @dataclass(frozen=True, slots=True)
