--- a/mallowcrank/chains/placement.py
+++ b/mallowcrank/chains/placement.py
@@ -14,7 +14,7 @@
 
 from mallowcrank.gateway.targets import Lifetime
 
-FILL = 0.75  # of an accelerator's memory for layers; the rest for requests
+FILL = 0.7  # of an accelerator's memory for layers; the rest for requests
 
 
 @dataclass(frozen=True, slots=True)
