--- a/mallowcrank/chains/paths.py
+++ b/mallowcrank/chains/paths.py
@@ -24,8 +24,8 @@
 from mallowcrank.routing.path import Candidate, Way, cheapest_way
 
 HOP_MS = 0.15  # of a token, between two engines in one zone
-AWAY_FACTOR = 1.1  # on the cost of a path in another zone than the router's
-CROWD_FACTOR = 1.5  # on the times of an engine whose memory is full
+AWAY_FACTOR = 1.03  # on the cost of a path in another zone than the router's
+CROWD_FACTOR = 2.5  # on the times of an engine whose memory is full
 CROSSING_FACTOR = 4  # on the time in the pipe, which others use too
 BITS = 8
 LEAST_PART = 0.3  # of an engine's layers, that a path is likely to run
