--- a/mallowcrank/gateway/duty.py
+++ b/mallowcrank/gateway/duty.py
@@ -142,7 +142,7 @@
 
     async def _gain(self) -> None:
         answer = await self._link.call(
-            'fence', self._calls.fence(GROUP, GROUP, self._generation)
+            'fence', self._calls.fence(GROUP, self._generation)
         )
         if not isinstance(answer, StoreAnswer):
             return
--- a/mallowcrank/gateway/followers.py
+++ b/mallowcrank/gateway/followers.py
@@ -3,7 +3,6 @@
 """
 
 import asyncio
-from collections.abc import Callable
 from http import HTTPStatus
 from random import Random
 
@@ -210,7 +209,6 @@
         self._random = random
         self._pauses = Pauses(random)
         self._next = -1
-        self.on_change: Callable[[], None] = _nothing
 
     @property
     def is_informed(self) -> bool:
@@ -227,7 +225,6 @@
             went_well = await self.step()
             if went_well:
                 self._pauses.clear()
-                self.on_change()
                 spread = 0.9 + 0.2 * self._random.random()
                 await asyncio.sleep(TARGETS_PERIOD_S * spread)
             else:
@@ -305,9 +302,3 @@
 
     def _is_sure(self) -> bool:
         return steady() - self._link.regained_at > UNSURE_S
-
-
-def _nothing() -> None:
-    """
-    Stand in until a listener is set.
-    """
--- a/mallowcrank/gateway/ports.py
+++ b/mallowcrank/gateway/ports.py
@@ -37,7 +37,7 @@
     What a caller's headers say.
 
     :param request: the request's id, as text.
-    :param deadline_ms: none where none was sent; a finding where it is bad.
+    :param deadline_ms: none where none was sent, or where it is bad.
     :param key: the caller's key.
     :param last_event: the event after which a stream goes on.
     :param prompt_tokens: 0 where unknown.
@@ -79,7 +79,6 @@
     remaining_ms: int
     workspace: str
     hops: tuple[Hop, ...] = ()
-    version: int | None = None
     last_event: str = ''
 
 
@@ -194,7 +193,7 @@
         Ask who is in a group.
         """
 
-    def fence(self, group: str, holder: str, epoch: int) -> HttpCall:
+    def fence(self, group: str, epoch: int) -> HttpCall:
         """
         Shut out the holders of a duty before this one.
         """
--- a/mallowcrank/platform/exchange.py
+++ b/mallowcrank/platform/exchange.py
@@ -94,8 +94,6 @@
             f'{hop.address}={hop.first}-{hop.end}' for hop in sending.hops
         )
         kept.append((b'Mallowcrank-Hop-Count', path.encode()))
-    if sending.version is not None:
-        kept.append((b'Mallowcrank-Expect-Version', b'%d' % sending.version))
     if sending.last_event:
         kept.append((b'Last-Event-Id', sending.last_event.encode()))
     return tuple(kept)
--- a/mallowcrank/platform/store.py
+++ b/mallowcrank/platform/store.py
@@ -87,7 +87,7 @@
         """
         return HttpCall('GET', f'/log-owners?group={group}')
 
-    def fence(self, group: str, holder: str, epoch: int) -> HttpCall:
+    def fence(self, group: str, epoch: int) -> HttpCall:
         """
         Shut out the holders of a duty before this one.
         """
--- a/tests/test_platform_store.py
+++ b/tests/test_platform_store.py
@@ -68,6 +68,6 @@
         self.assertEqual(self.store.open_owners(body), ('a', 'b'))
 
     def test_a_fence_carries_the_generation(self):
-        call = self.store.fence('g', 'me', 12)
+        call = self.store.fence('g', 12)
         self.assertIn('epoch=12', call.path)
         self.assertEqual(call.body, b'')
