--- a/mallowcrank/gateway/placing.py
+++ b/mallowcrank/gateway/placing.py
@@ -33,6 +33,8 @@
 MOST_WATCHED = 8  # orders whose engines are asked for their layers
 TRIES = 3  # of an order without an answer: it is the same each time
 PENDING_S = 14  # an order without an answer may be carried out for so long
+# Without an answer, an order may still be carried out.
+GIVEN = frozenset((0, HTTPStatus.OK, HTTPStatus.ACCEPTED))
 DEAD_S = 0.8  # a silent target is planned without after it
 
 
@@ -97,7 +99,7 @@
         placings = plan_layers(rule.layers, cards)
         if placings:
             await asyncio.gather(
-                *(self._order(placing, rule) for placing in placings)
+                *(self._order(placing) for placing in placings)
             )
 
     def _note_gaps(
@@ -156,12 +158,24 @@
             shown.end,
         )
 
-    async def _order(self, placing: Placing, rule: EngineRule) -> None:
+    async def _order(self, placing: Placing) -> None:
         target = self._fleet.find(placing.lifetime.identity)
         if target is None or target.lifetime != placing.lifetime:
             return
         self._pending[placing.lifetime] = Pending(placing, steady())
-        expected = self._orders.get(placing.lifetime, 0)
+        status = await self._give(target, placing)
+        if status == HTTPStatus.CONFLICT and await self._read_back(target):
+            status = await self._give(target, placing)
+        if status not in GIVEN:
+            self._pending.pop(placing.lifetime, None)
+
+    async def _give(self, target: Target, placing: Placing) -> int:
+        """
+        Give an order, again where no answer comes.
+
+        :returns: the status of the answer, or 0 where none came.
+        """
+        expected = self._orders.get(target.lifetime, 0)
         layers = HeldLayers(placing.first, placing.end, 0)
         status = 0
         for _ in range(TRIES):
@@ -173,20 +187,20 @@
             layers=[placing.first, placing.end],
             expected=expected,
             status=status,
-            of=rule.layers,
         )
         if status == HTTPStatus.ACCEPTED:
-            self._orders[placing.lifetime] = expected + 1
-        elif status == HTTPStatus.CONFLICT:
-            await self._read_back(target)
-        elif status and status != HTTPStatus.OK:
-            self._pending.pop(placing.lifetime, None)
+            self._orders[target.lifetime] = expected + 1
+        return status
 
-    async def _read_back(self, target: Target) -> None:
+    async def _read_back(self, target: Target) -> bool:
+        """
+        Learn how many orders a target has taken in.
+        """
         report = await self._prober.report(target)
-        if isinstance(report, Report):
-            self._orders[target.lifetime] = report.orders
-            self._pending.pop(target.lifetime, None)
+        if not isinstance(report, Report):
+            return False
+        self._orders[target.lifetime] = report.orders
+        return True
 
     async def _send(
         self, target: Target, layers: HeldLayers, expected: int
--- a/mallowcrank/platform/standins/replica.py
+++ b/mallowcrank/platform/standins/replica.py
@@ -162,6 +162,9 @@
 
     async def _order(self, request: CallerRequest, answer: Answer) -> None:
         order = orjson.loads(request.body)
+        if self.held == (order['source'], order['to']):
+            answer.send(HTTPStatus.OK, (), b'')
+            return
         if order.get('expected', self.orders) != self.orders:
             answer.send(HTTPStatus.CONFLICT, (), b'')
             return
--- a/tests/test_gateway_serving.py
+++ b/tests/test_gateway_serving.py
@@ -155,6 +155,30 @@
         answered = await self.ask_until_served()
         self.assertEqual(answered.events, ALL_EVENTS)
 
+    async def test_a_new_holder_orders_engines_that_took_orders_before(self):
+        await self.world.start_store()
+        for number in range(4):
+            replica = await self.world.start_replica(
+                f'e-{number}', 'model', kind='a100', held=None
+            )
+            replica.orders = 5
+        self.gateway = await self.world.start_gateway()
+        engines = self.engines()
+        await self.world.wait_for(lambda: all(each.held for each in engines))
+        self.assertEqual({each.orders for each in engines}, {6})
+
+    async def test_an_order_without_an_answer_is_not_given_twice(self):
+        await self.world.start_store()
+        for number in range(4):
+            replica = await self.world.start_replica(
+                f'e-{number}', 'model', kind='a100', held=None
+            )
+            replica.faults.late_orders = 1
+        self.gateway = await self.world.start_gateway()
+        answered = await self.ask_until_served()
+        self.assertEqual(answered.events, ALL_EVENTS)
+        self.assertEqual({each.orders for each in self.engines()}, {1})
+
     async def ask_until_served(self):
         for _ in range(20):
             answered = await self.draft()
