--- a/mallowcrank/gateway/followers.py
+++ b/mallowcrank/gateway/followers.py
@@ -16,7 +16,7 @@
     Vocabulary,
 )
 from mallowcrank.gateway.steady import steady
-from mallowcrank.gateway.store_link import StoreAnswer, StoreLink
+from mallowcrank.gateway.store_link import StoreAnswer, StoreFailure, StoreLink
 
 DESIRED_WAIT_S = 10  # of a read for a newer desired state
 DESIRED_PAUSE_S = 0.4  # between reads, when versions come in quick succession
@@ -96,7 +96,68 @@
         )
 
 
-class DesiredFollower:
+class _TopicFollower:
+    """
+    Follows the records of a topic, from the newest of each key on.
+    """
+
+    def __init__(
+        self, link: StoreLink, vocabulary: Vocabulary, random: Random
+    ) -> None:
+        self._link = link
+        self._calls = vocabulary.store
+        self._pauses = Pauses(random)
+        self._next = -1
+
+    async def step(self) -> bool:
+        """
+        Read once.
+
+        :returns: whether the store answered.
+        """
+        if self._next >= 0:
+            return await self._read()
+        return await self._read_newest()
+
+    async def _read(self) -> bool:
+        raise NotImplementedError
+
+    async def _read_newest(self) -> bool:
+        raise NotImplementedError
+
+    def _take(self, records: tuple[StoreRecord, ...]) -> None:
+        raise NotImplementedError
+
+    def _follow(self, answer: StoreAnswer | StoreFailure) -> bool:
+        """
+        Take in the answer to a read.
+        """
+        if not isinstance(answer, StoreAnswer):
+            return False
+        if answer.status == HTTPStatus.GONE:
+            # The records were dropped: begin with the newest of each key.
+            self._next = -1
+            return True
+        page = self._calls.open_slice(answer.body, self._next)
+        if answer.status != HTTPStatus.OK or isinstance(page, Unreadable):
+            return False
+        self._take(page.records)
+        self._next += len(page.records)
+        return True
+
+    async def _newest_page(
+        self, name: str, topic: str, after: str
+    ) -> NewestPage | None:
+        answer = await self._link.call(name, self._calls.newest(topic, after))
+        if not isinstance(answer, StoreAnswer):
+            return None
+        page = self._calls.open_newest(answer.body)
+        if answer.status != HTTPStatus.OK or isinstance(page, Unreadable):
+            return None
+        return page
+
+
+class DesiredFollower(_TopicFollower):
     """
     Reads the desired state as it changes.
     """
@@ -108,11 +169,8 @@
         vocabulary: Vocabulary,
         random: Random,
     ) -> None:
+        super().__init__(link, vocabulary, random)
         self._known = known
-        self._link = link
-        self._calls = vocabulary.store
-        self._pauses = Pauses(random)
-        self._next = -1
         self._reading: asyncio.Task[bool] | None = None
 
     def hurry(self) -> None:
@@ -139,25 +197,10 @@
             else:
                 await self._pauses.wait()
 
-    async def step(self) -> bool:
-        """
-        Read once.
-
-        :returns: whether the store answered.
-        """
-        if self._next >= 0:
-            return await self._read()
-        return await self._read_newest()
-
     async def _read_newest(self) -> bool:
         topic = self._calls.desired_topic
-        answer = await self._link.call(
-            'desired-newest', self._calls.newest(topic, '')
-        )
-        if not isinstance(answer, StoreAnswer):
-            return False
-        page = self._calls.open_newest(answer.body)
-        if answer.status != HTTPStatus.OK or isinstance(page, Unreadable):
+        page = await self._newest_page('desired-newest', topic, '')
+        if page is None:
             return False
         self._take(page.records)
         self._next = page.end
@@ -165,22 +208,10 @@
 
     async def _read(self) -> bool:
         call = self._calls.read(
-            self._calls.desired_topic,
-            self._next,
-            int(DESIRED_WAIT_S * 1000),
+            self._calls.desired_topic, self._next, DESIRED_WAIT_S * 1000
         )
         answer = await self._link.call('desired-read', call, DESIRED_WAIT_S)
-        if not isinstance(answer, StoreAnswer):
-            return False
-        if answer.status == HTTPStatus.GONE:
-            self._next = -1
-            return True
-        page = self._calls.open_slice(answer.body, self._next)
-        if answer.status != HTTPStatus.OK or isinstance(page, Unreadable):
-            return False
-        self._take(page.records)
-        self._next += len(page.records)
-        return True
+        return self._follow(answer)
 
     def _take(self, records: tuple[StoreRecord, ...]) -> None:
         # Older versions in between are never in force here.
@@ -190,7 +221,7 @@
                 return
 
 
-class TargetsFollower:
+class TargetsFollower(_TopicFollower):
     """
     Reads the targets' entries.
     """
@@ -202,13 +233,10 @@
         vocabulary: Vocabulary,
         random: Random,
     ) -> None:
+        super().__init__(link, vocabulary, random)
         self._fleet = fleet
-        self._link = link
         self._vocabulary = vocabulary
-        self._calls = vocabulary.store
         self._random = random
-        self._pauses = Pauses(random)
-        self._next = -1
 
     @property
     def is_informed(self) -> bool:
@@ -238,21 +266,12 @@
         if not isinstance(read, Unreadable):
             self._fleet.take_entry(read, raw, steady())
 
-    async def step(self) -> bool:
-        """
-        Read once.
-
-        :returns: whether the store answered.
-        """
-        if self._next >= 0:
-            return await self._read()
-        return await self._read_newest()
-
     async def _read_newest(self) -> bool:
+        topic = self._calls.targets_topic
         records: list[StoreRecord] = []
         after = ''
         while True:
-            page = await self._newest_page(after)
+            page = await self._newest_page('targets-newest', topic, after)
             if page is None:
                 return False
             records.extend(page.records)
@@ -265,32 +284,10 @@
         self._next = page.end
         return True
 
-    async def _newest_page(self, after: str) -> NewestPage | None:
-        topic = self._calls.targets_topic
-        answer = await self._link.call(
-            'targets-newest', self._calls.newest(topic, after)
-        )
-        if not isinstance(answer, StoreAnswer):
-            return None
-        page = self._calls.open_newest(answer.body)
-        if answer.status != HTTPStatus.OK or isinstance(page, Unreadable):
-            return None
-        return page
-
     async def _read(self) -> bool:
         call = self._calls.read(self._calls.targets_topic, self._next, 0)
         answer = await self._link.call('targets-read', call)
-        if not isinstance(answer, StoreAnswer):
-            return False
-        if answer.status == HTTPStatus.GONE:
-            self._next = -1
-            return True
-        page = self._calls.open_slice(answer.body, self._next)
-        if answer.status != HTTPStatus.OK or isinstance(page, Unreadable):
-            return False
-        self._take(page.records)
-        self._next += len(page.records)
-        return True
+        return self._follow(answer)
 
     def _take(self, records: tuple[StoreRecord, ...]) -> None:
         newest = {record.key: record for record in records}
--- a/mallowcrank/gateway/handover.py
+++ b/mallowcrank/gateway/handover.py
@@ -18,10 +18,8 @@
 from mallowcrank.gateway.peers import Peer
 from mallowcrank.gateway.steady import steady
 from mallowcrank.gateway.target_channel import (
-    End,
-    Head,
-    Piece,
     Unreached,
+    Whole,
     request_bytes,
 )
 
@@ -113,19 +111,11 @@
             return b''
         host = (b'Host', str(peer.word.peers).encode())
         opened.send(request_bytes('GET', path, (host,), b''))
-        until = steady() + ANSWER_S
-        status = 0
-        pieces = []
-        while True:
-            event = await opened.next_event(until - steady())
-            if isinstance(event, Head):
-                status = event.status
-            elif isinstance(event, Piece):
-                pieces.append(event.raw)
-            else:
-                opened.close()
-                whole = isinstance(event, End) and status == HTTPStatus.OK
-                return b''.join(pieces) if whole else b''
+        answer = await opened.read_whole(ANSWER_S)
+        opened.close()
+        if isinstance(answer, Whole) and answer.head.status == HTTPStatus.OK:
+            return answer.body
+        return b''
 
 
 def _version(peer: Peer) -> int:
--- a/mallowcrank/gateway/placing.py
+++ b/mallowcrank/gateway/placing.py
@@ -19,10 +19,8 @@
 from mallowcrank.gateway.desired import Desired, EngineRule, ServiceRule
 from mallowcrank.gateway.steady import steady
 from mallowcrank.gateway.target_channel import (
-    End,
-    Head,
-    Piece,
     Unreached,
+    Whole,
     request_bytes,
 )
 from mallowcrank.gateway.targets import HeldLayers, Lifetime, Report, Target
@@ -219,15 +217,9 @@
             call.method, call.path.encode(), (host, *call.headers), call.body
         )
         opened.send(raw)
-        until = steady() + ANSWER_S
-        status = 0
-        while True:
-            event = await opened.next_event(until - steady())
-            if isinstance(event, Head):
-                status = event.status
-            elif not isinstance(event, Piece):
-                opened.close()
-                return status if isinstance(event, End) else 0
+        answer = await opened.read_whole(ANSWER_S)
+        opened.close()
+        return answer.head.status if isinstance(answer, Whole) else 0
 
 
 def _shows(target: Target, placing: Placing) -> bool:
--- a/mallowcrank/gateway/plain_calls.py
+++ b/mallowcrank/gateway/plain_calls.py
@@ -17,12 +17,10 @@
 from mallowcrank.gateway.steady import steady
 from mallowcrank.gateway.target_channel import (
     Broken,
-    End,
-    Head,
-    Piece,
     Silent,
     TargetChannel,
     Unreached,
+    Whole,
     request_bytes,
 )
 from mallowcrank.gateway.targets import Target
@@ -33,23 +31,6 @@
 RETURNING = Returning(least_s=0.2, per_s=50)
 
 
-@dataclass(frozen=True, slots=True)
-class Whole:
-    """
-    A target's whole answer.
-    """
-
-    head: Head
-    body: bytes
-
-    @property
-    def is_failure(self) -> bool:
-        """
-        Return whether the target failed.
-        """
-        return self.head.status >= HTTPStatus.INTERNAL_SERVER_ERROR
-
-
 @dataclass(frozen=True, slots=True)
 class Nothing:
     """
@@ -159,23 +140,14 @@
         until = call.until
         if call.route.repeat is Repeat.ANY and self._has_other(call):
             until = min(until, steady() + OTHER_S)
-        head: Head | None = None
-        pieces = []
-        while True:
-            event = await channel.next_event(until - steady())
-            match event:
-                case Head():
-                    head = event
-                case Piece():
-                    pieces.append(event.raw)
-                case End():
-                    assert head
-                    return Whole(head, b''.join(pieces))
-                case Broken():
-                    return Nothing(event.reason, has_run=True)
-                case Silent():
-                    channel.close()
-                    return Nothing('silent', has_run=True)
+        answer = await channel.read_whole(until - steady())
+        match answer:
+            case Whole():
+                return answer
+            case Broken():
+                return Nothing(answer.reason, has_run=True)
+            case Silent():
+                return Nothing('silent', has_run=True)
 
     def _has_other(self, call: Call) -> bool:
         return (
--- a/mallowcrank/gateway/prober.py
+++ b/mallowcrank/gateway/prober.py
@@ -16,14 +16,9 @@
 from mallowcrank.gateway.ports import Unreadable, Vocabulary
 from mallowcrank.gateway.steady import steady
 from mallowcrank.gateway.target_channel import (
-    Broken,
-    End,
-    Head,
-    Piece,
-    Silent,
-    TargetChannel,
     TargetPool,
     Unreached,
+    Whole,
     request_bytes,
 )
 from mallowcrank.gateway.targets import Lifetime, Report, Target
@@ -92,12 +87,14 @@
             request_bytes(call.method, call.path.encode(), (host,), b'')
         )
         try:
-            body = await _read_body(opened)
+            answer = await opened.read_whole(ANSWER_S)
         finally:
             self._pool.give_back(opened)
-        if body is None:
+        if not isinstance(answer, Whole) or (
+            answer.head.status != HTTPStatus.OK
+        ):
             return f'no report in {ANSWER_S} s'
-        report = self._vocabulary.read_report(target.identity, body)
+        report = self._vocabulary.read_report(target.identity, answer.body)
         return report.reason if isinstance(report, Unreadable) else report
 
     async def run(
@@ -202,21 +199,3 @@
             f'{host}{target.identity}'.encode()
         ),
     )
-
-
-async def _read_body(channel: TargetChannel) -> bytes | None:
-    until = steady() + ANSWER_S
-    status = 0
-    pieces = []
-    while True:
-        event = await channel.next_event(until - steady())
-        match event:
-            case Head():
-                status = event.status
-            case Piece():
-                pieces.append(event.raw)
-            case End():
-                done = status == HTTPStatus.OK
-                return b''.join(pieces) if done else None
-            case Broken() | Silent():
-                return None
--- a/mallowcrank/gateway/store_link.py
+++ b/mallowcrank/gateway/store_link.py
@@ -2,7 +2,6 @@
 Calls to the platform's store.
 """
 
-import asyncio
 from dataclasses import dataclass
 from http import HTTPStatus
 from math import inf
@@ -14,13 +13,10 @@
 from mallowcrank.gateway.steady import steady
 from mallowcrank.gateway.target_channel import (
     Broken,
-    End,
-    Head,
-    Piece,
     Silent,
-    TargetChannel,
     TargetPool,
     Unreached,
+    Whole,
     request_bytes,
 )
 
@@ -108,12 +104,16 @@
         )
         opened.send(raw)
         try:
-            answer = await _read_answer(opened, within_s)
-        except asyncio.CancelledError:
-            opened.close()
-            raise
-        self._pool.give_back(opened)
-        return answer
+            answer = await opened.read_whole(within_s)
+        finally:
+            self._pool.give_back(opened)
+        match answer:
+            case Whole():
+                return StoreAnswer(answer.head.status, answer.body)
+            case Broken():
+                return StoreFailure('broken')
+            case Silent():
+                return StoreFailure('silent')
 
     def _note(self, name: str, failure: str) -> None:
         if failure:
@@ -139,26 +139,3 @@
         HTTPStatus.SERVICE_UNAVAILABLE,
     )
     return str(answer.status) if answer.status in refused else ''
-
-
-async def _read_answer(
-    channel: TargetChannel, within_s: float
-) -> StoreAnswer | StoreFailure:
-    until = steady() + within_s
-    status = 0
-    pieces = []
-    while True:
-        event = await channel.next_event(until - steady())
-        match event:
-            case Head():
-                status = event.status
-            case Piece():
-                pieces.append(event.raw)
-            case End():
-                return StoreAnswer(status, b''.join(pieces))
-            case Broken():
-                channel.close()
-                return StoreFailure('broken')
-            case Silent():
-                channel.close()
-                return StoreFailure('silent')
--- a/mallowcrank/gateway/target_channel.py
+++ b/mallowcrank/gateway/target_channel.py
@@ -6,6 +6,7 @@
 from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass
+from http import HTTPStatus
 
 import httptools
 
@@ -63,6 +64,23 @@
     """
 
 
+@dataclass(frozen=True, slots=True)
+class Whole:
+    """
+    A whole answer.
+    """
+
+    head: Head
+    body: bytes
+
+    @property
+    def is_failure(self) -> bool:
+        """
+        Return whether the target failed.
+        """
+        return self.head.status >= HTTPStatus.INTERNAL_SERVER_ERROR
+
+
 Event = Head | Piece | End | Broken | Silent
 
 
@@ -200,6 +218,28 @@
                 self._waiter = None
         return self._events.popleft() if self._events else Silent()
 
+    async def read_whole(self, within_s: float) -> Whole | Broken | Silent:
+        """
+        Read an answer to its end, or close the channel.
+
+        :param within_s: for the whole of it.
+        """
+        until = steady() + within_s
+        head = Head(0, ())
+        pieces = []
+        while True:
+            event = await self.next_event(until - steady())
+            match event:
+                case Head():
+                    head = event
+                case Piece():
+                    pieces.append(event.raw)
+                case End():
+                    return Whole(head, b''.join(pieces))
+                case Broken() | Silent():
+                    self.close()
+                    return event
+
     def close(self) -> None:
         """
         Close at once; a target then stops work on the request.
