--- a/mallowcrank/platform/standins/world.py
+++ b/mallowcrank/platform/standins/world.py
@@ -26,6 +26,7 @@
 
 LIMIT_S = 20
 LOOK_S = 0.02
+BYTE_VALUES = 250
 HOSTS = itertools.count(2)
 REQUESTS = itertools.count(1)
 PORTS = MappingProxyType(
@@ -33,6 +34,16 @@
 )
 
 
+def _own_address(number):
+    """
+    Return a loopback address that no other process uses for its gateways.
+    """
+    process = os.getpid()
+    second = process // BYTE_VALUES % BYTE_VALUES + 1
+    third = process % BYTE_VALUES + 1
+    return f'127.{second}.{third}.{number % BYTE_VALUES + 1}'
+
+
 def settings_text(host, ip, zone, store, seeds):
     """
     Return a settings file.
@@ -141,7 +152,7 @@
         Start a gateway and wait until it takes callers.
         """
         number = next(HOSTS)
-        ip = f'127.0.{number // 250}.{number % 250 + 2}'
+        ip = _own_address(number)
         text = settings_text(
             f'edge-{number}', ip, zone, self.store.server.address, seeds
         )
