--- a/mallowcrank/gateway/target_channel.py
+++ b/mallowcrank/gateway/target_channel.py
@@ -111,7 +111,6 @@
     def __init__(self, address: Address) -> None:
         self.address = address
         self.used_at = steady()
-        self.is_fresh = True
         self._transport: asyncio.Transport | None = None
         self._events: deque[Event] = deque()
         self._waiter: asyncio.Future[None] | None = None
@@ -301,7 +300,6 @@
 
     def _complete(self) -> None:
         self._is_asked = False
-        self.is_fresh = False
         self.used_at = steady()
         self._put(End())
 
--- a/mallowcrank/platform/standins/server.py
+++ b/mallowcrank/platform/standins/server.py
@@ -40,12 +40,5 @@
         for channel in list(self._channels.open):
             channel.abort()
 
-    def reset_channels(self) -> None:
-        """
-        End all channels and go on listening.
-        """
-        for channel in list(self._channels.open):
-            channel.abort()
-
     def _limits(self) -> Limits:
         return LIMITS
