Name the target in orders, and let an address belong to its newest target

Cause: a replica that crashed came back within seconds at the same address under another identity, while the old entry still lay in the store. Orders and reports named no target, so that orders for the old identity moved the new one, and the new one's report was taken for the old one's. Change: an order and a question for a report name the target; a written entry drops other targets at its address, whose unchanged entries are passed over. Test: no order is carried out by another at its address; fails without.

--- a/mallowcrank/gateway/fleet.py
+++ b/mallowcrank/gateway/fleet.py
@@ -25,6 +25,7 @@
         self._targets: dict[str, Target] = {}
         self._lapsed: dict[str, float] = {}
         self._raw: dict[str, bytes] = {}
+        self._displaced: dict[str, bytes] = {}
         self.seen = Sightings(journal)
         self.changed_at = -inf
 
@@ -81,6 +82,11 @@
         Take in an entry.
         """
         identity = target.identity
+        if self._displaced.get(identity) == raw:
+            return
+        self._displaced.pop(identity, None)
+        if self._raw.get(identity) != raw:
+            self._displace_others(target, now)
         before = self._targets.get(identity)
         target = self.seen.with_learned(target, now)
         self._targets[identity] = target
@@ -88,7 +94,8 @@
         self._lapsed.pop(identity, None)
         if before is None or before.lifetime != target.lifetime:
             self.changed_at = now
-            self._forget_lifetime(before)
+            if before:
+                self.seen.forget(before.lifetime)
         if _differs(before, target):
             self._journal.say('fleet: target changed', **_described(target))
 
@@ -118,6 +125,7 @@
 
         :param is_sure: not so where the store was away just before.
         """
+        self._displaced.pop(identity, None)
         if identity not in self._targets:
             return
         if is_sure:
@@ -131,6 +139,8 @@
         Drop the targets that are not among these.
         """
         staying = set(identities)
+        for identity in self._displaced.keys() - staying:
+            self._displaced.pop(identity)
         for identity in list(self._targets):
             if identity not in staying:
                 self.take_removal(identity, now, is_sure=False)
@@ -143,17 +153,32 @@
             if now - since > LAPSE_S:
                 self._drop(identity, now)
 
+    def _displace_others(self, target: Target, now: float) -> None:
+        """
+        Drop the targets whose address another one has taken over.
+
+        Their entries stay for seconds, and are passed over while they don't
+        change.
+        """
+        for other in list(self._targets.values()):
+            is_other = other.identity != target.identity
+            if is_other and other.address == target.address:
+                self._displaced[other.identity] = self._raw[other.identity]
+                self._journal.say(
+                    'fleet: address taken over',
+                    target=other.identity,
+                    by=target.identity,
+                )
+                self._drop(other.identity, now)
+
     def _drop(self, identity: str, now: float) -> None:
         target = self._targets.pop(identity, None)
         self._lapsed.pop(identity, None)
         self._raw.pop(identity, None)
-        self._forget_lifetime(target)
-        self.changed_at = now
-        self._journal.say('fleet: target gone', target=identity)
-
-    def _forget_lifetime(self, target: Target | None) -> None:
         if target:
             self.seen.forget(target.lifetime)
+        self.changed_at = now
+        self._journal.say('fleet: target gone', target=identity)
 
 
 def _differs(before: Target | None, target: Target) -> bool:
--- a/mallowcrank/gateway/handover.py
+++ b/mallowcrank/gateway/handover.py
@@ -16,15 +16,12 @@
     TargetsFollower,
 )
 from mallowcrank.gateway.peers import Peer
+from mallowcrank.gateway.ports import HttpCall
 from mallowcrank.gateway.steady import steady
-from mallowcrank.gateway.target_channel import (
-    Unreached,
-    Whole,
-    request_bytes,
-)
+from mallowcrank.gateway.target_channel import Whole
 
-DESIRED_PATH = b'/desired'
-TARGETS_PATH = b'/targets'
+DESIRED_PATH = '/desired'
+TARGETS_PATH = '/targets'
 TICK_S = 0.2
 BEHIND_S = 0.4  # behind another gateway, before it is asked
 ANSWER_S = 1.0
@@ -52,9 +49,9 @@
         """
         Answer another gateway.
         """
-        if request.target == DESIRED_PATH and self._known.raw:
+        if request.path == DESIRED_PATH and self._known.raw:
             answer.send(HTTPStatus.OK, (), self._known.raw)
-        elif request.target == TARGETS_PATH:
+        elif request.path == TARGETS_PATH:
             fleet: Fleet = self._core.fleet
             answer.send(
                 HTTPStatus.OK, (), msgpack.packb(dict(fleet.raw_entries))
@@ -105,14 +102,9 @@
             for identity, entry in msgpack.unpackb(packed).items():
                 self._targets.take_raw(identity, entry)
 
-    async def _get(self, peer: Peer, path: bytes) -> bytes:
-        opened = await self._core.pool.connect(peer.word.peers)
-        if isinstance(opened, Unreached):
-            return b''
-        host = (b'Host', str(peer.word.peers).encode())
-        opened.send(request_bytes('GET', path, (host,), b''))
-        answer = await opened.read_whole(ANSWER_S)
-        opened.close()
+    async def _get(self, peer: Peer, path: str) -> bytes:
+        call = HttpCall('GET', path)
+        answer = await self._core.pool.ask(peer.word.peers, call, ANSWER_S)
         if isinstance(answer, Whole) and answer.head.status == HTTPStatus.OK:
             return answer.body
         return b''
--- a/mallowcrank/gateway/prober.py
+++ b/mallowcrank/gateway/prober.py
@@ -19,13 +19,13 @@
     TargetPool,
     Unreached,
     Whole,
-    request_bytes,
+    ask_over,
 )
 from mallowcrank.gateway.targets import Lifetime, Report, Target
 
 ANSWER_S = 0.12  # for a report; it takes some ms, and a slow target's more
 AGAIN_S = 0.04  # without an answer, until the target is asked once more
-APART_S = 0.6  # between two questions to one target
+APART_S = 0.25  # between two questions to one suspected target
 RECHECK_S = 0.5  # between questions to a silent target
 PACE_PERIOD_S = 2.5  # between questions for a pace
 TICK_S = 0.25
@@ -81,13 +81,9 @@
         opened = kept or await self._pool.connect(target.address)
         if isinstance(opened, Unreached):
             return opened.reason
-        call = self._vocabulary.report_call()
-        host = (b'Host', str(target.address).encode())
-        opened.send(
-            request_bytes(call.method, call.path.encode(), (host,), b'')
-        )
+        call = self._vocabulary.report_call(target.identity)
         try:
-            answer = await opened.read_whole(ANSWER_S)
+            answer = await ask_over(opened, call, ANSWER_S)
         finally:
             self._pool.give_back(opened)
         if not isinstance(answer, Whole) or (
--- a/mallowcrank/gateway/target_channel.py
+++ b/mallowcrank/gateway/target_channel.py
@@ -10,7 +10,7 @@
 
 import httptools
 
-from mallowcrank.gateway.ports import Headers
+from mallowcrank.gateway.ports import Headers, HttpCall
 from mallowcrank.gateway.settings import Address
 from mallowcrank.gateway.steady import steady
 
@@ -366,6 +366,22 @@
             return Unreached(str(error), refused)
         return channel
 
+    async def ask(
+        self, address: Address, call: HttpCall, within_s: float
+    ) -> Whole | Broken | Silent | Unreached:
+        """
+        Make one call over a new channel, and close it.
+
+        :param within_s: for the whole answer.
+        """
+        opened = await self.connect(address)
+        if isinstance(opened, Unreached):
+            return opened
+        try:
+            return await ask_over(opened, call, within_s)
+        finally:
+            opened.close()
+
     def give_back(self, channel: TargetChannel) -> None:
         """
         Keep a channel for the next request, or close it.
@@ -399,6 +415,22 @@
                 self._idle.pop(address)
 
 
+async def ask_over(
+    channel: TargetChannel, call: HttpCall, within_s: float
+) -> Whole | Broken | Silent:
+    """
+    Make one call over a channel.
+
+    :param within_s: for the whole answer.
+    """
+    host = (b'Host', str(channel.address).encode())
+    headers = (host, *call.headers)
+    channel.send(
+        request_bytes(call.method, call.path.encode(), headers, call.body)
+    )
+    return await channel.read_whole(within_s)
+
+
 def request_bytes(
     method: str, path: bytes, headers: Headers, body: bytes
 ) -> bytes:
--- a/mallowcrank/platform/entries.py
+++ b/mallowcrank/platform/entries.py
@@ -12,6 +12,7 @@
     Report,
     Target,
 )
+from mallowcrank.platform.exchange import expect
 from mallowcrank.platform.fields import (
     MalformedError,
     as_table,
@@ -49,11 +50,11 @@
         return Unreadable(str(error))
 
 
-def report_call() -> HttpCall:
+def report_call(identity: str) -> HttpCall:
     """
     Ask a replica for its report.
     """
-    return HttpCall('GET', '/report')
+    return HttpCall('GET', '/report', headers=expect(identity))
 
 
 def _target(identity: str, table: Mapping[str, Any]) -> Target:
--- a/mallowcrank/platform/exchange.py
+++ b/mallowcrank/platform/exchange.py
@@ -75,6 +75,13 @@
     )
 
 
+def expect(identity: str) -> Headers:
+    """
+    Return the headers by which another replica at its address refuses.
+    """
+    return ((b'Mallowcrank-Expect-Instance', identity.encode()),)
+
+
 def target_headers(headers: Headers, sending: Sending) -> Headers:
     """
     Return the headers of a request to a replica.
@@ -86,7 +93,7 @@
         dropped = dropped | {LAST_EVENT}
     kept = [pair for pair in headers if pair[0].lower() not in dropped]
     kept.append((b'Mallowcrank-Deadline-Ms', b'%d' % sending.remaining_ms))
-    kept.append((b'Mallowcrank-Expect-Instance', sending.target.encode()))
+    kept.extend(expect(sending.target))
     if sending.workspace:
         kept.append((b'Mallowcrank-Tenant', sending.workspace.encode()))
     if sending.hops:
--- a/mallowcrank/platform/standins/replica.py
+++ b/mallowcrank/platform/standins/replica.py
@@ -79,6 +79,7 @@
     One replica.
 
     :param others: all replicas by address, for paths.
+    :param misdirected: orders that were meant for another.
     """
 
     identity: str
@@ -90,6 +91,7 @@
     state: str = 'ready'
     held: tuple[int, int] | None = None
     orders: int = 0
+    misdirected: int = 0
     pace: float = 1
     faults: ReplicaFaults = field(default_factory=ReplicaFaults)
     ran: list[Ran] = field(default_factory=list)
@@ -161,6 +163,11 @@
         answer.send(HTTPStatus.OK, (JSON,), orjson.dumps(report))
 
     async def _order(self, request: CallerRequest, answer: Answer) -> None:
+        given = {name.lower(): raw for name, raw in request.headers}
+        if self._is_for_another(given):
+            self.misdirected += 1
+            answer.send(HTTPStatus.MISDIRECTED_REQUEST, (), b'')
+            return
         order = orjson.loads(request.body)
         if self.held == (order['source'], order['to']):
             answer.send(HTTPStatus.OK, (), b'')
@@ -198,13 +205,16 @@
         else:
             await self._stream(ran, answer)
 
+    def _is_for_another(self, given: dict[bytes, bytes]) -> bool:
+        expected = given.get(b'mallowcrank-expect-instance', b'').decode()
+        return bool(expected) and expected != self.identity
+
     def _check(self, given: dict[bytes, bytes]) -> tuple[int, str]:
         """
         Return the status of a refusal and who is at fault, or 0.
         """
         mine = str(self.address)
-        expected = given.get(b'mallowcrank-expect-instance', b'').decode()
-        if expected and expected != self.identity:
+        if self._is_for_another(given):
             return HTTPStatus.MISDIRECTED_REQUEST, mine
         if self.faults.take('refusals') or self.state != 'ready':
             return HTTPStatus.SERVICE_UNAVAILABLE, mine
--- a/tests/test_gateway_serving.py
+++ b/tests/test_gateway_serving.py
@@ -167,6 +167,17 @@
         await self.world.wait_for(lambda: all(each.held for each in engines))
         self.assertEqual({each.orders for each in engines}, {6})
 
+    async def test_no_order_is_carried_out_by_another_at_its_address(self):
+        await self.world.start_store()
+        engine = await self.world.start_replica(
+            'e-0', 'model', kind='a100', held=None
+        )
+        engine.identity = 'e-1'
+        self.gateway = await self.world.start_gateway()
+        await self.world.wait_for(lambda: engine.misdirected)
+        self.assertIsNone(engine.held)
+        self.assertEqual(engine.orders, 0)
+
     async def test_an_order_without_an_answer_is_not_given_twice(self):
         await self.world.start_store()
         for number in range(4):
