Plan layers by what the fastest path gains

Cause: after a loss the layout never healed. A card that was moved by a part of its layers waited for ever for the streams in what it kept. The loss of an a100 left four layers without a holder, since three l4 of eight layers stood in for 28. Change: each card takes the layers by which its zone's fastest path gains most; one card is moved at a time where that saves 6 parts of a hundred; cards that stand in take up to 0.85 of their memory; a gap makes a card take more, or the zone is laid anew; moves keep all, give up all, or give up some only. The first plan waits 2.2 s without a new target.

--- a/mallowcrank/chains/placement.py
+++ b/mallowcrank/chains/placement.py
@@ -1,46 +1,40 @@
 """
 Which layers each engine holds.
 
-Each availability zone gets a copy of its own, its fastest engines first, so
-that paths stay inside a zone. What is left over doubles the layers whose
-loss would hurt most. Engines that hold layers keep them: a load takes
-seconds. An engine is moved only to close a gap that no empty one can close,
-and only where others hold all that it gives up.
+Each availability zone gets a copy of its own, so that paths stay inside a
+zone. Each engine in turn, the fastest first, takes the layers by which the
+zone's fastest path gains most; what is left over doubles the layers whose
+loss would hurt most. A layer that nobody holds counts as a very slow one.
+
+Engines that hold layers keep them: a load takes seconds. One is moved where
+the path gains much by it, counting what it gives up and others don't hold
+yet; so a gap is closed by what is spare, and engines that come back take
+their layers over from the slow ones that stood in for them. To close a gap
+an engine may take more layers than usual, at the cost of memory for requests.
 """
 
 from collections import defaultdict
 from collections.abc import Iterable, Sequence
 from dataclasses import dataclass, replace
 
+from mallowcrank.chains.windows import (
+    EXTRA_PACE,
+    GAP_PACE,
+    Card,
+    Window,
+    best_window,
+    find_gaps,
+    paces_of,
+    weakest_window,
+)
 from mallowcrank.gateway.targets import Lifetime
 
 FILL = 0.7  # of an accelerator's memory for layers; the rest for requests
-
-
-@dataclass(frozen=True, slots=True)
-class Card:
-    """
-    One engine to place layers on.
-
-    :param most: layers that it takes beside memory for requests.
-    :param pace: factor on the time of a step; the smallest is the fastest.
-    :param first: first layer that it holds or was ordered to hold.
-    :param end: the end of its layers, exclusive; `first` where it is empty.
-    """
-
-    lifetime: Lifetime
-    zone: str
-    most: int
-    pace: float
-    first: int = 0
-    end: int = 0
-
-    @property
-    def is_empty(self) -> bool:
-        """
-        Return whether it holds no layers.
-        """
-        return self.end <= self.first
+# The same where a gap can't be closed otherwise; then few requests fit.
+MOST_FILL = 0.85
+# Part of the fastest path's time that a move must save; loading and the
+# engine's memory meanwhile are not free.
+LEAST_GAIN = 0.06
 
 
 @dataclass(frozen=True, slots=True)
@@ -54,6 +48,23 @@
     end: int
 
 
+def empty_card(
+    lifetime: Lifetime, zone: str, fitting: int, pace: float
+) -> Card:
+    """
+    Return a card without layers.
+
+    :param fitting: layers that fit into its memory.
+    """
+    return Card(
+        lifetime=lifetime,
+        zone=zone,
+        usual=max(1, int(fitting * FILL)) if fitting else 0,
+        most=max(1, int(fitting * MOST_FILL)) if fitting else 0,
+        pace=pace,
+    )
+
+
 def plan_layers(layers: int, cards: Sequence[Card]) -> tuple[Placing, ...]:
     """
     Return the orders that are due.
@@ -66,19 +77,6 @@
     return tuple(placings)
 
 
-def find_gaps(layers: int, cards: Iterable[Card]) -> list[tuple[int, int]]:
-    """
-    Return the ranges of layers that nobody holds; the ends are exclusive.
-    """
-    counts = [1, *_counts(layers, cards), 1]
-    edges = [
-        layer
-        for layer in range(layers + 1)
-        if bool(counts[layer]) != bool(counts[layer + 1])
-    ]
-    return list(zip(edges[::2], edges[1::2], strict=True))
-
-
 def _groups(layers: int, cards: Sequence[Card]) -> Iterable[list[Card]]:
     by_zone: dict[str, list[Card]] = defaultdict(list)
     for card in cards:
@@ -96,97 +94,103 @@
 def _plan_group(layers: int, group: Sequence[Card]) -> list[Placing]:
     holding = [card for card in group if not card.is_empty]
     empty = sorted(
-        (card for card in group if card.is_empty and card.most),
-        key=_speed,
+        (card for card in group if card.is_empty and card.usual), key=_speed
     )
     placings = []
     for card in empty:
         placed = _place(layers, card, holding)
         holding.append(placed)
         placings.append(Placing(card.lifetime, placed.first, placed.end))
-    return placings or _close_gap(layers, holding)
+    placings = placings or _move_one(layers, holding)
+    if not placings and find_gaps(layers, holding):
+        return _lay_anew(layers, holding)
+    return placings
 
 
 def _speed(card: Card) -> tuple[float, int, Lifetime]:
-    return card.pace, -card.most, card.lifetime
+    return card.pace, -card.usual, card.lifetime
 
 
 def _place(layers: int, card: Card, holding: Sequence[Card]) -> Card:
-    counts = _counts(layers, holding)
+    """
+    Place an empty card: on the path, or else to stand in for others. Those
+    that stand in serve few requests, so that they take as much as they can.
+    """
+    paces = paces_of(layers, holding)
+    window = best_window(card, paces, min(card.usual, layers))
+    if window.gain >= _least_gain(paces):
+        return replace(card, first=window.first, end=window.end)
     count = min(card.most, layers)
-    if 0 in counts:
-        first = _widest_gap(counts, count)
-    else:
-        first = _weakest(layers, count, holding)
+    first = weakest_window(layers, count, holding)
     return replace(card, first=first, end=first + count)
 
 
-def _counts(layers: int, holding: Iterable[Card]) -> list[int]:
-    counts = [0 for _ in range(layers)]
-    for card in holding:
-        for layer in range(card.first, min(layers, card.end)):
-            counts[layer] += 1
-    return counts
-
-
-def _widest_gap(counts: Sequence[int], count: int) -> int:
+def _move_one(layers: int, holding: Sequence[Card]) -> list[Placing]:
     """
-    Return the window that closes most of a gap, from the gap's start.
-    """
-    starts = [
-        layer
-        for layer, held in enumerate(counts)
-        if not held and (layer == 0 or counts[layer - 1])
-    ]
-    last = len(counts) - count
-    windows = [min(start, last) for start in starts]
-
-    def closes(first: int) -> tuple[int, int]:
-        return counts[first : first + count].count(0), -first
+    Move the one card by which the fastest path gains most.
 
-    return max(windows, key=closes)
-
-
-def _weakest(layers: int, count: int, holding: Sequence[Card]) -> int:
+    What is being loaded counts as held where layers are missing, and as not
+    held where a card would give them up. While there is no gap, one card is
+    moved at a time.
     """
-    Return the window whose layers would be missed most.
+    paces = paces_of(layers, holding)
+    has_gap = GAP_PACE in paces
+    loaded = [card for card in holding if not card.is_loading]
+    if not has_gap and len(loaded) < len(holding):
+        return []
+    best: Placing | None = None
+    best_gain = _least_gain(paces)
+    for card in loaded:
+        window = _new_window(layers, card, holding, has_gap)
+        is_new = (window.first, window.end) != (card.first, card.end)
+        if is_new and window.gain > best_gain:
+            best = Placing(card.lifetime, window.first, window.end)
+            best_gain = window.gain
+    return [best] if best else []
+
+
+def _lay_anew(layers: int, holding: Sequence[Card]) -> list[Placing]:
     """
-    weights = _weights(layers, holding)
-    windows = range(layers - count + 1)
-
-    def missed(first: int) -> tuple[float, int]:
-        return sum(weights[first : first + count]), -first
-
-    return max(windows, key=missed)
+    Lay a copy over all cards from the first layer on, if they suffice.
 
-
-def _weights(layers: int, holding: Sequence[Card]) -> list[float]:
-    """
-    Weigh each layer by how much is lost with its holders.
+    Cards of one kind keep their order, so that most keep most of what they
+    hold.
     """
-    counts = _counts(layers, holding)
-    largest = [0 for _ in range(layers)]
-    for card in holding:
-        for layer in range(card.first, min(layers, card.end)):
-            largest[layer] = max(largest[layer], card.end - card.first)
-    return [
-        size / held**2 if held else 0
-        for size, held in zip(largest, counts, strict=True)
-    ]
-
-
-def _close_gap(layers: int, holding: Sequence[Card]) -> list[Placing]:
-    counts = _counts(layers, holding)
-    if 0 not in counts:
-        return []
-    spare = [card for card in holding if _is_spare(card, counts)]
-    if not spare:
+    laid: list[Card] = []
+    for card in sorted(holding, key=_speed):
+        empty = replace(card, usual=card.most, first=0, end=0)
+        laid.append(_place(layers, empty, laid))
+    if find_gaps(layers, laid):
         return []
-    card = max(spare, key=_speed)
-    count = min(card.most, layers)
-    first = _widest_gap(counts, count)
-    return [Placing(card.lifetime, first, first + count)]
-
-
-def _is_spare(card: Card, counts: Sequence[int]) -> bool:
-    return all(held > 1 for held in counts[card.first : card.end])
+    windows: dict[tuple[float, int], list[tuple[int, int]]] = defaultdict(list)
+    for card in laid:
+        windows[card.pace, card.most].append((card.first, card.end))
+    placings = []
+    for card in sorted(holding, key=lambda each: each.first):
+        given = windows[card.pace, card.most]
+        first, end = min(given)
+        given.remove((first, end))
+        if (first, end) != (card.first, card.end):
+            placings.append(Placing(card.lifetime, first, end))
+    return placings
+
+
+def _new_window(
+    layers: int, card: Card, holding: Sequence[Card], has_gap: bool
+) -> Window:
+    """
+    Return where a card would be best, and what the path gains in all.
+    """
+    others = [each for each in holding if each.lifetime != card.lifetime]
+    staying = [each for each in others if not each.is_loading]
+    without = sum(paces_of(layers, staying))
+    lost = without - sum(paces_of(layers, [*staying, card]))
+    count = card.most if has_gap else card.usual
+    window = best_window(card, paces_of(layers, others), min(count, layers))
+    given_up = max(0, card.end - card.first - card.usual) if lost else 0
+    gain = window.gain - lost + given_up * EXTRA_PACE
+    return replace(window, gain=gain)
+
+
+def _least_gain(paces: Iterable[float]) -> float:
+    return LEAST_GAIN * sum(pace for pace in paces if pace < GAP_PACE)
--- /dev/null
+++ b/mallowcrank/chains/windows.py
@@ -0,0 +1,156 @@
+"""
+Where on a chain a card does most good, and what a chain lacks.
+"""
+
+from collections.abc import Iterable, Iterator, Sequence
+from dataclasses import dataclass
+from itertools import accumulate
+
+from mallowcrank.gateway.targets import Lifetime
+
+GAP_PACE = 400  # of a layer that nobody holds; above any engine's
+EXTRA_PACE = 8  # of a layer beyond the usual count: memory for requests
+ROUNDING = 1e-6  # of sums of paces
+LOAD_PACE = 0.5  # of a layer to load; of equal windows the nearest is taken
+
+
+@dataclass(frozen=True, slots=True)
+class Card:
+    """
+    One engine to place layers on.
+
+    :param usual: layers that it takes beside memory for requests.
+    :param most: the same where a gap can't be closed otherwise.
+    :param pace: factor on the time of a step; the smallest is the fastest.
+    :param first: first layer that it holds or was ordered to hold.
+    :param end: the end of its layers, exclusive; `first` where it is empty.
+    :param is_loading: whether it was ordered to hold them and does not yet.
+    """
+
+    lifetime: Lifetime
+    zone: str
+    usual: int
+    most: int
+    pace: float
+    first: int = 0
+    end: int = 0
+    is_loading: bool = False
+
+    @property
+    def is_empty(self) -> bool:
+        """
+        Return whether it holds no layers.
+        """
+        return self.end <= self.first
+
+    @property
+    def range(self) -> tuple[int, int]:
+        """
+        Return the layers that it holds.
+        """
+        return self.first, self.end
+
+
+@dataclass(frozen=True, slots=True)
+class Window:
+    """
+    Layers that a card might hold, and what the fastest path gains by it.
+    """
+
+    first: int
+    end: int
+    gain: float
+
+
+def best_window(card: Card, paces: Sequence[float], most: int) -> Window:
+    """
+    Return the layers by which the fastest path gains most.
+
+    A card that gives up a part of its layers first waits for the streams in
+    all of them, so that it keeps all, moves away, or gives up some only.
+
+    :param paces: of the other cards.
+    """
+    saved = [max(0, pace - card.pace) for pace in paces]
+    sums = list(accumulate(saved, initial=0))
+    best = Window(0, min(card.usual, most), 0)
+    for first, end in _windows(card, len(paces), most):
+        extra = max(0, end - first - card.usual) * EXTRA_PACE
+        loaded = end - first - _overlap(card, first, end)
+        gain = sums[end] - sums[first] - extra - loaded * LOAD_PACE
+        if gain > best.gain + ROUNDING:
+            best = Window(first, end, gain)
+    return best
+
+
+def _windows(card: Card, layers: int, most: int) -> Iterator[tuple[int, int]]:
+    for count in range(min(card.usual, most), most + 1):
+        for first in range(layers - count + 1):
+            end = first + count
+            kept = _overlap(card, first, end)
+            if kept in {0, count, card.end - card.first}:
+                yield first, end
+
+
+def _overlap(card: Card, first: int, end: int) -> int:
+    return max(0, min(end, card.end) - max(first, card.first))
+
+
+def paces_of(layers: int, holding: Iterable[Card]) -> list[float]:
+    """
+    Return the pace of the fastest holder of each layer.
+    """
+    paces: list[float] = [GAP_PACE for _ in range(layers)]
+    for card in holding:
+        for layer in range(card.first, min(layers, card.end)):
+            paces[layer] = min(paces[layer], card.pace)
+    return paces
+
+
+def _counts(layers: int, holding: Iterable[Card]) -> list[int]:
+    counts = [0 for _ in range(layers)]
+    for card in holding:
+        for layer in range(card.first, min(layers, card.end)):
+            counts[layer] += 1
+    return counts
+
+
+def weakest_window(layers: int, count: int, holding: Sequence[Card]) -> int:
+    """
+    Return the window whose layers would be missed most.
+    """
+    weights = _weights(layers, holding)
+    windows = range(layers - count + 1)
+
+    def missed(first: int) -> tuple[float, int]:
+        return sum(weights[first : first + count]), -first
+
+    return max(windows, key=missed)
+
+
+def _weights(layers: int, holding: Sequence[Card]) -> list[float]:
+    """
+    Weigh each layer by how much is lost with its holders.
+    """
+    counts = _counts(layers, holding)
+    largest = [0 for _ in range(layers)]
+    for card in holding:
+        for layer in range(card.first, min(layers, card.end)):
+            largest[layer] = max(largest[layer], card.end - card.first)
+    return [
+        size / held**2 if held else 0
+        for size, held in zip(largest, counts, strict=True)
+    ]
+
+
+def find_gaps(layers: int, cards: Iterable[Card]) -> list[tuple[int, int]]:
+    """
+    Return the ranges of layers that nobody holds; the ends are exclusive.
+    """
+    counts = [1, *_counts(layers, cards), 1]
+    edges = [
+        layer
+        for layer in range(layers + 1)
+        if bool(counts[layer]) != bool(counts[layer + 1])
+    ]
+    return list(zip(edges[::2], edges[1::2], strict=True))
--- a/mallowcrank/gateway/placing.py
+++ b/mallowcrank/gateway/placing.py
@@ -4,29 +4,20 @@
 
 import asyncio
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from http import HTTPStatus
 
 from mallowcrank.chains.engines import most_layers
-from mallowcrank.chains.placement import (
-    FILL,
-    Card,
-    Placing,
-    find_gaps,
-    plan_layers,
-)
+from mallowcrank.chains.placement import Placing, empty_card, plan_layers
+from mallowcrank.chains.windows import Card, find_gaps
 from mallowcrank.gateway.core import Core
 from mallowcrank.gateway.desired import Desired, EngineRule, ServiceRule
 from mallowcrank.gateway.steady import steady
-from mallowcrank.gateway.target_channel import (
-    Unreached,
-    Whole,
-    request_bytes,
-)
+from mallowcrank.gateway.target_channel import Whole
 from mallowcrank.gateway.targets import HeldLayers, Lifetime, Report, Target
 
 TICK_S = 0.4  # between two looks at the plan
-SETTLED_S = 1.0  # after the last new target, before the first plan
+SETTLED_S = 2.2  # without a new target, before the first plan
 ANSWER_S = 0.5  # for an order; it takes some ms
 MOST_WATCHED = 8  # orders whose engines are asked for their layers
 TRIES = 3  # of an order without an answer: it is the same each time
@@ -136,24 +127,18 @@
             return None
         if self._fleet.seen.is_unwilling(target.lifetime):
             return None
-        fitting = most_layers(rule, kind)
-        card = Card(
-            lifetime=target.lifetime,
-            zone=target.zone,
-            most=max(1, int(fitting * FILL)) if fitting else 0,
-            pace=kind.pace,
+        card = empty_card(
+            target.lifetime, target.zone, most_layers(rule, kind), kind.pace
         )
         pending = self._pending.get(target.lifetime)
         shown = pending.placing if pending else target.layers
         if shown is None:
             return card
-        return Card(
-            card.lifetime,
-            card.zone,
-            card.most,
-            card.pace,
-            shown.first,
-            shown.end,
+        return replace(
+            card,
+            first=shown.first,
+            end=shown.end,
+            is_loading=pending is not None,
         )
 
     async def _order(self, placing: Placing) -> None:
@@ -208,17 +193,8 @@
 
         :returns: the status of the answer, or 0 where none came.
         """
-        opened = await self._pool.connect(target.address)
-        if isinstance(opened, Unreached):
-            return 0
-        call = self._vocabulary.place_call(layers, expected)
-        host = (b'Host', str(target.address).encode())
-        raw = request_bytes(
-            call.method, call.path.encode(), (host, *call.headers), call.body
-        )
-        opened.send(raw)
-        answer = await opened.read_whole(ANSWER_S)
-        opened.close()
+        call = self._vocabulary.place_call(target.identity, layers, expected)
+        answer = await self._pool.ask(target.address, call, ANSWER_S)
         return answer.head.status if isinstance(answer, Whole) else 0
 
 
