Ask only those engines of a silent stream that show no work elsewhere

Cause: a silent stream had all engines of its path asked after 0.1 s, and the same ones not again for 0.6 s; streams through a dead engine were over the allowed pause of 250 ms when they moved. Time spent waiting for a path is counted with the call.

--- a/mallowcrank/gateway/sightings.py
+++ b/mallowcrank/gateway/sightings.py
@@ -4,6 +4,7 @@
 
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, replace
+from math import inf
 
 from mallowcrank.gateway.journal import Journal
 from mallowcrank.gateway.targets import HeldLayers, Lifetime, Target
@@ -70,6 +71,7 @@
         self._dead: dict[Lifetime, float] = {}
         self._refusals: dict[Lifetime, Refusals] = {}
         self._learned: dict[Lifetime, Learned] = {}
+        self._worked: dict[Lifetime, float] = {}
 
     def dead(self) -> Mapping[Lifetime, float]:
         """
@@ -77,6 +79,18 @@
         """
         return self._dead
 
+    def idle_since(
+        self, lifetimes: Iterable[Lifetime], moment: float
+    ) -> list[Lifetime]:
+        """
+        Return the lifetimes of which no stream showed work since a moment.
+        """
+        return [
+            lifetime
+            for lifetime in lifetimes
+            if self._worked.get(lifetime, -inf) < moment
+        ]
+
     def pace(self, lifetime: Lifetime, now: float) -> float:
         """
         Return the factor on a target's usual times.
@@ -138,6 +152,13 @@
             'fleet: target refused', target=lifetime[0], rest_s=rest_s
         )
 
+    def see_work(self, lifetimes: Iterable[Lifetime], now: float) -> None:
+        """
+        Take in that an event of a stream has passed through targets.
+        """
+        for lifetime in lifetimes:
+            self._worked[lifetime] = now
+
     def see_taken(self, lifetimes: Iterable[Lifetime]) -> None:
         """
         Take in that targets took a request.
@@ -216,5 +237,6 @@
             self._dead,
             self._refusals,
             self._learned,
+            self._worked,
         ):
             known.pop(lifetime, None)
--- a/mallowcrank/gateway/streams.py
+++ b/mallowcrank/gateway/streams.py
@@ -34,9 +34,9 @@
 from mallowcrank.gateway.waiting import WaitingRoom
 
 MILLISECONDS = 1000
-TICK_S = 0.05  # between looks at a silent stream
-FIRST_QUIET_S = 0.3  # before the first event; then engines are asked
-QUIET_S = 0.1  # between events
+TICK_S = 0.025  # between looks at a silent stream
+FIRST_QUIET_S = 0.15  # before the first event; then engines are asked
+QUIET_S = 0.07  # between events, of which there are 20 a second and more
 MOVE_S = 0.9  # of silence, after which a stream moves without a culprit
 MOST_REFUSED = 3  # paths that are tried where none has run
 MOST_TRIES = 4  # paths that are tried at all
@@ -188,7 +188,9 @@
             left_s = until - steady()
             if left_s <= 0:
                 return found.value
+            began = steady()
             await self._waiting.wait(self._call.priority, left_s)
+            self._call.waited_s += steady() - began
 
     def _patience_s(self) -> float:
         """
@@ -314,8 +316,10 @@
         if quiet_s < allowed_s:
             return None
         lifetimes = [part.lifetime for part in path.parts]
-        self._core.prober.suspect(lifetimes)
-        known = self._core.fleet.seen.dead()
+        seen = self._core.fleet.seen
+        idle = seen.idle_since(lifetimes, steady() - allowed_s)
+        self._core.prober.suspect(idle)
+        known = seen.dead()
         dead = [each for each in lifetimes if each in known]
         if dead and self._can_move(()):
             names = ','.join(each.identity for each in dead)
@@ -351,11 +355,12 @@
         whole = self._pieces.feed(raw)
         if not whole:
             return
+        lifetimes = [part.lifetime for part in path.parts]
+        seen = self._core.fleet.seen
+        seen.see_work(lifetimes, steady())
         if not self._is_taken:
             self._is_taken = True
-            self._core.fleet.seen.see_taken(
-                part.lifetime for part in path.parts
-            )
+            seen.see_taken(lifetimes)
         answer = self._call.answer
         if not answer.has_begun:
             self._core.meters.first.labels('stream').observe(self._call.age_s())
