Pass over gateways that stop when a holder of the duty is sought

The store was away, and the first gateway by name was stopping for eight seconds: it did not act, and the others waited for it. One that stopped also still told that it held the duty. Ruled out: a fenced holder (no such line). Tests: both cases; each fails without its part of the change.

--- a/mallowcrank/gateway/duty.py
+++ b/mallowcrank/gateway/duty.py
@@ -34,14 +34,16 @@
     Return whether a gateway acts for a holder that nobody knows.
 
     While the store answers nobody, the duty can't be passed on. Then the
-    first of the gateways that hear each other acts. Two of them do no harm:
-    orders are absolute and name the state that they were made for.
+    first of the gateways that hear each other acts, those aside that stop or
+    know too little to take callers. Two of them do no harm: orders are
+    absolute and name the state that they were made for.
 
     :param lost_s: how long the store has not answered this gateway.
     """
     if lost_s < TAKEOVER_S or any(word.holding for word in others):
         return False
-    return all(mine < word.host for word in others)
+    able = [word.host for word in others if word.takes_callers]
+    return all(mine < host for host in able)
 
 
 def member_name(settings: GatewaySettings, incarnation: str) -> str:
--- a/mallowcrank/gateway/gossip.py
+++ b/mallowcrank/gateway/gossip.py
@@ -72,7 +72,8 @@
             peers=settings.listening.peers,
             takes_callers=self.is_ready,
             desired_version=self._known.version,
-            holding=self._duty.holding,
+            # One that stops holds nothing: others don't wait for it.
+            holding=0 if self.is_stopping else self._duty.holding,
             reserved=self._core.ledger.own(),
             silent=tuple(lifetime.identity for lifetime in seen.dead()),
             paces=seen.slow(now),
@@ -95,7 +96,7 @@
             fleet.learn_layers(identity, layers, now, told_me=False)
         for identity in word.silent:
             target = fleet.find(identity)
-            if target:
+            if target and target.lifetime not in fleet.seen.dead():
                 self._core.prober.suspect((target.lifetime,))
 
     def takers(self) -> list[Word]:
--- a/tests/test_gateway_beliefs.py
+++ b/tests/test_gateway_beliefs.py
@@ -6,7 +6,9 @@
 import os
 from random import Random
 from unittest import IsolatedAsyncioTestCase, TestCase
+from unittest.mock import Mock
 
+from mallowcrank.chains.memory import MemoryLedger
 from mallowcrank.gateway.directory import fronts_for
 from mallowcrank.gateway.duty import takes_over
 from mallowcrank.gateway.fleet import LAPSE_S, Fleet
@@ -15,6 +17,7 @@
     KnownDesired,
     TargetsFollower,
 )
+from mallowcrank.gateway.gossip import Gossip
 from mallowcrank.gateway.journal import Journal, Weight
 from mallowcrank.gateway.peers import Word, pack_word, read_word
 from mallowcrank.gateway.settings import Address
@@ -56,6 +59,28 @@
         self.assertEqual(self.fleet.serving('stock'), [])
         self.assertEqual(len(self.fleet.known('stock')), 1)
 
+    def test_an_address_that_is_taken_over_belongs_to_the_new_target(self):
+        self.take('i-1')
+        self.take('i-2', now=3)
+        self.assertIsNone(self.fleet.find('i-1'))
+        self.assertIsNotNone(self.fleet.find('i-2'))
+
+    def test_the_entry_of_a_displaced_target_is_passed_over(self):
+        self.take('i-1')
+        self.take('i-2', now=3)
+        self.take('i-1', now=4)
+        self.assertIsNone(self.fleet.find('i-1'))
+        self.take('i-1', now=5, sequence=99)
+        self.assertIsNotNone(self.fleet.find('i-1'))
+        self.assertIsNone(self.fleet.find('i-2'))
+
+    def test_a_displaced_target_is_forgotten_with_its_entry(self):
+        self.take('i-1')
+        self.take('i-2', now=3)
+        self.fleet.take_all(['i-2'], now=4)
+        self.take('i-1', now=5)
+        self.assertIsNotNone(self.fleet.find('i-1'))
+
     def test_an_entry_that_is_gone_for_sure_drops_its_target(self):
         self.take()
         self.fleet.take_removal('i-1', now=1, is_sure=True)
@@ -110,7 +135,7 @@
         theirs = HeldLayers(0, 8, 1)
         self.fleet.learn_layers('i-1', theirs, now=1.1, told_me=False)
         self.assertEqual(self.fleet.find('i-1').layers, mine)
-        self.take('i-2', layers=None)
+        self.take('i-2', layers=None, address='10.128.0.10:8080')
         self.fleet.learn_layers('i-2', theirs, now=1, told_me=False)
         self.assertEqual(dict(self.fleet.seen.learned(1.1)), {'i-1': mine})
 
@@ -211,7 +236,10 @@
         first = newest_page(9, {'i-1': entry()}, has_more=True)
         follower = self.targets(
             StoreAnswer(200, first),
-            StoreAnswer(200, newest_page(9, {'i-2': entry()})),
+            StoreAnswer(
+                200,
+                newest_page(9, {'i-2': entry(address='10.128.0.10:8080')}),
+            ),
         )
         self.assertTrue(await follower.step())
         self.assertIn('after=i-1', self.link.calls[1])
@@ -353,6 +381,25 @@
         others = [word('h2'), word('h3', holding=6)]
         self.assertFalse(takes_over('h1', others, lost_s=5))
 
+    def test_those_that_stop_or_know_nothing_are_passed_over(self):
+        others = [word('h1', takes_callers=False), word('h3')]
+        self.assertTrue(takes_over('h2', others, lost_s=5))
+
+    def test_a_gateway_that_stops_tells_that_it_holds_nothing(self):
+        self.assertEqual(self.told(is_stopping=False).holding, 7)
+        self.assertEqual(self.told(is_stopping=True).holding, 0)
+
+    def told(self, is_stopping):
+        gossip = Gossip(
+            core=Mock(fleet=Fleet(quiet_journal()), ledger=MemoryLedger()),
+            known=Mock(newest=None, version=3),
+            duty=Mock(holding=7),
+            link=Mock(),
+            incarnation='abcd',
+        )
+        gossip.is_stopping = is_stopping
+        return gossip.word()
+
     def test_a_short_outage_passes_nothing_on(self):
         self.assertFalse(takes_over('h1', [], lost_s=0.5))
 
