Explain a request from logs, and show the figures of gateways

mallowcrank explain ID [LOG...] gives a request's time line with what its gateway believed of its targets, the store and the placing; mallowcrank gateways reads their metrics. Lines bear the time of day besides steady time, and a request's end the version of the desired state and the time it waited.

--- a/mallowcrank/cli/operator.py
+++ b/mallowcrank/cli/operator.py
@@ -6,6 +6,7 @@
 
 from mallowcrank.cli import (
     operator_agents,
+    operator_gateways,
     operator_place,
     operator_processes,
     operator_publish,
@@ -36,4 +37,5 @@
 operator_publish.register(app)
 operator_agents.register(app)
 operator_processes.register(app)
+operator_gateways.register(app)
 operator_place.register(app)
--- /dev/null
+++ b/mallowcrank/cli/operator_gateways.py
@@ -0,0 +1,97 @@
+"""
+The operators' commands about gateways: explain a request, show figures.
+"""
+
+from collections.abc import Iterator, Sequence
+from pathlib import Path
+from typing import Annotated, TextIO
+
+from typer import Argument, Context, Option, Typer
+
+from mallowcrank.cli.options import (
+    environment_of,
+    require_addresses,
+    require_no_findings,
+)
+from mallowcrank.findings import Finding
+from mallowcrank.operators.explain import (
+    explain,
+    format_explanation,
+    read_log,
+)
+from mallowcrank.operators.gateways import COLUMNS, gateway_rows
+from mallowcrank.operators.tables import format_table
+from mallowcrank.status import ExitStatus
+
+
+def register(app: Typer) -> None:
+    """
+    Add the commands to the operators' client.
+    """
+    app.command('explain')(explain_request)
+    app.command('gateways')(show_gateways)
+
+
+def explain_request(
+    context: Context,
+    request: Annotated[str, Argument(help='The id of the request.')],
+    logs: Annotated[
+        list[Path] | None,
+        Argument(help='Logs of gateways; standard input where none is given.'),
+    ] = None,
+) -> int:
+    """
+    Tell from logs why a request ended as it did.
+
+    Lines with a star tell of the request, the others of what its gateway
+    believed of targets, the store and the placing of layers in the five
+    seconds before and meanwhile. Times count from its first byte. Exit
+    statuses: 0 found, 1 no line tells of it, 2 a log can't be read.
+    """
+    environment = environment_of(context)
+    paths = logs or []
+    findings = [
+        Finding(str(path), 'there is no such file', 'name a gateway log')
+        for path in paths
+        if not path.is_file()
+    ]
+    require_no_findings(environment, 'mallowcrank', findings)
+    found = explain(read_log(_lines_of(paths, environment.stdin)), request)
+    for explanation in found:
+        environment.stdout.write(f'{format_explanation(explanation)}\n')
+    if found:
+        return ExitStatus.SUCCESS
+    environment.stderr.write(f'No line tells of request {request}.\n')
+    return ExitStatus.ERROR
+
+
+def show_gateways(
+    context: Context,
+    metrics: Annotated[
+        str,
+        Option(
+            '--metrics',
+            envvar='MALLOWCRANK_METRICS',
+            help='Metrics addresses of gateways: IP:PORT,IP:PORT,...',
+        ),
+    ] = '',
+) -> int:
+    """
+    Show the figures of all gateways since their starts, a row for each.
+
+    Exit statuses: 0 all answered, 1 some did not, 2 bad flags.
+    """
+    environment = environment_of(context)
+    addresses = require_addresses(context, '--metrics', metrics)
+    rows = gateway_rows(addresses)
+    environment.stdout.write(f'{format_table(rows, COLUMNS)}\n')
+    is_whole = not any(row.get('outage') for row in rows)
+    return ExitStatus.SUCCESS if is_whole else ExitStatus.ERROR
+
+
+def _lines_of(paths: Sequence[Path], stdin: TextIO) -> Iterator[str]:
+    if not paths:
+        yield from stdin
+    for path in paths:
+        with path.open(encoding='utf-8', errors='replace') as log:
+            yield from log
--- a/mallowcrank/cli/operator_processes.py
+++ b/mallowcrank/cli/operator_processes.py
@@ -6,11 +6,10 @@
 
 from typer import Argument, Context, Option, Typer
 
-from mallowcrank.cli.options import environment_of, require_no_findings
+from mallowcrank.cli.options import environment_of, require_addresses
 from mallowcrank.findings import format_findings
 from mallowcrank.operators.drain import drain
 from mallowcrank.operators.timeline import collect, format_json, format_text
-from mallowcrank.settings import Checker
 from mallowcrank.status import ExitStatus
 from mallowcrank.timeline import Filter
 
@@ -50,7 +49,7 @@
     answer's X-Mallowcrank-Request header.
     """
     environment = environment_of(context)
-    addresses = _check_addresses(context, processes)
+    addresses = require_addresses(context, '--processes', processes)
     found = collect(addresses, Filter(request, host, target, part))
     lay_out = format_json if as_json else format_text
     environment.stdout.write(f'{lay_out(found.events)}\n')
@@ -73,22 +72,9 @@
     their time is over, everything in flight finishes, and the exit status is 0.
     """
     environment = environment_of(context)
-    findings = drain(_check_addresses(context, processes))
+    findings = drain(require_addresses(context, '--processes', processes))
     if findings:
         environment.stderr.write(f'{format_findings(findings)}\n')
         return ExitStatus.ERROR
     environment.stdout.write('All of them are draining.\n')
     return ExitStatus.SUCCESS
-
-
-def _check_addresses(context: Context, raw: str) -> tuple[str, ...]:
-    checker = Checker()
-    addresses = checker.addresses('--processes', raw)
-    if not addresses and not checker.findings:
-        checker.report(
-            '--processes', 'no address is given', 'give IP:PORT,IP:PORT,...'
-        )
-    require_no_findings(
-        environment_of(context), 'mallowcrank', checker.findings
-    )
-    return addresses
--- a/mallowcrank/cli/options.py
+++ b/mallowcrank/cli/options.py
@@ -9,6 +9,7 @@
 from mallowcrank import __version__
 from mallowcrank.context import Environment
 from mallowcrank.findings import Finding, format_findings
+from mallowcrank.settings import Checker
 from mallowcrank.status import ExitStatus
 
 
@@ -80,3 +81,17 @@
         f'{format_findings(findings)}\n'
     )
     raise Exit(ExitStatus.BAD_SETTINGS)
+
+
+def require_addresses(context: Context, flag: str, raw: str) -> tuple[str, ...]:
+    """
+    Return the addresses that a flag names, or end with what is wrong.
+    """
+    checker = Checker()
+    addresses = checker.addresses(flag, raw)
+    if not addresses and not checker.findings:
+        checker.report(flag, 'no address is given', 'give IP:PORT,IP:PORT,...')
+    require_no_findings(
+        environment_of(context), 'mallowcrank', checker.findings
+    )
+    return addresses
--- a/mallowcrank/context.py
+++ b/mallowcrank/context.py
@@ -18,6 +18,7 @@
     Streams, variables, clock and randomness. Tests pass their own.
     """
 
+    stdin: TextIO = field(default_factory=lambda: sys.stdin)
     stdout: TextIO = field(default_factory=lambda: sys.stdout)
     stderr: TextIO = field(default_factory=lambda: sys.stderr)
     variables: Mapping[str, str] = field(default_factory=lambda: os.environ)
--- a/mallowcrank/gateway/core.py
+++ b/mallowcrank/gateway/core.py
@@ -101,9 +101,11 @@
     """
     A caller's request on its way to targets.
 
+    :param desired: the version of the desired state that it follows.
     :param until: steady time of its final answer at the latest, in seconds.
     :param sends: times that it was sent and may have run.
     :param refused: times that a target vouched that it did not run.
+    :param waited_s: that it waited for a path.
     :param avoided: lifetimes that it is not sent to again.
     """
 
@@ -114,9 +116,11 @@
     service: ServiceRule
     workspace: str
     priority: int
+    desired: int
     until: float
     sends: int = 0
     refused: int = 0
+    waited_s: float = 0
     avoided: set[Lifetime] = field(default_factory=set)
 
     @property
@@ -170,6 +174,8 @@
         workspace=call.workspace,
         sends=call.sends,
         refused=call.refused,
+        desired=call.desired,
+        waited_s=round(call.waited_s, 4),
         age_s=round(call.age_s(), 4),
         left_s=round(call.left_s(), 3),
         **facts,
--- a/mallowcrank/gateway/front.py
+++ b/mallowcrank/gateway/front.py
@@ -106,6 +106,7 @@
             service=service,
             workspace=workspace.name,
             priority=_priority(workspace, route),
+            desired=desired.version,
             until=request.read_at + _allowed_s(fields, route),
         )
 
--- a/mallowcrank/gateway/journal.py
+++ b/mallowcrank/gateway/journal.py
@@ -6,6 +6,7 @@
 """
 
 import os
+import time
 from collections import deque
 from enum import IntEnum, unique
 from typing import Any
@@ -15,6 +16,7 @@
 from mallowcrank.gateway.steady import steady
 
 STDOUT = 1
+NANOSECONDS = 1_000_000  # of a millisecond
 MOST_WAITING = 4000  # lines; some 1 MB
 MOST_PER_S = 400  # lines on requests that went well
 CHUNK_BYTES = 65_536  # of one write; a pipe's usual size
@@ -64,7 +66,12 @@
         if not self._has_room(weight, now):
             self._dropped += 1
             return
-        line = {'at': round(now, 4), 'host': self._host, 'says': sentence}
+        line = {
+            'at': round(now, 4),
+            'wall_ms': time.time_ns() // NANOSECONDS,
+            'host': self._host,
+            'says': sentence,
+        }
         if self._dropped:
             line['dropped_before'] = self._dropped
             self._dropped = 0
--- /dev/null
+++ b/mallowcrank/operators/gateways.py
@@ -0,0 +1,132 @@
+"""
+What gateways' metrics tell, a row for each.
+"""
+
+from collections import defaultdict
+from collections.abc import Iterable, Mapping, Sequence
+from typing import Any
+
+from prometheus_client.parser import text_string_to_metric_families
+from prometheus_client.samples import Sample
+
+from mallowcrank.calls import OK, HttpCaller
+from mallowcrank.operators.asking import ask_each
+from mallowcrank.ports import Failure
+from mallowcrank.refusals import Ran
+
+PREFIX = 'mallowcrank_'
+ANSWER_S = 3
+MILLISECONDS = 1000
+COLUMNS = (
+    'gateway',
+    'in_flight',
+    'waiting',
+    'served',
+    'refused',
+    'failed',
+    'cut',
+    'first_p50_ms',
+    'first_p95_ms',
+    'store_failures',
+    'outage',
+)
+
+
+def gateway_rows(addresses: Sequence[str]) -> list[dict[str, Any]]:
+    """
+    Ask gateways for their metrics.
+
+    :param addresses: metrics addresses, `IP:PORT`.
+    :returns: a row for each, also where it gave no answer.
+    """
+    rows: list[dict[str, Any]] = []
+    for address, answer in ask_each(addresses, _fetch).items():
+        if isinstance(answer, Failure):
+            rows.append({'gateway': address, 'outage': answer.reason})
+        else:
+            rows.append({'gateway': address, **summarize(answer)})
+    return rows
+
+
+def summarize(text: str) -> dict[str, Any]:
+    """
+    Return the figures of one gateway from its metrics page.
+
+    :raises ValueError: when the text is no metrics page.
+    """
+    samples = [
+        sample
+        for family in text_string_to_metric_families(text)
+        for sample in family.samples
+    ]
+    outcomes = _sums(samples, 'requests_total', 'outcome')
+    calls = _sums(samples, 'store_calls_total', 'outcome')
+    buckets = _buckets(samples)
+    return {
+        'in_flight': _whole(samples, 'in_flight'),
+        'waiting': _whole(samples, 'waiting'),
+        'served': int(outcomes.get('served', 0)),
+        'refused': int(outcomes.get('refused', 0)),
+        'failed': int(outcomes.get('failed', 0)),
+        'cut': int(outcomes.get('cut', 0)),
+        'first_p50_ms': quantile_ms(buckets, 0.5),
+        'first_p95_ms': quantile_ms(buckets, 0.95),
+        'store_failures': int(sum(calls.values()) - calls.get('ok', 0)),
+    }
+
+
+def quantile_ms(buckets: Sequence[tuple[float, float]], part: float) -> str:
+    """
+    Return the upper edge of the bucket that holds a quantile.
+
+    :param buckets: upper edges in seconds, and how many lie below each.
+    """
+    total = buckets[-1][1] if buckets else 0
+    if not total:
+        return ''
+    edge_s = next(edge for edge, below in buckets if below >= total * part)
+    finite = [edge for edge, _ in buckets if edge != float('inf')]
+    if edge_s == float('inf'):
+        return f'>{finite[-1] * MILLISECONDS:.0f}'
+    return f'<={edge_s * MILLISECONDS:.0f}'
+
+
+def _fetch(address: str) -> str | Failure:
+    caller = HttpCaller(address, connections=1)
+    reply = caller.call('GET', '/metrics', timeout_s=ANSWER_S)
+    if isinstance(reply, Failure):
+        return reply
+    if reply.status != OK:
+        return Failure(f'{address} answered {reply.status}', Ran.NO)
+    text = reply.body.decode(errors='replace')
+    try:
+        summarize(text)
+    except ValueError as error:
+        return Failure(f'{address} serves no metrics: {error}', Ran.UNKNOWN)
+    return text
+
+
+def _sums(
+    samples: Iterable[Sample], name: str, label: str
+) -> Mapping[str, float]:
+    sums: dict[str, float] = defaultdict(float)
+    for sample in samples:
+        if sample.name == PREFIX + name:
+            sums[sample.labels.get(label, '')] += sample.value
+    return sums
+
+
+def _whole(samples: Iterable[Sample], name: str) -> int:
+    found = [each.value for each in samples if each.name == PREFIX + name]
+    return int(sum(found))
+
+
+def _buckets(samples: Iterable[Sample]) -> list[tuple[float, float]]:
+    """
+    Return the histogram of first events, over all kinds of request.
+    """
+    sums: dict[float, float] = defaultdict(float)
+    for sample in samples:
+        if sample.name == f'{PREFIX}first_event_seconds_bucket':
+            sums[float(sample.labels['le'])] += sample.value
+    return sorted(sums.items())
--- /dev/null
+++ b/tests/test_operator_gateways.py
@@ -0,0 +1,175 @@
+"""
+The operators' commands about gateways: explain a request, show figures.
+"""
+
+import io
+import os
+import tempfile
+from pathlib import Path
+from unittest import TestCase
+
+from typer import Typer
+
+from mallowcrank.cli.operator_gateways import register
+from mallowcrank.context import Environment
+from mallowcrank.core import main
+from mallowcrank.gateway.journal import Journal, Weight
+from mallowcrank.gateway.meters import Meters
+from mallowcrank.operators.explain import explain, read_log
+from mallowcrank.operators.gateways import quantile_ms, summarize
+from mallowcrank.status import ExitStatus
+from mallowcrank.web import Response, Routes, WebServer
+
+CUT = (
+    '{"at":12.5,"host":"h1","says":"request: cut","request":"r1",'
+    '"sends":1,"refused":1,"age_s":2.5,"why":"503 at e2"}'
+)
+MOVED = (
+    '{"at":12.25,"host":"h1","says":"request: path failed","request":"r1",'
+    '"why":"silent for 0.1 s at e1","path":"e1:0-40,e3:40-80",'
+    '"sends":1,"refused":0,"events":9,"age_s":2.25}'
+)
+SILENT = '{"at":12.2,"host":"h1","says":"fleet: target silent","target":"e1"}'
+OTHER = '{"at":12.2,"host":"h1","says":"fleet: target silent","target":"e9"}'
+STORE = '{"at":8.0,"host":"h1","says":"store: lost","why":"no answer"}'
+LONG_AGO = '{"at":1.0,"host":"h1","says":"store: lost","why":"no answer"}'
+SERVED = (
+    '{"at":12.3,"host":"h1","says":"request: served","request":"r2",'
+    '"dropped_before":3,"age_s":1}'
+)
+
+
+def the_only(lines, request='r1'):
+    found = explained(lines, request)
+    if len(found) != 1:
+        raise AssertionError(f'{len(found)} gateways tell of it')
+    return found[0]
+
+
+def explained(lines, request='r1'):
+    return explain(read_log(lines), request)
+
+
+class TestExplain(TestCase):
+    def test_moments_count_from_the_first_byte(self):
+        found = the_only([CUT, MOVED])
+        offsets = [each.offset_s for each in found.moments]
+        self.assertEqual(offsets, [2.25, 2.5])
+        self.assertEqual(found.end.says, 'request: cut')
+
+    def test_beliefs_about_its_targets_and_the_store_are_shown(self):
+        lines = [LONG_AGO, STORE, SILENT, OTHER, MOVED, SERVED, CUT]
+        found = the_only(lines)
+        shown = [each.line.fields.get('target') for each in found.moments]
+        self.assertEqual(shown, [None, 'e1', None, None])
+        self.assertEqual(found.moments[0].line.says, 'store: lost')
+
+    def test_dropped_lines_are_told(self):
+        found = the_only([MOVED, SERVED, CUT])
+        self.assertEqual(found.dropped, 3)
+
+    def test_a_prefix_and_other_lines_do_no_harm(self):
+        lines = [
+            f'2026-12-04T00:00:00Z h1 {CUT}\n',
+            'not a log line\n',
+            '{"at":"soon"}\n',
+            '{"at":1,\n',
+            '[{"at":1}]\n',
+        ]
+        found = the_only(lines)
+        self.assertEqual(len(found.moments), 1)
+
+    def test_each_host_is_explained_by_itself(self):
+        elsewhere = MOVED.replace('"h1"', '"h2"')
+        found = explained([elsewhere, CUT])
+        self.assertEqual([each.host for each in found], ['h2', 'h1'])
+        self.assertIsNone(found[0].end)
+
+    def test_lines_that_a_gateway_writes_are_read(self):
+        out, written = os.pipe()
+        self.addCleanup(os.close, out)
+        journal = Journal('h1', written)
+        journal.say('request: cut', Weight.FAILURE, request='r1', age_s=1)
+        journal.flush()
+        os.close(written)
+        text = os.read(out, 4096).decode()
+        found = the_only(text.splitlines())
+        self.assertEqual(found.end.age_s, 1)
+        self.assertGreater(found.end.fields['wall_ms'], 0)
+
+
+class TestCommands(TestCase):
+    def setUp(self):
+        self.app = Typer()
+        register(self.app)
+        self.environment = Environment(
+            stdin=io.StringIO(f'{MOVED}\n{CUT}\n'),
+            stdout=io.StringIO(),
+            stderr=io.StringIO(),
+        )
+
+    def run_operator(self, *words):
+        return main(self.app, 'mallowcrank', words, self.environment)
+
+    def output(self):
+        return self.environment.stdout.getvalue()
+
+    def test_a_request_is_explained_from_standard_input(self):
+        status = self.run_operator('explain', 'r1')
+        self.assertEqual(status, ExitStatus.SUCCESS)
+        self.assertIn('request r1 at h1', self.output())
+        self.assertIn('cut after 2.500 s: 503 at e2', self.output())
+
+    def test_a_request_is_explained_from_files(self):
+        with tempfile.TemporaryDirectory() as folder:
+            log = Path(folder, 'h1.log')
+            log.write_text(f'{CUT}\n', encoding='utf-8')
+            status = self.run_operator('explain', 'r1', str(log))
+        self.assertEqual(status, ExitStatus.SUCCESS)
+
+    def test_an_unknown_request_is_an_error(self):
+        status = self.run_operator('explain', 'r7')
+        self.assertEqual(status, ExitStatus.ERROR)
+        self.assertIn('r7', self.environment.stderr.getvalue())
+
+    def test_a_missing_log_is_a_bad_flag(self):
+        status = self.run_operator('explain', 'r1', '/nowhere.log')
+        self.assertEqual(status, ExitStatus.BAD_SETTINGS)
+
+    def test_figures_of_gateways_are_shown_with_those_that_are_out(self):
+        meters = Meters()
+        meters.requests.labels('stream', 'served').inc(7)
+        meters.first.labels('stream').observe(0.06)
+        routes = Routes()
+        routes.add('GET', '/metrics', lambda _: Response(200, meters.text()))
+        server = WebServer('127.0.0.1:0', routes)
+        server.start()
+        self.addCleanup(server.stop)
+        addresses = f'{server.address},127.0.0.1:1'
+        status = self.run_operator('gateways', '--metrics', addresses)
+        self.assertEqual(status, ExitStatus.ERROR)
+        rows = self.output().splitlines()
+        self.assertIn(' 7 ', rows[1])
+        self.assertIn('<=100', rows[1])
+        self.assertIn('can not connect', rows[2])
+
+    def test_no_address_is_a_bad_flag(self):
+        status = self.run_operator('gateways')
+        self.assertEqual(status, ExitStatus.BAD_SETTINGS)
+
+
+class TestFigures(TestCase):
+    def test_a_page_without_requests_has_no_quantiles(self):
+        found = summarize(Meters().text().decode())
+        self.assertEqual(found['served'], 0)
+        self.assertEqual(found['first_p95_ms'], '')
+
+    def test_a_quantile_beyond_the_last_edge_says_so(self):
+        buckets = [(0.5, 1.0), (float('inf'), 10.0)]
+        self.assertEqual(quantile_ms(buckets, 0.95), '>500')
+
+    def test_failed_calls_to_the_store_are_counted(self):
+        meters = Meters()
+        meters.store_calls.labels('read', 'ok').inc(5)
+        meters.store_calls.labels('read', '503').inc(2)
+        self.assertEqual(summarize(meters.text().decode())['store_failures'], 2)
