--- a/mallowcrank/cli/load.py
+++ b/mallowcrank/cli/load.py
@@ -10,6 +10,7 @@
 from cattrs import BaseValidationError
 from typer import Argument, Context, Exit, Option, Typer
 
+from mallowcrank.cli import load_experiment
 from mallowcrank.cli.options import (
     Version,
     environment_of,
@@ -187,3 +188,6 @@
         return
     lines = [f'{json.dumps(to_plain(each))}\n' for each in evidence.records]
     Path(name).write_text(''.join(lines), encoding='utf-8')
+
+
+load_experiment.register(app)
--- /dev/null
+++ b/mallowcrank/cli/load_experiment.py
@@ -0,0 +1,103 @@
+"""
+`mallowcrank-load experiment`: policies in the emulator.
+"""
+
+import json
+from collections.abc import Container, Sequence
+from pathlib import Path
+from typing import Annotated
+
+from typer import Context, Option, Typer
+
+from mallowcrank.cli.options import environment_of, require_no_findings
+from mallowcrank.operators.tables import format_table
+from mallowcrank.settings import Checker
+from mallowcrank.status import ExitStatus
+
+PROGRAM = 'mallowcrank-load'
+MOST_SEEDS = 50
+
+
+def register(app: Typer) -> None:
+    """
+    Add the command to the program of loads.
+    """
+    app.command('experiment')(experiment)
+
+
+def experiment(
+    context: Context,
+    policies: Annotated[
+        str, Option('--policies', help='Names, separated by commas.')
+    ] = 'product,one-copy,nearest,least-loaded,random',
+    loads: Annotated[
+        str, Option('--loads', help='Names, separated by commas.')
+    ] = 'busy,losses',
+    seeds: Annotated[
+        str, Option('--seeds', help='How many seeds, from 1 on.')
+    ] = '1',
+    json_file: Annotated[
+        str, Option('--json', help='Where the table goes as JSON.')
+    ] = '',
+    plot: Annotated[str, Option('--plot', help='FILE.png for a picture.')] = '',
+    names: Annotated[
+        bool, Option('--names', help='List policies and loads, and end.')
+    ] = False,
+) -> int:
+    """
+    Compare policies in an emulator of engines, routers and callers.
+
+    It runs in virtual time, one run after the other, some seconds each. Exit
+    statuses: 0 done, 2 bad flags.
+    """
+    # The emulator is an extra: `pip install mallowcrank[bench]`.
+    from mallowcrank.emulator.experiment import (
+        COLUMNS,
+        Experiment,
+        rows_of,
+    )
+    from mallowcrank.emulator.load import LOADS
+    from mallowcrank.emulator.policies import POLICIES
+
+    environment = environment_of(context)
+    if names:
+        for name, described in (*POLICIES.items(), *LOADS.items()):
+            environment.stdout.write(f'{name:14} {described.about}\n')
+        return ExitStatus.SUCCESS
+    checker = Checker()
+    planned = Experiment(
+        policies=_names(checker, '--policies', policies, POLICIES),
+        loads=_names(checker, '--loads', loads, LOADS),
+        seeds=range(
+            1, int(checker.number('--seeds', seeds, 1, MOST_SEEDS)) + 1
+        ),
+    )
+    if plot and not plot.endswith('.png'):
+        checker.report('--plot', f'{plot!r} is no picture', 'end in .png')
+    require_no_findings(environment, PROGRAM, checker.findings)
+
+    def say(line: str) -> None:
+        environment.stderr.write(f'load: {line}\n')
+
+    rows = rows_of(tuple(planned.play(say)))
+    environment.stdout.write(f'{format_table(rows, COLUMNS)}\n')
+    if json_file:
+        text = json.dumps(rows, indent=2)
+        Path(json_file).write_text(f'{text}\n', encoding='utf-8')
+    if plot:
+        from mallowcrank.emulator.plots import write_picture
+
+        write_picture(rows, Path(plot))
+    return ExitStatus.SUCCESS
+
+
+def _names(
+    checker: Checker, flag: str, raw: str, known: Container[str]
+) -> Sequence[str]:
+    given = [name.strip() for name in raw.split(',') if name.strip()]
+    for name in given:
+        if name not in known:
+            checker.report(flag, f'{name!r} is unknown', 'see --names')
+    if not given:
+        checker.report(flag, 'no name is given', 'see --names')
+    return given
--- /dev/null
+++ b/mallowcrank/emulator/__init__.py
@@ -0,0 +1,3 @@
+"""
+An emulator of model engines, routers and callers, in virtual time.
+"""
--- /dev/null
+++ b/mallowcrank/emulator/policies.py
@@ -0,0 +1,254 @@
+"""
+Policies that an experiment compares: how layers are placed, how paths are
+chosen. The product's own are called as it calls them; the others are plain
+ways that it has to beat.
+"""
+
+from collections.abc import Callable, Mapping, Sequence
+from dataclasses import dataclass, replace
+from random import Random
+from types import MappingProxyType
+
+from mallowcrank.chains.engines import ChainEngine, layer_ms, most_layers
+from mallowcrank.chains.paths import (
+    ChainPath,
+    Choosing,
+    NoPath,
+    Part,
+    choose_path,
+)
+from mallowcrank.chains.placement import Placing, empty_card, plan_layers
+from mallowcrank.chains.windows import Card
+from mallowcrank.emulator.site import SiteCard
+from mallowcrank.gateway.desired import EngineRule
+from mallowcrank.routing.path import Candidate, cheapest_way
+
+PathChoice = Callable[
+    [Choosing, Sequence[ChainEngine], Random], ChainPath | NoPath
+]
+LayerPlan = Callable[[int, Sequence[Card]], tuple[Placing, ...]]
+UsualLayers = Callable[[EngineRule, SiteCard], int]
+
+
+@dataclass(frozen=True, slots=True)
+class Policy:
+    """
+    One way to run a site.
+
+    :param usual: layers that a card takes beside memory for requests.
+    :param notices_s: from an engine's death until routers know of it.
+    :param patience_s: that a request waits for a path.
+    :param resumes: whether a broken stream goes on elsewhere.
+    """
+
+    about: str
+    choose: PathChoice
+    usual: UsualLayers
+    plan: LayerPlan = plan_layers
+    notices_s: float = 0.2
+    patience_s: float = 0.4
+    resumes: bool = True
+
+
+def as_card(rule: EngineRule, policy: Policy, card: SiteCard) -> Card:
+    """
+    Return an empty card as a plan sees it.
+    """
+    kind = rule.kinds[card.kind]
+    empty = empty_card(
+        card.lifetime, card.zone, most_layers(rule, kind), kind.pace
+    )
+    usual = policy.usual(rule, card)
+    return replace(empty, usual=usual, most=max(usual, empty.most))
+
+
+def filled(share: float) -> UsualLayers:
+    """
+    Return what lets layers take a share of each card's memory.
+    """
+
+    def usual(rule: EngineRule, card: SiteCard) -> int:
+        fitting = rule.kinds[card.kind].size_mb // rule.layer_mb
+        return max(1, int(fitting * share))
+
+    return usual
+
+
+def with_tokens(tokens: float) -> UsualLayers:
+    """
+    Return what leaves each card memory for as many tokens at all its layers.
+    """
+
+    def usual(rule: EngineRule, card: SiteCard) -> int:
+        token_mb = rule.token_bytes / rule.layers / 1_000_000
+        layer_mb = rule.layer_mb + tokens * token_mb
+        return max(1, int(rule.kinds[card.kind].size_mb / layer_mb))
+
+    return usual
+
+
+def one_copy_a_zone(layers: int, cards: Sequence[Card]) -> tuple[Placing, ...]:
+    """
+    Lay one copy over all cards of a zone by their memory; nothing is moved.
+    """
+    placings: list[Placing] = []
+    for zone in sorted({card.zone for card in cards}):
+        group = [card for card in cards if card.zone == zone]
+        if all(card.is_empty for card in group):
+            placings.extend(_spread(layers, group))
+    return tuple(placings)
+
+
+def _spread(layers: int, group: Sequence[Card]) -> list[Placing]:
+    total = sum(card.usual for card in group)
+    placings = []
+    done = 0
+    first = 0
+    for card in group:
+        done += card.usual
+        end = round(layers * done / total)
+        if end > first:
+            placings.append(Placing(card.lifetime, first, end))
+        first = end
+    return placings
+
+
+def choose_any(
+    choosing: Choosing, engines: Sequence[ChainEngine], random: Random
+) -> ChainPath | NoPath:
+    """
+    Take engines at random, layer after layer.
+    """
+    return _walk(choosing, engines, lambda _: random.random())
+
+
+def choose_least_loaded(
+    choosing: Choosing, engines: Sequence[ChainEngine], random: Random
+) -> ChainPath | NoPath:
+    """
+    Take the engines with the most free memory, layer after layer.
+    """
+    return _walk(choosing, engines, lambda engine: engine.used_share)
+
+
+def choose_nearest(
+    choosing: Choosing, engines: Sequence[ChainEngine], random: Random
+) -> ChainPath | NoPath:
+    """
+    Take the router's own zone, else any that has a path; load doesn't count.
+    """
+    zones = sorted({engine.zone for engine in engines})
+    zones.sort(key=lambda zone: zone != choosing.zone)
+    for zone in zones:
+        near = [engine for engine in engines if engine.zone == zone]
+        found = _fastest(choosing, near)
+        if isinstance(found, ChainPath):
+            return found
+    return NoPath.UNCOVERED
+
+
+def choose_best(
+    choosing: Choosing, engines: Sequence[ChainEngine], random: Random
+) -> ChainPath | NoPath:
+    """
+    Choose as the product does.
+    """
+    return choose_path(choosing, engines)
+
+
+def _fastest(
+    choosing: Choosing, engines: Sequence[ChainEngine]
+) -> ChainPath | NoPath:
+    candidates = [
+        Candidate(
+            target=engine.lifetime.identity,
+            incarnation=engine.lifetime.born_ms,
+            first_layer=engine.held.first,
+            last_layer=engine.held.end - 1,
+            enter_ms=0,
+            layer_ms=layer_ms(choosing.rule, engine.kind, choosing.need),
+        )
+        for engine in engines
+    ]
+    way = cheapest_way(choosing.rule.layers, candidates)
+    if not way.stages:
+        return NoPath.UNCOVERED
+    by_name = {engine.lifetime.identity: engine for engine in engines}
+    parts = tuple(
+        Part(
+            by_name[stage.target].lifetime,
+            stage.first_layer,
+            stage.last_layer + 1,
+        )
+        for stage in way.stages
+    )
+    return ChainPath(parts, 0, way.cost_ms)
+
+
+def _walk(
+    choosing: Choosing,
+    engines: Sequence[ChainEngine],
+    rank: Callable[[ChainEngine], float],
+) -> ChainPath | NoPath:
+    parts: list[Part] = []
+    layer = 0
+    left = list(engines)
+    while layer < choosing.rule.layers:
+        able = [each for each in left if each.held.first <= layer]
+        able = [each for each in able if layer < each.held.end]
+        if not able:
+            return NoPath.UNCOVERED
+        chosen = min(able, key=rank)
+        left.remove(chosen)
+        parts.append(Part(chosen.lifetime, layer, chosen.held.end))
+        layer = chosen.held.end
+    return ChainPath(tuple(parts), 0, 0)
+
+
+PRODUCT = Policy(
+    'as the product does: layers on 0.70 of a card', choose_best, filled(0.7)
+)
+
+POLICIES: Mapping[str, Policy] = MappingProxyType(
+    {
+        'product': PRODUCT,
+        'random': replace(
+            PRODUCT, about='engines at random', choose=choose_any
+        ),
+        'least-loaded': replace(
+            PRODUCT,
+            about='engines with the most free memory',
+            choose=choose_least_loaded,
+        ),
+        'nearest': Policy(
+            'one copy a zone, nearest path; no resume, no wait',
+            choose_nearest,
+            filled(1),
+            one_copy_a_zone,
+            patience_s=0,
+            resumes=False,
+        ),
+        'one-copy': replace(
+            PRODUCT,
+            about='one copy a zone, paths as the product',
+            usual=filled(1),
+            plan=one_copy_a_zone,
+        ),
+        **{
+            f'fill-{share:.2f}': replace(
+                PRODUCT,
+                about=f'layers on {share:.2f} of a card',
+                usual=filled(share),
+            )
+            for share in (0.5, 0.6, 0.65, 0.75, 0.8)
+        },
+        **{
+            f'tokens-{thousands}k': replace(
+                PRODUCT,
+                about=f'memory for {thousands},000 tokens on each card',
+                usual=with_tokens(thousands * 1000),
+            )
+            for thousands in (45, 55, 64, 75, 90)
+        },
+    }
+)
--- /dev/null
+++ b/mallowcrank/emulator/routers.py
@@ -0,0 +1,218 @@
+"""
+Emulated routers: each knows its own reservations, and those of others late.
+"""
+
+from collections.abc import Generator, Sequence
+from dataclasses import dataclass, field
+from itertools import count
+from random import Random
+
+from simpy import Environment, Event
+
+from mallowcrank.chains.engines import ChainEngine, Need
+from mallowcrank.chains.memory import MemoryLedger, Told
+from mallowcrank.chains.paths import ChainPath, Choosing, NoPath
+from mallowcrank.emulator.engines import (
+    Engine,
+    Running,
+    first_full,
+    start,
+    stop,
+)
+from mallowcrank.emulator.load import Job
+from mallowcrank.emulator.policies import Policy
+from mallowcrank.emulator.site import Site
+from mallowcrank.gateway.path_finder import GUESS_FACTOR
+from mallowcrank.gateway.peers import PERIOD_S
+from mallowcrank.gateway.streams import MOST_TRIES
+from mallowcrank.gateway.targets import Lifetime
+from mallowcrank.gateway.waiting import LOOK_S
+
+TIMEOUT_S = 20.0
+
+
+@dataclass(slots=True)
+class Outcome:
+    """
+    What a caller got.
+
+    :param events: passed on, with their virtual times.
+    """
+
+    job: Job
+    refused: bool = False
+    is_whole: bool = False
+    tries: int = 0
+    events: list[float] = field(default_factory=list)
+
+
+@dataclass(slots=True)
+class Fleet:
+    """
+    All engines, and what routers have noticed of them.
+
+    :param known_dead: engines that routers know to be dead.
+    """
+
+    engines: dict[Lifetime, Engine]
+    known_dead: set[Lifetime] = field(default_factory=set)
+    running: set[Running] = field(default_factory=set)
+    order: count = field(default_factory=count)
+
+    def through(self, lifetime: Lifetime) -> list[Running]:
+        """
+        Return the streams that pass an engine.
+        """
+        return [
+            stream
+            for stream in self.running
+            if stream.passes(self.engines[lifetime])
+        ]
+
+
+class Router:
+    """
+    One router.
+    """
+
+    def __init__(
+        self,
+        env: Environment,
+        site: Site,
+        policy: Policy,
+        fleet: Fleet,
+        named: tuple[str, str],
+        random: Random,
+    ) -> None:
+        self.name = named[0]
+        self.zone = named[1]
+        self.ledger = MemoryLedger()
+        self._env = env
+        self._site = site
+        self._policy = policy
+        self._fleet = fleet
+        self._random = random
+
+    def serve(self, job: Job, outcome: Outcome) -> Generator[Event]:
+        """
+        Serve one request, path after path.
+        """
+        until = self._env.now + TIMEOUT_S
+        avoided: set[Lifetime] = set()
+        while outcome.tries < MOST_TRIES and self._env.now < until:
+            path = yield from self._find_path(job, outcome, avoided)
+            if path is None:
+                outcome.refused = not outcome.events
+                return
+            outcome.tries += 1
+            yield from self._run(job, outcome, path, avoided)
+            if outcome.is_whole:
+                return
+            if outcome.events and not self._policy.resumes:
+                return
+
+    def _find_path(
+        self, job: Job, outcome: Outcome, avoided: set[Lifetime]
+    ) -> Generator[Event, None, ChainPath | None]:
+        until = self._env.now + self._policy.patience_s
+        while True:
+            choosing = Choosing(self._site.rule, self._need(job), self.zone)
+            found = self._policy.choose(
+                choosing, self._engines(avoided), self._random
+            )
+            if not isinstance(found, NoPath):
+                return found
+            if self._env.now >= until:
+                return None
+            yield self._env.timeout(LOOK_S)
+
+    def _run(
+        self,
+        job: Job,
+        outcome: Outcome,
+        path: ChainPath,
+        avoided: set[Lifetime],
+    ) -> Generator[Event]:
+        tokens = self._need(job).tokens
+        self.ledger.reserve(path.parts, tokens)
+        ended = self._env.event()
+        stream = self._open(job, outcome, path, ended)
+        full = first_full(stream)
+        if full is None:
+            self._fleet.running.add(stream)
+            start(stream, self._site.times.chunk)
+            yield ended
+            self._fleet.running.discard(stream)
+            stream.is_over = True
+            stop(stream)
+        else:
+            avoided.add(full.card.lifetime)
+            yield self._env.timeout(self._site.times.hop_s)
+        self.ledger.release(path.parts, tokens)
+
+    def _open(
+        self, job: Job, outcome: Outcome, path: ChainPath, ended: Event
+    ) -> Running:
+        done = len(outcome.events) * self._site.times.stride
+
+        def on_event() -> None:
+            outcome.events.append(self._env.now)
+            if len(outcome.events) >= job.events:
+                outcome.is_whole = True
+                stream.is_over = True
+                ended.succeed()
+
+        def on_cut() -> None:
+            if not ended.triggered:
+                ended.succeed()
+
+        stream = Running(
+            order=next(self._fleet.order),
+            parts=path.parts,
+            engines=tuple(
+                self._fleet.engines[part.lifetime] for part in path.parts
+            ),
+            tokens=job.prompt + done,
+            on_event=on_event,
+            on_cut=on_cut,
+        )
+        return stream
+
+    def _need(self, job: Job) -> Need:
+        return Need(job.prompt, job.hint * GUESS_FACTOR)
+
+    def _engines(self, avoided: set[Lifetime]) -> list[ChainEngine]:
+        now = self._env.now
+        found = []
+        for lifetime, engine in self._fleet.engines.items():
+            held = engine.held
+            if held is None or lifetime in avoided:
+                continue
+            if lifetime in self._fleet.known_dead:
+                continue
+            used = self.ledger.reserved(lifetime, now)
+            found.append(
+                ChainEngine(
+                    lifetime=lifetime,
+                    zone=engine.card.zone,
+                    held=held,
+                    kind=self._site.rule.kinds[engine.card.kind],
+                    pace=engine.slowness,
+                    room=engine.memory.size - used,
+                    size=engine.memory.size,
+                )
+            )
+        return found
+
+
+def gossip(env: Environment, routers: Sequence[Router]) -> Generator[Event]:
+    """
+    Tell all routers of each other's reservations, for good.
+    """
+    while True:
+        yield env.timeout(PERIOD_S)
+        for router in routers:
+            told = Told(env.now, dict(router.ledger.own()))
+            for other in routers:
+                if other is not router:
+                    other.ledger.hear(router.name, told)
--- /dev/null
+++ b/mallowcrank/emulator/site.py
@@ -0,0 +1,119 @@
+"""
+What is emulated: engines of several kinds in availability zones, and routers.
+"""
+
+from collections.abc import Iterator, Mapping
+from dataclasses import dataclass
+from types import MappingProxyType
+
+from mallowcrank.gateway.desired import Accelerator, EngineRule
+from mallowcrank.gateway.targets import Lifetime
+
+
+@dataclass(frozen=True, slots=True)
+class EngineTimes:
+    """
+    How engines spend their time, beside what the rule of a service tells.
+
+    :param stride: steps of a pass that writes; an event holds as many tokens.
+    :param chunk: prompt tokens that one step reads.
+    :param context_ms: of a step, for each 1,000 tokens of a stream's context.
+    :param stall_s: until a stream whose engine died is cut off.
+    :param load_s: to load all layers.
+    :param hop_s: from engine to engine, inside a zone.
+    :param away_s: the same between zones.
+    """
+
+    stride: int = 4
+    chunk: int = 512
+    context_ms: float = 0.0123
+    stall_s: float = 2
+    load_s: float = 14
+    hop_s: float = 0.0004
+    away_s: float = 0.002
+
+
+@dataclass(frozen=True, slots=True)
+class SiteCard:
+    """
+    One engine of a site.
+    """
+
+    lifetime: Lifetime
+    zone: str
+    kind: str
+
+
+@dataclass(frozen=True, slots=True)
+class Site:
+    """
+    One installation.
+
+    :param kinds: cards by zone and kind.
+    :param routers: how many routers each zone has.
+    """
+
+    rule: EngineRule
+    kinds: Mapping[str, Mapping[str, int]]
+    routers: Mapping[str, int]
+    times: EngineTimes = EngineTimes()
+
+    def cards(self) -> tuple[SiteCard, ...]:
+        """
+        Return all engines.
+        """
+        return tuple(
+            SiteCard(Lifetime(f'{zone}-{kind}-{number}', 0), zone, kind)
+            for zone, kind, count in self._counts()
+            for number in range(count)
+        )
+
+    def router_names(self) -> tuple[tuple[str, str], ...]:
+        """
+        Return the routers with their zones.
+        """
+        return tuple(
+            (f'{zone}-{number}', zone)
+            for zone, count in self.routers.items()
+            for number in range(count)
+        )
+
+    def _counts(self) -> Iterator[tuple[str, str, int]]:
+        for zone, kinds in self.kinds.items():
+            for kind, count in kinds.items():
+                yield zone, kind, count
+
+
+RULE = EngineRule(
+    layers=80,
+    layer_mb=1750,
+    token_bytes=1_180_000,
+    step_ms=1.02,
+    sequence_ms=0.00918,
+    read_per_s=164_000,
+    usual_prompt=775,
+    usual_answer=215,
+    hop_bytes=59_000,
+    pipe_mbps=13_000,
+    slots=96,
+    kinds=MappingProxyType(
+        {
+            'a100': Accelerator(72_000, 2.4, 3.2),
+            'v100': Accelerator(14_400, 5.3, 7.9),
+            'l4': Accelerator(21_600, 16, 8.2),
+        }
+    ),
+)
+
+# A model of 140 GB on mixed cards, in three zones of some 290 GB.
+THREE_ZONES = Site(
+    rule=RULE,
+    kinds=MappingProxyType(
+        {
+            'a': MappingProxyType({'a100': 1, 'v100': 10, 'l4': 4}),
+            'b': MappingProxyType({'a100': 2, 'v100': 4, 'l4': 4}),
+            'c': MappingProxyType({'a100': 1, 'v100': 6, 'l4': 6}),
+        }
+    ),
+    routers=MappingProxyType({'a': 3, 'b': 2, 'c': 2}),
+)
--- /dev/null
+++ b/tests/test_emulator.py
@@ -0,0 +1,263 @@
+"""
+The emulator: engines, routers and callers in virtual time.
+"""
+
+import io
+import json
+import tempfile
+from dataclasses import replace
+from pathlib import Path
+from random import Random
+from types import MappingProxyType
+from unittest import TestCase
+
+from simpy import Environment
+
+from mallowcrank.chains.paths import Part
+from mallowcrank.cli.load import app
+from mallowcrank.context import Environment as ProgramEnvironment
+from mallowcrank.core import main
+from mallowcrank.emulator.engines import (
+    Engine,
+    Running,
+    first_full,
+    start,
+    stop,
+)
+from mallowcrank.emulator.experiment import Experiment, rows_of
+from mallowcrank.emulator.figures import figures_of, is_on_time
+from mallowcrank.emulator.load import LOADS, Job, Load, Trouble
+from mallowcrank.emulator.memory import Memory
+from mallowcrank.emulator.policies import POLICIES, with_tokens
+from mallowcrank.emulator.routers import Outcome
+from mallowcrank.emulator.run import Run
+from mallowcrank.emulator.site import RULE, THREE_ZONES, SiteCard
+from mallowcrank.gateway.targets import HeldLayers, Lifetime
+from mallowcrank.status import ExitStatus
+
+FEW = MappingProxyType({'a': 3.0, 'b': 3.0, 'c': 3.0})
+SHORT = Load('a few requests', FEW, seconds=6)
+
+
+class TestEngines(TestCase):
+    def setUp(self):
+        self.env = Environment()
+        self.events = []
+
+    def engine(self, kind='a100', held=(0, 40)):
+        card = SiteCard(Lifetime(f'{kind}-{held[0]}', 0), 'a', kind)
+        engine = Engine(self.env, THREE_ZONES, card)
+        engine.hold(HeldLayers(*held, 0))
+        return engine
+
+    def stream(self, engines, tokens=1000, order=1):
+        stream = Running(
+            order=order,
+            parts=tuple(
+                Part(each.card.lifetime, each.held.first, each.held.end)
+                for each in engines
+            ),
+            engines=tuple(engines),
+            tokens=tokens,
+            on_event=lambda: self.events.append((order, self.env.now)),
+            on_cut=lambda: None,
+        )
+        return stream
+
+    def test_a_prompt_is_read_before_the_first_event(self):
+        start(self.stream([self.engine(), self.engine(held=(40, 80))]), 512)
+        self.env.run(until=1)
+        first_s = self.events[0][1]
+        # 1,000 tokens at 164 a ms and a factor of 3.2, and two hops.
+        self.assertGreater(first_s, 1000 / 164_000 * 3.2)
+        self.assertLess(first_s, 0.03)
+
+    def test_events_come_at_the_pace_of_the_cards(self):
+        start(self.stream([self.engine(), self.engine(held=(40, 80))]), 512)
+        self.env.run(until=1)
+        pause_s = self.events[5][1] - self.events[4][1]
+        steps_s = RULE.step_ms * 2.4 * 4 / 1000
+        self.assertGreater(pause_s, steps_s)
+        self.assertLess(pause_s, steps_s * 1.3)
+
+    def test_a_slow_engine_slows_its_streams(self):
+        engines = [self.engine(), self.engine(held=(40, 80))]
+        engines[1].slowness = 5
+        start(self.stream(engines), 512)
+        self.env.run(until=1)
+        pause_s = self.events[5][1] - self.events[4][1]
+        self.assertGreater(pause_s, RULE.step_ms * 2.4 * 4 / 1000 * 3)
+
+    def test_the_newest_stream_goes_when_memory_ends_and_comes_back(self):
+        engine = self.engine(held=(0, 80))
+        engine.memory.size = 80 * 2010
+        old = self.stream([engine], 1000, order=1)
+        new = self.stream([engine], 1000, order=2)
+        start(old, 512)
+        start(new, 512)
+        self.env.run(until=0.2)
+        self.assertEqual(engine.preempted, 1)
+        self.assertEqual(engine.memory.owners, (old,))
+        old.is_over = True
+        stop(old)
+        self.assertEqual(engine.memory.owners, (new,))
+
+    def test_a_dead_engine_gives_nothing_more(self):
+        engines = [self.engine(), self.engine(held=(40, 80))]
+        stream = self.stream(engines)
+        start(stream, 512)
+        self.env.run(until=0.1)
+        engines[1].die()
+        count = len(self.events)
+        self.env.run(until=1)
+        self.assertEqual(len(self.events), count)
+        self.assertIs(first_full(stream), engines[1])
+
+
+class TestMemory(TestCase):
+    def test_what_is_given_back_is_what_was_taken(self):
+        memory = Memory()
+        memory.size = 10
+        memory.take('one', 4)
+        memory.take('one', 3)
+        memory.take('two', 5)
+        self.assertEqual(memory.room, -2)
+        memory.give_back('one')
+        memory.give_back('one')
+        self.assertEqual(memory.room, 5)
+        self.assertEqual(memory.owners, ('two',))
+
+
+class TestFigures(TestCase):
+    def outcome(self, *events, whole=True):
+        job = Job(1, 0, 'a', 700, len(events), 200)
+        return Outcome(job, is_whole=whole, events=list(events))
+
+    def test_a_late_first_event_a_pause_and_a_cut_are_not_on_time(self):
+        self.assertTrue(is_on_time(self.outcome(0.5, 0.75)))
+        self.assertFalse(is_on_time(self.outcome(0.51, 0.6)))
+        self.assertFalse(is_on_time(self.outcome(0.1, 0.36)))
+        self.assertFalse(is_on_time(self.outcome(0.1, whole=False)))
+
+    def test_each_request_ends_in_one_way(self):
+        refused = self.outcome(whole=False)
+        refused.refused = True
+        found = figures_of(
+            [
+                self.outcome(0.1),
+                self.outcome(0.9),
+                self.outcome(0.1, whole=False),
+                refused,
+            ],
+            preempted=0,
+        )
+        self.assertEqual(
+            (found.in_aim, found.late, found.failed, found.refused),
+            (0.25, 0.25, 0.25, 0.25),
+        )
+
+
+class TestLoads(TestCase):
+    def test_a_seed_always_gives_the_same_requests(self):
+        jobs = list(SHORT.jobs(Random(1), 4))
+        self.assertEqual(jobs, list(SHORT.jobs(Random(1), 4)))
+        self.assertNotEqual(jobs, list(SHORT.jobs(Random(2), 4)))
+
+    def test_a_burst_raises_the_rate(self):
+        load = replace(SHORT, seconds=40, burst=4, burst_at=10, burst_s=20)
+        jobs = list(load.jobs(Random(1), 4))
+        inside = [each for each in jobs if 10 <= each.at < 30]
+        self.assertGreater(len(inside), 2 * len(jobs) / 3)
+
+
+class TestRuns(TestCase):
+    def play(self, policy='product', load=SHORT, seed=1):
+        return Run(THREE_ZONES, POLICIES[policy], load, seed).play()
+
+    def test_a_light_load_is_served_whole_and_on_time(self):
+        found = self.play()
+        self.assertEqual(found.in_aim, 1)
+        self.assertEqual(found.preempted, 0)
+
+    def test_a_seed_repeats(self):
+        self.assertEqual(self.play(), self.play())
+
+    def test_the_product_beats_the_nearest_path_where_engines_die(self):
+        load = replace(SHORT, troubles=(Trouble('dies', 3),))
+        product = self.play(load=load)
+        nearest = self.play('nearest', load=load)
+        self.assertEqual(product.failed, 0)
+        self.assertGreater(product.credit, nearest.credit)
+
+    def test_every_policy_serves_a_light_load(self):
+        for name in ('random', 'least-loaded', 'one-copy', 'tokens-75k'):
+            with self.subTest(policy=name):
+                found = self.play(name, replace(SHORT, seconds=2))
+                self.assertEqual(found.in_aim + found.late, 1)
+
+    def test_a_card_keeps_memory_for_the_tokens_asked_for(self):
+        usual = with_tokens(64_000)
+        for card in THREE_ZONES.cards():
+            kind = RULE.kinds[card.kind]
+            count = usual(RULE, card)
+            free_mb = kind.size_mb - count * RULE.layer_mb
+            tokens = free_mb * 1e6 / (RULE.token_bytes / RULE.layers) / count
+            self.assertGreaterEqual(tokens, 64_000)
+
+    def test_means_are_taken_over_the_seeds(self):
+        planned = Experiment(('product',), ('calm',), ())
+        self.assertEqual(rows_of(tuple(planned.play(print))), [])
+
+
+class TestCommand(TestCase):
+    def setUp(self):
+        self.environment = ProgramEnvironment(
+            stdout=io.StringIO(), stderr=io.StringIO()
+        )
+
+    def run_load(self, *words):
+        return main(app, 'mallowcrank-load', words, self.environment)
+
+    def test_names_are_listed(self):
+        self.assertEqual(
+            self.run_load('experiment', '--names'), ExitStatus.SUCCESS
+        )
+        text = self.environment.stdout.getvalue()
+        for name in (*POLICIES, *LOADS):
+            self.assertIn(name, text)
+
+    def test_unknown_names_are_all_reported(self):
+        status = self.run_load(
+            'experiment',
+            '--policies',
+            'best',
+            '--loads',
+            'none',
+            '--seeds',
+            '0',
+        )
+        self.assertEqual(status, ExitStatus.BAD_SETTINGS)
+        text = self.environment.stderr.getvalue()
+        for flag in ('--policies', '--loads', '--seeds'):
+            self.assertIn(flag, text)
+
+    def test_a_table_and_a_picture_are_written(self):
+        with tempfile.TemporaryDirectory() as folder:
+            table = Path(folder, 'table.json')
+            picture = Path(folder, 'picture.png')
+            status = self.run_load(
+                'experiment',
+                '--policies',
+                'product',
+                '--loads',
+                'calm',
+                '--json',
+                str(table),
+                '--plot',
+                str(picture),
+            )
+            self.assertEqual(status, ExitStatus.SUCCESS)
+            rows = json.loads(table.read_text(encoding='utf-8'))
+            self.assertEqual(rows[0]['policy'], 'product')
+            self.assertGreater(picture.stat().st_size, 1000)
+        self.assertIn('event_ms', self.environment.stdout.getvalue())
