Leave the group of gateways for good when a gateway stops

Cause: a gateway that stopped left the group and renewed its lease a second later. Ruled out: a lost leave call (the log has it answered). Change: the renewals end with the leaving; the two calls take turns. Test: a member that leaves at any moment does not join again; fails without.

--- a/mallowcrank/gateway/duty.py
+++ b/mallowcrank/gateway/duty.py
@@ -75,6 +75,8 @@
         self._pauses = Pauses(Random())
         self._generation = 0
         self._holds = False
+        self._has_left = False
+        self._turn = asyncio.Lock()
         self._renewed_at = -ALONE_S
         self._known_generation = -1
         self._lease_s = max(LEASE_S, settings.lease_least_s)
@@ -99,21 +101,35 @@
 
     async def run(self) -> None:
         """
-        Stay in the group for good.
+        Stay in the group until it is left.
         """
-        while True:
-            if await self._renew():
+        while not self._has_left:
+            if await self.renew():
                 self._pauses.clear()
                 await asyncio.sleep(PERIOD_S)
             else:
                 await self._pauses.wait()
 
+    async def renew(self) -> bool:
+        """
+        Renew the lease once, unless the group was left.
+
+        :returns: whether this gateway is a member.
+        """
+        async with self._turn:
+            return not self._has_left and await self._renew()
+
     async def leave(self) -> None:
         """
-        Leave the group.
+        Leave the group for good: a renewal would join it again.
         """
         self._holds = False
-        await self._link.call('leave', self._calls.leave(GROUP, self._member))
+        self._has_left = True
+        async with self._turn:
+            self._holds = False
+            await self._link.call(
+                'leave', self._calls.leave(GROUP, self._member)
+            )
 
     async def _renew(self) -> bool:
         asked_at = steady()
--- a/tests/test_gateway_beliefs.py
+++ b/tests/test_gateway_beliefs.py
@@ -2,6 +2,7 @@
 What a gateway believes: targets, desired state, other gateways.
 """
 
+import asyncio
 import json
 import os
 from random import Random
@@ -10,7 +11,7 @@
 
 from mallowcrank.chains.memory import MemoryLedger
 from mallowcrank.gateway.directory import fronts_for
-from mallowcrank.gateway.duty import takes_over
+from mallowcrank.gateway.duty import Duty, takes_over
 from mallowcrank.gateway.fleet import LAPSE_S, Fleet
 from mallowcrank.gateway.followers import (
     DesiredFollower,
@@ -404,6 +405,58 @@
         self.assertFalse(takes_over('h1', [], lost_s=0.5))
 
 
+class SteadyLink:
+    """
+    Answers each call alike, after a turn of the loop.
+    """
+
+    lost_at = None
+
+    def __init__(self, body):
+        self.body = body
+        self.names = []
+
+    async def call(self, name, call, wait_s=0):
+        self.names.append(name)
+        await asyncio.sleep(0)
+        return StoreAnswer(200, self.body)
+
+
+class TestDuty(IsolatedAsyncioTestCase):
+    def setUp(self):
+        body = b'{"generation": 4, "ttl_ms": 3000, "parts": [["t", 0, 0]]}'
+        self.link = SteadyLink(body)
+        self.duty = Duty(
+            settings=Mock(lease_least_s=3),
+            member='h1/abcd/10.0.0.1:1',
+            link=self.link,
+            vocabulary=VOCABULARY,
+            peers=Mock(),
+            journal=quiet_journal(),
+        )
+
+    async def test_the_owner_of_the_first_partition_holds_the_duty(self):
+        running = asyncio.create_task(self.duty.run())
+        while not self.duty.holding:
+            await asyncio.sleep(0)
+        self.assertEqual(self.duty.holding, 4)
+        running.cancel()
+
+    async def test_a_member_that_leaves_does_not_join_again(self):
+        for turns in range(6):
+            with self.subTest(turns=turns):
+                self.setUp()
+                running = asyncio.create_task(self.duty.run())
+                for _ in range(turns):
+                    await asyncio.sleep(0)
+                await self.duty.leave()
+                self.assertEqual(self.link.names[-1], 'leave')
+                self.assertFalse(await self.duty.renew())
+                self.assertEqual(self.link.names[-1], 'leave')
+                self.assertEqual(self.duty.holding, 0)
+                running.cancel()
+
+
 class TestJournal(TestCase):
     def setUp(self):
         reader, writer = os.pipe()
