Decide on silent engines within 80 ms

A pause of 250 ms makes a stream late. Change: both questions end 80 ms after the first, and 10 ms more are left for answers that came while the process stood still.

--- a/mallowcrank/chains/placement.py
+++ b/mallowcrank/chains/placement.py
@@ -21,6 +21,7 @@
     EXTRA_PACE,
     GAP_PACE,
     Card,
+    Move,
     Window,
     best_window,
     find_gaps,
@@ -99,12 +100,12 @@
     placings = []
     for card in empty:
         placed = _place(layers, card, holding)
-        holding.append(placed)
-        placings.append(Placing(card.lifetime, placed.first, placed.end))
-    placings = placings or _move_one(layers, holding)
-    if not placings and find_gaps(layers, holding):
-        return _lay_anew(layers, holding)
-    return placings
+        holding.append(replace(placed, is_loading=True))
+        placings.append(_placing_of(placed))
+    if find_gaps(layers, holding):
+        placings.extend(_close_gaps(layers, holding))
+        return placings or _lay_anew(layers, holding)
+    return placings or _quicken(layers, holding)
 
 
 def _speed(card: Card) -> tuple[float, int, Lifetime]:
@@ -125,37 +126,72 @@
     return replace(card, first=first, end=first + count)
 
 
-def _move_one(layers: int, holding: Sequence[Card]) -> list[Placing]:
+def _close_gaps(layers: int, holding: Sequence[Card]) -> list[Placing]:
+    """
+    Move cards until there is no gap, those first that close most of it for
+    each layer that they load; they load side by side. Those that are used
+    move only where the others can't close it.
     """
-    Move the one card by which the fastest path gains most.
+    cards = list(holding)
+    placings = []
+    while find_gaps(layers, cards):
+        moves = list(_moves(layers, cards, has_gap=True))
+        if not moves:
+            cards = [replace(card, is_used=False) for card in cards]
+            moves = list(_moves(layers, cards, has_gap=True))
+        if not moves:
+            break
+        best = max(moves, key=lambda move: move.gain_a_layer)
+        cards.remove(best.card)
+        moved = best.moved()
+        cards.append(moved)
+        placings.append(_placing_of(moved))
+    return placings
 
-    What is being loaded counts as held where layers are missing, and as not
-    held where a card would give them up. While there is no gap, one card is
-    moved at a time.
+
+def _quicken(layers: int, holding: Sequence[Card]) -> list[Placing]:
     """
-    paces = paces_of(layers, holding)
-    has_gap = GAP_PACE in paces
-    loaded = [card for card in holding if not card.is_loading]
-    if not has_gap and len(loaded) < len(holding):
+    Move the one card by which the fastest path gains most, unless one is
+    being moved.
+    """
+    if any(card.is_loading for card in holding):
+        return []
+    moves = list(_moves(layers, holding, has_gap=False))
+    if not moves:
         return []
-    best: Placing | None = None
-    best_gain = _least_gain(paces)
-    for card in loaded:
+    best = max(moves, key=lambda move: move.window.gain)
+    return [_placing_of(best.moved())]
+
+
+def _moves(
+    layers: int, holding: Sequence[Card], has_gap: bool
+) -> Iterable[Move]:
+    """
+    Yield the moves that save much.
+
+    What is being loaded counts as held where layers are missing, and as not
+    held where a card would give them up.
+    """
+    least_gain = _least_gain(paces_of(layers, holding))
+    for card in holding:
+        if card.is_loading:
+            continue
         window = _new_window(layers, card, holding, has_gap)
         is_new = (window.first, window.end) != (card.first, card.end)
-        if is_new and window.gain > best_gain:
-            best = Placing(card.lifetime, window.first, window.end)
-            best_gain = window.gain
-    return [best] if best else []
+        if is_new and window.gain > least_gain:
+            yield Move(card, window)
 
 
 def _lay_anew(layers: int, holding: Sequence[Card]) -> list[Placing]:
     """
-    Lay a copy over all cards from the first layer on, if they suffice.
+    Lay a copy over all cards from the first layer on, if they suffice and
+    none is being loaded, which might close the gap.
 
     Cards of one kind keep their order, so that most keep most of what they
     hold.
     """
+    if any(card.is_loading for card in holding):
+        return []
     laid: list[Card] = []
     for card in sorted(holding, key=_speed):
         empty = replace(card, usual=card.most, first=0, end=0)
@@ -194,3 +230,7 @@
 
 def _least_gain(paces: Iterable[float]) -> float:
     return LEAST_GAIN * sum(pace for pace in paces if pace < GAP_PACE)
+
+
+def _placing_of(card: Card) -> Placing:
+    return Placing(card.lifetime, card.first, card.end)
--- a/mallowcrank/chains/windows.py
+++ b/mallowcrank/chains/windows.py
@@ -3,7 +3,7 @@
 """
 
 from collections.abc import Iterable, Iterator, Sequence
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from itertools import accumulate
 
 from mallowcrank.gateway.targets import Lifetime
@@ -25,6 +25,8 @@
     :param first: first layer that it holds or was ordered to hold.
     :param end: the end of its layers, exclusive; `first` where it is empty.
     :param is_loading: whether it was ordered to hold them and does not yet.
+    :param is_used: whether streams pass through it; it can't give layers up
+        before they end, which may take as long as a whole answer.
     """
 
     lifetime: Lifetime
@@ -35,6 +37,7 @@
     first: int = 0
     end: int = 0
     is_loading: bool = False
+    is_used: bool = False
 
     @property
     def is_empty(self) -> bool:
@@ -62,12 +65,43 @@
     gain: float
 
 
+@dataclass(frozen=True, slots=True)
+class Move:
+    """
+    A card and the layers that it might take.
+    """
+
+    card: Card
+    window: Window
+
+    @property
+    def gain_a_layer(self) -> float:
+        """
+        Return the gain for each layer to load.
+        """
+        first, end = self.window.first, self.window.end
+        loaded = end - first - _overlap(self.card, first, end)
+        return self.window.gain / max(1, loaded)
+
+    def moved(self) -> Card:
+        """
+        Return the card on its way.
+        """
+        return replace(
+            self.card,
+            first=self.window.first,
+            end=self.window.end,
+            is_loading=True,
+        )
+
+
 def best_window(card: Card, paces: Sequence[float], most: int) -> Window:
     """
     Return the layers by which the fastest path gains most.
 
     A card that gives up a part of its layers first waits for the streams in
-    all of them, so that it keeps all, moves away, or gives up some only.
+    all of them, so that it keeps all, moves away, or gives up some only. One
+    that is used keeps all.
 
     :param paces: of the other cards.
     """
@@ -88,7 +122,8 @@
         for first in range(layers - count + 1):
             end = first + count
             kept = _overlap(card, first, end)
-            if kept in {0, count, card.end - card.first}:
+            held = card.end - card.first
+            if kept == held or (not card.is_used and kept in {0, count}):
                 yield first, end
 
 
--- /dev/null
+++ b/mallowcrank/cli/gateway.py
@@ -0,0 +1,40 @@
+"""
+The command line of `mallowcrank-gateway`.
+"""
+
+from typing import Annotated
+
+from typer import Option, Typer
+
+from mallowcrank.cli.options import Version
+from mallowcrank.gateway.launch import run_with
+from mallowcrank.platform.vocabulary import SETTINGS_VARIABLE
+
+app = Typer(
+    name='mallowcrank-gateway',
+    help="Serve callers of one host on the users' platform: requests, the "
+    'directory, readiness, metrics, and the placing of layers.',
+    add_completion=False,
+)
+
+
+@app.command()
+def serve(
+    settings: Annotated[
+        str,
+        Option(
+            '--settings',
+            envvar=SETTINGS_VARIABLE,
+            help='The settings file that the platform lays out; it is read '
+            'again when it changes and on SIGHUP.',
+        ),
+    ] = '',
+    version: Version = False,
+) -> int:
+    """
+    Serve until SIGTERM, then finish what is in flight.
+
+    Logs are JSON lines on standard output; docs/OPERATIONS.md lists them. Exit
+    statuses: 0 stopped, 1 a part failed, 2 bad flags or settings.
+    """
+    return run_with(settings)
--- a/mallowcrank/core.py
+++ b/mallowcrank/core.py
@@ -78,6 +78,13 @@
     return _run(_standin_app, 'mallowcrank-standin')
 
 
+def gateway() -> int:
+    """
+    Run `mallowcrank-gateway`.
+    """
+    return _run(_gateway_app, 'mallowcrank-gateway')
+
+
 # Each program imports only its own command line, so that daemons start fast.
 
 
@@ -105,6 +112,12 @@
     return app
 
 
+def _gateway_app() -> Typer:
+    from mallowcrank.cli.gateway import app
+
+    return app
+
+
 def _standin_app() -> Typer:
     from mallowcrank.cli.standin import app
 
--- a/mallowcrank/emulator/run.py
+++ b/mallowcrank/emulator/run.py
@@ -14,7 +14,7 @@
 from mallowcrank.emulator.policies import Policy, as_card
 from mallowcrank.emulator.routers import Fleet, Outcome, Router, gossip
 from mallowcrank.emulator.site import Site
-from mallowcrank.gateway.placing import DEAD_S, TICK_S
+from mallowcrank.gateway.placing import DEAD_S, TICK_S, USED
 from mallowcrank.gateway.targets import HeldLayers, Lifetime
 from mallowcrank.gateway.waiting import LOOK_S
 
@@ -117,6 +117,7 @@
                     first=held.first,
                     end=held.end,
                     is_loading=loading is not None,
+                    is_used=engine.memory.used > USED * engine.memory.size,
                 )
             cards.append(card)
         placings = self._policy.plan(self._site.rule.layers, cards)
--- a/mallowcrank/gateway/assembly.py
+++ b/mallowcrank/gateway/assembly.py
@@ -87,7 +87,7 @@
     targets = TargetsFollower(core.fleet, link, vocabulary, core.random)
     member = member_name(settings, incarnation)
     duty = Duty(settings, member, link, vocabulary, core.peers, journal)
-    gossip = Gossip(core, known, duty, link, incarnation)
+    gossip = Gossip(core, known, duty, incarnation)
     core.peers.listen(gossip.word, gossip.hear)
     return Parts(
         core=core,
--- a/mallowcrank/gateway/duty.py
+++ b/mallowcrank/gateway/duty.py
@@ -23,24 +23,25 @@
 GROUP = 'mallowcrank'
 PERIOD_S = 1.0  # between renewals
 LEASE_S = 3.0  # three renewals
-TAKEOVER_S = 1.5  # that the store is away; a lease is passed on sooner
+TAKEOVER_S = 1.2  # without word of a holder; it speaks four times a second
 ALONE_S = 20  # the last holder goes on while the store answers nobody
 DUTY_PARTITION = 0
 SEPARATOR = '/'
 
 
-def takes_over(mine: str, others: Sequence[Word], lost_s: float) -> bool:
+def takes_over(mine: str, others: Sequence[Word], alone_s: float) -> bool:
     """
     Return whether a gateway acts for a holder that nobody knows.
 
-    While the store answers nobody, the duty can't be passed on. Then the
-    first of the gateways that hear each other acts, those aside that stop or
-    know too little to take callers. Two of them do no harm: orders are
-    absolute and name the state that they were made for.
+    The duty is passed on when a lease ends, and not at all while the store
+    answers nobody. Until then the first of the gateways that hear each other
+    acts, those aside that stop or know too little to take callers. Two of
+    them do no harm: orders are absolute and name the state that they were
+    made for.
 
-    :param lost_s: how long the store has not answered this gateway.
+    :param alone_s: how long this gateway has known no holder.
     """
-    if lost_s < TAKEOVER_S or any(word.holding for word in others):
+    if alone_s < TAKEOVER_S or any(word.holding for word in others):
         return False
     able = [word.host for word in others if word.takes_callers]
     return all(mine < host for host in able)
--- a/mallowcrank/gateway/gossip.py
+++ b/mallowcrank/gateway/gossip.py
@@ -8,7 +8,6 @@
 from mallowcrank.gateway.followers import KnownDesired
 from mallowcrank.gateway.peers import Word
 from mallowcrank.gateway.steady import steady
-from mallowcrank.gateway.store_link import StoreLink
 
 
 class Gossip:
@@ -21,14 +20,13 @@
         core: Core,
         known: KnownDesired,
         duty: Duty,
-        link: StoreLink,
         incarnation: str,
     ) -> None:
         self._core = core
         self._known = known
         self._duty = duty
-        self._link = link
         self._incarnation = incarnation
+        self._held_at = steady()
         self.is_stopping = False
 
     @property
@@ -49,12 +47,15 @@
         """
         if self.is_stopping:
             return 0
-        lost_at = self._link.lost_at
-        if self._duty.holding or lost_at is None:
+        now = steady()
+        if self._duty.holding:
+            self._held_at = now
             return self._duty.holding
         others = [peer.word for peer in self._core.peers.live()]
+        if 2 * len(others) + 1 < self._core.peers.count():
+            return 0
         mine = self._core.settings.host
-        return int(takes_over(mine, others, steady() - lost_at))
+        return int(takes_over(mine, others, now - self._held_at))
 
     def word(self) -> Word:
         """
@@ -88,6 +89,8 @@
         fleet = self._core.fleet
         self._core.ledger.hear(word.host, Told(now, word.reserved))
         self._duty.hear(word)
+        if word.holding:
+            self._held_at = now
         for identity, pace in word.paces.items():
             target = fleet.find(identity)
             if target:
--- a/mallowcrank/gateway/placing.py
+++ b/mallowcrank/gateway/placing.py
@@ -7,11 +7,16 @@
 from dataclasses import dataclass, replace
 from http import HTTPStatus
 
-from mallowcrank.chains.engines import most_layers
+from mallowcrank.chains.engines import most_layers, request_room
 from mallowcrank.chains.placement import Placing, empty_card, plan_layers
 from mallowcrank.chains.windows import Card, find_gaps
 from mallowcrank.gateway.core import Core
-from mallowcrank.gateway.desired import Desired, EngineRule, ServiceRule
+from mallowcrank.gateway.desired import (
+    Accelerator,
+    Desired,
+    EngineRule,
+    ServiceRule,
+)
 from mallowcrank.gateway.steady import steady
 from mallowcrank.gateway.target_channel import Whole
 from mallowcrank.gateway.targets import HeldLayers, Lifetime, Report, Target
@@ -24,6 +29,8 @@
 PENDING_S = 14  # an order without an answer may be carried out for so long
 # Without an answer, an order may still be carried out.
 GIVEN = frozenset((0, HTTPStatus.OK, HTTPStatus.ACCEPTED))
+SLOW = 2.0  # factor on an engine's times, from which others do better
+USED = 0.03  # of its memory for requests, from which an engine is used
 DEAD_S = 0.8  # a silent target is planned without after it
 
 
@@ -46,6 +53,7 @@
 
     def __init__(self, core: Core) -> None:
         self._fleet = core.fleet
+        self._ledger = core.ledger
         self._pool = core.pool
         self._prober = core.prober
         self._vocabulary = core.vocabulary
@@ -127,8 +135,14 @@
             return None
         if self._fleet.seen.is_unwilling(target.lifetime):
             return None
+        slowness = self._fleet.seen.pace(target.lifetime, now)
+        if slowness < SLOW:
+            slowness = 1
         card = empty_card(
-            target.lifetime, target.zone, most_layers(rule, kind), kind.pace
+            target.lifetime,
+            target.zone,
+            most_layers(rule, kind),
+            kind.pace * slowness,
         )
         pending = self._pending.get(target.lifetime)
         shown = pending.placing if pending else target.layers
@@ -139,8 +153,16 @@
             first=shown.first,
             end=shown.end,
             is_loading=pending is not None,
+            is_used=self._is_used(rule, kind, target, now),
         )
 
+    def _is_used(
+        self, rule: EngineRule, kind: Accelerator, target: Target, now: float
+    ) -> bool:
+        held = target.layers.count if target.layers else 0
+        reserved = self._ledger.reserved(target.lifetime, now)
+        return reserved > USED * request_room(rule, kind, held)
+
     async def _order(self, placing: Placing) -> None:
         target = self._fleet.find(placing.lifetime.identity)
         if target is None or target.lifetime != placing.lifetime:
--- a/mallowcrank/gateway/prober.py
+++ b/mallowcrank/gateway/prober.py
@@ -23,8 +23,9 @@
 )
 from mallowcrank.gateway.targets import Lifetime, Report, Target
 
-ANSWER_S = 0.12  # for a report; it takes some ms, and a slow target's more
-AGAIN_S = 0.04  # without an answer, until the target is asked once more
+ANSWER_S = 0.08  # for a report; it takes some ms, and a slow target's more
+LATE_S = 0.01  # for answers that came while this process stood still
+AGAIN_S = 0.03  # without an answer, until the target is asked once more
 APART_S = 0.25  # between two questions to one suspected target
 RECHECK_S = 0.5  # between questions to a silent target
 PACE_PERIOD_S = 2.5  # between questions for a pace
@@ -138,22 +139,15 @@
     async def _first_report(self, target: Target) -> Report | str:
         """
         Ask for a report, and again if none comes at once: a packet may be
-        lost, and a kept channel may be silent.
+        lost, and a kept channel may be silent. Streams that wait for it may
+        pause for a quarter of a second, so both end in that time.
         """
         first = asyncio.create_task(self.report(target))
         done, _ = await asyncio.wait((first,), timeout=AGAIN_S)
         if done:
             return first.result()
         second = asyncio.create_task(self.report(target, may_be_kept=False))
-        done, _ = await asyncio.wait(
-            (first, second), return_when=asyncio.FIRST_COMPLETED
-        )
-        answers = [task.result() for task in done]
-        reports = [each for each in answers if isinstance(each, Report)]
-        if reports:
-            return reports[0]
-        other = await (first if second in done else second)
-        return other if isinstance(other, Report) else answers[0]
+        return await _first_report_of({first, second}, ANSWER_S - AGAIN_S)
 
     async def _reach(self, target: Target) -> str:
         """
@@ -183,6 +177,31 @@
             self._fleet.seen.see_dead(target.lifetime, answer, now)
 
 
+async def _first_report_of(
+    asking: set[asyncio.Task[Report | str]], within_s: float
+) -> Report | str:
+    """
+    Return the first report, or why there is none.
+    """
+    until = steady() + within_s
+    why = f'no report in {ANSWER_S} s'
+    while asking:
+        left_s = max(LATE_S, until - steady())
+        done, asking = await asyncio.wait(
+            asking, timeout=left_s, return_when=asyncio.FIRST_COMPLETED
+        )
+        if not done:
+            break
+        answers = [task.result() for task in done]
+        for answered in answers:
+            if isinstance(answered, Report):
+                return answered
+            why = answered
+    for task in asking:
+        task.cancel()
+    return why
+
+
 def _is_mine(target: Target, mine: str, hosts: Sequence[str]) -> bool:
     """
     Return whether this gateway is the one that asks a target.
--- a/mallowcrank/gateway/target_channel.py
+++ b/mallowcrank/gateway/target_channel.py
@@ -191,6 +191,8 @@
         """
         Read the answer.
         """
+        if not self._is_open:
+            return
         if not self._is_asked:
             # Bytes that nobody asked for belong to no request.
             self.close()
--- a/tests/test_gateway_settings.py
+++ b/tests/test_gateway_settings.py
@@ -2,14 +2,21 @@
 A gateway's settings file: read at the start, and again when it changes.
 """
 
+import io
 import os
+from contextlib import redirect_stderr
 from pathlib import Path
 from tempfile import TemporaryDirectory
 from unittest import TestCase
 
+from mallowcrank.cli.gateway import app
+from mallowcrank.context import Environment
+from mallowcrank.core import main
 from mallowcrank.gateway.journal import Journal
+from mallowcrank.gateway.launch import run_with
 from mallowcrank.gateway.reload import SettingsWatch, read_settings_file
 from mallowcrank.platform.vocabulary import platform_vocabulary
+from mallowcrank.status import ExitStatus
 from tests.test_platform_settings import FILE
 
 
@@ -50,3 +57,32 @@
     def test_a_file_that_is_not_there_is_named(self):
         read = read_settings_file('/nowhere/x.conf', platform_vocabulary())
         self.assertIn('/nowhere/x.conf', read)
+
+
+class TestLaunch(TestCase):
+    def run_gateway(self, path):
+        said = io.StringIO()
+        with redirect_stderr(said):
+            status = run_with(path)
+        return status, said.getvalue()
+
+    def test_a_gateway_without_settings_says_how_to_name_them(self):
+        status, said = self.run_gateway('')
+        self.assertEqual(status, ExitStatus.BAD_SETTINGS)
+        self.assertIn('--settings', said)
+
+    def test_all_findings_of_a_settings_file_are_told(self):
+        with TemporaryDirectory() as folder:
+            path = Path(folder, 'settings.conf')
+            path.write_text('node_name=h1\n', encoding='utf-8')
+            status, said = self.run_gateway(str(path))
+        self.assertEqual(status, ExitStatus.BAD_SETTINGS)
+        for name in ('zone', 'listen.front', 'platform.address'):
+            self.assertIn(name, said)
+
+    def test_a_missing_settings_file_is_refused(self):
+        environment = Environment(stdout=io.StringIO(), stderr=io.StringIO())
+        status = main(
+            app, 'mallowcrank-gateway', ('--settings', '/nowhere'), environment
+        )
+        self.assertEqual(status, ExitStatus.BAD_SETTINGS)
--- /dev/null
+++ b/tests/test_platform_fuzz.py
@@ -0,0 +1,275 @@
+"""
+Input of the platform that nobody meant to send, made by rules with a fixed
+seed: it names nothing, and costs nothing else.
+"""
+
+import asyncio
+import json
+from unittest import TestCase
+
+from hypothesis import example, given, settings
+from hypothesis import strategies as st
+
+from mallowcrank.findings import Finding
+from mallowcrank.gateway.caller_channel import Channels
+from mallowcrank.gateway.desired import Desired, Limits
+from mallowcrank.gateway.event_pieces import EventPieces
+from mallowcrank.gateway.peers import Word, pack_word, read_word
+from mallowcrank.gateway.ports import (
+    LogSlice,
+    Membership,
+    NewestPage,
+    Unreadable,
+)
+from mallowcrank.gateway.settings import Address, GatewaySettings
+from mallowcrank.gateway.target_channel import (
+    Broken,
+    End,
+    Head,
+    Piece,
+    TargetChannel,
+)
+from mallowcrank.gateway.targets import Report, Target
+from mallowcrank.operators.explain import explain, read_log
+from mallowcrank.platform.standins.bodies import desired_body, entry_body
+from mallowcrank.platform.standins.world import settings_text
+from mallowcrank.platform.vocabulary import platform_vocabulary
+from tests.utils.fake_transport import FakeTransport
+
+VOCABULARY = platform_vocabulary()
+FIXED = settings(derandomize=True, deadline=None, max_examples=80)
+SCALARS = st.one_of(
+    st.none(),
+    st.booleans(),
+    st.integers(-(2**63), 2**63),
+    st.floats(allow_nan=False),
+    st.text(max_size=12),
+)
+PLAIN = st.recursive(
+    SCALARS,
+    lambda inner: st.one_of(
+        st.lists(inner, max_size=4),
+        st.dictionaries(st.text(max_size=12), inner, max_size=4),
+    ),
+    max_leaves=8,
+)
+GET = b'GET /a/b?c=d HTTP/1.1\r\nHost: shop.example\r\nX-Own: 1\r\n\r\n'
+ANSWER = b'HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nbody'
+LIMITS = Limits(header_bytes=400, body_bytes=100, header_s=3, idle_s=15)
+
+
+def spoiled(raw):
+    """
+    Return pieces of a message with some bytes replaced, cut anywhere.
+    """
+    places = st.integers(0, len(raw) - 1)
+    changes = st.dictionaries(places, st.integers(0, 255), max_size=4)
+    return st.builds(_spoil, st.just(raw), changes, places)
+
+
+def _spoil(raw, changes, cut):
+    changed = bytearray(raw)
+    for place, byte in changes.items():
+        changed[place] = byte
+    return bytes(changed[:cut]), bytes(changed[cut:])
+
+
+def changed(body):
+    """
+    Return tables that differ from a good one in some fields.
+    """
+    names = st.sampled_from(sorted(body))
+    return st.dictionaries(names, PLAIN, max_size=3).map(
+        lambda changes: json.dumps({**body, **changes}).encode()
+    )
+
+
+class TestTables(TestCase):
+    @FIXED
+    @given(st.one_of(st.binary(max_size=80), changed(entry_body())))
+    @example(b'{"state": "ready"}')
+    @example(b'[]')
+    @example(b'\xff')
+    def test_an_entry_is_a_target_or_unreadable(self, raw):
+        found = VOCABULARY.read_entry('i-1', raw)
+        self.assertIsInstance(found, Target | Unreadable)
+
+    @FIXED
+    @given(
+        changed(
+            {
+                'sequence': 1,
+                'born': 2,
+                'pace': 1.5,
+                'layers': {'source': 0, 'to': 4, 'version': 1},
+                'busy': False,
+                'stalled': [{'id': 'r', 'address': 'a'}],
+            }
+        )
+    )
+    def test_a_report_is_one_or_unreadable(self, raw):
+        found = VOCABULARY.read_report('i-1', raw)
+        self.assertIsInstance(found, Report | Unreadable)
+
+    @FIXED
+    @given(st.one_of(st.binary(max_size=80), changed(desired_body())))
+    def test_a_desired_state_is_one_or_unreadable(self, raw):
+        found = VOCABULARY.read_desired(raw)
+        self.assertIsInstance(found, Desired | Unreadable)
+
+    @FIXED
+    @given(st.text(max_size=200))
+    @example('node_name=x\nnode_name=y')
+    @example('zones.=\n=\n')
+    def test_settings_are_read_or_all_findings_told(self, text):
+        found = VOCABULARY.read_settings(text)
+        self.assertIsInstance(found, list)
+        self.assertTrue(all(isinstance(each, Finding) for each in found))
+
+    @FIXED
+    @given(
+        spoiled(
+            settings_text(
+                'h1', '127.0.0.1', 'a', Address('127.0.0.1', 1), ()
+            ).encode()
+        )
+    )
+    def test_spoiled_settings_are_read_or_refused(self, pieces):
+        text = b''.join(pieces).decode(errors='replace')
+        found = VOCABULARY.read_settings(text)
+        self.assertIsInstance(found, GatewaySettings | list)
+
+
+class TestStoreAnswers(TestCase):
+    @FIXED
+    @given(st.binary(max_size=120))
+    @example(b'{"items": [{"key": 1}]}')
+    @example(b'{"items": [{"key": "a", "value": "?", "offset": 0}]}')
+    def test_bytes_are_an_answer_or_unreadable(self, raw):
+        calls = VOCABULARY.store
+        newest = calls.open_newest(raw)
+        self.assertIsInstance(newest, NewestPage | Unreadable)
+        read = calls.open_slice(raw, 0)
+        self.assertIsInstance(read, LogSlice | Unreadable)
+        joined = calls.open_membership(raw)
+        self.assertIsInstance(joined, Membership | Unreadable)
+        owners = calls.open_owners(raw)
+        self.assertIsInstance(owners, tuple | Unreadable)
+
+    @FIXED
+    @given(
+        changed(
+            {
+                'generation': 7,
+                'ttl_ms': 3000,
+                'parts': [['work', 3, 840]],
+                'items': [{'key': 'a', 'value': 'YQ==', 'offset': 4}],
+                'has_more': False,
+                'end_offset': 6,
+            }
+        )
+    )
+    def test_tables_are_an_answer_or_unreadable(self, raw):
+        calls = VOCABULARY.store
+        newest = calls.open_newest(raw)
+        self.assertIsInstance(newest, NewestPage | Unreadable)
+        joined = calls.open_membership(raw)
+        self.assertIsInstance(joined, Membership | Unreadable)
+
+
+class TestWords(TestCase):
+    @FIXED
+    @given(st.binary(max_size=60))
+    def test_bytes_are_a_word_or_nothing(self, raw):
+        self.assertIsInstance(read_word(raw), Word | None)
+
+    @FIXED
+    @given(
+        spoiled(
+            pack_word(
+                Word(
+                    host='h1',
+                    incarnation='abcd',
+                    zone='a',
+                    front=Address('10.0.0.1', 1),
+                    gossip=Address('10.0.0.1', 2),
+                    peers=Address('10.0.0.1', 3),
+                    takes_callers=True,
+                    desired_version=4,
+                    holding=0,
+                    reserved={'i-1': 300},
+                )
+            )
+        )
+    )
+    def test_a_spoiled_word_is_a_word_or_nothing(self, pieces):
+        self.assertIsInstance(read_word(b''.join(pieces)), Word | None)
+
+
+class TestChannels(TestCase):
+    @FIXED
+    @given(spoiled(GET))
+    def test_spoiled_requests_are_served_once_or_refused(self, pieces):
+        served = []
+
+        async def serve(request, answer):
+            served.append(request)
+            answer.send(200, (), b'ok')
+
+        async def play():
+            transport = FakeTransport()
+            channel = Channels(serve, lambda: LIMITS).make()
+            channel.connection_made(transport)
+            for piece in pieces:
+                channel.data_received(piece)
+            for _ in range(5):
+                await asyncio.sleep(0)
+            return transport.written
+
+        written = asyncio.run(play())
+        self.assertLessEqual(len(served), 1)
+        answers = written.split(b'HTTP/1.1 ')[1:]
+        self.assertLessEqual(len(answers), 1)
+        self.assertEqual(
+            [each[:3] for each in answers].count(b'200'), len(served)
+        )
+
+    @FIXED
+    @given(spoiled(ANSWER))
+    def test_a_spoiled_answer_ends_at_most_once(self, pieces):
+        async def play():
+            channel = TargetChannel(Address('10.0.0.1', 80))
+            channel.connection_made(FakeTransport())
+            channel.send(b'GET / HTTP/1.1\r\n\r\n')
+            for piece in pieces:
+                channel.data_received(piece)
+            channel.connection_lost(None)
+            events = []
+            while True:
+                event = await channel.next_event(0)
+                if not isinstance(event, Head | Piece | End | Broken):
+                    return events
+                events.append(event)
+
+        events = asyncio.run(play())
+        ends = [each for each in events if isinstance(each, End | Broken)]
+        self.assertEqual(len(ends), 1)
+        self.assertIs(events[-1], ends[0])
+
+    @FIXED
+    @given(st.lists(st.binary(max_size=30), max_size=6))
+    @example([b'id: 1\ndata: a\n\n', b'id: 2\ndata'])
+    def test_events_pass_whole_and_unchanged(self, pieces):
+        reader = EventPieces()
+        passed = b''.join(reader.feed(piece) for piece in pieces)
+        self.assertEqual(passed + reader.rest, b''.join(pieces))
+
+
+class TestLogs(TestCase):
+    @FIXED
+    @given(st.lists(PLAIN.map(json.dumps), max_size=6), st.text(max_size=4))
+    @example(['{"at": 1, "request": "r", "why": 7, "path": []}'], 'r')
+    def test_any_line_is_explained_or_passed_over(self, lines, request):
+        given = [f'{{"at":2,"request":"r"}} {line}' for line in lines]
+        for found in explain(read_log([*lines, *given]), request or 'r'):
+            self.assertTrue(found.moments)
