Take begun streams round lost engines over the same channel

Cause: a stream whose engine died was sent once more elsewhere, where its whole prompt is read again: fifty streams at once, which then paused for more than the 250 ms that the routes allow, and each took one of the two sends. Change: the first engine of a path is told a path with others in place of those that were lost; the others keep what they have read. Where the first engine was lost or refuses, the stream is sent once more, as before. Tests: the choice of a detour; a whole gateway that takes one, and one whose engine refuses it. The test of the stalled stream refuses detours now, since it is about sending once more; its assertion is unchanged.

--- a/mallowcrank/chains/paths.py
+++ b/mallowcrank/chains/paths.py
@@ -9,7 +9,7 @@
 
 from collections import defaultdict
 from collections.abc import Collection, Iterable, Sequence
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from enum import Enum, unique
 from math import inf
 
@@ -29,6 +29,7 @@
 CROSSING_FACTOR = 4  # on the time in the pipe, which others use too
 BITS = 8
 LEAST_PART = 0.3  # of an engine's layers, that a path is likely to run
+MOST_PARTS = 32  # of a path; engines refuse longer ones
 MOST_LOOKS = 4  # for a path whose engines all have room
 
 
@@ -104,6 +105,76 @@
     return NoPath.FULL if covered else NoPath.UNCOVERED
 
 
+def detour(
+    choosing: Choosing,
+    engines: Sequence[ChainEngine],
+    path: ChainPath,
+    lost: Collection[Lifetime],
+) -> ChainPath | None:
+    """
+    Return a path with other engines in place of those that were lost.
+
+    The others keep their parts, and with them what they have read.
+
+    :param engines: those that may be used.
+    :returns: none where the first engine was lost, or a part can't be made
+        up for.
+    """
+    if path.parts[0].lifetime in lost:
+        return None
+    used = {part.lifetime for part in path.parts}
+    parts: list[Part] = []
+    for part in path.parts:
+        if part.lifetime not in lost:
+            parts.append(part)
+            continue
+        able = [
+            each
+            for each in engines
+            if each.lifetime not in used and each.held.version == path.version
+        ]
+        found = _cover(choosing, able, part)
+        if not found:
+            return None
+        used.update(each.lifetime for each in found)
+        parts.extend(found)
+    if len(parts) > MOST_PARTS:
+        return None
+    return replace(path, parts=tuple(parts))
+
+
+def _cover(
+    choosing: Choosing, engines: Iterable[ChainEngine], part: Part
+) -> tuple[Part, ...]:
+    """
+    Return parts of other engines that run the layers of one part.
+    """
+    crossing_ms = _crossing_ms(choosing)
+    candidates = []
+    for engine in engines:
+        first = max(engine.held.first, part.first)
+        end = min(engine.held.end, part.end)
+        if first >= end or engine.room < choosing.need.tokens * (end - first):
+            continue
+        extra_ms = 0 if engine.zone == choosing.zone else crossing_ms
+        candidates.append(
+            replace(
+                _candidate(choosing, engine, extra_ms),
+                first_layer=first - part.first,
+                last_layer=end - part.first - 1,
+            )
+        )
+    way = cheapest_way(part.layers, candidates)
+    return tuple(
+        Part(
+            Lifetime(stage.target, stage.incarnation),
+            stage.first_layer + part.first,
+            stage.last_layer + part.first + 1,
+        )
+        for stage in way.stages
+    )
+
+
 def _best_with_room(
     choosing: Choosing, engines: Sequence[ChainEngine]
 ) -> ChainPath | None:
--- a/mallowcrank/gateway/path_finder.py
+++ b/mallowcrank/gateway/path_finder.py
@@ -2,7 +2,7 @@
 Paths for one call, over the engines as they are known now.
 """
 
-from collections.abc import Iterable
+from collections.abc import Collection, Iterable
 
 from mallowcrank.chains.engines import ChainEngine, Need, request_room
 from mallowcrank.chains.paths import (
@@ -10,6 +10,7 @@
     Choosing,
     NoPath,
     choose_path,
+    detour,
 )
 from mallowcrank.gateway.core import Call, Core
 from mallowcrank.gateway.desired import EngineRule
@@ -46,19 +47,15 @@
 
         :param avoided: engines not to use, beside those of the call.
         """
-        now = steady()
-        fleet = self._core.fleet
-        targets = fleet.serving(self._call.service.name)
-        found = [self._engine(target, now) for target in targets]
-        engines = [engine for engine in found if engine]
-        unusable = {
-            *avoided,
-            *self._call.avoided,
-            *fleet.seen.dead(),
-            *fleet.seen.resting(now),
-        }
-        choosing = Choosing(self._rule, self._need, self._core.settings.zone)
-        return choose_path(choosing, engines, unusable)
+        return choose_path(self._choosing(), self._usable(avoided))
+
+    def detour(
+        self, path: ChainPath, lost: Collection[Lifetime]
+    ) -> ChainPath | None:
+        """
+        Return a path round lost engines, if its first one stays.
+        """
+        return detour(self._choosing(), self._usable(()), path, lost)
 
     def hops(self, path: ChainPath) -> tuple[Hop, ...]:
         """
@@ -72,6 +69,25 @@
             hops.append(Hop(target.address, part.first, part.end))
         return tuple(hops)
 
+    def _choosing(self) -> Choosing:
+        return Choosing(self._rule, self._need, self._core.settings.zone)
+
+    def _usable(self, avoided: Iterable[Lifetime]) -> list[ChainEngine]:
+        now = steady()
+        fleet = self._core.fleet
+        unusable = {
+            *avoided,
+            *self._call.avoided,
+            *fleet.seen.dead(),
+            *fleet.seen.resting(now),
+        }
+        found = [
+            self._engine(target, now)
+            for target in fleet.serving(self._call.service.name)
+            if target.lifetime not in unusable
+        ]
+        return [engine for engine in found if engine]
+
     def _engine(self, target: Target, now: float) -> ChainEngine | None:
         kind = self._rule.kinds.get(target.kind)
         if kind is None or target.layers is None:
--- a/mallowcrank/gateway/ports.py
+++ b/mallowcrank/gateway/ports.py
@@ -237,6 +237,7 @@
     read_report: Callable[[str, bytes], Report | Unreadable]
     report_call: Callable[[str], HttpCall]
     place_call: Callable[[str, HeldLayers, int], HttpCall]
+    detour_call: Callable[[str, str, Sequence['Hop']], HttpCall]
     caller_fields: Callable[[Headers], CallerFields]
     caller_zone: Callable[[str], str]
     directory_answer: Callable[[Sequence[Address], float], bytes]
--- a/mallowcrank/gateway/prober.py
+++ b/mallowcrank/gateway/prober.py
@@ -23,9 +23,9 @@
 )
 from mallowcrank.gateway.targets import Lifetime, Report, Target
 
-ANSWER_S = 0.08  # for a report; it takes some ms, and a slow target's more
+ANSWER_S = 0.06  # for a report; it takes some ms, and a slow target's more
 LATE_S = 0.01  # for answers that came while this process stood still
-AGAIN_S = 0.03  # without an answer, until the target is asked once more
+AGAIN_S = 0.025  # without an answer, until the target is asked once more
 APART_S = 0.25  # between two questions to one suspected target
 RECHECK_S = 0.5  # between questions to a silent target
 PACE_PERIOD_S = 2.5  # between questions for a pace
--- a/mallowcrank/gateway/streams.py
+++ b/mallowcrank/gateway/streams.py
@@ -14,6 +14,7 @@
 from mallowcrank.gateway.caller_channel import without_channel_headers
 from mallowcrank.gateway.core import Call, Core, conclude
 from mallowcrank.gateway.desired import EngineRule, Repeat
+from mallowcrank.gateway.detours import go_round
 from mallowcrank.gateway.endings import TIMEOUT, Returning, give_up, pass_on
 from mallowcrank.gateway.event_pieces import EventPieces
 from mallowcrank.gateway.path_finder import PathFinder, path_text
@@ -34,12 +35,14 @@
 from mallowcrank.gateway.waiting import WaitingRoom
 
 MILLISECONDS = 1000
-TICK_S = 0.025  # between looks at a silent stream
+TICK_S = 0.015  # between looks at a silent stream
 FIRST_QUIET_S = 0.15  # before the first event; then engines are asked
-QUIET_S = 0.07  # between events, of which there are 20 a second and more
+QUIET_S = 0.06  # between events, of which there are 20 a second and more
 MOVE_S = 0.9  # of silence, after which a stream moves without a culprit
 MOST_REFUSED = 3  # paths that are tried where none has run
+MOST_DETOURS = 3  # of one stream, round lost engines
 MOST_TRIES = 4  # paths that are tried at all
+NO_PATH = ChainPath((), 0, 0)
 PATIENCE = 0.8  # part of the latency objective that a path is waited for
 GAP_PATIENCE = 4  # allowed pauses that a begun stream waits for a path
 # Memory is short for seconds where engines are lost; those who come back
@@ -128,7 +131,9 @@
         self._pieces = EventPieces()
         self._window = core.windows.of(call.service.name)
         self._tries = 0
+        self._detours = 0
         self._is_taken = False
+        self._path = NO_PATH
 
     async def run(self) -> None:
         """
@@ -140,11 +145,12 @@
             if isinstance(path, str):
                 give_up(self._core, self._call, path, RETURNING)
                 return
-            outcome = await self._try(path)
-            if self._is_over(path, outcome):
+            self._path = path
+            outcome = await self._try()
+            if self._is_over(outcome):
                 return
 
-    def _is_over(self, path: ChainPath, outcome: Outcome) -> bool:
+    def _is_over(self, outcome: Outcome) -> bool:
         """
         End the call where no other path is to be tried.
         """
@@ -155,7 +161,7 @@
                     self._call,
                     'served',
                     events=self._pieces.events,
-                    path=path_text(path),
+                    path=path_text(self._path),
                 )
                 return True
             case TimedOut():
@@ -165,7 +171,7 @@
                 reason = f'answered {outcome.head.status}'
             case TurnedAway() | CutOff():
                 reason = outcome.reason
-        self._log_try(path, reason)
+        self._log_try(reason)
         if self._may_go_on():
             return False
         if isinstance(outcome, Failed) and not self._call.answer.has_begun:
@@ -202,21 +208,21 @@
         patience_s = PATIENCE * call.route.target_s - call.age_s()
         return min(call.left_s(), max(0, patience_s))
 
-    async def _try(self, path: ChainPath) -> Outcome:
+    async def _try(self) -> Outcome:
         tokens = self._finder.tokens
-        self._core.ledger.reserve(path.parts, tokens)
+        self._core.ledger.reserve(self._path.parts, tokens)
         try:
-            return await self._send_and_relay(path)
+            return await self._send_and_relay()
         finally:
-            self._core.ledger.release(path.parts, tokens)
+            self._core.ledger.release(self._path.parts, tokens)
             self._waiting.notify()
 
-    async def _send_and_relay(self, path: ChainPath) -> Outcome:
-        channel = await self._open(path)
+    async def _send_and_relay(self) -> Outcome:
+        channel = await self._open(self._path)
         if isinstance(channel, TurnedAway):
             return channel
         try:
-            return await self._relay(path, channel)
+            return await self._relay(channel)
         finally:
             self._core.pool.give_back(channel)
 
@@ -255,18 +261,18 @@
             is_mine=self._core.answers(call),
         )
 
-    async def _relay(self, path: ChainPath, channel: TargetChannel) -> Outcome:
+    async def _relay(self, channel: TargetChannel) -> Outcome:
         head: Head | None = None
         body: list[bytes] = []
         self._pieces.drop_rest()
         self._is_taken = False
         while True:
-            event = await self._next(path, channel)
+            event = await self._next(channel)
             match event:
                 case Head():
                     head = event
                 case Piece() if head and head.status == HTTPStatus.OK:
-                    await self._pass_events(path, head, event.raw)
+                    await self._pass_events(head, event.raw)
                 case Piece():
                     body.append(event.raw)
                 case End() if head and head.status == HTTPStatus.OK:
@@ -275,16 +281,14 @@
                     self._finish(head)
                     return Served()
                 case End() if head:
-                    return self._judge(path, head, b''.join(body))
+                    return self._judge(head, b''.join(body))
                 case TimedOut() | CutOff():
                     channel.close()
                     return event
                 case Broken():
                     return CutOff(event.reason)
 
-    async def _next(
-        self, path: ChainPath, channel: TargetChannel
-    ) -> Event | CutOff | TimedOut:
+    async def _next(self, channel: TargetChannel) -> Event | CutOff | TimedOut:
         """
         Return the next event, looking at the engines while there is none.
         """
@@ -296,7 +300,9 @@
             event = await channel.next_event(min(TICK_S, left_s))
             if not isinstance(event, Silent):
                 return self._check(event)
-            moved = self._look(path, steady() - began)
+            if await self._go_round(steady() - began):
+                began = steady()
+            moved = self._look(steady() - began)
             if moved:
                 return moved
 
@@ -306,7 +312,33 @@
                 return CutOff('an answer without a seal')
         return event
 
-    def _look(self, path: ChainPath, quiet_s: float) -> CutOff | None:
+    async def _go_round(self, quiet_s: float) -> bool:
+        """
+        Take a begun stream round engines that are known to be lost.
+        """
+        lost = self._lost()
+        if not lost or quiet_s < QUIET_S or not self._pieces.events:
+            return False
+        if self._detours >= MOST_DETOURS:
+            return False
+        self._detours += 1
+        found = await go_round(
+            self._core, self._call, self._finder, self._path, lost
+        )
+        if found is None:
+            return False
+        tokens = self._finder.tokens
+        self._core.ledger.release(self._path.parts, tokens)
+        self._core.ledger.reserve(found.parts, tokens)
+        self._path = found
+        return True
+
+    def _lost(self) -> list[Lifetime]:
+        known = self._core.fleet.seen.dead()
+        lifetimes = (part.lifetime for part in self._path.parts)
+        return [each for each in lifetimes if each in known]
+
+    def _look(self, quiet_s: float) -> CutOff | None:
         """
         Look at the engines of a silent stream.
 
@@ -315,12 +347,11 @@
         allowed_s = QUIET_S if self._pieces.events else FIRST_QUIET_S
         if quiet_s < allowed_s:
             return None
-        lifetimes = [part.lifetime for part in path.parts]
+        lifetimes = [part.lifetime for part in self._path.parts]
         seen = self._core.fleet.seen
         idle = seen.idle_since(lifetimes, steady() - allowed_s)
         self._core.prober.suspect(idle)
-        known = seen.dead()
-        dead = [each for each in lifetimes if each in known]
+        dead = self._lost()
         if dead and self._can_move(()):
             names = ','.join(each.identity for each in dead)
             return CutOff(f'silent for {quiet_s:.3f} s at {names}')
@@ -349,13 +380,11 @@
             return False
         return self._window.allows(steady(), self._core.peers.count())
 
-    async def _pass_events(
-        self, path: ChainPath, head: Head, raw: bytes
-    ) -> None:
+    async def _pass_events(self, head: Head, raw: bytes) -> None:
         whole = self._pieces.feed(raw)
         if not whole:
             return
-        lifetimes = [part.lifetime for part in path.parts]
+        lifetimes = [part.lifetime for part in self._path.parts]
         seen = self._core.fleet.seen
         seen.see_work(lifetimes, steady())
         if not self._is_taken:
@@ -374,7 +403,7 @@
             answer.begin(head.status, without_channel_headers(head.headers))
         answer.finish()
 
-    def _judge(self, path: ChainPath, head: Head, body: bytes) -> Outcome:
+    def _judge(self, head: Head, body: bytes) -> Outcome:
         """
         Tell a refusal from a failure.
         """
@@ -385,17 +414,17 @@
         self._call.sends -= 1
         self._call.refused += 1
         culprit = self._core.fleet.at(fields.at) if fields.at else None
-        lifetime = culprit.lifetime if culprit else path.parts[0].lifetime
+        lifetime = culprit.lifetime if culprit else self._path.parts[0].lifetime
         self._call.avoided.add(lifetime)
         self._core.fleet.seen.see_refusal(lifetime, steady())
         return TurnedAway(f'{head.status} at {lifetime.identity}')
 
-    def _log_try(self, path: ChainPath, reason: str) -> None:
+    def _log_try(self, reason: str) -> None:
         self._core.journal.say(
             'request: path failed',
             request=self._call.fields.request,
             why=reason,
-            path=path_text(path),
+            path=path_text(self._path),
             sends=self._call.sends,
             refused=self._call.refused,
             events=self._pieces.events,
--- a/mallowcrank/platform/exchange.py
+++ b/mallowcrank/platform/exchange.py
@@ -11,6 +11,7 @@
     AnswerFields,
     CallerFields,
     Headers,
+    Hop,
     Sending,
 )
 from mallowcrank.gateway.settings import Address
@@ -82,6 +83,13 @@
     return ((b'Mallowcrank-Expect-Instance', identity.encode()),)
 
 
+def path_text(hops: Sequence[Hop]) -> str:
+    """
+    Return a path as the platform writes it.
+    """
+    return ','.join(f'{hop.address}={hop.first}-{hop.end}' for hop in hops)
+
+
 def target_headers(headers: Headers, sending: Sending) -> Headers:
     """
     Return the headers of a request to a replica.
@@ -97,10 +105,9 @@
     if sending.workspace:
         kept.append((b'Mallowcrank-Tenant', sending.workspace.encode()))
     if sending.hops:
-        path = ','.join(
-            f'{hop.address}={hop.first}-{hop.end}' for hop in sending.hops
+        kept.append(
+            (b'Mallowcrank-Hop-Count', path_text(sending.hops).encode())
         )
-        kept.append((b'Mallowcrank-Hop-Count', path.encode()))
     if sending.last_event:
         kept.append((b'Last-Event-Id', sending.last_event.encode()))
     return tuple(kept)
--- a/mallowcrank/platform/orders.py
+++ b/mallowcrank/platform/orders.py
@@ -2,11 +2,13 @@
 Orders to replicas.
 """
 
+from collections.abc import Mapping, Sequence
+
 import orjson
 
-from mallowcrank.gateway.ports import HttpCall
+from mallowcrank.gateway.ports import Hop, HttpCall
 from mallowcrank.gateway.targets import HeldLayers
-from mallowcrank.platform.exchange import expect
+from mallowcrank.platform.exchange import expect, path_text
 
 JSON_HEADERS = ((b'Content-Type', b'application/json'),)
 
@@ -25,6 +27,20 @@
         'mode': 'wait',
         'expected': orders,
     }
+    return _order(identity, body)
+
+
+def detour_call(identity: str, request: str, hops: Sequence[Hop]) -> HttpCall:
+    """
+    Order a replica to go on with a request over another path.
+
+    :param identity: the first replica of the path, before and after.
+    """
+    body = {'operation': 'repath', 'id': request, 'path': path_text(hops)}
+    return _order(identity, body)
+
+
+def _order(identity: str, body: Mapping[str, object]) -> HttpCall:
     return HttpCall(
         'POST', '/order', orjson.dumps(body), (*JSON_HEADERS, *expect(identity))
     )
--- a/mallowcrank/platform/standins/replica.py
+++ b/mallowcrank/platform/standins/replica.py
@@ -17,11 +17,13 @@
 from mallowcrank.gateway.ports import Headers
 from mallowcrank.gateway.settings import Address
 from mallowcrank.platform.standins.server import StandinServer
+from mallowcrank.platform.standins.stalls import Stalls
 
 FOREVER_S = 3600
 EVENT_S = 0.001
 LAYERS = 80
 EVENTS = 12
+HOPS = b'mallowcrank-hop-count'
 NOT_RUN = ((b'Mallowcrank-Not-Executed', b'1'),)
 
 
@@ -38,6 +40,7 @@
     :param unsealed: answered without a seal.
     :param is_silent: whether it answers nothing at all.
     :param late_orders: orders that are carried out and get no answer.
+    :param refuses_detours: whether streams can't be taken round others.
     """
 
     refusals: int = 0
@@ -48,6 +51,7 @@
     unsealed: int = 0
     is_silent: bool = False
     late_orders: int = 0
+    refuses_detours: bool = False
 
     def take(self, name: str) -> bool:
         """
@@ -96,6 +100,7 @@
     faults: ReplicaFaults = field(default_factory=ReplicaFaults)
     ran: list[Ran] = field(default_factory=list)
     left: list[str] = field(default_factory=list)
+    stalls: Stalls = field(default_factory=Stalls)
 
     def __post_init__(self) -> None:
         """
@@ -169,6 +174,14 @@
             answer.send(HTTPStatus.MISDIRECTED_REQUEST, (), b'')
             return
         order = orjson.loads(request.body)
+        if order['operation'] == 'repath':
+            hops = _hops({HOPS: order['path'].encode()})
+            is_there = _are_there(hops, self.others)
+            status = HTTPStatus.CONFLICT
+            if is_there and not self.faults.refuses_detours:
+                status = self.stalls.go_on(order['id'], hops)
+            answer.send(status, (), b'')
+            return
         if self.held == (order['source'], order['to']):
             answer.send(HTTPStatus.OK, (), b'')
             return
@@ -261,7 +274,8 @@
                     answer.cut()
                     return
                 if stalls and number > half:
-                    await asyncio.sleep(FOREVER_S)
+                    stalls = False
+                    await self.stalls.wait(ran.request)
                 answer.write(b'id: %d\ndata: event %d\n\n' % (number, number))
             answer.finish()
         except asyncio.CancelledError:
@@ -281,9 +295,16 @@
 
 def _hops(given: dict[bytes, bytes]) -> list[tuple[str, int, int]]:
     hops = []
-    for part in given.get(b'mallowcrank-hop-count', b'').decode().split(','):
+    for part in given.get(HOPS, b'').decode().split(','):
         address, _, layers = part.partition('=')
         first, _, end = layers.partition('-')
         if end:
             hops.append((address, int(first), int(end)))
     return hops
+
+
+def _are_there(
+    hops: list[tuple[str, int, int]], others: dict[str, StandinReplica]
+) -> bool:
+    found = [others.get(address) for address, _, _ in hops]
+    return all(other and not other.faults.is_silent for other in found)
--- a/mallowcrank/platform/vocabulary.py
+++ b/mallowcrank/platform/vocabulary.py
@@ -17,7 +17,7 @@
     target_headers,
 )
 from mallowcrank.platform.node_settings import read_settings
-from mallowcrank.platform.orders import place_call
+from mallowcrank.platform.orders import detour_call, place_call
 from mallowcrank.platform.store import PlatformStore
 
 SETTINGS_VARIABLE = 'MALLOWCRANK_NODE_FILE'
@@ -37,6 +37,7 @@
         read_report=read_report,
         report_call=report_call,
         place_call=place_call,
+        detour_call=detour_call,
         caller_fields=caller_fields,
         caller_zone=caller_zone,
         directory_answer=directory_answer,
--- a/tests/test_chain_paths.py
+++ b/tests/test_chain_paths.py
@@ -10,7 +10,9 @@
     ChainPath,
     Choosing,
     NoPath,
+    Part,
     choose_path,
+    detour,
 )
 from mallowcrank.gateway.desired import Accelerator
 from mallowcrank.gateway.targets import HeldLayers, Lifetime
@@ -188,3 +190,54 @@
 
     def test_too_many_layers_leave_nothing(self):
         self.assertEqual(request_room(RULE, FAST, 60), 0)
+
+
+class TestDetours(TestCase):
+    def setUp(self):
+        self.path = ChainPath(
+            (
+                Part(Lifetime('one', 0), 0, 28),
+                Part(Lifetime('two', 0), 28, 33),
+                Part(Lifetime('three', 0), 33, 80),
+            ),
+            1,
+            0,
+        )
+
+    def go_round(self, engines, *lost):
+        choosing = Choosing(RULE, NEED, 'a')
+        names = [Lifetime(name, 0) for name in lost]
+        return detour(choosing, engines, self.path, names)
+
+    def test_the_others_keep_their_parts(self):
+        found = self.go_round([engine('four', 20, 40)], 'two')
+        self.assertEqual(names(found), ['one', 'four', 'three'])
+        self.assertTrue(covers_once(found))
+
+    def test_several_engines_may_stand_in_for_one(self):
+        engines = [engine('four', 20, 30), engine('five', 30, 40)]
+        found = self.go_round(engines, 'two')
+        self.assertEqual(names(found), ['one', 'four', 'five', 'three'])
+        self.assertTrue(covers_once(found))
+
+    def test_no_engine_is_entered_twice(self):
+        engines = [engine('four', 20, 80), engine('one', 0, 80)]
+        found = self.go_round(engines, 'two', 'three')
+        self.assertIsNone(found)
+        engines.append(engine('five', 33, 80))
+        found = self.go_round(engines, 'two', 'three')
+        self.assertEqual(names(found), ['one', 'four', 'five'])
+
+    def test_there_is_none_where_the_first_engine_was_lost(self):
+        self.assertIsNone(self.go_round([engine('four', 0, 80)], 'one'))
+
+    def test_engines_without_room_or_of_another_version_are_passed_over(self):
+        engines = [
+            engine('four', 20, 40, room=NEED.tokens * 4),
+            engine('five', 20, 40, held=HeldLayers(20, 40, 2)),
+        ]
+        self.assertIsNone(self.go_round(engines, 'two'))
+
+    def test_a_path_of_too_many_parts_is_none(self):
+        engines = [engine(f'e{layer}', layer, layer + 1) for layer in range(80)]
+        self.assertIsNone(self.go_round(engines, 'three'))
--- a/tests/test_gateway_serving.py
+++ b/tests/test_gateway_serving.py
@@ -3,6 +3,7 @@
 the replicas ran.
 """
 
+import asyncio
 import json
 from types import MappingProxyType
 from unittest import IsolatedAsyncioTestCase
@@ -68,6 +69,23 @@
         self.assertEqual(list(ran.layers), list(range(LAYERS)))
         self.assertEqual(ran.body, b'hat')
 
+    async def test_a_stream_goes_round_an_engine_that_was_lost(self):
+        await self.serve(engines=((0, 40), (40, LAYERS), (40, LAYERS)))
+        first = self.engines()[0]
+        first.faults.stalls = 1
+        asking = asyncio.create_task(self.draft())
+        await self.world.wait_for(lambda: len(first.stalls))
+        second = _hop_names(self.runs('model')[0], self.engines())[1]
+        self.faults(second).is_silent = True
+        answered = await asking
+        self.assertEqual(answered.events, ALL_EVENTS)
+        self.assertTrue(answered.is_whole)
+        self.assertEqual(len(self.runs('model')), 1)
+        addresses = [address for address, _, _ in first.stalls.paths[0]]
+        self.assertEqual(addresses[0], str(first.address))
+        lost = str(self.world.replicas[second].address)
+        self.assertNotIn(lost, addresses)
+
     async def test_a_cut_stream_goes_on_elsewhere_after_its_last_event(self):
         await self.serve(engines=((0, 40), (0, 40), (40, LAYERS), (40, LAYERS)))
         for engine in self.engines():
@@ -84,12 +102,13 @@
         answered = await self.draft(Last_Event_Id='5')
         self.assertEqual(answered.events, ALL_EVENTS[5:])
 
-    async def test_a_stalled_stream_moves_off_the_engine_that_is_silent(self):
+    async def test_without_a_detour_a_stalled_stream_is_sent_once_more(self):
         await self.serve(
             engines=((0, 40), (40, LAYERS), (40, LAYERS)),
         )
         head, *tails = self.engines()
         head.faults.stalls = 1
+        head.faults.refuses_detours = True
         channel = await self.world.open(self.gateway.settings.listening.front)
         self.world.send(channel, '/draft/x', 'POST', b'hat', **TOKENS)
         await self.world.wait_for(lambda: head.ran)
@@ -198,6 +217,15 @@
         self.fail('no draft was served')
 
 
+def _hop_names(ran, engines):
+    """
+    Return the identities on the path of a run.
+    """
+    path = dict(ran.headers)[b'mallowcrank-hop-count'].decode()
+    by_address = {str(each.address): each.identity for each in engines}
+    return [by_address[part.split('=')[0]] for part in path.split(',')]
+
+
 class TestPlainCalls(GatewayCase):
     async def test_a_call_passes_unchanged(self):
         await self.serve()
