--- a/mallowcrank/chains/paths.py
+++ b/mallowcrank/chains/paths.py
@@ -114,7 +114,9 @@
     """
     Return a path with other engines in place of those that were lost.
 
-    The others keep their parts, and with them what they have read.
+    The others keep their parts, and with them what they have read. It stays
+    in the path's availability zones: what passes between zones for each token
+    would slow the rest of the stream, and others.
 
     :param engines: those that may be used.
     :returns: none where the first engine was lost, or a part can't be made
@@ -123,16 +125,18 @@
     if path.parts[0].lifetime in lost:
         return None
     used = {part.lifetime for part in path.parts}
+    zones = {each.zone for each in engines if each.lifetime in used}
+    near = [
+        each
+        for each in engines
+        if each.zone in zones and each.held.version == path.version
+    ]
     parts: list[Part] = []
     for part in path.parts:
         if part.lifetime not in lost:
             parts.append(part)
             continue
-        able = [
-            each
-            for each in engines
-            if each.lifetime not in used and each.held.version == path.version
-        ]
+        able = [each for each in near if each.lifetime not in used]
         found = _cover(choosing, able, part)
         if not found:
             return None
@@ -149,17 +153,15 @@
     """
     Return parts of other engines that run the layers of one part.
     """
-    crossing_ms = _crossing_ms(choosing)
     candidates = []
     for engine in engines:
         first = max(engine.held.first, part.first)
         end = min(engine.held.end, part.end)
         if first >= end or engine.room < choosing.need.tokens * (end - first):
             continue
-        extra_ms = 0 if engine.zone == choosing.zone else crossing_ms
         candidates.append(
             replace(
-                _candidate(choosing, engine, extra_ms),
+                _candidate(choosing, engine, 0),
                 first_layer=first - part.first,
                 last_layer=end - part.first - 1,
             )
--- a/tests/test_chain_paths.py
+++ b/tests/test_chain_paths.py
@@ -206,8 +206,17 @@
 
     def go_round(self, engines, *lost):
         choosing = Choosing(RULE, NEED, 'a')
-        names = [Lifetime(name, 0) for name in lost]
-        return detour(choosing, engines, self.path, names)
+        gone = [Lifetime(name, 0) for name in lost]
+        staying = [
+            engine(part.lifetime.identity, part.first, part.end)
+            for part in self.path.parts
+            if part.lifetime not in gone
+        ]
+        return detour(choosing, [*staying, *engines], self.path, gone)
+
+    def test_a_detour_stays_in_the_zones_of_its_path(self):
+        away = engine('four', 20, 40, zone='b')
+        self.assertIsNone(self.go_round([away], 'two'))
 
     def test_the_others_keep_their_parts(self):
         found = self.go_round([engine('four', 20, 40)], 'two')
@@ -221,7 +230,7 @@
         self.assertTrue(covers_once(found))
 
     def test_no_engine_is_entered_twice(self):
-        engines = [engine('four', 20, 80), engine('one', 0, 80)]
+        engines = [engine('four', 20, 80)]
         found = self.go_round(engines, 'two', 'three')
         self.assertIsNone(found)
         engines.append(engine('five', 33, 80))
