--- /dev/null
+++ b/mallowcrank/platform/standins/placing.py
@@ -0,0 +1,54 @@
+"""
+How a stand-in of an engine takes an order to hold layers.
+"""
+
+from dataclasses import dataclass, replace
+from http import HTTPStatus
+
+import orjson
+
+from mallowcrank.gateway.ports import Headers
+
+EXPECT = b'mallowcrank-expect-instance'
+
+
+@dataclass(frozen=True, slots=True)
+class Placed:
+    """
+    What an engine holds.
+
+    :param orders: those that it has taken in during this lifetime.
+    """
+
+    identity: str
+    orders: int = 0
+    held: tuple[int, int] | None = None
+
+
+def is_for_another(identity: str, headers: Headers) -> bool:
+    """
+    Return whether a call names another replica.
+    """
+    given = {name.lower(): raw for name, raw in headers}
+    expected = given.get(EXPECT, b'').decode()
+    return bool(expected) and expected != identity
+
+
+def judge_place(
+    placed: Placed, headers: Headers, body: bytes
+) -> tuple[int, Placed]:
+    """
+    Take an order in, or refuse it.
+
+    :returns: the status of the answer, and what the engine holds then.
+    """
+    if is_for_another(placed.identity, headers):
+        return HTTPStatus.MISDIRECTED_REQUEST, placed
+    order = orjson.loads(body)
+    asked = (order['source'], order['to'])
+    if placed.held == asked:
+        return HTTPStatus.OK, placed
+    if order.get('expected', placed.orders) != placed.orders:
+        return HTTPStatus.CONFLICT, placed
+    taken = replace(placed, orders=placed.orders + 1, held=asked)
+    return HTTPStatus.ACCEPTED, taken
