--- a/mallowcrank/gateway/streams.py
+++ b/mallowcrank/gateway/streams.py
@@ -7,7 +7,6 @@
 """
 
 from collections.abc import Sequence
-from dataclasses import dataclass
 from http import HTTPStatus
 
 from mallowcrank.chains.paths import ChainPath
@@ -17,6 +16,14 @@
 from mallowcrank.gateway.detours import go_round
 from mallowcrank.gateway.endings import TIMEOUT, Returning, give_up, pass_on
 from mallowcrank.gateway.event_pieces import EventPieces
+from mallowcrank.gateway.outcomes import (
+    CutOff,
+    Failed,
+    Outcome,
+    Served,
+    TimedOut,
+    TurnedAway,
+)
 from mallowcrank.gateway.path_finder import PathFinder, path_text
 from mallowcrank.gateway.ports import Sending
 from mallowcrank.gateway.steady import steady
@@ -50,51 +57,6 @@
 RETURNING = Returning(least_s=1, per_s=4)
 
 
-@dataclass(frozen=True, slots=True)
-class Served:
-    """
-    The answer is complete.
-    """
-
-
-@dataclass(frozen=True, slots=True)
-class TurnedAway:
-    """
-    The path did not take the request in, and vouches for that.
-    """
-
-    reason: str
-
-
-@dataclass(frozen=True, slots=True)
-class CutOff:
-    """
-    The path may have run the request, and gives nothing more.
-    """
-
-    reason: str
-
-
-@dataclass(frozen=True, slots=True)
-class Failed:
-    """
-    The target answered with a failure of its own.
-    """
-
-    head: Head
-    body: bytes
-
-
-@dataclass(frozen=True, slots=True)
-class TimedOut:
-    """
-    The time for the final answer has come.
-    """
-
-
-Outcome = Served | TurnedAway | CutOff | Failed | TimedOut
-
-
 class Streams:
     """
     Serves calls of routes whose services are model engines.
--- a/tests/test_fuzzed_input.py
+++ b/tests/test_fuzzed_input.py
@@ -24,25 +24,11 @@
 from mallowcrank.web import Request
 from mallowcrank.wire import BadFrameError, FrameReader, KeyRing, pack_frame
 from tests.utils.local_router import WORKSPACE, make_view, service
+from tests.utils.strategies import PLAIN
 
 KEYS = KeyRing(1, {1: b'key'})
 VIEW = make_view(services=[service('stock', repeatable=False)])
 FIXED = settings(derandomize=True, deadline=None, max_examples=60)
-SCALARS = st.one_of(
-    st.none(),
-    st.booleans(),
-    st.integers(-(2**63), 2**63),
-    st.floats(allow_nan=False),
-    st.text(max_size=12),
-)
-PLAIN = st.recursive(
-    SCALARS,
-    lambda inner: st.one_of(
-        st.lists(inner, max_size=4),
-        st.dictionaries(st.text(max_size=12), inner, max_size=4),
-    ),
-    max_leaves=8,
-)
 HEADERS = st.fixed_dictionaries(
     {'x-mallowcrank-workspace': st.just(WORKSPACE)},
     optional={
--- a/tests/test_platform_fuzz.py
+++ b/tests/test_platform_fuzz.py
@@ -35,24 +35,10 @@
 from mallowcrank.platform.standins.world import settings_text
 from mallowcrank.platform.vocabulary import platform_vocabulary
 from tests.utils.fake_transport import FakeTransport
+from tests.utils.strategies import PLAIN
 
 VOCABULARY = platform_vocabulary()
 FIXED = settings(derandomize=True, deadline=None, max_examples=80)
-SCALARS = st.one_of(
-    st.none(),
-    st.booleans(),
-    st.integers(-(2**63), 2**63),
-    st.floats(allow_nan=False),
-    st.text(max_size=12),
-)
-PLAIN = st.recursive(
-    SCALARS,
-    lambda inner: st.one_of(
-        st.lists(inner, max_size=4),
-        st.dictionaries(st.text(max_size=12), inner, max_size=4),
-    ),
-    max_leaves=8,
-)
 GET = b'GET /a/b?c=d HTTP/1.1\r\nHost: shop.example\r\nX-Own: 1\r\n\r\n'
 ANSWER = b'HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nbody'
 LIMITS = Limits(header_bytes=400, body_bytes=100, header_s=3, idle_s=15)
