Let a begun stream wait for a path while it has time

Cause: a begun stream that found no path for a second, or was refused four times, was cut though its time was not over. Change: a begun stream waits until its time is over, tries engines that refused it again after a growing pause, and waits for the retry budget. Test: a begun stream whose only engine refuses it twice is whole; it was cut before.

--- a/mallowcrank/chains/windows.py
+++ b/mallowcrank/chains/windows.py
@@ -46,13 +46,6 @@
         """
         return self.end <= self.first
 
-    @property
-    def range(self) -> tuple[int, int]:
-        """
-        Return the layers that it holds.
-        """
-        return self.first, self.end
-
 
 @dataclass(frozen=True, slots=True)
 class Window:
--- a/mallowcrank/gateway/streams.py
+++ b/mallowcrank/gateway/streams.py
@@ -6,6 +6,7 @@
 once, and moves when one of them doesn't answer.
 """
 
+import asyncio
 from collections.abc import Sequence
 from http import HTTPStatus
 
@@ -50,8 +51,9 @@
 MOST_DETOURS = 3  # of one stream, round lost engines
 MOST_TRIES = 4  # paths that are tried at all
 NO_PATH = ChainPath((), 0, 0)
+NO_BUDGET = 'the retry budget is spent'
 PATIENCE = 0.8  # part of the latency objective that a path is waited for
-GAP_PATIENCE = 4  # allowed pauses that a begun stream waits for a path
+BACKOFF_S = 0.1  # more after each refusal of a begun stream but the first
 # Memory is short for seconds where engines are lost; those who come back
 # sooner find none.
 RETURNING = Returning(least_s=1, per_s=4)
@@ -111,6 +113,7 @@
             outcome = await self._try()
             if self._is_over(outcome):
                 return
+            await self._back_off()
 
     def _is_over(self, outcome: Outcome) -> bool:
         """
@@ -151,11 +154,12 @@
         until = steady() + self._patience_s()
         while True:
             found = self._finder.choose()
-            if isinstance(found, ChainPath):
+            is_found = isinstance(found, ChainPath)
+            if is_found and self._has_budget():
                 return found
             left_s = until - steady()
             if left_s <= 0:
-                return found.value
+                return NO_BUDGET if is_found else found.value
             began = steady()
             await self._waiting.wait(self._call.priority, left_s)
             self._call.waited_s += steady() - began
@@ -166,7 +170,8 @@
         """
         call = self._call
         if call.answer.has_begun:
-            return min(call.left_s(), call.route.gap_s * GAP_PATIENCE)
+            # What it has passed on is of use only with the rest.
+            return call.left_s()
         patience_s = PATIENCE * call.route.target_s - call.age_s()
         return min(call.left_s(), max(0, patience_s))
 
@@ -323,9 +328,27 @@
         return None
 
     def _can_move(self, avoided: Sequence[Lifetime]) -> bool:
-        return self._may_go_on() and isinstance(
-            self._finder.choose(avoided), ChainPath
-        )
+        if not self._may_go_on() or not self._has_budget():
+            return False
+        return isinstance(self._finder.choose(avoided), ChainPath)
+
+    def _has_budget(self) -> bool:
+        """
+        Return whether a send stays within the retry budget of all gateways.
+        """
+        if not self._tries:
+            return True
+        return self._window.allows(steady(), self._core.peers.count())
+
+    async def _back_off(self) -> None:
+        """
+        Leave engines time that refused a begun stream, and try them again.
+        """
+        refused = self._call.refused
+        if self._call.answer.has_begun and refused:
+            self._call.avoided.clear()
+            pause_s = min(BACKOFF_S * (refused - 1), self._call.left_s())
+            await asyncio.sleep(max(0, pause_s))
 
     def _may_go_on(self) -> bool:
         """
@@ -334,13 +357,15 @@
         call = self._call
         if call.left_s() <= 0 or call.answer.has_ended:
             return False
-        if call.refused > MOST_REFUSED or self._tries >= MOST_TRIES:
+        has_begun = call.answer.has_begun
+        is_tried = call.refused > MOST_REFUSED or self._tries >= MOST_TRIES
+        if is_tried and not has_begun:
             return False
         if call.sends and call.route.repeat is Repeat.ONCE:
             return False
         if call.sends >= call.route.most_sends:
             return False
-        return self._window.allows(steady(), self._core.peers.count())
+        return has_begun or self._has_budget()
 
     async def _pass_events(self, head: Head, raw: bytes) -> None:
         whole = self._pieces.feed(raw)
--- a/mallowcrank/platform/standins/replica.py
+++ b/mallowcrank/platform/standins/replica.py
@@ -44,6 +44,7 @@
     :param losses: run, and the channel is reset without an answer.
     :param unsealed: answered without a seal.
     :param is_silent: whether it answers nothing at all.
+    :param refusals_after: answered 503 after the first run.
     :param late_orders: orders that are carried out and get no answer.
     :param refuses_detours: whether streams can't be taken round others.
     """
@@ -56,6 +57,7 @@
     unsealed: int = 0
     is_silent: bool = False
     late_orders: int = 0
+    refusals_after: int = 0
     refuses_detours: bool = False
 
     def take(self, name: str) -> bool:
@@ -226,6 +228,8 @@
         mine = str(self.address)
         if is_for_another(self.identity, tuple(given.items())):
             return HTTPStatus.MISDIRECTED_REQUEST, mine
+        if self.ran and self.faults.take('refusals_after'):
+            return HTTPStatus.SERVICE_UNAVAILABLE, mine
         if self.faults.take('refusals') or self.state != 'ready':
             return HTTPStatus.SERVICE_UNAVAILABLE, mine
         for address, first, end in _hops(given):
--- a/tests/test_gateway_serving.py
+++ b/tests/test_gateway_serving.py
@@ -86,6 +86,16 @@
         lost = str(self.world.replicas[second].address)
         self.assertNotIn(lost, addresses)
 
+    async def test_a_begun_stream_waits_for_a_path_while_time_is_left(self):
+        await self.serve(engines=((0, LAYERS),))
+        engine = self.engines()[0]
+        engine.faults.cuts = 1
+        engine.faults.refusals_after = 2
+        answered = await self.draft()
+        self.assertEqual(answered.events, ALL_EVENTS)
+        self.assertTrue(answered.is_whole)
+        self.assertEqual(len(engine.ran), 2)
+
     async def test_a_cut_stream_goes_on_elsewhere_after_its_last_event(self):
         await self.serve(engines=((0, 40), (0, 40), (40, LAYERS), (40, LAYERS)))
         for engine in self.engines():
