Cut one run in the demo, not one on each engine

Each engine cut its next run, and the stream went on over another engine than the one that had cut it, so that both of its sends were cut. On an idle machine it went on over the same one.

--- a/scripts/platform_demo.py
+++ b/scripts/platform_demo.py
@@ -9,6 +9,7 @@
 import sys
 
 from mallowcrank.gateway.program import Gateway
+from mallowcrank.platform.standins.replica import ReplicaFaults
 from mallowcrank.platform.standins.world import Answered, PlatformWorld
 from mallowcrank.status import ExitStatus
 
@@ -31,8 +32,10 @@
         _show('stream', served, f'events {served.events}')
         plain = await world.ask(gateways[1], '/lookup/bolt')
         _show('plain call', plain, repr(plain.body))
+        one_cut = ReplicaFaults(cuts=1)
         for replica in world.replicas.values():
-            replica.faults.cuts = 1 if replica.kind else 0
+            if replica.kind:
+                replica.faults = one_cut
         moved = await _draft(world, gateways[0])
         _show('stream cut midway', moved, f'events {moved.events}')
         await gateways[1].leave()
