Let streams and plain calls share what allows another send

Both told refusals from failures, and checked a call's time and route, by their own copies; a path's engines were listed in four places. Behaviour is unchanged.

--- a/mallowcrank/chains/paths.py
+++ b/mallowcrank/chains/paths.py
@@ -63,6 +63,13 @@
     version: int
     cost_ms: float
 
+    @property
+    def lifetimes(self) -> tuple[Lifetime, ...]:
+        """
+        Return its engines in order.
+        """
+        return tuple(part.lifetime for part in self.parts)
+
 
 @unique
 class NoPath(Enum):
@@ -124,7 +131,7 @@
     """
     if path.parts[0].lifetime in lost:
         return None
-    used = {part.lifetime for part in path.parts}
+    used = set(path.lifetimes)
     zones = {each.zone for each in engines if each.lifetime in used}
     near = [
         each
--- a/mallowcrank/gateway/core.py
+++ b/mallowcrank/gateway/core.py
@@ -12,7 +12,7 @@
 from mallowcrank.chains.budget import RetryWindows
 from mallowcrank.chains.memory import MemoryLedger
 from mallowcrank.gateway.caller_channel import Answer, CallerRequest
-from mallowcrank.gateway.desired import RouteRule, ServiceRule
+from mallowcrank.gateway.desired import Repeat, RouteRule, ServiceRule
 from mallowcrank.gateway.fleet import Fleet
 from mallowcrank.gateway.journal import Journal, Weight
 from mallowcrank.gateway.meters import Meters
@@ -82,6 +82,14 @@
         fields = self.vocabulary.answer_fields(head.headers)
         return is_ok and fields.is_genuine
 
+    def is_refusal(self, head: Head) -> bool:
+        """
+        Return whether a target vouches that it did not run a request.
+        """
+        fields = self.vocabulary.answer_fields(head.headers)
+        is_misdirected = head.status == HTTPStatus.MISDIRECTED_REQUEST
+        return fields.did_not_run or is_misdirected
+
     def answers(self, call: 'Call') -> Callable[[Headers], bool]:
         """
         Return what tells answers to a call from those to others.
@@ -130,6 +138,16 @@
         """
         return 'stream' if self.route.streams else self.route.repeat.value
 
+    def may_run_again(self) -> bool:
+        """
+        Return whether its time and its route allow another send.
+        """
+        if self.left_s() <= 0 or self.answer.has_ended:
+            return False
+        if self.sends and self.route.repeat is Repeat.ONCE:
+            return False
+        return self.sends < self.route.most_sends
+
     def left_s(self) -> float:
         """
         Return the seconds until its final answer is due.
--- a/mallowcrank/gateway/plain_calls.py
+++ b/mallowcrank/gateway/plain_calls.py
@@ -82,13 +82,7 @@
         ) or self._records.pick(targets, zone, call.avoided, drawn)
 
     def _may_go_on(self, call: Call) -> bool:
-        if call.left_s() <= 0 or call.answer.has_ended:
-            return False
-        if call.refused > MOST_TURNED_AWAY:
-            return False
-        if call.sends and call.route.repeat is Repeat.ONCE:
-            return False
-        if call.sends >= call.route.most_sends:
+        if call.refused > MOST_TURNED_AWAY or not call.may_run_again():
             return False
         window = self._core.windows.of(call.service.name)
         return window.allows(steady(), self._core.peers.count())
@@ -164,9 +158,7 @@
         is_ok = ended.head.status < HTTPStatus.MULTIPLE_CHOICES
         if is_ok and not self._core.is_success(ended.head):
             return Nothing('an answer without a seal', has_run=True)
-        fields = self._core.vocabulary.answer_fields(ended.head.headers)
-        misdirected = ended.head.status == HTTPStatus.MISDIRECTED_REQUEST
-        if not (fields.did_not_run or misdirected):
+        if not self._core.is_refusal(ended.head):
             return ended
         call.sends -= 1
         call.refused += 1
--- a/mallowcrank/gateway/streams.py
+++ b/mallowcrank/gateway/streams.py
@@ -13,7 +13,7 @@
 from mallowcrank.chains.paths import ChainPath
 from mallowcrank.gateway.caller_channel import without_channel_headers
 from mallowcrank.gateway.core import Call, Core, conclude
-from mallowcrank.gateway.desired import EngineRule, Repeat
+from mallowcrank.gateway.desired import EngineRule
 from mallowcrank.gateway.detours import go_round
 from mallowcrank.gateway.endings import TIMEOUT, Returning, give_up, pass_on
 from mallowcrank.gateway.event_pieces import EventPieces
@@ -302,8 +302,7 @@
 
     def _lost(self) -> list[Lifetime]:
         known = self._core.fleet.seen.dead()
-        lifetimes = (part.lifetime for part in self._path.parts)
-        return [each for each in lifetimes if each in known]
+        return [each for each in self._path.lifetimes if each in known]
 
     def _look(self, quiet_s: float) -> CutOff | None:
         """
@@ -314,7 +313,7 @@
         allowed_s = QUIET_S if self._pieces.events else FIRST_QUIET_S
         if quiet_s < allowed_s:
             return None
-        lifetimes = [part.lifetime for part in self._path.parts]
+        lifetimes = self._path.lifetimes
         seen = self._core.fleet.seen
         idle = seen.idle_since(lifetimes, steady() - allowed_s)
         self._core.prober.suspect(idle)
@@ -355,23 +354,18 @@
         Return whether the request may be sent once more.
         """
         call = self._call
-        if call.left_s() <= 0 or call.answer.has_ended:
+        if not call.may_run_again():
             return False
-        has_begun = call.answer.has_begun
+        if call.answer.has_begun:
+            return True
         is_tried = call.refused > MOST_REFUSED or self._tries >= MOST_TRIES
-        if is_tried and not has_begun:
-            return False
-        if call.sends and call.route.repeat is Repeat.ONCE:
-            return False
-        if call.sends >= call.route.most_sends:
-            return False
-        return has_begun or self._has_budget()
+        return not is_tried and self._has_budget()
 
     async def _pass_events(self, head: Head, raw: bytes) -> None:
         whole = self._pieces.feed(raw)
         if not whole:
             return
-        lifetimes = [part.lifetime for part in self._path.parts]
+        lifetimes = self._path.lifetimes
         seen = self._core.fleet.seen
         seen.see_work(lifetimes, steady())
         if not self._is_taken:
@@ -394,10 +388,9 @@
         """
         Tell a refusal from a failure.
         """
-        fields = self._core.vocabulary.answer_fields(head.headers)
-        misdirected = head.status == HTTPStatus.MISDIRECTED_REQUEST
-        if not (fields.did_not_run or misdirected):
+        if not self._core.is_refusal(head):
             return Failed(head, body)
+        fields = self._core.vocabulary.answer_fields(head.headers)
         self._call.sends -= 1
         self._call.refused += 1
         culprit = self._core.fleet.at(fields.at) if fields.at else None
