Check that an experiment's rows are means over the seeds

The test of that name only saw that no seeds give no rows; that one stays under its own name. The stand-in's paths are read from their text, so that an order needs no made-up headers.

--- a/mallowcrank/platform/standins/replica.py
+++ b/mallowcrank/platform/standins/replica.py
@@ -177,7 +177,7 @@
     async def _order(self, request: CallerRequest, answer: Answer) -> None:
         order = orjson.loads(request.body)
         if order['operation'] == 'repath':
-            hops = _hops({HOPS: order['path'].encode()})
+            hops = _hops(order['path'])
             status = HTTPStatus.CONFLICT
             if not self.faults.refuses_detours and _are_there(
                 hops, self.others
@@ -232,7 +232,7 @@
             return HTTPStatus.SERVICE_UNAVAILABLE, mine
         if self.faults.take('refusals') or self.state != 'ready':
             return HTTPStatus.SERVICE_UNAVAILABLE, mine
-        for address, first, end in _hops(given):
+        for address, first, end in _hops(_path_of(given)):
             other = self.others.get(address)
             if other is None or other.state != 'ready':
                 return HTTPStatus.SERVICE_UNAVAILABLE, address
@@ -244,7 +244,7 @@
     def _run(self, given: dict[bytes, bytes], body: bytes) -> Ran:
         layers = [
             layer
-            for _, first, end in _hops(given)
+            for _, first, end in _hops(_path_of(given))
             for layer in range(first, end)
         ]
         ran = Ran(
@@ -294,9 +294,13 @@
     return ((b'Mallowcrank-Request-Id', request),)
 
 
-def _hops(given: dict[bytes, bytes]) -> list[tuple[str, int, int]]:
+def _path_of(given: dict[bytes, bytes]) -> str:
+    return given.get(HOPS, b'').decode()
+
+
+def _hops(path: str) -> list[tuple[str, int, int]]:
     hops = []
-    for part in given.get(HOPS, b'').decode().split(','):
+    for part in path.split(','):
         address, _, layers = part.partition('=')
         first, _, end = layers.partition('-')
         if end:
--- a/tests/test_emulator.py
+++ b/tests/test_emulator.py
@@ -24,7 +24,7 @@
     start,
     stop,
 )
-from mallowcrank.emulator.experiment import Experiment, rows_of
+from mallowcrank.emulator.experiment import Experiment, Trial, rows_of
 from mallowcrank.emulator.figures import figures_of, is_on_time
 from mallowcrank.emulator.load import LOADS, Job, Load, Trouble
 from mallowcrank.emulator.memory import Memory
@@ -204,10 +204,25 @@
             tokens = free_mb * 1e6 / (RULE.token_bytes / RULE.layers) / count
             self.assertGreaterEqual(tokens, 64_000)
 
-    def test_means_are_taken_over_the_seeds(self):
+    def test_no_seeds_give_no_rows(self):
         planned = Experiment(('product',), ('calm',), ())
         self.assertEqual(rows_of(tuple(planned.play(print))), [])
 
+    def test_means_are_taken_over_the_seeds(self):
+        first = self.play(load=replace(SHORT, seconds=2), seed=1)
+        second = replace(first, credit=first.credit - 0.5, event_ms=10)
+        rows = rows_of(
+            [
+                Trial('calm', 'product', 1, first),
+                Trial('calm', 'product', 2, second),
+                Trial('calm', 'random', 1, second),
+            ]
+        )
+        policies = [row['policy'] for row in rows]
+        self.assertEqual(policies, ['product', 'random'])
+        self.assertAlmostEqual(rows[0]['credit'], first.credit - 0.25, 3)
+        self.assertEqual(rows[1]['event_ms'], 10)
+
 
 class TestCommand(TestCase):
     def setUp(self):
