Log how many gateways are known, and the use of the retry budget

A failed path now shows the retries in the window, the share and the count of gateways that it was divided by; the view of the other gateways is logged as it changes, and both are metrics.

--- a/mallowcrank/chains/budget.py
+++ b/mallowcrank/chains/budget.py
@@ -27,6 +27,29 @@
     is_retry: bool
 
 
+@dataclass(frozen=True, slots=True)
+class RetryUsage:
+    """
+    The use of a router's share of the budget in the current window.
+
+    :param requests: first sends of requests.
+    :param allowed: retries that the share allows.
+    :param routers: number of routers among which the slack was divided.
+    """
+
+    requests: int
+    retries: int
+    allowed: float
+    routers: int
+
+    @property
+    def has_room(self) -> bool:
+        """
+        Return whether the share allows another retry.
+        """
+        return self.retries + 1 <= self.allowed
+
+
 class RetryWindow:
     """
     Sliding window of the requests and retries of one service.
@@ -54,6 +77,15 @@
         """
         Return whether another retry stays within the budget.
 
+        :param now: steady time, in seconds.
+        :param routers: number of routers that share the budget.
+        """
+        return self.usage(now, routers).has_room
+
+    def usage(self, now: float, routers: int) -> RetryUsage:
+        """
+        Return how much of the share is in use.
+
         :param now: steady time, in seconds.
         :param routers: number of routers that share the budget.
         """
@@ -61,7 +93,7 @@
         requests = len(self._sent) - self._retries
         slack = self._bounds.retry_slack / max(1, routers)
         allowed = (requests * self._bounds.retry_ratio + slack) * SAFETY_FACTOR
-        return self._retries + 1 <= allowed
+        return RetryUsage(requests, self._retries, allowed, routers)
 
     def count_retry(self, now: float) -> None:
         """
--- a/mallowcrank/gateway/core.py
+++ b/mallowcrank/gateway/core.py
@@ -9,7 +9,7 @@
 
 import orjson
 
-from mallowcrank.chains.budget import RetryWindows
+from mallowcrank.chains.budget import RetryUsage, RetryWindows
 from mallowcrank.chains.memory import MemoryLedger
 from mallowcrank.gateway.caller_channel import CallerRequest, ResponseWriter
 from mallowcrank.gateway.clock import monotonic_s
@@ -78,6 +78,16 @@
             self.meters.target_channels.labels('opened').inc()
         return opened
 
+    def retry_usage(self, service: str) -> RetryUsage:
+        """
+        Return how much of this gateway's retry budget is in use.
+        """
+        window = self.retry_windows.for_service(service)
+        usage = window.usage(monotonic_s(), self.peers.count())
+        self.meters.retries.labels(service, 'sent').set(usage.retries)
+        self.meters.retries.labels(service, 'allowed').set(usage.allowed)
+        return usage
+
     def is_success(self, head: ResponseHead) -> bool:
         """
         Return whether a response is a genuine 2xx of a target.
--- a/mallowcrank/gateway/gossip.py
+++ b/mallowcrank/gateway/gossip.py
@@ -27,6 +27,7 @@
         self._leadership = leadership
         self._incarnation = incarnation
         self._leader_seen_at = monotonic_s()
+        self._logged_view = (0, 0)
         self.is_stopping = False
 
     @property
@@ -60,6 +61,20 @@
         mine = self._core.settings.host
         return int(should_take_over(mine, others, now - self._leader_seen_at))
 
+    def log_view(self) -> None:
+        """
+        Log and count the other gateways, if their number has changed.
+        """
+        peers = self._core.peers
+        view = (peers.count(), 1 + len(peers.live()))
+        if view == self._logged_view:
+            return
+        self._logged_view = view
+        known, live = view
+        self._core.meters.gateways.labels('known').set(known)
+        self._core.meters.gateways.labels('live').set(live)
+        self._core.journal.say('peers: view changed', known=known, live=live)
+
     def own_status(self) -> GatewayStatus:
         """
         Return this gateway's status.
--- a/mallowcrank/gateway/meters.py
+++ b/mallowcrank/gateway/meters.py
@@ -53,6 +53,18 @@
             'Requests in flight.',
             registry=self._registry,
         )
+        self.gateways = Gauge(
+            'mallowcrank_gateways',
+            'Gateways that this one knows or hears, with itself.',
+            ('state',),
+            registry=self._registry,
+        )
+        self.retries = Gauge(
+            'mallowcrank_retries',
+            'Retries in the window of the budget, sent and allowed.',
+            ('service', 'state'),
+            registry=self._registry,
+        )
         self.waiting = Gauge(
             'mallowcrank_waiting',
             'Requests that wait for memory of engines.',
--- a/mallowcrank/gateway/plain_calls.py
+++ b/mallowcrank/gateway/plain_calls.py
@@ -87,8 +87,7 @@
     def _may_retry(self, call: Call) -> bool:
         if call.refusals > MAX_REFUSALS or not call.may_retry():
             return False
-        window = self._core.retry_windows.for_service(call.service.name)
-        return window.allows_retry(monotonic_s(), self._core.peers.count())
+        return self._core.retry_usage(call.service.name).has_room
 
     async def _attempt(
         self, call: Call, target: Target
--- a/mallowcrank/gateway/program.py
+++ b/mallowcrank/gateway/program.py
@@ -233,6 +233,7 @@
                 channels.sweep()
             self._core.pool.sweep()
             self._core.fleet.drop_lapsed(monotonic_s())
+            self._parts.gossip.log_view()
 
     async def _flush(self) -> None:
         while True:
--- a/mallowcrank/gateway/streams.py
+++ b/mallowcrank/gateway/streams.py
@@ -358,9 +358,7 @@
         """
         if not self._tries:
             return True
-        return self._window.allows_retry(
-            monotonic_s(), self._core.peers.count()
-        )
+        return self._core.retry_usage(self._call.service.name).has_room
 
     async def _back_off(self) -> None:
         """
@@ -435,6 +433,7 @@
         return Rejected(f'{head.status} at {lifetime.identity}')
 
     def _log_attempt(self, reason: str) -> None:
+        usage = self._core.retry_usage(self._call.service.name)
         self._core.journal.say(
             'request: path failed',
             request=self._call.fields.request_id,
@@ -443,5 +442,8 @@
             sends=self._call.sends,
             refused=self._call.refusals,
             events=self._pieces.event_count,
+            retries=usage.retries,
+            retries_allowed=round(usage.allowed, 2),
+            gateways=usage.routers,
             age_s=round(self._call.age_s(), 4),
         )
