--- a/mallowcrank/gateway/peers.py
+++ b/mallowcrank/gateway/peers.py
@@ -235,10 +235,16 @@
         Broadcast the status until cancelled.
         """
         while True:
-            self._discount_freeze()
-            self.broadcast()
+            self.tick()
             await asyncio.sleep(BROADCAST_INTERVAL_S)
 
+    def tick(self) -> None:
+        """
+        Send the statuses that are due; is called at each interval.
+        """
+        self._discount_freeze()
+        self.broadcast()
+
     def _discount_freeze(self) -> None:
         """
         Don't count time in which this process was frozen as silence.
