Send each gateway's status to all others, also on sites of 66 or more

Callers saw refusals, late answers and repeats beyond the retry budget on sites of 66 and 84 gateways. The fault is a part of the gateways that is taken for all of them.

Statuses now go to all in turn, to 40 at each interval, so that the load of a gateway stays bounded; the time-outs that depend on statuses (liveness, reservations, paces, takeover) follow the length of the cycle. Gateways pass on the addresses of others, since settings and store name only some of them. Addresses that were named count as gateways until they have been silent for long, and longer if most others are silent too.

Sums of reservations are kept as statuses arrive, not added up for each path.

--- a/mallowcrank/chains/memory.py
+++ b/mallowcrank/chains/memory.py
@@ -7,11 +7,12 @@
 
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass
+from math import inf
 
 from mallowcrank.chains.paths import PathSegment
 from mallowcrank.gateway.targets import Lifetime
 
-RESERVATIONS_TTL_S = 1.5  # a router silent for longer has lost its requests
+MIN_RESERVATIONS_TTL_S = 1.5
 
 
 @dataclass(frozen=True, slots=True)
@@ -21,10 +22,20 @@
 
     :param received_at_s: steady time, in seconds.
     :param reserved: tokens x layers by the engine's identity.
+    :param ttl_s: seconds without another message after which the router has
+        lost its requests.
     """
 
     received_at_s: float
     reserved: Mapping[str, float]
+    ttl_s: float = MIN_RESERVATIONS_TTL_S
+
+    @property
+    def expires_at_s(self) -> float:
+        """
+        Return the steady time until which they count, in seconds.
+        """
+        return self.received_at_s + max(MIN_RESERVATIONS_TTL_S, self.ttl_s)
 
 
 class MemoryLedger:
@@ -36,6 +47,8 @@
         self._own: dict[Lifetime, float] = {}
         self._started_paths: dict[Lifetime, int] = {}
         self._peers: dict[str, PeerReservations] = {}
+        self._peer_totals: dict[str, float] = {}
+        self._next_expiry_s = inf
 
     def reserve(self, segments: Iterable[PathSegment], tokens: float) -> None:
         """
@@ -63,7 +76,11 @@
         """
         Replace a peer's reservations.
         """
+        self._drop_peer(router)
         self._peers[router] = peer
+        for identity, reserved in peer.reserved.items():
+            self._change_total(identity, reserved)
+        self._next_expiry_s = min(self._next_expiry_s, peer.expires_at_s)
 
     def own_reservations(self) -> Mapping[str, float]:
         """
@@ -82,11 +99,9 @@
 
         :returns: tokens x layers.
         """
-        others = sum(
-            peer.reserved.get(lifetime.identity, 0)
-            for peer in self._peers.values()
-            if now - peer.received_at_s < RESERVATIONS_TTL_S
-        )
+        if now >= self._next_expiry_s:
+            self._drop_expired_peers(now)
+        others = self._peer_totals.get(lifetime.identity, 0)
         return self._own.get(lifetime, 0) + others
 
     def started_paths(self, lifetime: Lifetime) -> int:
@@ -95,6 +110,31 @@
         """
         return self._started_paths.get(lifetime, 0)
 
+    def _drop_expired_peers(self, now: float) -> None:
+        expired = [
+            router
+            for router, peer in self._peers.items()
+            if now >= peer.expires_at_s
+        ]
+        for router in expired:
+            self._drop_peer(router)
+        self._next_expiry_s = min(
+            (each.expires_at_s for each in self._peers.values()), default=inf
+        )
+
+    def _drop_peer(self, router: str) -> None:
+        before = self._peers.pop(router, None)
+        if before:
+            for identity, reserved in before.reserved.items():
+                self._change_total(identity, -reserved)
+
+    def _change_total(self, identity: str, change: float) -> None:
+        remaining = self._peer_totals.get(identity, 0) + change
+        if remaining > 1:
+            self._peer_totals[identity] = remaining
+        else:
+            self._peer_totals.pop(identity, None)
+
     def _change(self, segment: PathSegment, change: float) -> None:
         remaining = self._own.get(segment.lifetime, 0) + change
         if remaining > 1:
--- /dev/null
+++ b/mallowcrank/gateway/datagrams.py
@@ -0,0 +1,147 @@
+"""
+Datagrams between gateways: the status of one, or the addresses of several.
+
+Each datagram is complete, so that a lost one does no harm.
+"""
+
+from collections.abc import Iterable, Mapping
+from dataclasses import dataclass, field
+from ipaddress import ip_address
+from typing import Any
+
+import msgpack
+
+from mallowcrank.gateway.settings import Address
+from mallowcrank.gateway.targets import HeldLayers
+
+STATUS_FORMAT = 1
+ADDRESSES_FORMAT = 2
+MAX_PORT = 65_535
+DECODE_ERRORS = (ValueError, TypeError, IndexError, AttributeError)
+
+
+@dataclass(frozen=True, slots=True)
+class GatewayStatus:
+    """
+    The status that one gateway sends to the others.
+
+    :param incarnation: random id of the process.
+    :param front: where callers connect.
+    :param gossip: where it receives datagrams.
+    :param peers: where it answers other gateways over TCP.
+    :param accepts_callers: whether the directory may list it.
+    :param desired_version: its newest version of the desired state.
+    :param leader_generation: the generation in which it leads, or 0.
+    :param reserved: tokens x layers by engine.
+    :param unresponsive_targets: identities of targets that don't answer it.
+    :param paces: factors on the usual times of slow targets, by identity.
+    :param layers: layers that targets reported and that their entries may
+        not show yet, by identity.
+    """
+
+    host: str
+    incarnation: str
+    zone: str
+    front: Address
+    gossip: Address
+    peers: Address
+    accepts_callers: bool
+    desired_version: int
+    leader_generation: int
+    reserved: Mapping[str, float]
+    unresponsive_targets: tuple[str, ...] = ()
+    paces: Mapping[str, float] = field(default_factory=dict)
+    layers: Mapping[str, HeldLayers] = field(default_factory=dict)
+
+
+def pack_status(status: GatewayStatus) -> bytes:
+    """
+    Encode a status as a datagram.
+    """
+    return msgpack.packb(
+        [
+            STATUS_FORMAT,
+            status.host,
+            status.incarnation,
+            status.zone,
+            status.front.ip,
+            [status.front.port, status.gossip.port, status.peers.port],
+            status.accepts_callers,
+            status.desired_version,
+            status.leader_generation,
+            {name: int(used) for name, used in status.reserved.items()},
+            list(status.unresponsive_targets),
+            dict(status.paces),
+            {
+                name: [held.first, held.end, held.version]
+                for name, held in status.layers.items()
+            },
+        ]
+    )
+
+
+def read_status(raw: bytes) -> GatewayStatus | None:
+    """
+    Decode a datagram.
+
+    :returns: the status, or None if the datagram is malformed or of another
+        format version.
+    """
+    try:
+        return _decode(msgpack.unpackb(raw))
+    except DECODE_ERRORS:
+        return None
+
+
+def pack_addresses(addresses: Iterable[Address]) -> bytes:
+    """
+    Encode addresses at which gateways receive datagrams.
+    """
+    return msgpack.packb(
+        [ADDRESSES_FORMAT, [[each.ip, each.port] for each in addresses]]
+    )
+
+
+def read_addresses(raw: bytes) -> tuple[Address, ...]:
+    """
+    Decode a datagram of addresses.
+
+    :returns: the addresses; none if the datagram is malformed or of another
+        kind.
+    """
+    try:
+        kind, addresses = msgpack.unpackb(raw)
+        if kind != ADDRESSES_FORMAT:
+            return ()
+        return tuple(_decode_address(ip, port) for ip, port in addresses)
+    except DECODE_ERRORS:
+        return ()
+
+
+def _decode(fields: list[Any]) -> GatewayStatus | None:
+    if fields[0] != STATUS_FORMAT:
+        return None
+    ip = str(fields[4])
+    reported_layers = fields[12].items()
+    front, gossip, peers = (int(port) for port in fields[5])
+    return GatewayStatus(
+        host=str(fields[1]),
+        incarnation=str(fields[2]),
+        zone=str(fields[3]),
+        front=Address(ip, front),
+        gossip=Address(ip, gossip),
+        peers=Address(ip, peers),
+        accepts_callers=bool(fields[6]),
+        desired_version=int(fields[7]),
+        leader_generation=int(fields[8]),
+        reserved={str(key): float(used) for key, used in fields[9].items()},
+        unresponsive_targets=tuple(str(each) for each in fields[10]),
+        layers={str(key): HeldLayers(*held) for key, held in reported_layers},
+        paces={str(key): float(pace) for key, pace in fields[11].items()},
+    )
+
+
+def _decode_address(ip: Any, port: Any) -> Address:
+    if not 0 < int(port) <= MAX_PORT:
+        raise ValueError('no port')
+    return Address(str(ip_address(str(ip))), int(port))
--- a/mallowcrank/gateway/directory.py
+++ b/mallowcrank/gateway/directory.py
@@ -4,7 +4,7 @@
 
 from collections.abc import Mapping, Sequence
 
-from mallowcrank.gateway.peers import GatewayStatus
+from mallowcrank.gateway.datagrams import GatewayStatus
 from mallowcrank.gateway.settings import Address
 
 MIN_FRONTS = 2  # returned to a caller, if there are as many
--- a/mallowcrank/gateway/gossip.py
+++ b/mallowcrank/gateway/gossip.py
@@ -5,9 +5,9 @@
 from mallowcrank.chains.memory import PeerReservations
 from mallowcrank.gateway.clock import monotonic_s
 from mallowcrank.gateway.core import Core
+from mallowcrank.gateway.datagrams import GatewayStatus
 from mallowcrank.gateway.followers import LatestDesired
 from mallowcrank.gateway.leadership import Leadership, should_take_over
-from mallowcrank.gateway.peers import GatewayStatus
 
 
 class Gossip:
@@ -59,7 +59,14 @@
         if 2 * len(others) + 1 < self._core.peers.count():
             return 0
         mine = self._core.settings.host
-        return int(should_take_over(mine, others, now - self._leader_seen_at))
+        return int(
+            should_take_over(
+                mine,
+                others,
+                now - self._leader_seen_at,
+                self._core.peers.liveness_timeout_s,
+            )
+        )
 
     def log_view(self) -> None:
         """
@@ -110,7 +117,10 @@
         now = monotonic_s()
         fleet = self._core.fleet
         self._core.ledger.update_peer(
-            status.host, PeerReservations(now, status.reserved)
+            status.host,
+            PeerReservations(
+                now, status.reserved, self._core.peers.liveness_timeout_s
+            ),
         )
         self._leadership.handle_status(status)
         if status.leader_generation:
@@ -118,7 +128,11 @@
         for identity, pace in status.paces.items():
             target = fleet.find(identity)
             if target:
-                fleet.health.record_peer_pace(target.lifetime, pace, now)
+                fleet.health.record_peer_pace(
+                    target.lifetime,
+                    pace,
+                    now + self._core.peers.liveness_timeout_s,
+                )
         for identity, layers in status.layers.items():
             fleet.update_layers(identity, layers, now, is_direct=False)
         for identity in status.unresponsive_targets:
--- a/mallowcrank/gateway/leadership.py
+++ b/mallowcrank/gateway/leadership.py
@@ -13,9 +13,10 @@
 from random import Random
 
 from mallowcrank.gateway.clock import monotonic_s
+from mallowcrank.gateway.datagrams import GatewayStatus
 from mallowcrank.gateway.followers import Backoff
 from mallowcrank.gateway.journal import Journal
-from mallowcrank.gateway.peers import GatewayStatus, Peers
+from mallowcrank.gateway.peers import Peers
 from mallowcrank.gateway.ports import DecodeFailure, Vocabulary
 from mallowcrank.gateway.settings import Address, GatewaySettings
 from mallowcrank.gateway.store_client import StoreClient, StoreResponse
@@ -23,14 +24,17 @@
 GROUP = 'mallowcrank'
 RENEWAL_INTERVAL_S = 1.0
 LEASE_S = 3.0  # three renewals
-TAKEOVER_DELAY_S = 1.2  # a leader sends its status four times a second
+MIN_TAKEOVER_DELAY_S = 1.2
 OUTAGE_LEASE_S = 20  # the last leader goes on during a store outage
 LEADER_PARTITION = 0
 SEPARATOR = '/'
 
 
 def should_take_over(
-    mine: str, others: Sequence[GatewayStatus], leaderless_s: float
+    mine: str,
+    others: Sequence[GatewayStatus],
+    leaderless_s: float,
+    liveness_timeout_s: float = 0,
 ) -> bool:
     """
     Return whether a gateway acts as the leader while there is none.
@@ -43,8 +47,10 @@
     :param mine: this gateway's host.
     :param others: the statuses of the other live gateways.
     :param leaderless_s: seconds for which this gateway has known no leader.
+    :param liveness_timeout_s: seconds for which a live leader may be silent.
     """
-    if leaderless_s < TAKEOVER_DELAY_S or any(
+    delay_s = max(MIN_TAKEOVER_DELAY_S, liveness_timeout_s)
+    if leaderless_s < delay_s or any(
         status.leader_generation for status in others
     ):
         return False
@@ -199,7 +205,6 @@
         self._peers.add_candidates(
             address for address in map(_address, members) if address
         )
-        self._peers.broadcast()
 
 
 def _address(member: str) -> Address | None:
--- a/mallowcrank/gateway/peer_sync.py
+++ b/mallowcrank/gateway/peer_sync.py
@@ -18,7 +18,7 @@
     LatestDesired,
     TargetsFollower,
 )
-from mallowcrank.gateway.peers import Peer
+from mallowcrank.gateway.peer_table import Peer
 from mallowcrank.gateway.ports import HttpCall
 from mallowcrank.gateway.target_channel import Response
 
--- a/mallowcrank/gateway/target_health.py
+++ b/mallowcrank/gateway/target_health.py
@@ -10,7 +10,6 @@
 from mallowcrank.gateway.targets import HeldLayers, Lifetime, Target
 
 PACE_TTL_S = 4
-PEER_PACE_TTL_S = 1  # other gateways repeat theirs with each datagram
 SLOW_PACE = 1.2
 MIN_BACKOFF_S = 0.4  # doubles with each refusal in a row
 MAX_BACKOFF_S = 4
@@ -33,6 +32,19 @@
     at: float
 
 
+@dataclass(frozen=True, slots=True)
+class PeerPace:
+    """
+    A pace that another gateway measured.
+
+    :param pace: factor on the target's usual times.
+    :param valid_until: steady time, in seconds.
+    """
+
+    pace: float
+    valid_until: float
+
+
 @dataclass(frozen=True, slots=True)
 class RefusalStreak:
     """
@@ -68,7 +80,7 @@
     def __init__(self, journal: Journal) -> None:
         self._journal = journal
         self._paces: dict[Lifetime, PaceSample] = {}
-        self._peer_paces: dict[Lifetime, PaceSample] = {}
+        self._peer_paces: dict[Lifetime, PeerPace] = {}
         self._unresponsive: dict[Lifetime, float] = {}
         self._refusals: dict[Lifetime, RefusalStreak] = {}
         self._layers: dict[Lifetime, LayersReport] = {}
@@ -101,9 +113,9 @@
 
         :param now: steady time, in seconds.
         """
-        peer_sample = self._peer_paces.get(lifetime)
-        if peer_sample and now - peer_sample.at < PEER_PACE_TTL_S:
-            return peer_sample.pace
+        peer_pace = self._peer_paces.get(lifetime)
+        if peer_pace and now < peer_pace.valid_until:
+            return peer_pace.pace
         sample = self._paces.get(lifetime)
         if sample is None or now - sample.at > PACE_TTL_S:
             return 1
@@ -144,14 +156,15 @@
         return refusals.count >= MAX_REFUSALS
 
     def record_peer_pace(
-        self, lifetime: Lifetime, pace: float, now: float
+        self, lifetime: Lifetime, pace: float, valid_until: float
     ) -> None:
         """
         Record a pace that another gateway measured.
 
-        :param now: steady time, in seconds.
+        :param valid_until: steady time, in seconds; the other gateway repeats
+            it with each status.
         """
-        self._peer_paces[lifetime] = PaceSample(pace, now)
+        self._peer_paces[lifetime] = PeerPace(pace, valid_until)
 
     def record_refusal(self, lifetime: Lifetime, now: float) -> None:
         """
--- a/tests/test_gateway_beliefs.py
+++ b/tests/test_gateway_beliefs.py
@@ -11,6 +11,11 @@
 
 from mallowcrank.chains.memory import MemoryLedger
 from mallowcrank.gateway.clock import monotonic_s
+from mallowcrank.gateway.datagrams import (
+    GatewayStatus,
+    pack_status,
+    read_status,
+)
 from mallowcrank.gateway.directory import fronts_for
 from mallowcrank.gateway.fleet import LAPSED_ENTRY_GRACE_S, Fleet
 from mallowcrank.gateway.followers import (
@@ -21,7 +26,6 @@
 from mallowcrank.gateway.gossip import Gossip
 from mallowcrank.gateway.journal import Importance, Journal
 from mallowcrank.gateway.leadership import Leadership, should_take_over
-from mallowcrank.gateway.peers import GatewayStatus, pack_status, read_status
 from mallowcrank.gateway.settings import Address
 from mallowcrank.gateway.store_client import StoreFailure, StoreResponse
 from mallowcrank.gateway.targets import HeldLayers, Lifetime
@@ -175,7 +179,7 @@
 
     def test_pace_from_another_gateway_expires(self):
         self.target_health.record_answer(self.lifetime, 1, 0)
-        self.target_health.record_peer_pace(self.lifetime, 5, 0)
+        self.target_health.record_peer_pace(self.lifetime, 5, valid_until=1)
         self.assertEqual(self.target_health.pace(self.lifetime, 0.5), 5)
         self.assertEqual(self.target_health.pace(self.lifetime, 2), 1)
 
@@ -432,6 +436,7 @@
             for number in range(2, 2 + live_count)
         ]
         peers.count.return_value = known_count
+        peers.liveness_timeout_s = 0.9
         return Gossip(
             core=Mock(
                 peers=peers,
--- a/tests/test_gateway_peers.py
+++ b/tests/test_gateway_peers.py
@@ -5,8 +5,16 @@
 from functools import cache
 from unittest import TestCase
 
+import msgpack
+
 from mallowcrank.chains.budget import RetryWindow
-from mallowcrank.gateway.settings import Bounds
+from mallowcrank.gateway.datagrams import (
+    ADDRESSES_FORMAT,
+    pack_addresses,
+    read_addresses,
+)
+from mallowcrank.gateway.peers import MAX_ADDRESSES
+from mallowcrank.gateway.settings import Address, Bounds
 from tests.utils.peer_network import PeerNetwork
 
 EXPIRED_S = 32  # gateways that were not heard for so long are forgotten
@@ -60,3 +68,61 @@
             with self.subTest(size=size):
                 heard = settled_network(size).live_counts()
                 self.assertEqual(set(heard), {size - 1})
+
+    def test_gateways_find_each_other_through_few_seeds_and_lost_datagrams(
+        self,
+    ):
+        network = PeerNetwork(84, seeds=2, loss=0.05)
+        network.run(5)
+        self.assertEqual(set(network.counts()), {84})
+
+    def test_load_of_a_gateway_is_bounded_on_a_large_site(self):
+        network = PeerNetwork(120)
+        network.run(3)
+        network.sent.clear()
+        network.run(5)
+        self.assertLessEqual(max(network.sent.values()) / 5, 4 * 41)
+
+    def test_restarted_gateway_is_heard_again_within_a_second(self):
+        network = PeerNetwork(84)
+        network.run(5)
+        network.stop(50)
+        network.run(4)
+        self.assertEqual(set(network.live_counts()), {82})
+        with network.clock():
+            network.start(50)
+        network.run(1)
+        self.assertEqual(set(network.live_counts()), {83})
+
+    def test_gateway_that_is_gone_is_forgotten(self):
+        network = PeerNetwork(8)
+        network.run(2)
+        network.stop(3)
+        network.run(EXPIRED_S)
+        self.assertEqual(set(network.counts()), {7})
+
+    def test_gateways_that_hear_nobody_keep_their_shares(self):
+        network = PeerNetwork(8)
+        network.run(2)
+        network.deaf.update(list(network.gateways)[2:])
+        network.run(EXPIRED_S)
+        with network.clock():
+            total = total_retries(network.gateways.values(), network.now)
+        self.assertLessEqual(total, BOUNDS.retry_slack)
+
+
+class TestAddresses(TestCase):
+    def test_addresses_survive_encoding(self):
+        addresses = (Address('10.0.0.1', 7340), Address('10.0.0.2', 1))
+        self.assertEqual(read_addresses(pack_addresses(addresses)), addresses)
+
+    def test_most_addresses_of_a_datagram_fit_an_ethernet_frame(self):
+        longest = Address('255.255.255.255', 65_535)
+        addresses = [longest for _ in range(MAX_ADDRESSES)]
+        self.assertLess(len(pack_addresses(addresses)), 1400)
+
+    def test_malformed_addresses_are_ignored(self):
+        for addresses in ([['host', 7340]], [['10.0.0.1', 0]], [[]], 7, [7]):
+            with self.subTest(addresses=addresses):
+                raw = msgpack.packb([ADDRESSES_FORMAT, addresses])
+                self.assertEqual(read_addresses(raw), ())
--- a/tests/test_platform_fuzz.py
+++ b/tests/test_platform_fuzz.py
@@ -14,9 +14,13 @@
 
 from mallowcrank.findings import Finding
 from mallowcrank.gateway.caller_channel import CallerChannels
+from mallowcrank.gateway.datagrams import (
+    GatewayStatus,
+    pack_status,
+    read_status,
+)
 from mallowcrank.gateway.desired import Desired, Limits
 from mallowcrank.gateway.event_buffer import EventBuffer
-from mallowcrank.gateway.peers import GatewayStatus, pack_status, read_status
 from mallowcrank.gateway.ports import (
     DecodeFailure,
     LogSlice,
--- a/tests/test_recorded_formats.py
+++ b/tests/test_recorded_formats.py
@@ -12,7 +12,7 @@
 from mallowcrank.config.outcomes import Outcome, Verdict
 from mallowcrank.config.snapshots import digest_of, pack_tree, unpack_tree
 from mallowcrank.config.tree import Entry, Tree
-from mallowcrank.gateway.peers import pack_status, read_status
+from mallowcrank.gateway.datagrams import pack_status, read_status
 from mallowcrank.leases.records import decode_record, encode_record
 from mallowcrank.membership.messages import from_body, to_body
 
--- a/tests/utils/peer_network.py
+++ b/tests/utils/peer_network.py
@@ -2,16 +2,14 @@
 Gateways' statuses over a simulated network, in virtual time.
 """
 
+from collections import Counter, deque
 from contextlib import contextmanager
 from random import Random
 from types import SimpleNamespace
 from unittest.mock import Mock, patch
 
-from mallowcrank.gateway.peers import (
-    BROADCAST_INTERVAL_S,
-    GatewayStatus,
-    Peers,
-)
+from mallowcrank.gateway.datagrams import GatewayStatus
+from mallowcrank.gateway.peers import BROADCAST_INTERVAL_S, Peers
 from mallowcrank.gateway.settings import Address
 
 GOSSIP_PORT = 7340
@@ -43,10 +41,10 @@
         self.now = 100.0
         self.gateways = {}
         self.deaf = set()
-        self.sent = {}
+        self.sent = Counter()
         self._loss = loss
         self._random = Random(random_seed)
-        self._queue = []
+        self._queue = deque()
         self.seeds = [self.address(number) for number in range(seeds)]
         with self.clock():
             for number in range(size):
@@ -54,12 +52,12 @@
 
     @contextmanager
     def clock(self):
-        with patch(
-            'mallowcrank.gateway.peers.monotonic_s',
-            side_effect=lambda: self.now,
-        ):
+        with patch('mallowcrank.gateway.peers.monotonic_s', self.read_clock):
             yield
 
+    def read_clock(self):
+        return self.now
+
     def address(self, number):
         return Address(f'10.{number % 4}.0.{number // 4 + 9}', GOSSIP_PORT)
 
@@ -81,10 +79,9 @@
             leader_generation=0,
             reserved={},
         )
-        peers.listen(lambda: status, Mock())
+        peers.listen(lambda: status, lambda heard: None)
         peers.connection_made(SimulatedTransport(self, address))
         self.gateways[address] = peers
-        self.sent[address] = 0
         peers.add_candidates(self.seeds)
         return peers
 
@@ -110,14 +107,6 @@
                     peers.tick()
                 self._deliver_all()
 
-    def _deliver_all(self):
-        while self._queue:
-            sender, raw, address = self._queue.pop(0)
-            receiver = self.gateways.get(address)
-            is_cut = sender in self.deaf or address in self.deaf
-            if receiver and not is_cut:
-                receiver.datagram_received(raw, (sender.ip, sender.port))
-
     def counts(self):
         """
         Return how many gateways each one counts.
@@ -131,3 +120,11 @@
         """
         with self.clock():
             return [len(peers.live()) for peers in self.gateways.values()]
+
+    def _deliver_all(self):
+        while self._queue:
+            sender, raw, address = self._queue.popleft()
+            receiver = self.gateways.get(address)
+            is_cut = sender in self.deaf or address in self.deaf
+            if receiver and not is_cut:
+                receiver.datagram_received(raw, (sender.ip, sender.port))
