Withhold the slack of the retry budget from a restarted gateway

A gateway that was killed forgot the retries of its earlier run and could use its share of the slack a second time within one window, so many restarts at once could double it. Until a whole window has passed since the start, a gateway now has the ratio of its own requests only; not where the settings say that the whole system starts for the first time.

--- a/mallowcrank/chains/budget.py
+++ b/mallowcrank/chains/budget.py
@@ -53,10 +53,19 @@
 class RetryWindow:
     """
     Sliding window of the requests and retries of one service.
+
+    The run of the router before this one may have used its share of the slack,
+    so there is none until a whole window has passed since then.
+
+    :param earlier_run_ended_s: steady time, in seconds; none if there was no
+        earlier run.
     """
 
-    def __init__(self, bounds: Bounds) -> None:
+    def __init__(
+        self, bounds: Bounds, earlier_run_ended_s: float | None = None
+    ) -> None:
         self._bounds = bounds
+        self._earlier_run_ended_s = earlier_run_ended_s
         self._sent: deque[SentRequest] = deque()
         self._retries = 0
 
@@ -92,6 +101,8 @@
         self._drop_expired(now)
         requests = len(self._sent) - self._retries
         slack = self._bounds.retry_slack / max(1, routers)
+        if self._is_slack_withheld(now):
+            slack = 0
         allowed = (requests * self._bounds.retry_ratio + slack) * SAFETY_FACTOR
         return RetryUsage(requests, self._retries, allowed, routers)
 
@@ -102,6 +113,11 @@
         self._sent.append(SentRequest(now, is_retry=True))
         self._retries += 1
 
+    def _is_slack_withheld(self, now: float) -> bool:
+        if self._earlier_run_ended_s is None:
+            return False
+        return now - self._earlier_run_ended_s < self._bounds.retry_window_s
+
     def _drop_expired(self, now: float) -> None:
         window_start = now - self._bounds.retry_window_s
         while self._sent and self._sent[0].sent_at_s < window_start:
@@ -112,10 +128,16 @@
 class RetryWindows:
     """
     Retry windows by service.
+
+    :param earlier_run_ended_s: steady time, in seconds; none if there was no
+        earlier run.
     """
 
-    def __init__(self, bounds: Bounds) -> None:
+    def __init__(
+        self, bounds: Bounds, earlier_run_ended_s: float | None = None
+    ) -> None:
         self._bounds = bounds
+        self._earlier_run_ended_s = earlier_run_ended_s
         self._windows: dict[str, RetryWindow] = {}
 
     def update_bounds(self, bounds: Bounds) -> None:
@@ -132,6 +154,6 @@
         """
         known = self._windows.get(service)
         if known is None:
-            known = RetryWindow(self._bounds)
+            known = RetryWindow(self._bounds, self._earlier_run_ended_s)
             self._windows[service] = known
         return known
--- a/mallowcrank/gateway/assembly.py
+++ b/mallowcrank/gateway/assembly.py
@@ -8,6 +8,7 @@
 
 from mallowcrank.chains.budget import RetryWindows
 from mallowcrank.chains.memory import MemoryLedger
+from mallowcrank.gateway.clock import monotonic_s
 from mallowcrank.gateway.core import Core
 from mallowcrank.gateway.fleet import Fleet
 from mallowcrank.gateway.followers import (
@@ -57,6 +58,7 @@
     meters = Meters()
     fleet = Fleet(journal)
     pool = ChannelPool()
+    earlier_run_ended_s = None if settings.is_first_start else monotonic_s()
     return Core(
         settings=settings,
         vocabulary=vocabulary,
@@ -65,7 +67,7 @@
         random=Random(),
         fleet=fleet,
         ledger=MemoryLedger(),
-        retry_windows=RetryWindows(settings.bounds),
+        retry_windows=RetryWindows(settings.bounds, earlier_run_ended_s),
         pool=pool,
         prober=Prober(fleet, pool, vocabulary, meters),
         peers=Peers(settings, journal),
--- a/mallowcrank/gateway/program.py
+++ b/mallowcrank/gateway/program.py
@@ -112,6 +112,7 @@
             'gateway: started',
             zone=self._settings.zone,
             front=str(self._settings.listening.front),
+            is_first_start=self._settings.is_first_start,
         )
         self._add_seeds()
 
--- a/mallowcrank/gateway/settings.py
+++ b/mallowcrank/gateway/settings.py
@@ -69,6 +69,7 @@
     :param seeds: addresses of gateways through which others are discovered.
     :param store: address of the platform's store.
     :param min_lease_s: shortest lease that the store grants, in seconds.
+    :param is_first_start: whether the whole system starts for the first time.
     """
 
     host: str
@@ -81,6 +82,7 @@
     store: Address
     min_lease_s: float
     bounds: Bounds
+    is_first_start: bool
 
     @property
     def gossip(self) -> Address:
--- a/mallowcrank/platform/node_settings.py
+++ b/mallowcrank/platform/node_settings.py
@@ -47,6 +47,7 @@
             retry_window_s=reader.read('bounds.budget_window_s', float),
             retry_slack=reader.read('bounds.retry_budget_slack', float),
         ),
+        is_first_start=reader.read('bootstrap', _parse_flag, 'false'),
     )
     return reader.findings or settings
 
@@ -109,6 +110,12 @@
     return float(text) / MS_PER_S
 
 
+def _parse_flag(text: str) -> bool:
+    if text not in {'true', 'false'}:
+        raise ValueError(f'{text!r} is neither true nor false')
+    return text == 'true'
+
+
 def _parse_ports(text: str) -> tuple[int, int]:
     first, _, last = text.partition(',')
     return int(first), int(last)
--- a/mallowcrank/platform/standins/in_process.py
+++ b/mallowcrank/platform/standins/in_process.py
@@ -56,6 +56,7 @@
         'zones.a=r',
         'zones.b=r',
         'internal_ports=7340,7355',
+        'bootstrap=true',
         f'seeds={",".join(seeds)}',
         'bounds.grace_s=3',
         'bounds.drain_ms=2000',
--- a/tests/test_chain_decisions.py
+++ b/tests/test_chain_decisions.py
@@ -5,7 +5,7 @@
 from random import Random
 from unittest import TestCase
 
-from mallowcrank.chains.budget import RetryWindow
+from mallowcrank.chains.budget import RetryWindow, RetryWindows
 from mallowcrank.chains.memory import MemoryLedger, PeerReservations
 from mallowcrank.chains.paths import PathSegment
 from mallowcrank.chains.replicas import ReplicaRecords
@@ -93,6 +93,21 @@
                     self.assertLessEqual(len(inside), allowed)
                 self.assertGreater(len(times), 198 / 2)
 
+    def test_restarted_routers_do_not_spend_their_slack_twice(self):
+        times = []
+        for started_at in (0, 15):
+            windows = RetryWindows(BOUNDS, started_at)
+            for tick in range(started_at * 100, (started_at + 15) * 100):
+                now = tick / 100
+                window = windows.for_service('engines')
+                if window.allows_retry(now, 1):
+                    window.count_retry(now)
+                    times.append(now)
+        self.assertGreater(len(times), BOUNDS.retry_slack / 2)
+        for start in range(0, 25):
+            inside = [at for at in times if start <= at < start + 10]
+            self.assertLessEqual(len(inside), BOUNDS.retry_slack)
+
     def test_budget_recovers_as_the_window_slides(self):
         window = RetryWindow(BOUNDS)
         while window.allows_retry(0, 7):
--- a/tests/test_platform_settings.py
+++ b/tests/test_platform_settings.py
@@ -41,6 +41,12 @@
         self.assertEqual(settings.regions['petaling'], 'klang-valley')
         self.assertEqual(settings.bounds.drain_s, 2)
 
+    def test_reads_whether_the_system_starts_for_the_first_time(self):
+        for line, is_first in (('', False), ('bootstrap=true', True)):
+            with self.subTest(line=line):
+                settings = read_settings(FILE + line)
+                self.assertIs(settings.is_first_start, is_first)
+
     def test_reports_all_findings_together(self):
         broken = FILE.replace('listen.ready=10.1.0.40:8220', '')
         broken = broken.replace('internal_ports=7340,7355', 'internal_ports=x')
