Assign regular probes once for each set of live gateways

With all gateways in view, each computed a hash for every pair of a target and a gateway four times a second: 93 x 66 pairs on a site of 66, which is 24,500 hashes a second. The choice is kept until the live gateways change.

--- a/mallowcrank/gateway/prober.py
+++ b/mallowcrank/gateway/prober.py
@@ -31,6 +31,42 @@
 UNRESPONSIVE_INTERVAL_S = 0.5
 PACE_INTERVAL_S = 2.5
 CHECK_INTERVAL_S = 0.25
+MAX_ASSIGNED = 4096  # targets; those that have left are dropped then
+
+
+class ProbeAssignment:
+    """
+    Which gateway probes a target regularly: one of the live hosts, chosen by
+    rendezvous hashing.
+    """
+
+    def __init__(self) -> None:
+        self._hosts: frozenset[str] = frozenset()
+        self._chosen: dict[str, str] = {}
+
+    def update_hosts(self, hosts: Iterable[str]) -> None:
+        """
+        Replace the hosts of all live gateways.
+        """
+        live = frozenset(hosts)
+        if live != self._hosts or len(self._chosen) > MAX_ASSIGNED:
+            self._hosts = live
+            self._chosen.clear()
+
+    def host_for(self, identity: str) -> str:
+        """
+        Return the host whose gateway probes a target.
+        """
+        known = self._chosen.get(identity)
+        if known is None:
+            known = max(
+                self._hosts,
+                key=lambda host: xxhash.xxh64_intdigest(
+                    f'{host}{identity}'.encode()
+                ),
+            )
+            self._chosen[identity] = known
+        return known
 
 
 class Prober:
@@ -51,6 +87,7 @@
         self._meters = meters
         self._probed_at: dict[Lifetime, float] = {}
         self._tasks: set[asyncio.Task[None]] = set()
+        self._assignment = ProbeAssignment()
 
     def probe(self, lifetimes: Iterable[Lifetime]) -> None:
         """
@@ -119,9 +156,10 @@
             await asyncio.sleep(CHECK_INTERVAL_S)
             self._probe_unresponsive()
             mine, hosts = live_hosts()
+            self._assignment.update_hosts(hosts)
             for service in service_names():
                 for target in self._fleet.all_targets(service):
-                    if _is_assigned(target, mine, hosts):
+                    if self._assignment.host_for(target.identity) == mine:
                         self._start_probe(target, PACE_INTERVAL_S)
 
     def _probe_unresponsive(self) -> None:
@@ -223,22 +261,3 @@
     for task in requests:
         task.cancel()
     return reason
-
-
-def _is_assigned(target: Target, mine: str, hosts: Sequence[str]) -> bool:
-    """
-    Return whether this gateway is the one that probes a target regularly.
-
-    Rendezvous hashing chooses one of the live hosts for each target.
-
-    :param mine: this gateway's host.
-    :param hosts: the hosts of all live gateways.
-    """
-    if not hosts:
-        return True
-    return mine == max(
-        hosts,
-        key=lambda host: xxhash.xxh64_intdigest(
-            f'{host}{target.identity}'.encode()
-        ),
-    )
--- a/tests/test_gateway_beliefs.py
+++ b/tests/test_gateway_beliefs.py
@@ -26,6 +26,7 @@
 from mallowcrank.gateway.gossip import Gossip
 from mallowcrank.gateway.journal import Importance, Journal
 from mallowcrank.gateway.leadership import Leadership, should_take_over
+from mallowcrank.gateway.prober import ProbeAssignment
 from mallowcrank.gateway.settings import Address
 from mallowcrank.gateway.store_client import StoreFailure, StoreResponse
 from mallowcrank.gateway.targets import HeldLayers, Lifetime
@@ -557,3 +558,24 @@
             self.journal.flush()
         self.assertTrue(self.journal.has_buffered)
         self.assertGreater(len(self.lines()), 100)
+
+
+class TestProbeAssignment(TestCase):
+    def setUp(self):
+        self.assignment = ProbeAssignment()
+
+    def test_one_live_host_probes_a_target(self):
+        hosts = ['h1', 'h2', 'h3']
+        self.assignment.update_hosts(hosts)
+        chosen = {self.assignment.host_for(f'i-{each}') for each in range(50)}
+        self.assertEqual(chosen, set(hosts))
+
+    def test_targets_of_a_lost_host_get_another(self):
+        self.assignment.update_hosts(['h1', 'h2', 'h3'])
+        before = {
+            each: self.assignment.host_for(str(each)) for each in range(50)
+        }
+        self.assignment.update_hosts(['h1', 'h2'])
+        for each, host in before.items():
+            after = self.assignment.host_for(str(each))
+            self.assertIn(after, {'h1', 'h2'} if host == 'h3' else {host})
