Count a retry before it waits for a channel

A retry was checked against the budget, then waited for a channel, and was counted when it was sent. All retries that waited at the same time passed the check with the same count, so that a burst of failures could exceed the budget. A retry is now counted with the check, and uncounted if no channel could be opened.

The new test sent 6 retries before, of 1 allowed.

--- a/mallowcrank/chains/budget.py
+++ b/mallowcrank/chains/budget.py
@@ -106,12 +106,22 @@
         allowed = (requests * self._bounds.retry_ratio + slack) * SAFETY_FACTOR
         return RetryUsage(requests, self._retries, allowed, routers)
 
-    def count_retry(self, now: float) -> None:
+    def count_retry(self, now: float) -> SentRequest:
         """
-        Count a retry.
+        Count a retry, which is about to be sent.
         """
-        self._sent.append(SentRequest(now, is_retry=True))
+        retry = SentRequest(now, is_retry=True)
+        self._sent.append(retry)
         self._retries += 1
+        return retry
+
+    def cancel_retry(self, retry: SentRequest) -> None:
+        """
+        Uncount a retry that was not sent after all.
+        """
+        if retry in self._sent:
+            self._sent.remove(retry)
+            self._retries -= 1
 
     def _is_slack_withheld(self, now: float) -> bool:
         if self._earlier_run_ended_s is None:
--- a/mallowcrank/gateway/core.py
+++ b/mallowcrank/gateway/core.py
@@ -9,7 +9,11 @@
 
 import orjson
 
-from mallowcrank.chains.budget import RetryUsage, RetryWindows
+from mallowcrank.chains.budget import (
+    RetryUsage,
+    RetryWindows,
+    SentRequest,
+)
 from mallowcrank.chains.memory import MemoryLedger
 from mallowcrank.gateway.caller_channel import CallerRequest, ResponseWriter
 from mallowcrank.gateway.clock import monotonic_s
@@ -88,6 +92,18 @@
         self.meters.retries.labels(service, 'allowed').set(usage.allowed)
         return usage
 
+    def claim_retry(self, service: str) -> SentRequest | None:
+        """
+        Count a retry if the budget allows it.
+
+        It counts before it waits for a channel, so that other retries that
+        wait at the same time don't use the same room.
+        """
+        if not self.retry_usage(service).has_room:
+            return None
+        window = self.retry_windows.for_service(service)
+        return window.count_retry(monotonic_s())
+
     def is_success(self, head: ResponseHead) -> bool:
         """
         Return whether a response is a genuine 2xx of a target.
--- a/mallowcrank/gateway/plain_calls.py
+++ b/mallowcrank/gateway/plain_calls.py
@@ -9,6 +9,7 @@
 from dataclasses import dataclass
 from http import HTTPStatus
 
+from mallowcrank.chains.budget import SentRequest
 from mallowcrank.chains.replicas import ReplicaRecords
 from mallowcrank.gateway.clock import monotonic_s
 from mallowcrank.gateway.core import Call, Core
@@ -62,15 +63,17 @@
         result: Response | NoResponse = NoResponse(
             'no target is there', may_have_run=False
         )
-        while True:
-            target = self._pick_target(call)
-            if target is None:
-                break
-            result = await self._attempt(call, target)
+        retry: SentRequest | None = None
+        target = self._pick_target(call)
+        while target:
+            result = await self._attempt(call, target, retry)
             call.avoided.add(target.lifetime)
-            if isinstance(result, Response) and not result.is_failure:
+            is_final = isinstance(result, Response) and not result.is_failure
+            if is_final or not self._may_retry(call):
                 break
-            if not self._may_retry(call):
+            target = self._pick_target(call)
+            retry = target and self._core.claim_retry(call.service.name)
+            if retry is None:
                 break
         self._finish(call, result)
 
@@ -85,18 +88,19 @@
         ) or self._records.pick(targets, zone, call.avoided, draw)
 
     def _may_retry(self, call: Call) -> bool:
-        if call.refusals > MAX_REFUSALS or not call.may_retry():
-            return False
-        return self._core.retry_usage(call.service.name).has_room
+        return call.refusals <= MAX_REFUSALS and call.may_retry()
 
     async def _attempt(
-        self, call: Call, target: Target
+        self, call: Call, target: Target, retry: SentRequest | None
     ) -> Response | NoResponse:
         channel = await self._core.acquire_channel(
             target, may_reuse=call.route.repeat is not Repeat.ONCE
         )
         if isinstance(channel, ConnectFailure):
             call.refusals += 1
+            if retry:
+                window = self._core.retry_windows.for_service(call.service.name)
+                window.cancel_retry(retry)
             return NoResponse(
                 f'unreached: {channel.reason}', may_have_run=False
             )
@@ -121,9 +125,6 @@
                 workspace=call.workspace,
             ),
         )
-        if call.sends or call.refusals:
-            window = self._core.retry_windows.for_service(call.service.name)
-            window.count_retry(monotonic_s())
         call.sends += 1
         self._core.meters.sends.labels(call.kind, str(call.sends)).inc()
         channel.send(
--- a/mallowcrank/gateway/streams.py
+++ b/mallowcrank/gateway/streams.py
@@ -10,6 +10,7 @@
 from collections.abc import Sequence
 from http import HTTPStatus
 
+from mallowcrank.chains.budget import SentRequest
 from mallowcrank.chains.paths import ChainPath
 from mallowcrank.gateway.caller_channel import end_to_end_headers
 from mallowcrank.gateway.clock import monotonic_s
@@ -96,6 +97,7 @@
         self._pieces = EventBuffer()
         self._window = core.retry_windows.for_service(call.service.name)
         self._tries = 0
+        self._retry: SentRequest | None = None
         self._detours = 0
         self._is_accepted = False
         self._path = NO_PATH
@@ -158,7 +160,7 @@
         while True:
             candidate = self._finder.choose()
             is_found = isinstance(candidate, ChainPath)
-            if is_found and self._has_budget():
+            if is_found and self._claim_retry():
                 return candidate
             left_s = deadline - monotonic_s()
             if left_s <= 0:
@@ -192,6 +194,7 @@
     async def _send_and_relay(self) -> Outcome:
         channel = await self._open(self._path)
         if isinstance(channel, Rejected):
+            self._cancel_retry()
             return channel
         try:
             return await self._relay(channel)
@@ -221,8 +224,6 @@
         call = self._call
         request = call.request
         headers = self._core.vocabulary.target_headers(request.headers, sending)
-        if self._tries:
-            self._window.count_retry(monotonic_s())
         self._tries += 1
         call.sends += 1
         self._core.meters.sends.labels(call.kind, str(self._tries)).inc()
@@ -360,6 +361,22 @@
             return True
         return self._core.retry_usage(self._call.service.name).has_room
 
+    def _claim_retry(self) -> bool:
+        """
+        Count the next send as a retry, unless it is the first one.
+
+        :returns: whether the request may be sent.
+        """
+        if not self._tries:
+            return True
+        self._retry = self._core.claim_retry(self._call.service.name)
+        return self._retry is not None
+
+    def _cancel_retry(self) -> None:
+        if self._retry:
+            self._window.cancel_retry(self._retry)
+            self._retry = None
+
     async def _back_off(self) -> None:
         """
         Wait before engines that refused a started stream are tried again.
--- /dev/null
+++ b/tests/test_gateway_retries.py
@@ -0,0 +1,124 @@
+"""
+Retries of concurrent calls against the retry budget.
+"""
+
+import asyncio
+from types import SimpleNamespace
+from unittest import IsolatedAsyncioTestCase
+from unittest.mock import Mock
+
+from mallowcrank.chains.budget import RetryWindows
+from mallowcrank.gateway.clock import monotonic_s
+from mallowcrank.gateway.core import Call, Core
+from mallowcrank.gateway.desired import Repeat
+from mallowcrank.gateway.plain_calls import PlainCalls
+from mallowcrank.gateway.settings import Address, Bounds
+from mallowcrank.gateway.target_channel import ChannelBroken, ConnectFailure
+from mallowcrank.gateway.targets import Lifetime, Target
+
+CALLS = 6
+# A fifth is kept back, so that one retry is allowed.
+BOUNDS = Bounds(
+    grace_s=8,
+    drain_s=3,
+    max_directory_ttl_s=5,
+    retry_ratio=0,
+    retry_window_s=10,
+    retry_slack=1.5,
+)
+
+
+class BrokenChannel:
+    """
+    A channel that breaks after each request.
+    """
+
+    def __init__(self, sent):
+        self._sent = sent
+
+    def send(self, raw, matches, is_head):
+        self._sent.append(raw)
+
+    async def read_response(self, timeout_s):
+        await asyncio.sleep(0)
+        return ChannelBroken('reset')
+
+
+def replica(number):
+    return Target(
+        lifetime=Lifetime(f'i-{number}', 0),
+        service='stock',
+        address=Address('10.0.0.1', 80 + number),
+        zone='a',
+        slots=6,
+        leaving=False,
+        layers=None,
+        kind='',
+    )
+
+
+class TestConcurrentRetries(IsolatedAsyncioTestCase):
+    def setUp(self):
+        self.sent = []
+        self.is_reachable = True
+        fleet = Mock()
+        fleet.accepting_targets.return_value = [replica(1), replica(2)]
+        fleet.health.unresponsive.return_value = {}
+        vocabulary = Mock()
+        vocabulary.target_headers.return_value = ()
+        pool = Mock(connect=self.connect)
+        pool.take_idle.return_value = None
+        parts = {name: Mock() for name in Core.__dataclass_fields__}
+        parts.update(
+            fleet=fleet,
+            vocabulary=vocabulary,
+            pool=pool,
+            peers=Mock(count=Mock(return_value=1)),
+            random=Mock(random=Mock(return_value=0)),
+            retry_after=Mock(assign_delay_s=Mock(return_value=1)),
+            retry_windows=RetryWindows(BOUNDS),
+        )
+        self.core = Core(**parts)
+        self.service = PlainCalls(self.core)
+
+    async def connect(self, address):
+        await asyncio.sleep(0.01)
+        if not self.is_reachable:
+            return ConnectFailure('refused', is_refused=True)
+        return BrokenChannel(self.sent)
+
+    def call(self):
+        return Call(
+            request=SimpleNamespace(
+                method='GET',
+                target=b'/',
+                headers=(),
+                body=b'',
+                received_at=monotonic_s(),
+            ),
+            fields=SimpleNamespace(request_id='r'),
+            response=Mock(has_begun=False, has_ended=False),
+            route=Mock(repeat=Repeat.ANY, streams=False, max_sends=2),
+            service=SimpleNamespace(name='stock'),
+            workspace='',
+            priority=5,
+            desired_version=1,
+            deadline_at=monotonic_s() + 5,
+        )
+
+    async def serve_all(self):
+        await asyncio.gather(
+            *(self.service.serve(self.call()) for _ in range(CALLS))
+        )
+
+    async def test_retries_that_wait_for_channels_do_not_exceed_the_budget(
+        self,
+    ):
+        await self.serve_all()
+        self.assertEqual(len(self.sent), CALLS + 1)
+
+    async def test_retry_that_finds_no_channel_leaves_the_budget(self):
+        self.is_reachable = False
+        await self.serve_all()
+        self.assertEqual(self.sent, [])
+        self.assertEqual(self.core.retry_usage('stock').retries, 0)
