--- a/mallowcrank/gateway/datagrams.py
+++ b/mallowcrank/gateway/datagrams.py
@@ -17,7 +17,13 @@
 STATUS_FORMAT = 1
 ADDRESSES_FORMAT = 2
 MAX_PORT = 65_535
-DECODE_ERRORS = (ValueError, TypeError, IndexError, AttributeError)
+DECODE_ERRORS = (
+    ValueError,
+    TypeError,
+    IndexError,
+    AttributeError,
+    OverflowError,
+)
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/test_gateway_peers.py
+++ b/tests/test_gateway_peers.py
@@ -3,6 +3,7 @@
 """
 
 from functools import cache
+from math import inf
 from unittest import TestCase
 
 import msgpack
@@ -122,7 +123,14 @@
         self.assertLess(len(pack_addresses(addresses)), 1400)
 
     def test_malformed_addresses_are_ignored(self):
-        for addresses in ([['host', 7340]], [['10.0.0.1', 0]], [[]], 7, [7]):
+        for addresses in (
+            [['host', 7340]],
+            [['10.0.0.1', 0]],
+            [['10.0.0.1', inf]],
+            [[]],
+            [7],
+            7,
+        ):
             with self.subTest(addresses=addresses):
                 raw = msgpack.packb([ADDRESSES_FORMAT, addresses])
                 self.assertEqual(read_addresses(raw), ())
