Divide the probes of silent targets among the gateways

A gateway that found a target silent made each other one probe it too, and all probed it twice a second while it stayed silent.

A report is now verified by the gateway that probes the target regularly, by those whose requests use it, and by all once the regular one finds it silent as well. While that one does, the others probe every 2 s instead of every 0.5 s. The new tests failed before.

--- a/mallowcrank/chains/memory.py
+++ b/mallowcrank/chains/memory.py
@@ -93,6 +93,12 @@
             for lifetime, reserved in self._own.items()
         }
 
+    def is_in_use(self, lifetime: Lifetime) -> bool:
+        """
+        Return whether this router's requests use an engine.
+        """
+        return lifetime in self._own
+
     def reserved(self, lifetime: Lifetime, now: float) -> float:
         """
         Return what all routers have reserved on an engine.
--- a/mallowcrank/gateway/gossip.py
+++ b/mallowcrank/gateway/gossip.py
@@ -8,6 +8,7 @@
 from mallowcrank.gateway.datagrams import GatewayStatus
 from mallowcrank.gateway.followers import LatestDesired
 from mallowcrank.gateway.leadership import Leadership, should_take_over
+from mallowcrank.gateway.targets import Target
 
 
 class Gossip:
@@ -137,9 +138,21 @@
             fleet.update_layers(identity, layers, now, is_direct=False)
         for identity in status.unresponsive_targets:
             target = fleet.find(identity)
-            if target and target.lifetime not in fleet.health.unresponsive():
+            if target and self._should_verify(status.host, target):
                 self._core.prober.probe((target.lifetime,))
 
+    def is_silence_confirmed(self, identity: str) -> bool:
+        """
+        Return whether another gateway, the one that probes a target
+        regularly, finds it silent.
+        """
+        host = self._core.prober.host_for(identity)
+        return any(
+            identity in peer.last_status.unresponsive_targets
+            for peer in self._core.peers.live()
+            if peer.last_status.host == host
+        )
+
     def accepting_gateways(self) -> list[GatewayStatus]:
         """
         Return the statuses of the gateways that accept callers, also its own.
@@ -165,3 +178,18 @@
         known = self._desired.newest
         services = known.services.values() if known else ()
         return [service.name for service in services if service.engine]
+
+    def _should_verify(self, reporter: str, target: Target) -> bool:
+        """
+        Return whether to probe a target that another gateway finds silent.
+
+        Where no request of this gateway uses the target, its regular prober
+        verifies the report first: most reports are of a stalled gateway.
+        """
+        if target.lifetime in self._core.fleet.health.unresponsive():
+            return False
+        prober = self._core.prober.host_for(target.identity)
+        return prober in {
+            reporter,
+            self._core.settings.host,
+        } or self._core.ledger.is_in_use(target.lifetime)
--- a/mallowcrank/gateway/prober.py
+++ b/mallowcrank/gateway/prober.py
@@ -29,6 +29,8 @@
 RETRY_DELAY_S = 0.025  # before a second request for the same report
 SUSPECT_INTERVAL_S = 0.25
 UNRESPONSIVE_INTERVAL_S = 0.5
+# While the gateway that probes the target regularly finds it silent, too.
+CONFIRMED_INTERVAL_S = 2.0
 PACE_INTERVAL_S = 2.5
 CHECK_INTERVAL_S = 0.25
 MAX_ASSIGNED = 4096  # targets; those that have left are dropped then
@@ -55,9 +57,11 @@
 
     def host_for(self, identity: str) -> str:
         """
-        Return the host whose gateway probes a target.
+        Return the host whose gateway probes a target; empty if none is live.
         """
         known = self._chosen.get(identity)
+        if known is None and not self._hosts:
+            return ''
         if known is None:
             known = max(
                 self._hosts,
@@ -98,6 +102,12 @@
             if target and self._is_current(lifetime):
                 self._start_probe(target, SUSPECT_INTERVAL_S)
 
+    def host_for(self, identity: str) -> str:
+        """
+        Return the host whose gateway probes a target regularly.
+        """
+        return self._assignment.host_for(identity)
+
     def handle_unreached(
         self, lifetime: Lifetime, failure: ConnectFailure
     ) -> None:
@@ -144,6 +154,7 @@
         self,
         service_names: Callable[[], Iterable[str]],
         live_hosts: Callable[[], tuple[str, Sequence[str]]],
+        is_silence_confirmed: Callable[[str], bool],
     ) -> None:
         """
         Probe until cancelled: silent targets often, others for their pace.
@@ -151,10 +162,12 @@
         :param service_names: returns the services to probe.
         :param live_hosts: returns this gateway's host, and those of all
             live gateways.
+        :param is_silence_confirmed: returns whether the gateway that probes a
+            target regularly, if it is another one, finds it silent.
         """
         while True:
             await asyncio.sleep(CHECK_INTERVAL_S)
-            self._probe_unresponsive()
+            self._probe_unresponsive(is_silence_confirmed)
             mine, hosts = live_hosts()
             self._assignment.update_hosts(hosts)
             for service in service_names():
@@ -162,11 +175,19 @@
                     if self._assignment.host_for(target.identity) == mine:
                         self._start_probe(target, PACE_INTERVAL_S)
 
-    def _probe_unresponsive(self) -> None:
+    def _probe_unresponsive(
+        self, is_silence_confirmed: Callable[[str], bool]
+    ) -> None:
         for lifetime in list(self._fleet.health.unresponsive()):
             target = self._fleet.find(lifetime.identity)
             if target and self._is_current(lifetime):
-                self._start_probe(target, UNRESPONSIVE_INTERVAL_S)
+                is_confirmed = is_silence_confirmed(target.identity)
+                self._start_probe(
+                    target,
+                    CONFIRMED_INTERVAL_S
+                    if is_confirmed
+                    else UNRESPONSIVE_INTERVAL_S,
+                )
 
     def _start_probe(self, target: Target, interval_s: float) -> None:
         now = monotonic_s()
--- a/mallowcrank/gateway/program.py
+++ b/mallowcrank/gateway/program.py
@@ -198,7 +198,11 @@
             parts.targets.run(),
             parts.duty.run(),
             parts.placer.run(self._placing_generation, self._newest_desired),
-            self._core.prober.run(gossip.engine_services, gossip.live_hosts),
+            self._core.prober.run(
+                gossip.engine_services,
+                gossip.live_hosts,
+                gossip.is_silence_confirmed,
+            ),
             parts.handover.run(),
             self._core.peers.run(),
             self._sweep(),
--- a/tests/test_gateway_peers.py
+++ b/tests/test_gateway_peers.py
@@ -2,21 +2,29 @@
 What a gateway knows of the others on sites of many gateways.
 """
 
+import json
 from functools import cache
 from math import inf
 from unittest import TestCase
+from unittest.mock import Mock
 
 import msgpack
 
 from mallowcrank.chains.budget import RetryWindow
+from mallowcrank.chains.memory import MemoryLedger
+from mallowcrank.chains.paths import PathSegment
 from mallowcrank.gateway.datagrams import (
     ADDRESSES_FORMAT,
     pack_addresses,
     read_addresses,
 )
+from mallowcrank.gateway.fleet import Fleet
+from mallowcrank.gateway.gossip import Gossip
 from mallowcrank.gateway.peers import MAX_ADDRESSES
 from mallowcrank.gateway.settings import Address, Bounds
-from tests.utils.peer_network import PeerNetwork
+from mallowcrank.platform.entries import read_entry
+from mallowcrank.platform.standins.bodies import entry_body
+from tests.utils.peer_network import PeerNetwork, status_of
 
 EXPIRED_S = 32  # gateways that were not heard for so long are forgotten
 SIZES = (8, 84)
@@ -112,6 +120,58 @@
         self.assertLessEqual(total, BOUNDS.retry_slack)
 
 
+class TestReportsOfSilence(TestCase):
+    def setUp(self):
+        self.fleet = Fleet(Mock())
+        raw = json.dumps(entry_body()).encode()
+        self.fleet.apply_entry(read_entry('i-1', raw), raw, 0)
+        self.lifetime = self.fleet.find('i-1').lifetime
+        self.ledger = MemoryLedger()
+        self.prober = Mock()
+        self.prober.host_for.return_value = 'prober'
+        self.peers = Mock(liveness_timeout_s=1)
+        self.gossip = Gossip(
+            core=Mock(
+                peers=self.peers,
+                settings=Mock(host='mine'),
+                fleet=self.fleet,
+                ledger=self.ledger,
+                prober=self.prober,
+            ),
+            desired=Mock(),
+            leadership=Mock(),
+            incarnation='abcd',
+        )
+
+    def report(self, host):
+        status = status_of(host, unresponsive_targets=('i-1',))
+        self.gossip.handle_status(status)
+        return self.prober.probe.called
+
+    def test_report_of_another_gateway_is_left_to_the_regular_prober(self):
+        self.assertFalse(self.report('other'))
+
+    def test_report_of_the_regular_prober_is_verified(self):
+        self.assertTrue(self.report('prober'))
+
+    def test_regular_prober_verifies_each_report(self):
+        self.prober.host_for.return_value = 'mine'
+        self.assertTrue(self.report('other'))
+
+    def test_report_on_a_target_in_use_is_verified(self):
+        self.ledger.reserve((PathSegment(self.lifetime, 0, 8),), 500)
+        self.assertTrue(self.report('other'))
+
+    def test_silence_is_confirmed_by_the_regular_prober_only(self):
+        for host, is_confirmed in (('other', False), ('prober', True)):
+            with self.subTest(host=host):
+                status = status_of(host, unresponsive_targets=('i-1',))
+                self.peers.live.return_value = [Mock(last_status=status)]
+                self.assertIs(
+                    self.gossip.is_silence_confirmed('i-1'), is_confirmed
+                )
+
+
 class TestAddresses(TestCase):
     def test_addresses_survive_encoding(self):
         addresses = (Address('10.0.0.1', 7340), Address('10.0.0.2', 1))
--- a/tests/utils/peer_network.py
+++ b/tests/utils/peer_network.py
@@ -16,6 +16,32 @@
 OWNERS = 8  # members that the store's group names, one for each partition
 
 
+def status_of(
+    host, gossip=Address('10.0.0.9', GOSSIP_PORT), incarnation='x', **changes
+):
+    """
+    Return a gateway's status.
+
+    :param gossip: where it receives datagrams.
+    :param changes: further fields.
+    """
+    fields = {
+        'zone': 'a',
+        'accepts_callers': True,
+        'desired_version': 1,
+        'leader_generation': 0,
+        'reserved': {},
+    }
+    return GatewayStatus(
+        host=host,
+        incarnation=incarnation,
+        front=Address(gossip.ip, 80),
+        gossip=gossip,
+        peers=Address(gossip.ip, 82),
+        **{**fields, **changes},
+    )
+
+
 class SimulatedTransport:
     """
     Datagrams from one gateway to the others of the network.
@@ -67,17 +93,8 @@
         """
         address = self.address(number)
         peers = Peers(SimpleNamespace(gossip=address), Mock())
-        status = GatewayStatus(
-            host=f'edge-{number}',
-            incarnation=str(self._random.random()),
-            zone='a',
-            front=Address(address.ip, 80),
-            gossip=address,
-            peers=Address(address.ip, 82),
-            accepts_callers=True,
-            desired_version=1,
-            leader_generation=0,
-            reserved={},
+        status = status_of(
+            f'edge-{number}', address, str(self._random.random())
         )
         peers.listen(lambda: status, lambda heard: None)
         peers.connection_made(SimulatedTransport(self, address))
