Don't take a stall of the gateway for silence of its targets

The time-outs of a probe run out while the gateway itself is busy, for instance with a desired state of 1,000 new routes, and targets that had answered counted as silent: streams moved and spent the retry budget. A probe that took longer than its time-outs allow is now repeated. The new test failed before: one stall of 0.15 s made a target silent.

--- a/mallowcrank/gateway/prober.py
+++ b/mallowcrank/gateway/prober.py
@@ -31,6 +31,9 @@
 UNRESPONSIVE_INTERVAL_S = 0.5
 # While the gateway that probes the target regularly finds it silent, too.
 CONFIRMED_INTERVAL_S = 2.0
+# A probe ends within its timeouts unless this process was stalled.
+MAX_PROBE_S = 0.1
+MAX_STALLED_PROBES = 3
 PACE_INTERVAL_S = 2.5
 CHECK_INTERVAL_S = 0.25
 MAX_ASSIGNED = 4096  # targets; those that have left are dropped then
@@ -203,10 +206,15 @@
         task.add_done_callback(self._tasks.discard)
 
     async def _probe_target(self, target: Target) -> None:
-        if target.is_engine:
-            answer = await self._first_report(target)
-        else:
-            answer = await self._try_connect(target)
+        for _ in range(MAX_STALLED_PROBES):
+            started_at = monotonic_s()
+            if target.is_engine:
+                answer = await self._first_report(target)
+            else:
+                answer = await self._try_connect(target)
+            is_silent = target.is_engine and isinstance(answer, str)
+            if not is_silent or monotonic_s() - started_at < MAX_PROBE_S:
+                break
         if self._is_current(target.lifetime):
             self._record(target, answer, monotonic_s())
 
--- a/tests/test_gateway_peers.py
+++ b/tests/test_gateway_peers.py
@@ -2,11 +2,13 @@
 What a gateway knows of the others on sites of many gateways.
 """
 
+import asyncio
 import json
+import time
 from functools import cache
 from math import inf
-from unittest import TestCase
-from unittest.mock import Mock
+from unittest import IsolatedAsyncioTestCase, TestCase
+from unittest.mock import Mock, patch
 
 import msgpack
 
@@ -21,7 +23,9 @@
 from mallowcrank.gateway.fleet import Fleet
 from mallowcrank.gateway.gossip import Gossip
 from mallowcrank.gateway.peers import MAX_ADDRESSES
+from mallowcrank.gateway.prober import Prober
 from mallowcrank.gateway.settings import Address, Bounds
+from mallowcrank.gateway.targets import Lifetime, TargetReport
 from mallowcrank.platform.entries import read_entry
 from mallowcrank.platform.standins.bodies import entry_body
 from tests.utils.peer_network import PeerNetwork, status_of
@@ -172,6 +176,50 @@
                 )
 
 
+class TestStalledProbes(IsolatedAsyncioTestCase):
+    async def probe(self, answers):
+        """
+        Probe a target once.
+
+        :param answers: the answers to requests for a report, each with the
+            seconds for which it stalls this process.
+        """
+        fleet = Fleet(Mock())
+        raw = json.dumps(entry_body(kind='l4')).encode()
+        fleet.apply_entry(read_entry('i-1', raw), raw, 0)
+        prober = Prober(fleet, Mock(), Mock(), Mock())
+        remaining = iter(answers)
+
+        async def fetch_report(target, may_reuse=True):
+            stall_s, answer = next(remaining)
+            time.sleep(stall_s)
+            return answer
+
+        with patch.object(prober, 'fetch_report', fetch_report):
+            prober.probe((fleet.find('i-1').lifetime,))
+            await asyncio.sleep(0.3)
+        return set(fleet.health.unresponsive())
+
+    async def test_stall_of_the_gateway_is_no_silence_of_the_target(self):
+        report = TargetReport(
+            lifetime=Lifetime('i-1', 0),
+            pace=1,
+            used=0,
+            size=1,
+            running=0,
+            queued=0,
+            is_busy=False,
+            orders=0,
+            layers=None,
+        )
+        found = await self.probe([(0.15, 'no report'), (0, report)])
+        self.assertEqual(found, set())
+
+    async def test_silent_target_is_found_by_one_probe(self):
+        found = await self.probe([(0, 'no report')])
+        self.assertEqual(len(found), 1)
+
+
 class TestAddresses(TestCase):
     def test_addresses_survive_encoding(self):
         addresses = (Address('10.0.0.1', 7340), Address('10.0.0.2', 1))
