--- a/mallowcrank/gateway/gossip.py
+++ b/mallowcrank/gateway/gossip.py
@@ -117,11 +117,10 @@
         """
         now = monotonic_s()
         fleet = self._core.fleet
+        repeated_within_s = self._core.peers.liveness_timeout_s
         self._core.ledger.update_peer(
             status.host,
-            PeerReservations(
-                now, status.reserved, self._core.peers.liveness_timeout_s
-            ),
+            PeerReservations(now, status.reserved, repeated_within_s),
         )
         self._leadership.handle_status(status)
         if status.leader_generation:
@@ -130,9 +129,7 @@
             target = fleet.find(identity)
             if target:
                 fleet.health.record_peer_pace(
-                    target.lifetime,
-                    pace,
-                    now + self._core.peers.liveness_timeout_s,
+                    target.lifetime, pace, now + repeated_within_s
                 )
         for identity, layers in status.layers.items():
             fleet.update_layers(identity, layers, now, is_direct=False)
