--- a/mallowcrank/gateway/peers.py
+++ b/mallowcrank/gateway/peers.py
@@ -50,6 +50,7 @@
         self._transport: asyncio.DatagramTransport | None = None
         self._table = PeerTable()
         self._random = Random()
+        self._liveness_timeout_s = MIN_LIVENESS_TIMEOUT_S
         self._last_tick = monotonic_s()
 
     @property
@@ -57,9 +58,7 @@
         """
         Return the seconds of silence after which a gateway isn't live.
         """
-        intervals = ceil(len(self._table.addresses) / MAX_RECIPIENTS)
-        cycle_s = BROADCAST_INTERVAL_S * intervals
-        return max(MIN_LIVENESS_TIMEOUT_S, LIVENESS_CYCLES * cycle_s)
+        return self._liveness_timeout_s
 
     def listen(
         self,
@@ -154,6 +153,11 @@
         self._last_tick = now
         if frozen_s > 0:
             self._table.shift(frozen_s)
+        intervals = ceil((self.count() - 1) / MAX_RECIPIENTS)
+        self._liveness_timeout_s = max(
+            MIN_LIVENESS_TIMEOUT_S,
+            LIVENESS_CYCLES * BROADCAST_INTERVAL_S * intervals,
+        )
         live = self.live()
         for peer in self._table.drop_expired(now, 1 + len(live)):
             self._journal.say('peers: forgotten', peer=peer.last_status.host)
