Log and count the limits that targets name

Answers' Server-Limit is decoded now, with one log line when a limit is named, changed, ended or can't be read, and a metric of the limits in force. Nothing acts on them yet.

--- a/mallowcrank/gateway/assembly.py
+++ b/mallowcrank/gateway/assembly.py
@@ -28,7 +28,7 @@
 from mallowcrank.gateway.settings import GatewaySettings
 from mallowcrank.gateway.store_client import StoreClient
 from mallowcrank.gateway.target_channel import ChannelPool
-from mallowcrank.overload.retry_after import RetryAfterSchedule
+from mallowcrank.gateway.target_limits import TargetLimits
 
 INCARNATION_BYTES = 4
 
@@ -58,6 +58,7 @@
     meters = Meters()
     fleet = Fleet(journal)
     pool = ChannelPool()
+    limits = TargetLimits(settings.host, journal, meters)
     earlier_run_ended_s = None if settings.is_first_start else monotonic_s()
     return Core(
         settings=settings,
@@ -69,9 +70,9 @@
         ledger=MemoryLedger(),
         retry_windows=RetryWindows(settings.bounds, earlier_run_ended_s),
         pool=pool,
-        prober=Prober(fleet, pool, vocabulary, meters),
+        prober=Prober(fleet, pool, vocabulary, meters, limits),
         peers=Peers(settings, journal),
-        retry_after=RetryAfterSchedule(),
+        limits=limits,
     )
 
 
--- a/mallowcrank/gateway/core.py
+++ b/mallowcrank/gateway/core.py
@@ -31,6 +31,7 @@
     ResponseHead,
     TargetChannel,
 )
+from mallowcrank.gateway.target_limits import TargetLimits
 from mallowcrank.gateway.targets import Lifetime, Target
 from mallowcrank.overload.retry_after import RetryAfterSchedule
 
@@ -54,7 +55,8 @@
     pool: ChannelPool
     prober: Prober
     peers: Peers
-    retry_after: RetryAfterSchedule
+    limits: TargetLimits
+    retry_after: RetryAfterSchedule = field(default_factory=RetryAfterSchedule)
 
     def apply_settings(self, settings: GatewaySettings) -> None:
         """
@@ -104,6 +106,20 @@
         window = self.retry_windows.for_service(service)
         return window.count_retry(monotonic_s())
 
+    def record_limit(
+        self, lifetime: Lifetime, head: ResponseHead, sent_at: float
+    ) -> None:
+        """
+        Record the limit that a target names in the head of a response.
+
+        421 Misdirected Request comes from another lifetime at its address.
+
+        :param sent_at: steady time at which the request was sent, in seconds.
+        """
+        if head.status != HTTPStatus.MISDIRECTED_REQUEST:
+            fields = self.vocabulary.response_fields(head.headers)
+            self.limits.record_answer(lifetime, fields, sent_at)
+
     def is_success(self, head: ResponseHead) -> bool:
         """
         Return whether a response is a genuine 2xx of a target.
@@ -148,6 +164,7 @@
     :param deadline_at: monotonic time by which the final response is due, in
         seconds.
     :param sends: number of sends after which the request may have run.
+    :param sent_at: steady time of the last send, in seconds.
     :param refusals: number of sends that a target states it did not run.
     :param waited_s: seconds spent waiting for a path.
     :param avoided: lifetimes of targets that must not get the request again.
@@ -163,6 +180,7 @@
     desired_version: int
     deadline_at: float
     sends: int = 0
+    sent_at: float = 0
     refusals: int = 0
     waited_s: float = 0
     avoided: set[Lifetime] = field(default_factory=set)
--- a/mallowcrank/gateway/meters.py
+++ b/mallowcrank/gateway/meters.py
@@ -65,6 +65,12 @@
             ('service', 'state'),
             registry=self._registry,
         )
+        self.target_limits = Gauge(
+            'mallowcrank_target_limit',
+            'Requests a second that a target takes, where it names a limit.',
+            ('target',),
+            registry=self._registry,
+        )
         self.waiting = Gauge(
             'mallowcrank_waiting',
             'Requests that wait for memory of engines.',
--- a/mallowcrank/gateway/plain_calls.py
+++ b/mallowcrank/gateway/plain_calls.py
@@ -126,6 +126,7 @@
             ),
         )
         call.sends += 1
+        call.sent_at = monotonic_s()
         self._core.meters.sends.labels(call.kind, str(call.sends)).inc()
         channel.send(
             encode_request(
@@ -162,6 +163,7 @@
         if isinstance(result, NoResponse):
             self._core.prober.probe((target.lifetime,))
             return result
+        self._core.record_limit(target.lifetime, result.head, call.sent_at)
         is_ok = result.head.status < HTTPStatus.MULTIPLE_CHOICES
         if is_ok and not self._core.is_success(result.head):
             return NoResponse('an answer without a seal', may_have_run=True)
--- a/mallowcrank/gateway/ports.py
+++ b/mallowcrank/gateway/ports.py
@@ -101,12 +101,18 @@
     :param did_not_run: whether the target states that the request did not run.
     :param fault_address: address of the target at fault, as `IP:PORT`; empty
         if none is named.
+    :param rate_limit: requests per second that the target takes from all
+        gateways together; `None` if it names no valid limit.
+    :param rate_limit_problem: what is invalid in the limit; empty if nothing
+        is.
     """
 
     request_id: str
     is_genuine: bool
     did_not_run: bool
     fault_address: str
+    rate_limit: float | None = None
+    rate_limit_problem: str = ''
 
 
 @dataclass(frozen=True, slots=True)
--- a/mallowcrank/gateway/prober.py
+++ b/mallowcrank/gateway/prober.py
@@ -22,6 +22,7 @@
     Response,
     fetch_over,
 )
+from mallowcrank.gateway.target_limits import TargetLimits
 from mallowcrank.gateway.targets import Lifetime, Target, TargetReport
 
 REPORT_TIMEOUT_S = 0.06  # a report takes some milliseconds, more when slow
@@ -87,11 +88,13 @@
         pool: ChannelPool,
         vocabulary: Vocabulary,
         meters: Meters,
+        limits: TargetLimits,
     ) -> None:
         self._fleet = fleet
         self._pool = pool
         self._vocabulary = vocabulary
         self._meters = meters
+        self._limits = limits
         self._probed_at: dict[Lifetime, float] = {}
         self._tasks: set[asyncio.Task[None]] = set()
         self._assignment = ProbeAssignment()
@@ -142,6 +145,7 @@
         if isinstance(channel, ConnectFailure):
             return channel.reason
         call = self._vocabulary.report_call(target.identity)
+        sent_at = monotonic_s()
         try:
             answer = await fetch_over(channel, call, REPORT_TIMEOUT_S)
         finally:
@@ -150,6 +154,8 @@
             answer.head.status != HTTPStatus.OK
         ):
             return f'no report in {REPORT_TIMEOUT_S} s'
+        fields = self._vocabulary.response_fields(answer.head.headers)
+        self._limits.record_answer(target.lifetime, fields, sent_at)
         report = self._vocabulary.read_report(target.identity, answer.body)
         return report.reason if isinstance(report, DecodeFailure) else report
 
--- a/mallowcrank/gateway/streams.py
+++ b/mallowcrank/gateway/streams.py
@@ -226,6 +226,7 @@
         headers = self._core.vocabulary.target_headers(request.headers, sending)
         self._tries += 1
         call.sends += 1
+        call.sent_at = monotonic_s()
         self._core.meters.sends.labels(call.kind, str(self._tries)).inc()
         channel.send(
             encode_request(
@@ -282,6 +283,9 @@
                 return moved
 
     def _check(self, event: ResponseEvent) -> ResponseEvent | Interrupted:
+        if isinstance(event, ResponseHead):
+            first = self._path.segments[0].lifetime
+            self._core.record_limit(first, event, self._call.sent_at)
         if isinstance(event, ResponseHead) and event.status == HTTPStatus.OK:
             if not self._core.is_success(event):
                 return Interrupted('an answer without a seal')
--- a/mallowcrank/platform/exchange.py
+++ b/mallowcrank/platform/exchange.py
@@ -3,6 +3,7 @@
 """
 
 from collections.abc import Sequence
+from math import isfinite
 from urllib.parse import parse_qs
 
 import orjson
@@ -25,7 +26,9 @@
 RESPONSE_SEAL = b'mallowcrank-response-seal'
 NOT_EXECUTED = b'mallowcrank-not-executed'
 FAULTY_REPLICA = b'at-server'
+RATE_LIMIT = b'server-limit'
 ENCODING = b'content-encoding'
+MAX_NUMBER_LENGTH = 32  # characters; longer numbers are invalid
 
 SET_BY_GATEWAY = frozenset(
     (
@@ -120,14 +123,53 @@
     Decode the headers of a replica's answer.
     """
     by_name = {name.lower(): value.decode('latin-1') for name, value in headers}
+    rate_limit, problem = _parse_rate_limits(headers)
     return ResponseFields(
         request_id=by_name.get(REQUEST_ID, ''),
         is_genuine=RESPONSE_SEAL in by_name and ENCODING not in by_name,
         did_not_run=NOT_EXECUTED in by_name,
         fault_address=by_name.get(FAULTY_REPLICA, ''),
+        rate_limit=rate_limit,
+        rate_limit_problem=problem,
     )
 
 
+def _parse_rate_limits(headers: Headers) -> tuple[float | None, str]:
+    """
+    Return the limit that a replica names, and what is invalid in it.
+
+    Of several valid limits, the lowest applies.
+    """
+    named = [
+        value.decode('latin-1').strip()
+        for name, value in headers
+        if name.lower() == RATE_LIMIT
+    ]
+    if not named:
+        return None, ''
+    limits = [_parse_rate(text) for text in named]
+    valid = [limit for limit in limits if limit is not None]
+    if len(valid) < len(named):
+        invalid = named[limits.index(None)]
+        problem = f'not a rate: {invalid[:MAX_NUMBER_LENGTH]!r}'
+    else:
+        problem = 'named more than once' if len(named) > 1 else ''
+    return min(valid, default=None), problem
+
+
+def _parse_rate(text: str) -> float | None:
+    """
+    Return a number of requests per second, or None if it is invalid.
+    """
+    if len(text) > MAX_NUMBER_LENGTH or '_' in text or not text.isascii():
+        return None
+    try:
+        rate = float(text)
+    except ValueError:
+        return None
+    return abs(rate) if isfinite(rate) and rate >= 0 else None
+
+
 def _find_problem(headers: Headers, deadline: str | None) -> str:
     names = [name.lower() for name, _ in headers]
     if names.count(REQUEST_ID) > 1:
--- a/mallowcrank/platform/standins/replica.py
+++ b/mallowcrank/platform/standins/replica.py
@@ -13,6 +13,7 @@
 import orjson
 
 from mallowcrank.gateway.caller_channel import CallerRequest, ResponseWriter
+from mallowcrank.gateway.clock import monotonic_s
 from mallowcrank.gateway.core import JSON_HEADER
 from mallowcrank.gateway.ports import Headers
 from mallowcrank.gateway.settings import Address
@@ -95,6 +96,8 @@
     :param orders: number of accepted placement orders.
     :param misdirected: number of orders meant for another replica.
     :param cancelled_requests: ids of streams whose caller has left.
+    :param named_limits: the values of `Server-Limit` in its answers.
+    :param arrivals: steady times at which requests arrived, in seconds.
     """
 
     identity: str
@@ -112,6 +115,8 @@
     runs: list[RequestRun] = field(default_factory=list)
     cancelled_requests: list[str] = field(default_factory=list)
     stalled_streams: StalledStreams = field(default_factory=StalledStreams)
+    named_limits: tuple[str, ...] = ()
+    arrivals: list[float] = field(default_factory=list)
 
     def __post_init__(self) -> None:
         """
@@ -208,6 +213,7 @@
     async def _serve_request(
         self, request: CallerRequest, answer: ResponseWriter
     ) -> None:
+        self.arrivals.append(monotonic_s())
         by_name = {name.lower(): raw for name, raw in request.headers}
         status, faulty_address = self._find_refusal(by_name)
         if status:
@@ -215,7 +221,11 @@
             id_headers = _request_id_headers(
                 by_name.get(b'mallowcrank-request-id', b'')
             )
-            answer.send(status, NOT_EXECUTED + at + id_headers, b'')
+            answer.send(
+                status,
+                NOT_EXECUTED + at + id_headers + self._limit_headers(),
+                b'',
+            )
             return
         run = self._record_run(by_name, request.body)
         if self.faults.consume('losses'):
@@ -223,7 +233,7 @@
         elif self.faults.consume('failures'):
             answer.send(
                 HTTPStatus.INTERNAL_SERVER_ERROR,
-                _sealed_headers(run),
+                _sealed_headers(run) + self._limit_headers(),
                 b'failed',
             )
         elif self.held is None:
@@ -273,7 +283,12 @@
     def _response_headers(self, run: RequestRun) -> Headers:
         if self.faults.consume('unsealed'):
             return _request_id_headers(run.request.encode())
-        return _sealed_headers(run)
+        return _sealed_headers(run) + self._limit_headers()
+
+    def _limit_headers(self) -> Headers:
+        return tuple(
+            (b'Server-Limit', limit.encode()) for limit in self.named_limits
+        )
 
     async def _stream(self, run: RequestRun, answer: ResponseWriter) -> None:
         is_cut = self.faults.consume('cuts')
--- a/tests/test_platform_exchange.py
+++ b/tests/test_platform_exchange.py
@@ -112,6 +112,47 @@
         self.assertTrue(refusal.did_not_run)
         self.assertEqual(refusal.fault_address, 'a:1')
 
+    def test_limit_of_a_replica_is_a_decimal_number_of_any_size(self):
+        for text, limit in (
+            (b'3', 3),
+            (b' 2.4 ', 2.4),
+            (b'0.05', 0.05),
+            (b'0', 0),
+            (b'1e2', 100),
+        ):
+            with self.subTest(text=text):
+                fields = answer_fields(((b'Server-Limit', text),))
+                self.assertEqual(fields.rate_limit, limit)
+                self.assertEqual(fields.rate_limit_problem, '')
+        self.assertIsNone(answer_fields(()).rate_limit)
+
+    def test_invalid_limit_of_a_replica_is_reported(self):
+        for bad in (
+            b'',
+            b'-1',
+            b'nan',
+            b'inf',
+            b'1e999',
+            b'1_0',
+            b'two',
+            b'3, 4',
+            b'\xb2',
+            b'9' * 1000,
+        ):
+            with self.subTest(bad=bad):
+                fields = answer_fields(((b'server-limit', bad),))
+                self.assertIsNone(fields.rate_limit)
+                self.assertIn('not a rate', fields.rate_limit_problem)
+
+    def test_lowest_of_several_limits_applies_and_is_reported(self):
+        limits = [(b'Server-Limit', text) for text in (b'5', b'2', b'9')]
+        fields = answer_fields(tuple(limits))
+        self.assertEqual(fields.rate_limit, 2)
+        self.assertIn('more than once', fields.rate_limit_problem)
+        fields = answer_fields((*limits, (b'Server-Limit', b'x')))
+        self.assertEqual(fields.rate_limit, 2)
+        self.assertIn('not a rate', fields.rate_limit_problem)
+
     def test_directory_query_and_answer(self):
         self.assertEqual(caller_zone('name=a&region=b&zone=c'), 'c')
         self.assertEqual(caller_zone(''), '')
