--- /dev/null
+++ b/tests/utils/limited_site.py
@@ -0,0 +1,127 @@
+"""
+A site of many gateways before targets that name limits, on loopback channels.
+"""
+
+import asyncio
+from collections import Counter
+from random import Random
+from types import MappingProxyType
+from unittest.mock import patch
+
+from mallowcrank.gateway.clock import monotonic_s
+from mallowcrank.platform.standins.in_process import InProcessPlatform
+
+WINDOW_S = 4
+RATE_FACTOR = 1.5
+SLACK = 5
+SETTLED_S = 3  # after a limit is named, until it has to be kept
+CALLS_PER_S = 60
+# One process can't carry the usual gossip of more gateways.
+MAX_FAST_GOSSIP = 40
+SLOW_GOSSIP_S = 2
+TOKENS = MappingProxyType(
+    {'Mallowcrank_Token_Count': '700,200', 'Mallowcrank_Model': 'm'}
+)
+
+
+def allowed_arrivals(rate):
+    """
+    Return how many requests a target may get in any window.
+
+    :param rate: the limit that it names, in requests per second.
+    """
+    return RATE_FACTOR * rate * WINDOW_S + SLACK
+
+
+def most_arrivals(arrivals, since, until):
+    """
+    Return the most arrivals in any window between two moments.
+    """
+    counted = [moment for moment in arrivals if since <= moment <= until]
+    return max(
+        (
+            sum(1 for other in counted if 0 <= other - first <= WINDOW_S)
+            for first in counted
+        ),
+        default=0,
+    )
+
+
+class LimitedSite:
+    """
+    Gateways, targets, and callers that use some or all of the gateways.
+    """
+
+    def __init__(self, gateways, random_seed=1):
+        self.world = InProcessPlatform()
+        self.gateways = []
+        self.statuses = Counter()
+        self.responses = []
+        self._size = gateways
+        self._random = Random(random_seed)
+        self._calls = set()
+        self._gossip = patch(
+            'mallowcrank.gateway.peers.BROADCAST_INTERVAL_S', SLOW_GOSSIP_S
+        )
+
+    async def start(self):
+        """
+        Start the gateways, each of which hears all others.
+        """
+        if self._size > MAX_FAST_GOSSIP:
+            self._gossip.start()
+        # The debug mode of tests slows so many connections down.
+        asyncio.get_running_loop().set_debug(enabled=False)
+        first = await self.world.start_gateway()
+        seeds = (str(first.settings.listening.peers),)
+        others = await asyncio.gather(
+            *(
+                self.world.start_gateway(seeds=seeds)
+                for _ in range(self._size - 1)
+            )
+        )
+        self.gateways = [first, *others]
+        await self.world.wait_for(
+            lambda: all(
+                len(gateway.core.peers.live()) == self._size - 1
+                for gateway in self.gateways
+            )
+        )
+
+    async def close(self):
+        await self.world.close()
+        patch.stopall()
+
+    async def load(self, seconds, path='/lookup/x', gateways=None, **fields):
+        """
+        Send calls at a steady rate for some seconds.
+
+        :param gateways: those that callers use; all by default.
+        """
+        started_at = monotonic_s()
+        for number in range(int(seconds * CALLS_PER_S)):
+            due_at = started_at + number / CALLS_PER_S
+            await asyncio.sleep(max(0, due_at - monotonic_s()))
+            gateway = self._random.choice(gateways or self.gateways)
+            call = asyncio.create_task(self._call(gateway, path, fields))
+            self._calls.add(call)
+            call.add_done_callback(self._calls.discard)
+
+    async def finish(self):
+        """
+        Wait for the answers of all calls.
+        """
+        await asyncio.gather(*self._calls)
+
+    @property
+    def served_share(self):
+        """
+        Return the share of the calls that were served.
+        """
+        return self.statuses[200] / self.statuses.total()
+
+    async def _call(self, gateway, path, fields):
+        response = await self.world.fetch(gateway, path, **fields)
+        is_whole = response.is_complete
+        self.statuses[response.status if is_whole else 'broken'] += 1
+        self.responses.append((monotonic_s(), response))
