Keep the limits that targets name, all gateways together

Callers saw nothing; a target that takes 3 requests a second got 124 to 248 in 4 s (23 allowed), at 6, 24 and 84 gateways.

Class: a bound on the sum of all gateways that each gateway, at best, knows for itself.

Now each request to a target that names a limit needs a permit, whichever way it takes: first sends, retries, detours, sends after a cut, and each engine of a path. One gateway, chosen by rendezvous hash among those that accept callers, gives a target's permits at the rate of the limit; the others ask it by datagram. It starts without permits, so that a change of gateway doesn't add to the sum; a gateway that hears fewer than half of the others takes random turns of an even share. Statuses carry the limits. Other targets are used first; what can't be served is refused at once with a time of its own to come back. Placing counts a limited engine as slow.

Why it works: the rate is the limit's whichever gateways have the load, and however small it is per gateway.

--- a/mallowcrank/gateway/assembly.py
+++ b/mallowcrank/gateway/assembly.py
@@ -22,13 +22,13 @@
 from mallowcrank.gateway.meters import Meters
 from mallowcrank.gateway.peer_sync import PeerSync
 from mallowcrank.gateway.peers import Peers
+from mallowcrank.gateway.permits import Permits
 from mallowcrank.gateway.placing import Placer
 from mallowcrank.gateway.ports import Vocabulary
 from mallowcrank.gateway.prober import Prober
 from mallowcrank.gateway.settings import GatewaySettings
 from mallowcrank.gateway.store_client import StoreClient
 from mallowcrank.gateway.target_channel import ChannelPool
-from mallowcrank.gateway.target_limits import TargetLimits
 
 INCARNATION_BYTES = 4
 
@@ -58,7 +58,8 @@
     meters = Meters()
     fleet = Fleet(journal)
     pool = ChannelPool()
-    limits = TargetLimits(settings.host, journal, meters)
+    peers = Peers(settings, journal)
+    permits = Permits(settings, peers, journal, meters)
     earlier_run_ended_s = None if settings.is_first_start else monotonic_s()
     return Core(
         settings=settings,
@@ -70,9 +71,9 @@
         ledger=MemoryLedger(),
         retry_windows=RetryWindows(settings.bounds, earlier_run_ended_s),
         pool=pool,
-        prober=Prober(fleet, pool, vocabulary, meters, limits),
-        peers=Peers(settings, journal),
-        limits=limits,
+        prober=Prober(fleet, pool, vocabulary, meters, permits.limits),
+        peers=peers,
+        permits=permits,
     )
 
 
@@ -93,7 +94,9 @@
         settings, member, store_client, vocabulary, core.peers, journal
     )
     gossip = Gossip(core, known, duty, incarnation)
-    core.peers.listen(gossip.own_status, gossip.handle_status)
+    core.peers.listen(
+        gossip.own_status, gossip.handle_status, core.permits.handle_datagram
+    )
     return Parts(
         core=core,
         known=known,
--- a/mallowcrank/gateway/core.py
+++ b/mallowcrank/gateway/core.py
@@ -22,6 +22,7 @@
 from mallowcrank.gateway.journal import Importance, Journal
 from mallowcrank.gateway.meters import Meters
 from mallowcrank.gateway.peers import Peers
+from mallowcrank.gateway.permits import Permits
 from mallowcrank.gateway.ports import CallerFields, Headers, Vocabulary
 from mallowcrank.gateway.prober import Prober
 from mallowcrank.gateway.settings import GatewaySettings
@@ -55,9 +56,16 @@
     pool: ChannelPool
     prober: Prober
     peers: Peers
-    limits: TargetLimits
+    permits: Permits
     retry_after: RetryAfterSchedule = field(default_factory=RetryAfterSchedule)
 
+    @property
+    def limits(self) -> TargetLimits:
+        """
+        Return what targets say of their own limits.
+        """
+        return self.permits.limits
+
     def apply_settings(self, settings: GatewaySettings) -> None:
         """
         Put reloaded settings into force.
--- a/mallowcrank/gateway/datagrams.py
+++ b/mallowcrank/gateway/datagrams.py
@@ -4,19 +4,22 @@
 Each datagram is complete, so that a lost one does no harm.
 """
 
-from collections.abc import Iterable, Mapping
+from collections.abc import Iterable, Mapping, Sequence
 from dataclasses import dataclass, field
 from ipaddress import ip_address
+from math import isfinite
 from typing import Any
 
 import msgpack
 
 from mallowcrank.gateway.settings import Address
-from mallowcrank.gateway.targets import HeldLayers
+from mallowcrank.gateway.targets import HeldLayers, Lifetime
+from mallowcrank.limits.named import LimitReport
 
 STATUS_FORMAT = 1
 ADDRESSES_FORMAT = 2
 MAX_PORT = 65_535
+MS_PER_S = 1000
 DECODE_ERRORS = (
     ValueError,
     TypeError,
@@ -43,6 +46,8 @@
     :param paces: factors on the usual times of slow targets, by identity.
     :param layers: layers that targets reported and that their entries may
         not show yet, by identity.
+    :param limits: what targets said of their limits; none if the gateway is
+        of an earlier build, which knows no limits.
     """
 
     host: str
@@ -58,12 +63,21 @@
     unresponsive_targets: tuple[str, ...] = ()
     paces: Mapping[str, float] = field(default_factory=dict)
     layers: Mapping[str, HeldLayers] = field(default_factory=dict)
+    limits: Mapping[Lifetime, LimitReport] | None = None
 
 
 def pack_status(status: GatewayStatus) -> bytes:
     """
     Encode a status as a datagram.
     """
+    optional = []
+    if status.limits is not None:
+        optional.append(
+            [
+                [*lifetime, *encode_limit(limit)]
+                for lifetime, limit in status.limits.items()
+            ]
+        )
     return msgpack.packb(
         [
             STATUS_FORMAT,
@@ -82,6 +96,7 @@
                 name: [held.first, held.end, held.version]
                 for name, held in status.layers.items()
             },
+            *optional,
         ]
     )
 
@@ -99,6 +114,37 @@
         return None
 
 
+def encode_limit(limit: LimitReport) -> list[Any]:
+    """
+    Encode a report of a limit as a part of a datagram.
+    """
+    return [
+        limit.rate_per_s,
+        round(limit.sent_ago_s * MS_PER_S),
+        round(limit.received_ago_s * MS_PER_S),
+        limit.source,
+    ]
+
+
+def decode_limit(fields: Sequence[Any]) -> LimitReport:
+    """
+    Decode a report of a limit.
+
+    :raises ValueError: if the rate or an age is negative or not a number.
+    """
+    rate, sent_ago_ms, received_ago_ms, source = fields
+    if rate is not None and not (isfinite(rate) and rate >= 0):
+        raise ValueError('no rate')
+    if min(sent_ago_ms, received_ago_ms) < 0:
+        raise ValueError('no age')
+    return LimitReport(
+        rate_per_s=None if rate is None else float(rate),
+        sent_ago_s=int(sent_ago_ms) / MS_PER_S,
+        received_ago_s=int(received_ago_ms) / MS_PER_S,
+        source=str(source),
+    )
+
+
 def pack_addresses(addresses: Iterable[Address]) -> bytes:
     """
     Encode addresses at which gateways receive datagrams.
@@ -144,9 +190,17 @@
         unresponsive_targets=tuple(str(each) for each in fields[10]),
         layers={str(key): HeldLayers(*held) for key, held in reported_layers},
         paces={str(key): float(pace) for key, pace in fields[11].items()},
+        limits=_decode_limits(fields[13]) if len(fields) > 13 else None,
     )
 
 
+def _decode_limits(rows: list[Any]) -> dict[Lifetime, LimitReport]:
+    return {
+        Lifetime(str(row[0]), int(row[1])): decode_limit(row[2:])
+        for row in rows
+    }
+
+
 def _decode_address(ip: Any, port: Any) -> Address:
     if not 0 < int(port) <= MAX_PORT:
         raise ValueError('no port')
--- a/mallowcrank/gateway/detours.py
+++ b/mallowcrank/gateway/detours.py
@@ -12,6 +12,7 @@
 from mallowcrank.chains.paths import ChainPath
 from mallowcrank.gateway.core import Call, Core
 from mallowcrank.gateway.path_finder import PathFinder, format_path
+from mallowcrank.gateway.permits import Denial
 from mallowcrank.gateway.target_channel import Response
 from mallowcrank.gateway.targets import Lifetime
 
@@ -40,6 +41,9 @@
     hops = finder.hops(found)
     if first is None or not hops:
         return None
+    added = [each for each in found.lifetimes if each not in path.lifetimes]
+    if isinstance(await core.permits.claim(added), Denial):
+        return None
     order = core.vocabulary.detour_call(
         first.identity, call.fields.request_id, hops
     )
--- a/mallowcrank/gateway/endings.py
+++ b/mallowcrank/gateway/endings.py
@@ -8,6 +8,7 @@
 from mallowcrank.gateway.caller_channel import end_to_end_headers
 from mallowcrank.gateway.clock import monotonic_s
 from mallowcrank.gateway.core import Call, Core, record_outcome, send_error
+from mallowcrank.gateway.permits import Denial
 from mallowcrank.gateway.target_channel import ResponseHead
 
 TIMEOUT = 'timeout'
@@ -49,7 +50,25 @@
         send_error(call.response, status, reason)
         record_outcome(core, call, 'failed', why=reason, status=status)
     else:
-        _refuse(core, call, reason, retry_after)
+        retry_after_s = core.retry_after.assign_delay_s(
+            monotonic_s(), retry_after.min_s, retry_after.rate_per_s
+        )
+        _refuse(core, call, reason, retry_after_s)
+
+
+def end_denied(
+    core: Core, call: Call, denial: Denial, retry_after: RetryAfter
+) -> None:
+    """
+    End a call for which its targets take no more requests.
+
+    :param retry_after: applies if a target may have run it before.
+    """
+    if call.sends or call.response.has_begun:
+        give_up(core, call, denial.reason, retry_after)
+    else:
+        core.meters.limit_refusals.labels(call.kind).inc()
+        _refuse(core, call, denial.reason, denial.return_s)
 
 
 def forward_answer(
@@ -64,12 +83,7 @@
     record_outcome(core, call, outcome, status=head.status)
 
 
-def _refuse(
-    core: Core, call: Call, reason: str, retry_after: RetryAfter
-) -> None:
-    retry_after_s = core.retry_after.assign_delay_s(
-        monotonic_s(), retry_after.min_s, retry_after.rate_per_s
-    )
+def _refuse(core: Core, call: Call, reason: str, retry_after_s: float) -> None:
     core.meters.refusals.labels(call.kind).inc()
     send_error(
         call.response, HTTPStatus.SERVICE_UNAVAILABLE, reason, retry_after_s
--- a/mallowcrank/gateway/fleet.py
+++ b/mallowcrank/gateway/fleet.py
@@ -8,7 +8,7 @@
 
 from mallowcrank.gateway.journal import Journal
 from mallowcrank.gateway.target_health import LayersReport, TargetHealth
-from mallowcrank.gateway.targets import HeldLayers, Target
+from mallowcrank.gateway.targets import HeldLayers, Lifetime, Target
 
 # Entries that expired during a store outage are back within two seconds after
 # it; work at a target may go on for as long after its entry is gone.
@@ -204,6 +204,14 @@
         self._journal.say('fleet: target gone', target=identity)
 
 
+def is_current(fleet: Fleet, lifetime: Lifetime) -> bool:
+    """
+    Return whether a lifetime has not ended.
+    """
+    target = fleet.find(lifetime.identity)
+    return target is not None and target.lifetime == lifetime
+
+
 def _differs(before: Target | None, target: Target) -> bool:
     if before is None:
         return True
--- a/mallowcrank/gateway/gossip.py
+++ b/mallowcrank/gateway/gossip.py
@@ -109,6 +109,7 @@
             ),
             paces=target_health.slow_paces(now),
             layers=target_health.reported_layers(now),
+            limits=self._core.limits.reports(),
         )
 
     def handle_status(self, status: GatewayStatus) -> None:
@@ -133,6 +134,8 @@
                 )
         for identity, layers in status.layers.items():
             fleet.update_layers(identity, layers, now, is_direct=False)
+        for lifetime, limit in (status.limits or {}).items():
+            self._core.limits.apply(lifetime, limit.observation(now))
         for identity in status.unresponsive_targets:
             target = fleet.find(identity)
             if target and self._should_verify(status.host, target):
--- a/mallowcrank/gateway/meters.py
+++ b/mallowcrank/gateway/meters.py
@@ -10,6 +10,8 @@
     generate_latest,
 )
 
+from mallowcrank.gateway.targets import Lifetime
+
 LATENCY_BUCKETS_S = (0.01, 0.025, 0.05, 0.1, 0.15, 0.25, 0.5, 1, 2.5, 5, 10, 20)
 
 
@@ -65,18 +67,40 @@
             ('service', 'state'),
             registry=self._registry,
         )
-        self.target_limits = Gauge(
+        self._target_limits = Gauge(
             'mallowcrank_target_limit',
             'Requests a second that a target takes, where it names a limit.',
-            ('target',),
+            ('target', 'born_ms'),
             registry=self._registry,
         )
+        self.permits = self._counter(
+            'permits',
+            'Claims of permits for requests to targets that name limits.',
+            ('verdict',),
+        )
+        self.limit_refusals = self._counter(
+            'limit_refusals',
+            "Requests refused because of targets' limits.",
+            ('kind',),
+        )
         self.waiting = Gauge(
             'mallowcrank_waiting',
             'Requests that wait for memory of engines.',
             registry=self._registry,
         )
 
+    def set_target_limit(self, lifetime: Lifetime, rate: float | None) -> None:
+        """
+        Record the limit that a target names.
+
+        :param rate: requests per second; none if it names no limit any more.
+        """
+        labels = (lifetime.identity, str(lifetime.born_ms))
+        if rate is None:
+            self._target_limits.remove(*labels)
+        else:
+            self._target_limits.labels(*labels).set(rate)
+
     def text(self) -> bytes:
         """
         Return all metrics in Prometheus's text exposition format.
--- a/mallowcrank/gateway/path_finder.py
+++ b/mallowcrank/gateway/path_finder.py
@@ -49,9 +49,23 @@
         """
         Return the best path, or why there is none.
 
-        :param avoided: engines not to use, in addition to the call's.
+        :param avoided: engines not to use, in addition to the call's and to
+            those that take no more requests now.
         """
-        return choose_path(self._choosing(), self._usable(avoided))
+        denied = self._core.permits.denied()
+        return choose_path(
+            self._choosing(), self._usable(denied.union(avoided))
+        )
+
+    def choose_denied(self) -> ChainPath | None:
+        """
+        Return the best path with engines that take no more requests now, if
+        there are any.
+        """
+        if not self._core.permits.denied():
+            return None
+        found = choose_path(self._choosing(), self._usable(()))
+        return found if isinstance(found, ChainPath) else None
 
     def detour(
         self, path: ChainPath, lost: Collection[Lifetime]
@@ -59,7 +73,8 @@
         """
         Return a path around lost engines with the same first engine, if any.
         """
-        return detour(self._choosing(), self._usable(()), path, lost)
+        denied = self._core.permits.denied().difference(path.lifetimes)
+        return detour(self._choosing(), self._usable(denied), path, lost)
 
     def hops(self, path: ChainPath) -> tuple[Hop, ...]:
         """
--- a/mallowcrank/gateway/peers.py
+++ b/mallowcrank/gateway/peers.py
@@ -47,6 +47,7 @@
         self._journal = journal
         self._make_status: Callable[[], GatewayStatus] | None = None
         self._on_status: Callable[[GatewayStatus], None] = _ignore
+        self._on_message: Callable[[bytes, Address], None] | None = None
         self._transport: asyncio.DatagramTransport | None = None
         self._table = PeerTable()
         self._random = Random()
@@ -64,15 +65,26 @@
         self,
         make_status: Callable[[], GatewayStatus],
         on_status: Callable[[GatewayStatus], None],
+        on_message: Callable[[bytes, Address], None] | None = None,
     ) -> None:
         """
-        Set the callbacks for outgoing and incoming statuses.
+        Set the callbacks for outgoing statuses and incoming datagrams.
 
         :param make_status: returns this gateway's current status.
         :param on_status: is called with each status that arrives.
+        :param on_message: is called with each datagram that holds neither a
+            status nor addresses, and its sender.
         """
         self._make_status = make_status
         self._on_status = on_status
+        self._on_message = on_message
+
+    def send(self, raw: bytes, recipient: Address) -> None:
+        """
+        Send a datagram to one gateway.
+        """
+        if self._transport:
+            self._transport.sendto(raw, (recipient.ip, recipient.port))
 
     def close(self) -> None:
         """
@@ -94,7 +106,10 @@
         """
         status = read_status(raw)
         if status is None:
-            self.add_candidates(read_addresses(raw))
+            addresses = read_addresses(raw)
+            self.add_candidates(addresses)
+            if not addresses and self._on_message:
+                self._on_message(raw, Address(*addr[:2]))
             return
         if status.gossip == self._settings.gossip:
             return
@@ -103,7 +118,7 @@
                 'peers: heard', peer=status.host, incarnation=status.incarnation
             )
             self._send_status((status.gossip,))
-            self._send_addresses(status.gossip)
+            self.send(_address_sample(self.live(), self._random), status.gossip)
         self._on_status(status)
 
     def add_candidates(self, addresses: Iterable[Address]) -> None:
@@ -163,7 +178,8 @@
             self._journal.say('peers: forgotten', peer=peer.last_status.host)
         self._send_status(self._table.longest_unsent(MAX_RECIPIENTS))
         if live:
-            self._send_addresses(self._random.choice(live).last_status.gossip)
+            recipient = self._random.choice(live).last_status.gossip
+            self.send(_address_sample(live, self._random), recipient)
 
     def _send_status(self, addresses: Iterable[Address]) -> None:
         if not self._transport or not self._make_status:
@@ -172,18 +188,17 @@
         now = monotonic_s()
         for address in addresses:
             self._table.record_send(address, now)
-            self._transport.sendto(raw, (address.ip, address.port))
+            self.send(raw, address)
 
-    def _send_addresses(self, recipient: Address) -> None:
-        """
-        Send some of the addresses of live gateways, chosen at random.
-        """
-        live = [peer.last_status.gossip for peer in self.live()]
-        sample = self._random.sample(live, min(MAX_ADDRESSES, len(live)))
-        if self._transport and sample:
-            self._transport.sendto(
-                pack_addresses(sample), (recipient.ip, recipient.port)
-            )
+
+def _address_sample(live: Iterable[Peer], random: Random) -> bytes:
+    """
+    Return a datagram of some addresses of gateways, chosen at random.
+    """
+    addresses = [peer.last_status.gossip for peer in live]
+    return pack_addresses(
+        random.sample(addresses, min(MAX_ADDRESSES, len(addresses)))
+    )
 
 
 def _ignore(status: GatewayStatus) -> None:
--- /dev/null
+++ b/mallowcrank/gateway/permits.py
@@ -0,0 +1,338 @@
+"""
+Permits to send requests to targets that name limits.
+
+Every request to such a target, on whichever way, needs a permit. One gateway
+gives a target's permits, at the rate of the limit, to all others on request.
+Gateways that disagree on which one it is, while they learn of a new gateway,
+are few and for a second at most; a gateway that has just become responsible
+starts with no permits. So the sum stays below one and a half times the limit.
+
+A gateway that hears fewer than half of the others can't know who gives permits.
+It takes an even share of the limit, in turns at random times.
+"""
+
+import asyncio
+from collections.abc import Iterable
+from dataclasses import dataclass, replace
+from itertools import count
+from math import inf
+from random import Random
+
+from mallowcrank.gateway.assignment import HostAssignment
+from mallowcrank.gateway.clock import monotonic_s
+from mallowcrank.gateway.datagrams import GatewayStatus
+from mallowcrank.gateway.journal import Journal
+from mallowcrank.gateway.meters import Meters
+from mallowcrank.gateway.peers import Peers
+from mallowcrank.gateway.permit_messages import (
+    PermitAnswer,
+    PermitRequest,
+    Verdict,
+    pack_permit_answer,
+    pack_permit_request,
+    read_permit_message,
+)
+from mallowcrank.gateway.settings import Address, GatewaySettings
+from mallowcrank.gateway.target_limits import TargetLimits
+from mallowcrank.gateway.targets import Lifetime
+from mallowcrank.limits.bucket import Bucket
+from mallowcrank.limits.named import LimitObservation
+from mallowcrank.limits.schedule import MAX_WAIT_S, PermitSchedule
+from mallowcrank.overload.retry_after import MAX_RETRY_AFTER_S
+
+PERMIT_TTL_S = 0.4  # within which the request has to be sent
+ANSWER_TIMEOUT_S = 0.15  # an answer takes some milliseconds
+SILENCE_PAUSE_S = 0.5  # after which an unresponsive gateway is asked again
+UNASSIGNED_PAUSE_S = 0.25  # until gateways agree on who gives permits
+MIN_PAUSE_S = 0.05  # after a denial
+MAX_PAUSE_S = 1.0  # permits may come earlier than predicted
+MAX_DENIED_PER_S = 200  # requests to one gateway
+SETTLE_S = 2.0  # after a start, until all others are heard
+TURN_TTL_S = 1.0  # an unused turn is dropped, so that turns don't add up
+
+
+@dataclass(frozen=True, slots=True)
+class Permit:
+    """
+    Permission to send one request.
+
+    :param valid_until: steady time, in seconds.
+    """
+
+    valid_until: float = inf
+
+    def is_valid(self) -> bool:
+        """
+        Return whether the request may be sent now.
+        """
+        return monotonic_s() <= self.valid_until
+
+
+@dataclass(frozen=True, slots=True)
+class Denial:
+    """
+    A target takes no further request now.
+
+    :param wait_s: seconds until there may be a permit.
+    :param return_s: seconds after which a refused caller should retry.
+    """
+
+    lifetime: Lifetime
+    wait_s: float
+    return_s: float
+
+    @property
+    def reason(self) -> str:
+        """
+        Return the reason for callers and the log.
+        """
+        return f'{self.lifetime.identity} takes no more requests a second'
+
+
+class Permits:
+    """
+    Decides whether a request may be sent to a target now, and counts it.
+    """
+
+    def __init__(
+        self,
+        settings: GatewaySettings,
+        peers: Peers,
+        journal: Journal,
+        meters: Meters,
+    ) -> None:
+        self.limits = TargetLimits(settings.host, journal, meters)
+        self._host = settings.host
+        self._peers = peers
+        self._meters = meters
+        self._random = Random()
+        self._started_at = monotonic_s()
+        self._is_accepting = False
+        self._was_connected = False
+        self._assignment = HostAssignment()
+        self._schedules: dict[Lifetime, PermitSchedule] = {}
+        self._turns: dict[Lifetime, float] = {}
+        self._denied_until: dict[Lifetime, float] = {}
+        self._silent_until: dict[str, float] = {}
+        self._numbers = count(1)
+        self._pending: dict[int, asyncio.Future[PermitAnswer]] = {}
+
+    # Queries
+
+    def denied(self) -> set[Lifetime]:
+        """
+        Return the targets that take no further request now.
+        """
+        if not self._denied_until:
+            return set()
+        now = monotonic_s()
+        return {
+            lifetime
+            for lifetime, until in self._denied_until.items()
+            if now < until and self.limits.find(lifetime)
+        }
+
+    # Commands
+
+    async def claim(
+        self, lifetimes: Iterable[Lifetime], max_wait_s: float = 0
+    ) -> Permit | Denial:
+        """
+        Claim a permit for one request to some targets.
+
+        It is counted, whether or not the request is sent.
+
+        :param max_wait_s: how long to wait for a permit, in seconds; 0 if the
+            request can go elsewhere.
+        """
+        permit = Permit()
+        limited = [each for each in lifetimes if self.limits.find(each)]
+        while limited:
+            lifetime = limited.pop(0)
+            started_at = monotonic_s()
+            answer = await self._claim_one(lifetime, max_wait_s)
+            self._meters.permits.labels(answer.verdict.name.lower()).inc()
+            if answer.verdict is not Verdict.GRANTED:
+                return self._denial(lifetime, answer)
+            slot_at = started_at + answer.wait_s
+            permit = Permit(min(permit.valid_until, slot_at + PERMIT_TTL_S))
+            if answer.wait_s:
+                await asyncio.sleep(slot_at - monotonic_s())
+        return permit
+
+    def update(self, is_accepting: bool) -> None:
+        """
+        Update who gives permits; is called at short intervals.
+
+        :param is_accepting: whether this gateway accepts callers.
+        """
+        self._is_accepting = is_accepting
+        now = monotonic_s()
+        if not self._is_isolated():
+            self._was_connected = True
+            self._turns.clear()
+        self._denied_until = {
+            lifetime: until
+            for lifetime, until in self._denied_until.items()
+            if now < until
+        }
+        for lifetime in list(self._schedules):
+            is_assigned = self._giver(lifetime) == self._host
+            if not is_assigned or self.limits.find(lifetime) is None:
+                self._schedules.pop(lifetime)
+
+    def handle_datagram(self, raw: bytes, sender: Address) -> None:
+        """
+        Handle a datagram of another gateway.
+        """
+        message = read_permit_message(raw)
+        match message:
+            case PermitRequest():
+                self.limits.apply(
+                    message.lifetime, message.limit.observation(monotonic_s())
+                )
+                answer = replace(
+                    self._give(message.lifetime, message.max_wait_s),
+                    number=message.number,
+                )
+                self._peers.send(pack_permit_answer(answer), sender)
+            case PermitAnswer():
+                pending = self._pending.get(message.number)
+                if pending and not pending.done():
+                    pending.set_result(message)
+
+    async def _claim_one(
+        self, lifetime: Lifetime, max_wait_s: float
+    ) -> PermitAnswer:
+        observed = self.limits.find(lifetime)
+        if observed is None:
+            return PermitAnswer(0, Verdict.GRANTED, 0, 0)
+        if self._is_isolated():
+            return self._take_turn(lifetime, observed)
+        giver = self._giver(lifetime)
+        if giver == self._host:
+            return self._give(lifetime, max_wait_s)
+        status = self._candidates().get(giver)
+        if status is None:
+            return _denied(Verdict.NOT_ASSIGNED, UNASSIGNED_PAUSE_S)
+        if monotonic_s() < self._silent_until.get(giver, -inf):
+            return _denied(Verdict.DENIED, SILENCE_PAUSE_S)
+        limit = observed.report(monotonic_s())
+        request = PermitRequest(0, lifetime, limit, max_wait_s)
+        answer = await self._request(status.gossip, request)
+        if answer is None:
+            # The datagram may have been lost.
+            answer = await self._request(status.gossip, request)
+        if answer is None:
+            self._silent_until[giver] = monotonic_s() + SILENCE_PAUSE_S
+            return _denied(Verdict.DENIED, SILENCE_PAUSE_S)
+        return answer
+
+    async def _request(
+        self, giver: Address, request: PermitRequest
+    ) -> PermitAnswer | None:
+        """
+        Request a permit of the gateway that gives them.
+
+        :returns: none if it doesn't answer.
+        """
+        number = next(self._numbers)
+        pending = asyncio.get_running_loop().create_future()
+        self._pending[number] = pending
+        self._peers.send(
+            pack_permit_request(replace(request, number=number)), giver
+        )
+        try:
+            async with asyncio.timeout(ANSWER_TIMEOUT_S):
+                return await pending
+        except TimeoutError:
+            self._meters.permits.labels('unanswered').inc()
+        finally:
+            self._pending.pop(number)
+        return None
+
+    def _give(self, lifetime: Lifetime, max_wait_s: float) -> PermitAnswer:
+        """
+        Give a permit as the gateway that is responsible for a target.
+        """
+        now = monotonic_s()
+        is_settled = now - self._started_at > SETTLE_S
+        if not is_settled or self._giver(lifetime) != self._host:
+            return _denied(Verdict.NOT_ASSIGNED, UNASSIGNED_PAUSE_S)
+        observed = self.limits.find(lifetime)
+        if observed is None:
+            return PermitAnswer(0, Verdict.GRANTED, 0, 0)
+        schedule = self._schedules.get(lifetime)
+        if schedule is None:
+            schedule = PermitSchedule(Bucket(0, now))
+            self._schedules[lifetime] = schedule
+        limit = observed.granted_per_s
+        max_wait_s = min(max_wait_s, MAX_WAIT_S)
+        wait_s = schedule.claim(limit, now, max_wait_s)
+        if wait_s <= max_wait_s:
+            return PermitAnswer(0, Verdict.GRANTED, wait_s, 0)
+        return_s = schedule.assign_return_s(limit, now) if max_wait_s else 0
+        return PermitAnswer(0, Verdict.DENIED, wait_s, return_s)
+
+    def _take_turn(
+        self, lifetime: Lifetime, observed: LimitObservation
+    ) -> PermitAnswer:
+        """
+        Give a permit out of an even share of the limit.
+        """
+        if not self._was_connected:
+            # The number of gateways is unknown.
+            return _denied(Verdict.DENIED, SILENCE_PAUSE_S)
+        now = monotonic_s()
+        interval_s = self._peers.count() / observed.granted_per_s
+        turn_at = self._turns.get(lifetime, -inf)
+        if now > turn_at + TURN_TTL_S:
+            turn_at = now + self._random.random() * interval_s
+            self._turns[lifetime] = turn_at
+        if now < turn_at:
+            return _denied(Verdict.DENIED, turn_at - now)
+        self._turns[lifetime] = now + interval_s
+        return PermitAnswer(0, Verdict.GRANTED, 0, 0)
+
+    def _denial(self, lifetime: Lifetime, answer: PermitAnswer) -> Denial:
+        pause_s = max(
+            MIN_PAUSE_S,
+            min(MAX_PAUSE_S, answer.wait_s),
+            self._peers.count() / MAX_DENIED_PER_S,
+        )
+        self._denied_until[lifetime] = monotonic_s() + pause_s
+        # Callers without a time of their own don't retry all at once.
+        spread_s = self._random.random() * answer.wait_s
+        return_s = max(MIN_PAUSE_S, answer.return_s or answer.wait_s + spread_s)
+        return Denial(lifetime, answer.wait_s, min(MAX_RETRY_AFTER_S, return_s))
+
+    def _giver(self, lifetime: Lifetime) -> str:
+        """
+        Return the host that gives a target's permits; empty if none does.
+        """
+        hosts = set(self._candidates())
+        if self._is_accepting:
+            hosts.add(self._host)
+        self._assignment.update_hosts(hosts)
+        return self._assignment.host_for(lifetime.identity)
+
+    def _candidates(self) -> dict[str, GatewayStatus]:
+        """
+        Return the other gateways that may give permits, by host.
+
+        Those of earlier builds send no limits, and don't answer requests.
+        """
+        statuses = [peer.last_status for peer in self._peers.live()]
+        return {
+            status.host: status
+            for status in statuses
+            if status.accepts_callers and status.limits is not None
+        }
+
+    def _is_isolated(self) -> bool:
+        live = 1 + len(self._peers.live())
+        return 2 * live - 1 < self._peers.count()
+
+
+def _denied(verdict: Verdict, wait_s: float) -> PermitAnswer:
+    return PermitAnswer(0, verdict, wait_s, 0)
--- a/mallowcrank/gateway/placing.py
+++ b/mallowcrank/gateway/placing.py
@@ -64,6 +64,7 @@
     def __init__(self, core: Core) -> None:
         self._fleet = core.fleet
         self._ledger = core.ledger
+        self._limits = core.limits
         self._pool = core.pool
         self._prober = core.prober
         self._vocabulary = core.vocabulary
@@ -154,6 +155,8 @@
         slowness = self._fleet.health.pace(target.lifetime, now)
         if slowness < SLOW_PACE:
             slowness = 1
+        if self._limits.find(target.lifetime):
+            slowness = max(slowness, SLOW_PACE)
         card = empty_engine(
             target.lifetime,
             target.zone,
--- a/mallowcrank/gateway/plain_calls.py
+++ b/mallowcrank/gateway/plain_calls.py
@@ -14,7 +14,13 @@
 from mallowcrank.gateway.clock import monotonic_s
 from mallowcrank.gateway.core import Call, Core
 from mallowcrank.gateway.desired import Repeat
-from mallowcrank.gateway.endings import RetryAfter, forward_answer, give_up
+from mallowcrank.gateway.endings import (
+    RetryAfter,
+    end_denied,
+    forward_answer,
+    give_up,
+)
+from mallowcrank.gateway.permits import Denial
 from mallowcrank.gateway.ports import ForwardFields
 from mallowcrank.gateway.target_channel import (
     ChannelBroken,
@@ -24,6 +30,7 @@
     TargetChannel,
     encode_request,
 )
+from mallowcrank.gateway.target_choice import ClaimedTarget, TargetChooser
 from mallowcrank.gateway.targets import Target
 
 MS_PER_S = 1000
@@ -53,6 +60,7 @@
     def __init__(self, core: Core) -> None:
         self._core = core
         self._records = ReplicaRecords()
+        self._chooser = TargetChooser(core, self._records)
 
     async def serve(self, call: Call) -> None:
         """
@@ -64,46 +72,55 @@
             'no target is there', may_have_run=False
         )
         retry: SentRequest | None = None
-        target = self._pick_target(call)
-        while target:
-            result = await self._attempt(call, target, retry)
-            call.avoided.add(target.lifetime)
+        claimed = await self._chooser.claim(call)
+        while isinstance(claimed, ClaimedTarget):
+            result = await self._attempt(call, claimed, retry)
+            call.avoided.add(claimed.target.lifetime)
             is_final = isinstance(result, Response) and not result.is_failure
             if is_final or not self._may_retry(call):
                 break
-            target = self._pick_target(call)
-            retry = target and self._core.claim_retry(call.service.name)
+            retry = self._claim_retry(call)
             if retry is None:
                 break
-        self._finish(call, result)
-
-    def _pick_target(self, call: Call) -> Target | None:
-        fleet = self._core.fleet
-        targets = fleet.accepting_targets(call.service.name)
-        zone = self._core.settings.zone
-        draw = self._core.random.random()
-        suspects = {*call.avoided, *fleet.health.unresponsive()}
-        return self._records.pick(
-            targets, zone, suspects, draw
-        ) or self._records.pick(targets, zone, call.avoided, draw)
+            claimed = await self._chooser.claim(call)
+            if not isinstance(claimed, ClaimedTarget):
+                self._cancel_retry(call, retry)
+        if isinstance(claimed, Denial) and not call.sends:
+            end_denied(self._core, call, claimed, RETRY_ADVICE)
+        else:
+            self._finish(call, result)
+
+    def _claim_retry(self, call: Call) -> SentRequest | None:
+        if not self._chooser.candidates(call):
+            return None
+        return self._core.claim_retry(call.service.name)
+
+    def _cancel_retry(self, call: Call, retry: SentRequest) -> None:
+        window = self._core.retry_windows.for_service(call.service.name)
+        window.cancel_retry(retry)
 
     def _may_retry(self, call: Call) -> bool:
         return call.refusals <= MAX_REFUSALS and call.may_retry()
 
     async def _attempt(
-        self, call: Call, target: Target, retry: SentRequest | None
+        self, call: Call, claimed: ClaimedTarget, retry: SentRequest | None
     ) -> Response | NoResponse:
+        target = claimed.target
         channel = await self._core.acquire_channel(
             target, may_reuse=call.route.repeat is not Repeat.ONCE
         )
         if isinstance(channel, ConnectFailure):
             call.refusals += 1
             if retry:
-                window = self._core.retry_windows.for_service(call.service.name)
-                window.cancel_retry(retry)
+                self._cancel_retry(call, retry)
             return NoResponse(
                 f'unreached: {channel.reason}', may_have_run=False
             )
+        if not claimed.permit.is_valid():
+            self._core.pool.release(channel)
+            if retry:
+                self._cancel_retry(call, retry)
+            return NoResponse('a permit has expired', may_have_run=False)
         self._records.record_start(target.lifetime)
         is_failed: bool | None = None
         try:
--- a/mallowcrank/gateway/prober.py
+++ b/mallowcrank/gateway/prober.py
@@ -10,10 +10,9 @@
 from collections.abc import Callable, Iterable, Sequence
 from http import HTTPStatus
 
-import xxhash
-
+from mallowcrank.gateway.assignment import HostAssignment
 from mallowcrank.gateway.clock import monotonic_s
-from mallowcrank.gateway.fleet import Fleet
+from mallowcrank.gateway.fleet import Fleet, is_current
 from mallowcrank.gateway.meters import Meters
 from mallowcrank.gateway.ports import DecodeFailure, Vocabulary
 from mallowcrank.gateway.target_channel import (
@@ -37,44 +36,6 @@
 MAX_STALLED_PROBES = 3
 PACE_INTERVAL_S = 2.5
 CHECK_INTERVAL_S = 0.25
-MAX_ASSIGNED = 4096  # targets; those that have left are dropped then
-
-
-class ProbeAssignment:
-    """
-    Which gateway probes a target regularly: one of the live hosts, chosen by
-    rendezvous hashing.
-    """
-
-    def __init__(self) -> None:
-        self._hosts: frozenset[str] = frozenset()
-        self._chosen: dict[str, str] = {}
-
-    def update_hosts(self, hosts: Iterable[str]) -> None:
-        """
-        Replace the hosts of all live gateways.
-        """
-        live = frozenset(hosts)
-        if live != self._hosts or len(self._chosen) > MAX_ASSIGNED:
-            self._hosts = live
-            self._chosen.clear()
-
-    def host_for(self, identity: str) -> str:
-        """
-        Return the host whose gateway probes a target; empty if none is live.
-        """
-        known = self._chosen.get(identity)
-        if known is None and not self._hosts:
-            return ''
-        if known is None:
-            known = max(
-                self._hosts,
-                key=lambda host: xxhash.xxh64_intdigest(
-                    f'{host}{identity}'.encode()
-                ),
-            )
-            self._chosen[identity] = known
-        return known
 
 
 class Prober:
@@ -97,7 +58,7 @@
         self._limits = limits
         self._probed_at: dict[Lifetime, float] = {}
         self._tasks: set[asyncio.Task[None]] = set()
-        self._assignment = ProbeAssignment()
+        self._assignment = HostAssignment()
 
     def probe(self, lifetimes: Iterable[Lifetime]) -> None:
         """
@@ -105,7 +66,7 @@
         """
         for lifetime in lifetimes:
             target = self._fleet.find(lifetime.identity)
-            if target and self._is_current(lifetime):
+            if target and is_current(self._fleet, lifetime):
                 self._start_probe(target, SUSPECT_INTERVAL_S)
 
     def host_for(self, identity: str) -> str:
@@ -123,7 +84,7 @@
         A refused connection marks the target as unresponsive; any other
         failure leads to a probe.
         """
-        if failure.is_refused and self._is_current(lifetime):
+        if failure.is_refused and is_current(self._fleet, lifetime):
             self._fleet.health.record_silence(
                 lifetime, failure.reason, monotonic_s()
             )
@@ -189,7 +150,7 @@
     ) -> None:
         for lifetime in list(self._fleet.health.unresponsive()):
             target = self._fleet.find(lifetime.identity)
-            if target and self._is_current(lifetime):
+            if target and is_current(self._fleet, lifetime):
                 is_confirmed = is_silence_confirmed(target.identity)
                 self._start_probe(
                     target,
@@ -221,7 +182,7 @@
             is_silent = target.is_engine and isinstance(answer, str)
             if not is_silent or monotonic_s() - started_at < MAX_PROBE_S:
                 break
-        if self._is_current(target.lifetime):
+        if is_current(self._fleet, target.lifetime):
             self._record(target, answer, monotonic_s())
 
     async def _first_report(self, target: Target) -> TargetReport | str:
@@ -253,10 +214,6 @@
         channel.close()
         return ''
 
-    def _is_current(self, lifetime: Lifetime) -> bool:
-        target = self._fleet.find(lifetime.identity)
-        return target is not None and target.lifetime == lifetime
-
     def _record(
         self, target: Target, answer: TargetReport | str, now: float
     ) -> None:
--- a/mallowcrank/gateway/program.py
+++ b/mallowcrank/gateway/program.py
@@ -6,6 +6,7 @@
 import os
 import signal
 from collections.abc import Coroutine
+from functools import partial
 from typing import Any
 
 from mallowcrank.gateway.assembly import Parts, build_parts
@@ -14,6 +15,7 @@
 from mallowcrank.gateway.core import Core
 from mallowcrank.gateway.desired import Desired, Limits
 from mallowcrank.gateway.directory import ANSWER_TTL_S
+from mallowcrank.gateway.fleet import is_current
 from mallowcrank.gateway.frontend import Frontend
 from mallowcrank.gateway.journal import Journal
 from mallowcrank.gateway.local_endpoints import LocalEndpoints
@@ -238,6 +240,10 @@
                 channels.sweep()
             self._core.pool.sweep()
             self._core.fleet.drop_lapsed(monotonic_s())
+            self._core.limits.forget_missing(
+                partial(is_current, self._core.fleet)
+            )
+            self._core.permits.update(self.is_ready)
             self._parts.gossip.log_view()
 
     async def _flush(self) -> None:
--- a/mallowcrank/gateway/streams.py
+++ b/mallowcrank/gateway/streams.py
@@ -11,7 +11,7 @@
 from http import HTTPStatus
 
 from mallowcrank.chains.budget import SentRequest
-from mallowcrank.chains.paths import ChainPath
+from mallowcrank.chains.paths import ChainPath, NoPath
 from mallowcrank.gateway.caller_channel import end_to_end_headers
 from mallowcrank.gateway.clock import monotonic_s
 from mallowcrank.gateway.core import Call, Core, record_outcome
@@ -20,6 +20,7 @@
 from mallowcrank.gateway.endings import (
     TIMEOUT,
     RetryAfter,
+    end_denied,
     forward_answer,
     give_up,
 )
@@ -33,6 +34,7 @@
     TimedOut,
 )
 from mallowcrank.gateway.path_finder import PathFinder, format_path
+from mallowcrank.gateway.permits import Denial, Permit
 from mallowcrank.gateway.ports import ForwardFields
 from mallowcrank.gateway.target_channel import (
     BodyChunk,
@@ -58,6 +60,7 @@
 MAX_TRIES = 4  # attempts before the first event
 NO_PATH = ChainPath((), 0, 0)
 NO_BUDGET = 'the retry budget is spent'
+PERMIT_EXPIRED = 'a permit has expired'
 PATH_WAIT_SHARE = 0.8  # of the latency objective
 BACKOFF_STEP_S = 0.1  # for each refusal of a started stream after the first
 # After a loss of engines, memory is short for seconds; an earlier retry would
@@ -101,6 +104,7 @@
         self._detours = 0
         self._is_accepted = False
         self._path = NO_PATH
+        self._permit = Permit()
 
     async def run(self) -> None:
         """
@@ -109,6 +113,9 @@
         self._window.count_request(monotonic_s())
         while True:
             path = await self._find_path()
+            if isinstance(path, Denial):
+                end_denied(self._core, self._call, path, RETRY_AFTER)
+                return
             if isinstance(path, str):
                 give_up(self._core, self._call, path, RETRY_AFTER)
                 return
@@ -150,7 +157,7 @@
             give_up(self._core, self._call, reason, RETRY_AFTER)
         return True
 
-    async def _find_path(self) -> ChainPath | str:
+    async def _find_path(self) -> ChainPath | Denial | str:
         """
         Choose a path, and wait a limited time for memory.
 
@@ -158,16 +165,66 @@
         """
         deadline = monotonic_s() + self._path_wait_s()
         while True:
-            candidate = self._finder.choose()
-            is_found = isinstance(candidate, ChainPath)
-            if is_found and self._claim_retry():
-                return candidate
+            started_at = monotonic_s()
+            found = await self._claim_path(max(0, deadline - started_at))
+            self._call.waited_s += monotonic_s() - started_at
+            if isinstance(found, ChainPath):
+                return found
+            is_denied = isinstance(found, Denial)
+            if is_denied and not self._call.response.has_begun:
+                return found
             left_s = deadline - monotonic_s()
             if left_s <= 0:
-                return NO_BUDGET if is_found else candidate.value
-            started_at = monotonic_s()
+                return found
+            waiting_since = monotonic_s()
             await self._wait_queue.wait(self._call.priority, left_s)
-            self._call.waited_s += monotonic_s() - started_at
+            self._call.waited_s += monotonic_s() - waiting_since
+
+    async def _claim_path(self, left_s: float) -> ChainPath | Denial | str:
+        """
+        Choose a path that the budget and the limits of its engines allow.
+
+        :param left_s: seconds for which the call may wait.
+        :returns: the path, or why there is none.
+        """
+        while True:
+            candidate = self._finder.choose()
+            if isinstance(candidate, NoPath):
+                return await self._claim_denied_path(candidate, left_s)
+            answer = await self._claim(candidate)
+            if not isinstance(answer, Denial):
+                return answer
+
+    async def _claim_denied_path(
+        self, missing: NoPath, left_s: float
+    ) -> ChainPath | Denial | str:
+        """
+        Claim a path whose engines take few requests, as there is no other.
+
+        :param missing: why there is no other.
+        """
+        candidate = self._finder.choose_denied()
+        if candidate is None:
+            return missing.value
+        if missing is NoPath.UNCOVERED:
+            return await self._claim(candidate, left_s)
+        answer = await self._claim(candidate)
+        return missing.value if isinstance(answer, Denial) else answer
+
+    async def _claim(
+        self, path: ChainPath, max_wait_s: float = 0
+    ) -> ChainPath | Denial | str:
+        """
+        Count the next send on a path, if budget and limits allow it.
+        """
+        if not self._claim_retry():
+            return NO_BUDGET
+        permit = await self._core.permits.claim(path.lifetimes, max_wait_s)
+        if isinstance(permit, Denial):
+            self._cancel_retry()
+            return permit
+        self._permit = permit
+        return path
 
     def _path_wait_s(self) -> float:
         """
@@ -210,6 +267,9 @@
         if isinstance(channel, ConnectFailure):
             self._call.avoided.add(entry.lifetime)
             return Rejected(f'unreached: {channel.reason}')
+        if not self._permit.is_valid():
+            self._core.pool.release(channel)
+            return Rejected(PERMIT_EXPIRED)
         sending = ForwardFields(
             target=entry.identity,
             remaining_ms=max(1, int(self._call.remaining_s() * MILLISECONDS)),
--- a/mallowcrank/gateway/target_limits.py
+++ b/mallowcrank/gateway/target_limits.py
@@ -2,13 +2,24 @@
 What targets say of their own limits, as far as this gateway knows.
 """
 
+from collections.abc import Callable, Mapping
+from dataclasses import replace
+from heapq import nlargest
+
 from mallowcrank.gateway.clock import monotonic_s
 from mallowcrank.gateway.journal import Journal
 from mallowcrank.gateway.meters import Meters
 from mallowcrank.gateway.ports import ResponseFields
 from mallowcrank.gateway.targets import Lifetime
-from mallowcrank.limits.named import LimitObservation, supersedes
+from mallowcrank.limits.named import (
+    LimitObservation,
+    LimitReport,
+    supersedes,
+)
 
+ENDED_TTL_S = 10  # for which other gateways are told that a limit has ended
+UNKNOWN_TARGET_TTL_S = 5
+MAX_SHARED = 16  # targets in a status, those observed last
 MAX_LOGGED_PROBLEMS = 256  # targets; the log repeats a problem after that
 
 
@@ -24,12 +35,44 @@
         self._known: dict[Lifetime, LimitObservation] = {}
         self._logged_problems: dict[Lifetime, str] = {}
 
-    def rate(self, lifetime: Lifetime) -> float | None:
+    def find(self, lifetime: Lifetime) -> LimitObservation | None:
         """
-        Return the limit that a target names, in requests per second, if any.
+        Return the observation that names a target's limit, if one is in force.
         """
         known = self._known.get(lifetime)
-        return known.rate_per_s if known else None
+        return known if known and known.rate_per_s is not None else None
+
+    def reports(self) -> Mapping[Lifetime, LimitReport]:
+        """
+        Return the observations as they are sent to the other gateways.
+        """
+        now = monotonic_s()
+        ended_since = now - ENDED_TTL_S
+        recent = [
+            (lifetime, known)
+            for lifetime, known in self._known.items()
+            if known.rate_per_s is not None or known.received_at > ended_since
+        ]
+        newest = nlargest(
+            MAX_SHARED, recent, key=lambda pair: pair[1].received_at
+        )
+        return {lifetime: known.report(now) for lifetime, known in newest}
+
+    def forget_missing(self, is_current: Callable[[Lifetime], bool]) -> None:
+        """
+        Forget the limits of lifetimes that have ended.
+
+        Other gateways may know a target some seconds before this one does.
+        """
+        known_since = monotonic_s() - UNKNOWN_TARGET_TTL_S
+        for lifetime, known in list(self._known.items()):
+            if known.received_at > known_since or is_current(lifetime):
+                continue
+            self._known.pop(lifetime)
+            if known.rate_per_s is not None:
+                self._log_change(
+                    lifetime, known.rate_per_s, replace(known, rate_per_s=None)
+                )
 
     def record_answer(
         self, lifetime: Lifetime, fields: ResponseFields, sent_at: float
@@ -76,12 +119,10 @@
         observed: LimitObservation,
     ) -> None:
         rate = observed.rate_per_s
-        if rate is None:
-            change = 'ended'
-            self._meters.target_limits.remove(lifetime.identity)
-        else:
+        change = 'ended'
+        if rate is not None:
             change = 'named' if before is None else 'changed'
-            self._meters.target_limits.labels(lifetime.identity).set(rate)
+        self._meters.set_target_limit(lifetime, rate)
         self._journal.say(
             f'limits: target limit {change}',
             target=lifetime.identity,
@@ -98,10 +139,11 @@
         if len(self._logged_problems) >= MAX_LOGGED_PROBLEMS:
             self._logged_problems.clear()
         self._logged_problems[lifetime] = problem
+        known = self.find(lifetime)
         self._journal.say(
             'limits: invalid target limit',
             target=lifetime.identity,
             born_ms=lifetime.born_ms,
             why=problem,
-            rate=self.rate(lifetime),
+            rate=known.rate_per_s if known else None,
         )
--- a/mallowcrank/limits/named.py
+++ b/mallowcrank/limits/named.py
@@ -41,6 +41,49 @@
             return 0
         return max(MIN_RATE_PER_S, self.rate_per_s)
 
+    def report(self, now: float) -> 'LimitReport':
+        """
+        Return the observation as it is sent to another gateway.
+
+        :param now: steady time, in seconds.
+        """
+        return LimitReport(
+            rate_per_s=self.rate_per_s,
+            sent_ago_s=now - self.sent_at,
+            received_ago_s=now - self.received_at,
+            source=self.source,
+        )
+
+
+@dataclass(frozen=True, slots=True)
+class LimitReport:
+    """
+    An observation with ages, as gateways have no common steady time.
+
+    :param rate_per_s: requests per second; none if the answer named no limit.
+    :param sent_ago_s: seconds since the request was sent.
+    :param received_ago_s: seconds since the answer arrived.
+    :param source: host of the gateway that received the answer.
+    """
+
+    rate_per_s: float | None
+    sent_ago_s: float
+    received_ago_s: float
+    source: str
+
+    def observation(self, now: float) -> LimitObservation:
+        """
+        Return the observation.
+
+        :param now: steady time, in seconds.
+        """
+        return LimitObservation(
+            rate_per_s=self.rate_per_s,
+            sent_at=now - self.sent_ago_s,
+            received_at=now - self.received_ago_s,
+            source=self.source,
+        )
+
 
 def supersedes(
     observed: LimitObservation, known: LimitObservation | None
--- a/tests/test_gateway_beliefs.py
+++ b/tests/test_gateway_beliefs.py
@@ -10,6 +10,7 @@
 from unittest.mock import Mock, patch
 
 from mallowcrank.chains.memory import MemoryLedger
+from mallowcrank.gateway.assignment import HostAssignment
 from mallowcrank.gateway.clock import monotonic_s
 from mallowcrank.gateway.datagrams import (
     GatewayStatus,
@@ -26,7 +27,6 @@
 from mallowcrank.gateway.gossip import Gossip
 from mallowcrank.gateway.journal import Importance, Journal
 from mallowcrank.gateway.leadership import Leadership, should_take_over
-from mallowcrank.gateway.prober import ProbeAssignment
 from mallowcrank.gateway.settings import Address
 from mallowcrank.gateway.store_client import StoreFailure, StoreResponse
 from mallowcrank.gateway.targets import HeldLayers, Lifetime
@@ -560,9 +560,9 @@
         self.assertGreater(len(self.lines()), 100)
 
 
-class TestProbeAssignment(TestCase):
+class TestHostAssignment(TestCase):
     def setUp(self):
-        self.assignment = ProbeAssignment()
+        self.assignment = HostAssignment()
 
     def test_one_live_host_probes_a_target(self):
         hosts = ['h1', 'h2', 'h3']
--- a/tests/test_gateway_retries.py
+++ b/tests/test_gateway_retries.py
@@ -5,12 +5,13 @@
 import asyncio
 from types import SimpleNamespace
 from unittest import IsolatedAsyncioTestCase
-from unittest.mock import Mock
+from unittest.mock import AsyncMock, Mock
 
 from mallowcrank.chains.budget import RetryWindows
 from mallowcrank.gateway.clock import monotonic_s
 from mallowcrank.gateway.core import Call, Core
 from mallowcrank.gateway.desired import Repeat
+from mallowcrank.gateway.permits import Permit
 from mallowcrank.gateway.plain_calls import PlainCalls
 from mallowcrank.gateway.settings import Address, Bounds
 from mallowcrank.gateway.target_channel import ChannelBroken, ConnectFailure
@@ -77,6 +78,10 @@
             random=Mock(random=Mock(return_value=0)),
             retry_after=Mock(assign_delay_s=Mock(return_value=1)),
             retry_windows=RetryWindows(BOUNDS),
+            permits=Mock(
+                denied=Mock(return_value=set()),
+                claim=AsyncMock(return_value=Permit()),
+            ),
         )
         self.core = Core(**parts)
         self.service = PlainCalls(self.core)
--- a/tests/test_limits_named.py
+++ b/tests/test_limits_named.py
@@ -59,15 +59,19 @@
     def record(self, sent_at, **fields):
         self.limits.record_answer(TARGET, fields_of(**fields), sent_at)
 
+    def rate(self):
+        known = self.limits.find(TARGET)
+        return known and known.rate_per_s
+
     def logged(self):
         return [call.args[0] for call in self.journal.say.call_args_list]
 
     def test_limit_is_named_changed_and_ended_in_the_log(self):
         for sent_at, rate in ((0, 3), (1, 3), (2, 2.5)):
             self.record(sent_at, rate=rate)
-        self.assertEqual(self.limits.rate(TARGET), 2.5)
+        self.assertEqual(self.rate(), 2.5)
         self.record(1e12, rate=None)
-        self.assertIsNone(self.limits.rate(TARGET))
+        self.assertIsNone(self.rate())
         self.assertEqual(
             self.logged(),
             [
@@ -80,15 +84,15 @@
     def test_refusal_without_a_limit_does_not_end_it(self):
         self.record(0, rate=3)
         self.record(1e12, rate=None, is_genuine=False)
-        self.assertEqual(self.limits.rate(TARGET), 3)
+        self.assertEqual(self.rate(), 3)
 
     def test_invalid_limit_keeps_the_known_one_and_is_logged_once(self):
         self.record(0, rate=3)
         for _ in range(3):
             self.record(1e12, problem="not a rate: '-1'")
-        self.assertEqual(self.limits.rate(TARGET), 3)
+        self.assertEqual(self.rate(), 3)
         self.assertEqual(self.logged()[1:], ['limits: invalid target limit'])
 
     def test_limit_belongs_to_one_lifetime(self):
         self.record(0, rate=3)
-        self.assertIsNone(self.limits.rate(Lifetime('i-1', 7)))
+        self.assertIsNone(self.limits.find(Lifetime('i-1', 7)))
--- a/tests/utils/limited_site.py
+++ b/tests/utils/limited_site.py
@@ -66,7 +66,8 @@
 
     async def start(self):
         """
-        Start the gateways, each of which hears all others.
+        Start the gateways, and wait until each hears that all others accept
+        callers.
         """
         if self._size > MAX_FAST_GOSSIP:
             self._gossip.start()
@@ -76,16 +77,13 @@
         seeds = (str(first.settings.listening.peers),)
         others = await asyncio.gather(
             *(
-                self.world.start_gateway(seeds=seeds)
-                for _ in range(self._size - 1)
+                self._start_gateway(seeds, number / self._size)
+                for number in range(1, self._size)
             )
         )
         self.gateways = [first, *others]
         await self.world.wait_for(
-            lambda: all(
-                len(gateway.core.peers.live()) == self._size - 1
-                for gateway in self.gateways
-            )
+            lambda: all(map(self._hears_all, self.gateways))
         )
 
     async def close(self):
@@ -120,6 +118,19 @@
         """
         return self.statuses[200] / self.statuses.total()
 
+    async def _start_gateway(self, seeds, delay_s):
+        # Gateways that send their statuses at once would stall this process.
+        await asyncio.sleep(delay_s * SLOW_GOSSIP_S)
+        return await self.world.start_gateway(seeds=seeds)
+
+    def _hears_all(self, gateway):
+        accepting = [
+            peer
+            for peer in gateway.core.peers.live()
+            if peer.last_status.accepts_callers
+        ]
+        return len(accepting) == self._size - 1
+
     async def _call(self, gateway, path, fields):
         response = await self.world.fetch(gateway, path, **fields)
         is_whole = response.is_complete
