Don't take a limit that comes round among gateways for a new one

Callers would see a limit that stays in force after its target has ended it. Each hand-over of an observation between gateways adds its delay to the time at which the limit seems to have been named, so that answers without a limit count as older. Seen by reading; the test hands one limit to and fro 200 times, and fails without the margin. An observation of another gateway that says the same now has to be newer by 0.5 s.

--- a/mallowcrank/gateway/gossip.py
+++ b/mallowcrank/gateway/gossip.py
@@ -135,7 +135,7 @@
         for identity, layers in status.layers.items():
             fleet.update_layers(identity, layers, now, is_direct=False)
         for lifetime, limit in (status.limits or {}).items():
-            self._core.limits.apply(lifetime, limit.observation(now))
+            self._core.limits.apply_report(lifetime, limit)
         for identity in status.unresponsive_targets:
             target = fleet.find(identity)
             if target and self._should_verify(status.host, target):
--- a/mallowcrank/gateway/permits.py
+++ b/mallowcrank/gateway/permits.py
@@ -188,9 +188,7 @@
         message = read_permit_message(raw)
         match message:
             case PermitRequest():
-                self.limits.apply(
-                    message.lifetime, message.limit.observation(monotonic_s())
-                )
+                self.limits.apply_report(message.lifetime, message.limit)
                 answer = replace(
                     self._give(message.lifetime, message.max_wait_s),
                     number=message.number,
--- a/mallowcrank/gateway/target_limits.py
+++ b/mallowcrank/gateway/target_limits.py
@@ -12,6 +12,7 @@
 from mallowcrank.gateway.ports import ResponseFields
 from mallowcrank.gateway.targets import Lifetime
 from mallowcrank.limits.named import (
+    RELAY_MARGIN_S,
     LimitObservation,
     LimitReport,
     supersedes,
@@ -100,12 +101,27 @@
             ),
         )
 
-    def apply(self, lifetime: Lifetime, observed: LimitObservation) -> None:
+    def apply_report(self, lifetime: Lifetime, report: LimitReport) -> None:
         """
-        Apply an observation of this or of another gateway.
+        Apply an observation of another gateway.
+        """
+        observed = report.observation(monotonic_s())
+        self.apply(lifetime, observed, RELAY_MARGIN_S)
+
+    def apply(
+        self,
+        lifetime: Lifetime,
+        observed: LimitObservation,
+        margin_s: float = 0,
+    ) -> None:
+        """
+        Apply an observation.
+
+        :param margin_s: by which it has to be newer than the known one if it
+            says the same, in seconds.
         """
         known = self._known.get(lifetime)
-        if not supersedes(observed, known):
+        if not supersedes(observed, known, margin_s):
             return
         self._known[lifetime] = observed
         before = known.rate_per_s if known else None
--- a/mallowcrank/limits/named.py
+++ b/mallowcrank/limits/named.py
@@ -12,6 +12,9 @@
 # A target that takes less, or nothing, gets a request at this rate, so that its
 # answer can show when it takes more again.
 MIN_RATE_PER_S = 0.1
+# Each hand-over between gateways adds its delay to the time of an observation,
+# so that one which only comes round again seems newer.
+RELAY_MARGIN_S = 0.5
 
 
 @dataclass(frozen=True, slots=True)
@@ -86,15 +89,20 @@
 
 
 def supersedes(
-    observed: LimitObservation, known: LimitObservation | None
+    observed: LimitObservation,
+    known: LimitObservation | None,
+    margin_s: float = 0,
 ) -> bool:
     """
     Return whether an observation replaces what is known of a target.
+
+    :param margin_s: by which it has to be newer if it says the same, in
+        seconds.
     """
     if known is None:
         return observed.rate_per_s is not None
     if observed.rate_per_s == known.rate_per_s:
-        return observed.received_at > known.received_at
+        return observed.received_at > known.received_at + margin_s
     if _relaxes(observed, known):
         return observed.sent_at >= known.received_at
     return observed.received_at > known.sent_at
--- a/tests/test_limits_named.py
+++ b/tests/test_limits_named.py
@@ -3,7 +3,7 @@
 """
 
 from unittest import TestCase
-from unittest.mock import Mock
+from unittest.mock import Mock, patch
 
 from mallowcrank.gateway.meters import Meters
 from mallowcrank.gateway.ports import ResponseFields
@@ -12,6 +12,7 @@
 from mallowcrank.limits.named import LimitObservation, supersedes
 
 TARGET = Lifetime('i-1', 0)
+CLOCK = 'mallowcrank.gateway.target_limits.monotonic_s'
 
 
 def seen(rate, sent_at, received_at):
@@ -93,6 +94,22 @@
         self.assertEqual(self.rate(), 3)
         self.assertEqual(self.logged()[1:], ['limits: invalid target limit'])
 
+    def test_report_that_comes_round_again_does_not_renew_a_limit(self):
+        other = TargetLimits('edge-2', Mock(), Meters())
+        with patch(CLOCK, side_effect=lambda: self.now):
+            self.now = 100.0
+            self.record(99.9, rate=3)
+            for _ in range(100):
+                for source, recipient in (
+                    (self.limits, other),
+                    (other, self.limits),
+                ):
+                    report = source.reports()[TARGET]
+                    self.now += 0.02
+                    recipient.apply_report(TARGET, report)
+            self.record(100.6, rate=None)
+        self.assertIsNone(self.rate())
+
     def test_limit_belongs_to_one_lifetime(self):
         self.record(0, rate=3)
         self.assertIsNone(self.limits.find(Lifetime('i-1', 7)))
