Use engines without permits where they aren't the first of a path

Cause: a limited engine was left out of whole paths, though only the requests of gateways count towards its limit; the layers that few engines hold then lacked memory.

Engines farther down still grant permits while they can, and paths without limited engines come first. A limit in a refusal that names the engine at fault is that engine's.

--- a/mallowcrank/gateway/core.py
+++ b/mallowcrank/gateway/core.py
@@ -120,13 +120,18 @@
         """
         Record the limit that a target names in the head of a response.
 
-        421 Misdirected Request comes from another lifetime at its address.
+        A refusal may be that of an engine farther down the path. 421
+        Misdirected Request comes from another lifetime at the address.
 
         :param sent_at: steady time at which the request was sent, in seconds.
         """
-        if head.status != HTTPStatus.MISDIRECTED_REQUEST:
-            fields = self.vocabulary.response_fields(head.headers)
-            self.limits.record_answer(lifetime, fields, sent_at)
+        if head.status == HTTPStatus.MISDIRECTED_REQUEST:
+            return
+        fields = self.vocabulary.response_fields(head.headers)
+        if fields.fault_address:
+            faulty = self.fleet.find_by_address(fields.fault_address)
+            lifetime = faulty.lifetime if faulty else lifetime
+        self.limits.record_answer(lifetime, fields, sent_at)
 
     def is_success(self, head: ResponseHead) -> bool:
         """
--- a/mallowcrank/gateway/detours.py
+++ b/mallowcrank/gateway/detours.py
@@ -41,8 +41,10 @@
     hops = finder.hops(found)
     if first is None or not hops:
         return None
-    added = [each for each in found.lifetimes if each not in path.lifetimes]
-    if isinstance(await core.permits.claim(added), Denial):
+    if isinstance(
+        await core.permits.claim_path(found.lifetimes, known=path.lifetimes),
+        Denial,
+    ):
         return None
     order = core.vocabulary.detour_call(
         first.identity, call.fields.request_id, hops
--- a/mallowcrank/gateway/path_finder.py
+++ b/mallowcrank/gateway/path_finder.py
@@ -3,6 +3,7 @@
 """
 
 from collections.abc import Collection, Iterable
+from dataclasses import replace
 
 from mallowcrank.chains.engines import (
     ChainEngine,
@@ -57,6 +58,25 @@
             self._choosing(), self._usable(denied.union(avoided))
         )
 
+    def choose_relayed(self) -> ChainPath | None:
+        """
+        Return the best path on which engines that take no more requests now
+        are not the first, if there are such engines.
+
+        They get the request from another engine, and not from a gateway.
+        """
+        denied = self._core.permits.denied()
+        if not denied:
+            return None
+        engines = [
+            replace(engine, can_start_path=False)
+            if engine.lifetime in denied
+            else engine
+            for engine in self._usable(())
+        ]
+        found = choose_path(self._choosing(), engines)
+        return found if isinstance(found, ChainPath) else None
+
     def choose_denied(self) -> ChainPath | None:
         """
         Return the best path with engines that take no more requests now, if
@@ -73,8 +93,12 @@
         """
         Return a path around lost engines with the same first engine, if any.
         """
+        choosing = self._choosing()
         denied = self._core.permits.denied().difference(path.lifetimes)
-        return detour(self._choosing(), self._usable(denied), path, lost)
+        found = detour(choosing, self._usable(denied), path, lost)
+        if found or not denied:
+            return found
+        return detour(choosing, self._usable(()), path, lost)
 
     def hops(self, path: ChainPath) -> tuple[Hop, ...]:
         """
--- a/mallowcrank/gateway/permits.py
+++ b/mallowcrank/gateway/permits.py
@@ -12,7 +12,7 @@
 """
 
 import asyncio
-from collections.abc import Iterable
+from collections.abc import Collection, Iterable, Sequence
 from dataclasses import dataclass, replace
 from itertools import count
 from math import inf
@@ -160,6 +160,27 @@
                 await asyncio.sleep(slot_at - monotonic_s())
         return permit
 
+    async def claim_path(
+        self,
+        lifetimes: Sequence[Lifetime],
+        max_wait_s: float = 0,
+        known: Collection[Lifetime] = (),
+    ) -> Permit | Denial:
+        """
+        Claim a permit for one request over a chain of engines.
+
+        The limit binds the requests of gateways, so that the first engine has
+        to grant one. Engines farther down grant one while they can. Where no
+        path avoids them, they get the request from another engine without.
+
+        :param known: engines that already run the request.
+        """
+        denied = self.denied().difference(lifetimes[:1])
+        return await self.claim(
+            [each for each in lifetimes if each not in {*denied, *known}],
+            max_wait_s,
+        )
+
     def update(self, is_accepting: bool) -> None:
         """
         Update who gives permits; is called at short intervals.
--- a/mallowcrank/gateway/streams.py
+++ b/mallowcrank/gateway/streams.py
@@ -190,7 +190,10 @@
         while True:
             candidate = self._finder.choose()
             if isinstance(candidate, NoPath):
-                return await self._claim_denied_path(candidate, left_s)
+                relayed = self._finder.choose_relayed()
+                if relayed is None:
+                    return await self._claim_denied_path(candidate, left_s)
+                candidate = relayed
             answer = await self._claim(candidate)
             if not isinstance(answer, Denial):
                 return answer
@@ -219,7 +222,7 @@
         """
         if not self._claim_retry():
             return NO_BUDGET
-        permit = await self._core.permits.claim(path.lifetimes, max_wait_s)
+        permit = await self._core.permits.claim_path(path.lifetimes, max_wait_s)
         if isinstance(permit, Denial):
             self._cancel_retry()
             return permit
--- a/mallowcrank/platform/standins/replica.py
+++ b/mallowcrank/platform/standins/replica.py
@@ -97,7 +97,11 @@
     :param misdirected: number of orders meant for another replica.
     :param cancelled_requests: ids of streams whose caller has left.
     :param named_limits: the values of `Server-Limit` in its answers.
-    :param arrivals: steady times at which requests arrived, in seconds.
+    :param names_limit_in_reports: whether its reports have them, too.
+    :param arrivals: steady times at which requests arrived from gateways, in
+        seconds.
+    :param relayed_arrivals: those at which requests arrived from other
+        engines.
     """
 
     identity: str
@@ -116,7 +120,9 @@
     cancelled_requests: list[str] = field(default_factory=list)
     stalled_streams: StalledStreams = field(default_factory=StalledStreams)
     named_limits: tuple[str, ...] = ()
+    names_limit_in_reports: bool = False
     arrivals: list[float] = field(default_factory=list)
+    relayed_arrivals: list[float] = field(default_factory=list)
 
     def __post_init__(self) -> None:
         """
@@ -183,7 +189,10 @@
             'layers': self._layers(),
             'busy': False,
         }
-        answer.send(HTTPStatus.OK, (JSON_HEADER,), orjson.dumps(report))
+        headers: Headers = (JSON_HEADER,)
+        if self.names_limit_in_reports:
+            headers += self._limit_headers()
+        answer.send(HTTPStatus.OK, headers, orjson.dumps(report))
 
     async def _order(
         self, request: CallerRequest, answer: ResponseWriter
@@ -265,6 +274,9 @@
     def _record_run(
         self, by_name: dict[bytes, bytes], body: bytes
     ) -> RequestRun:
+        for address, _, _ in _parse_path(_path_header(by_name))[1:]:
+            other = self.all_replicas[address]
+            other.relayed_arrivals.append(monotonic_s())
         layers = [
             layer
             for _, first, end in _parse_path(_path_header(by_name))
--- a/tests/test_gateway_limits.py
+++ b/tests/test_gateway_limits.py
@@ -180,10 +180,12 @@
 
 
 class TestEngines(LimitCase):
-    async def stream(self, engines, limited, **options):
+    async def stream(self, engines, limited, in_reports=False, **options):
         await self.start(6, plain=0, engines=engines)
         self.limited = list(self.world.replicas)[limited]
         self.name_limit(self.limited)
+        replica = self.world.replicas[self.limited]
+        replica.names_limit_in_reports = in_reports
         await self.load(
             path='/draft/x', method='POST', body=b'hat', **TOKENS, **options
         )
@@ -196,6 +198,24 @@
         await self.stream([(0, LAYERS), (0, LAYERS), (0, LAYERS)], limited=0)
         self.assertEqual(self.site.served_share, 1)
 
+    async def test_engine_farther_down_keeps_its_limit_where_others_are_free(
+        self,
+    ):
+        await self.stream(
+            [(0, 40), (0, 40), (40, LAYERS), (40, LAYERS)],
+            limited=2,
+            in_reports=True,
+        )
+        self.assertEqual(self.site.served_share, 1)
+        relayed = self.world.replicas[self.limited].relayed_arrivals
+        most = most_arrivals(relayed, self.kept_since, self.kept_until)
+        self.assertLessEqual(most, allowed_arrivals(RATE))
+        self.assertGreater(most, 0)
+
+    async def test_streams_pass_a_limited_engine_that_is_not_the_first(self):
+        await self.stream([(0, LAYERS), (0, 40)], limited=0)
+        self.assertEqual(self.site.served_share, 1)
+
     async def test_limit_of_the_only_first_engine_is_kept_and_used(self):
         await self.stream([(0, 40), (40, LAYERS)], limited=0)
         self.check_used(self.limited)
