--- a/mallowcrank/gateway/path_finder.py
+++ b/mallowcrank/gateway/path_finder.py
@@ -26,6 +26,7 @@
 # A stream holds half of its answer on average, and estimates are right only at
 # the median.
 OUTPUT_ESTIMATE_FACTOR = 0.5
+DENIED_SLOWDOWN = 2.0  # of engines that take no more requests now
 
 
 class PathFinder:
@@ -50,32 +51,13 @@
         """
         Return the best path, or why there is none.
 
-        :param avoided: engines not to use, in addition to the call's and to
-            those that take no more requests now.
-        """
-        denied = self._core.permits.denied()
-        return choose_path(
-            self._choosing(), self._usable(denied.union(avoided))
-        )
+        Engines that take no more requests now aren't the first of a path, and
+        count as slow elsewhere: there they get the request from another
+        engine, and not from a gateway.
 
-    def choose_relayed(self) -> ChainPath | None:
+        :param avoided: engines not to use, in addition to the call's.
         """
-        Return the best path on which engines that take no more requests now
-        are not the first, if there are such engines.
-
-        They get the request from another engine, and not from a gateway.
-        """
-        denied = self._core.permits.denied()
-        if not denied:
-            return None
-        engines = [
-            replace(engine, can_start_path=False)
-            if engine.lifetime in denied
-            else engine
-            for engine in self._usable(())
-        ]
-        found = choose_path(self._choosing(), engines)
-        return found if isinstance(found, ChainPath) else None
+        return choose_path(self._choosing(), self._usable(avoided))
 
     def choose_denied(self) -> ChainPath | None:
         """
@@ -84,7 +66,7 @@
         """
         if not self._core.permits.denied():
             return None
-        found = choose_path(self._choosing(), self._usable(()))
+        found = choose_path(self._choosing(), self._usable((), denied=()))
         return found if isinstance(found, ChainPath) else None
 
     def detour(
@@ -93,12 +75,7 @@
         """
         Return a path around lost engines with the same first engine, if any.
         """
-        choosing = self._choosing()
-        denied = self._core.permits.denied().difference(path.lifetimes)
-        found = detour(choosing, self._usable(denied), path, lost)
-        if found or not denied:
-            return found
-        return detour(choosing, self._usable(()), path, lost)
+        return detour(self._choosing(), self._usable(()), path, lost)
 
     def hops(self, path: ChainPath) -> tuple[Hop, ...]:
         """
@@ -115,8 +92,14 @@
     def _choosing(self) -> PathRequest:
         return PathRequest(self._rule, self._need, self._core.settings.zone)
 
-    def _usable(self, avoided: Iterable[Lifetime]) -> list[ChainEngine]:
+    def _usable(
+        self,
+        avoided: Iterable[Lifetime],
+        denied: Collection[Lifetime] | None = None,
+    ) -> list[ChainEngine]:
         now = monotonic_s()
+        if denied is None:
+            denied = self._core.permits.denied()
         fleet = self._core.fleet
         unusable = {
             *avoided,
@@ -129,7 +112,11 @@
             for target in fleet.accepting_targets(self._call.service.name)
             if target.lifetime not in unusable
         ]
-        return [engine for engine in found if engine]
+        return [
+            _without_permit(engine) if engine.lifetime in denied else engine
+            for engine in found
+            if engine
+        ]
 
     def _engine_state(self, target: Target, now: float) -> ChainEngine | None:
         kind = self._rule.kinds.get(target.kind)
@@ -150,6 +137,14 @@
         )
 
 
+def _without_permit(engine: ChainEngine) -> ChainEngine:
+    return replace(
+        engine,
+        can_start_path=False,
+        slowdown=max(1, engine.slowdown) * DENIED_SLOWDOWN,
+    )
+
+
 def format_path(path: ChainPath) -> str:
     """
     Return a path as text for the log.
--- a/mallowcrank/gateway/permits.py
+++ b/mallowcrank/gateway/permits.py
@@ -170,8 +170,8 @@
         Claim a permit for one request over a chain of engines.
 
         The limit binds the requests of gateways, so that the first engine has
-        to grant one. Engines farther down grant one while they can. Where no
-        path avoids them, they get the request from another engine without.
+        to grant one. Engines farther down grant one while they can; beyond
+        that, they get the request from another engine without.
 
         :param known: engines that already run the request.
         """
--- a/mallowcrank/gateway/streams.py
+++ b/mallowcrank/gateway/streams.py
@@ -190,10 +190,7 @@
         while True:
             candidate = self._finder.choose()
             if isinstance(candidate, NoPath):
-                relayed = self._finder.choose_relayed()
-                if relayed is None:
-                    return await self._claim_denied_path(candidate, left_s)
-                candidate = relayed
+                return await self._claim_denied_path(candidate, left_s)
             answer = await self._claim(candidate)
             if not isinstance(answer, Denial):
                 return answer
