--- a/mallowcrank/gateway/permits.py
+++ b/mallowcrank/gateway/permits.py
@@ -12,7 +12,7 @@
 """
 
 import asyncio
-from collections.abc import Collection, Iterable, Sequence
+from collections.abc import Collection, Iterable, Mapping, Sequence
 from dataclasses import dataclass, replace
 from itertools import count
 from math import inf
@@ -36,8 +36,8 @@
 from mallowcrank.gateway.target_limits import TargetLimits
 from mallowcrank.gateway.targets import Lifetime
 from mallowcrank.limits.bucket import Bucket
-from mallowcrank.limits.named import LimitObservation
 from mallowcrank.limits.schedule import MAX_WAIT_S, PermitSchedule
+from mallowcrank.limits.turns import RandomTurns
 from mallowcrank.overload.retry_after import MAX_RETRY_AFTER_S
 
 PERMIT_TTL_S = 0.4  # within which the request has to be sent
@@ -48,7 +48,6 @@
 MAX_PAUSE_S = 1.0  # permits may come earlier than predicted
 MAX_DENIED_PER_S = 200  # requests to one gateway
 SETTLE_S = 2.0  # after a start, until all others are heard
-TURN_TTL_S = 1.0  # an unused turn is dropped, so that turns don't add up
 
 
 @dataclass(frozen=True, slots=True)
@@ -103,6 +102,7 @@
     ) -> None:
         self.limits = TargetLimits(settings.host, journal, meters)
         self._host = settings.host
+        self._journal = journal
         self._peers = peers
         self._meters = meters
         self._random = Random()
@@ -111,7 +111,8 @@
         self._was_connected = False
         self._assignment = HostAssignment()
         self._schedules: dict[Lifetime, PermitSchedule] = {}
-        self._turns: dict[Lifetime, float] = {}
+        self._givers: Mapping[Lifetime, str] = {}
+        self._turns = RandomTurns(self._random)
         self._denied_until: dict[Lifetime, float] = {}
         self._silent_until: dict[str, float] = {}
         self._numbers = count(1)
@@ -197,10 +198,14 @@
             for lifetime, until in self._denied_until.items()
             if now < until
         }
+        givers = {
+            lifetime: '' if self._is_isolated() else self._giver(lifetime)
+            for lifetime in self.limits.in_force()
+        }
         for lifetime in list(self._schedules):
-            is_assigned = self._giver(lifetime) == self._host
-            if not is_assigned or self.limits.find(lifetime) is None:
+            if givers.get(lifetime) != self._host:
                 self._schedules.pop(lifetime)
+        self._log_givers(givers)
 
     def handle_datagram(self, raw: bytes, sender: Address) -> None:
         """
@@ -220,46 +225,60 @@
                 if pending and not pending.done():
                     pending.set_result(message)
 
+    def _log_givers(self, givers: Mapping[Lifetime, str]) -> None:
+        for lifetime, giver in givers.items():
+            if self._givers.get(lifetime) != giver:
+                self._journal.say(
+                    'limits: permits given',
+                    target=lifetime.identity,
+                    giver=giver or None,
+                    share=1 if giver else round(1 / self._peers.count(), 4),
+                )
+        self._givers = givers
+
     async def _claim_one(
         self, lifetime: Lifetime, max_wait_s: float
     ) -> PermitAnswer:
         observed = self.limits.find(lifetime)
         if observed is None:
-            return PermitAnswer(0, Verdict.GRANTED, 0, 0)
+            return _answer(0)
         if self._is_isolated():
-            return self._take_turn(lifetime, observed)
+            if not self._was_connected:
+                # The number of gateways is unknown.
+                return _answer(SILENCE_PAUSE_S)
+            interval_s = self._peers.count() / observed.granted_per_s
+            return _answer(
+                self._turns.claim(lifetime, interval_s, monotonic_s())
+            )
         giver = self._giver(lifetime)
         if giver == self._host:
             return self._give(lifetime, max_wait_s)
         status = self._candidates().get(giver)
         if status is None:
-            return _denied(Verdict.NOT_ASSIGNED, UNASSIGNED_PAUSE_S)
-        if monotonic_s() < self._silent_until.get(giver, -inf):
-            return _denied(Verdict.DENIED, SILENCE_PAUSE_S)
+            return _answer(UNASSIGNED_PAUSE_S, Verdict.NOT_ASSIGNED)
         limit = observed.report(monotonic_s())
-        request = PermitRequest(0, lifetime, limit, max_wait_s)
-        answer = await self._request(status.gossip, request)
-        if answer is None:
-            # The datagram may have been lost.
-            answer = await self._request(status.gossip, request)
-        if answer is None:
-            self._silent_until[giver] = monotonic_s() + SILENCE_PAUSE_S
-            return _denied(Verdict.DENIED, SILENCE_PAUSE_S)
-        return answer
-
-    async def _request(
-        self, giver: Address, request: PermitRequest
-    ) -> PermitAnswer | None:
+        return await self._ask(
+            status, PermitRequest(0, lifetime, limit, max_wait_s)
+        )
+
+    async def _ask(
+        self,
+        giver: GatewayStatus,
+        request: PermitRequest,
+        may_repeat: bool = True,
+    ) -> PermitAnswer:
         """
-        Request a permit of the gateway that gives them.
+        Ask another gateway for a permit.
 
-        :returns: none if it doesn't answer.
+        :param may_repeat: whether to ask again, as a datagram may be lost.
         """
+        if monotonic_s() < self._silent_until.get(giver.host, -inf):
+            return _answer(SILENCE_PAUSE_S)
         number = next(self._numbers)
         pending = asyncio.get_running_loop().create_future()
         self._pending[number] = pending
         self._peers.send(
-            pack_permit_request(replace(request, number=number)), giver
+            pack_permit_request(replace(request, number=number)), giver.gossip
         )
         try:
             async with asyncio.timeout(ANSWER_TIMEOUT_S):
@@ -268,7 +287,10 @@
             self._meters.permits.labels('unanswered').inc()
         finally:
             self._pending.pop(number)
-        return None
+        if may_repeat:
+            return await self._ask(giver, request, may_repeat=False)
+        self._silent_until[giver.host] = monotonic_s() + SILENCE_PAUSE_S
+        return _answer(SILENCE_PAUSE_S)
 
     def _give(self, lifetime: Lifetime, max_wait_s: float) -> PermitAnswer:
         """
@@ -277,10 +299,10 @@
         now = monotonic_s()
         is_settled = now - self._started_at > SETTLE_S
         if not is_settled or self._giver(lifetime) != self._host:
-            return _denied(Verdict.NOT_ASSIGNED, UNASSIGNED_PAUSE_S)
+            return _answer(UNASSIGNED_PAUSE_S, Verdict.NOT_ASSIGNED)
         observed = self.limits.find(lifetime)
         if observed is None:
-            return PermitAnswer(0, Verdict.GRANTED, 0, 0)
+            return _answer(0)
         schedule = self._schedules.get(lifetime)
         if schedule is None:
             schedule = PermitSchedule(Bucket(0, now))
@@ -293,26 +315,6 @@
         return_s = schedule.assign_return_s(limit, now) if max_wait_s else 0
         return PermitAnswer(0, Verdict.DENIED, wait_s, return_s)
 
-    def _take_turn(
-        self, lifetime: Lifetime, observed: LimitObservation
-    ) -> PermitAnswer:
-        """
-        Give a permit out of an even share of the limit.
-        """
-        if not self._was_connected:
-            # The number of gateways is unknown.
-            return _denied(Verdict.DENIED, SILENCE_PAUSE_S)
-        now = monotonic_s()
-        interval_s = self._peers.count() / observed.granted_per_s
-        turn_at = self._turns.get(lifetime, -inf)
-        if now > turn_at + TURN_TTL_S:
-            turn_at = now + self._random.random() * interval_s
-            self._turns[lifetime] = turn_at
-        if now < turn_at:
-            return _denied(Verdict.DENIED, turn_at - now)
-        self._turns[lifetime] = now + interval_s
-        return PermitAnswer(0, Verdict.GRANTED, 0, 0)
-
     def _denial(self, lifetime: Lifetime, answer: PermitAnswer) -> Denial:
         pause_s = max(
             MIN_PAUSE_S,
@@ -353,5 +355,9 @@
         return 2 * live - 1 < self._peers.count()
 
 
-def _denied(verdict: Verdict, wait_s: float) -> PermitAnswer:
+def _answer(wait_s: float, denial: Verdict = Verdict.DENIED) -> PermitAnswer:
+    """
+    Return an answer: a permit, or a denial if there is a wait.
+    """
+    verdict = denial if wait_s else Verdict.GRANTED
     return PermitAnswer(0, verdict, wait_s, 0)
--- a/mallowcrank/gateway/target_limits.py
+++ b/mallowcrank/gateway/target_limits.py
@@ -43,6 +43,16 @@
         known = self._known.get(lifetime)
         return known if known and known.rate_per_s is not None else None
 
+    def in_force(self) -> list[Lifetime]:
+        """
+        Return the targets that name a limit.
+        """
+        return [
+            lifetime
+            for lifetime, known in self._known.items()
+            if known.rate_per_s is not None
+        ]
+
     def reports(self) -> Mapping[Lifetime, LimitReport]:
         """
         Return the observations as they are sent to the other gateways.
--- a/tests/test_gateway_retries.py
+++ b/tests/test_gateway_retries.py
@@ -122,6 +122,12 @@
         await self.serve_all()
         self.assertEqual(len(self.sent), CALLS + 1)
 
+    async def test_permit_that_expired_before_the_send_is_not_used(self):
+        expired = Permit(valid_until=monotonic_s() - 1)
+        self.core.permits.claim.return_value = expired
+        await self.serve_all()
+        self.assertEqual(self.sent, [])
+
     async def test_retry_that_finds_no_channel_leaves_the_budget(self):
         self.is_reachable = False
         await self.serve_all()
