--- a/mallowcrank/gateway/permit_messages.py
+++ b/mallowcrank/gateway/permit_messages.py
@@ -30,13 +30,13 @@
 
     GRANTED = 1
     DENIED = 2
-    NOT_ASSIGNED = 3  # another gateway gives the permits for the target
+    NOT_ASSIGNED = 3  # another gateway issues the permits for the target
 
 
 @dataclass(frozen=True, slots=True)
 class PermitRequest:
     """
-    One gateway's request to the one that gives a target's permits.
+    One gateway's request to the one that issues a target's permits.
 
     :param number: of the request, at the gateway that sends it.
     :param limit: what it knows of the target's limit.
--- a/mallowcrank/gateway/permits.py
+++ b/mallowcrank/gateway/permits.py
@@ -2,13 +2,13 @@
 Permits to send requests to targets that name limits.
 
 Every request to such a target, on whichever way, needs a permit. One gateway
-gives a target's permits, at the rate of the limit, to all others on request.
+issues a target's permits, at the rate of the limit, to all others on request.
 Gateways that disagree on which one it is, while they learn of a new gateway,
 are few and for a second at most; a gateway that has just become responsible
 starts with no permits. So the sum stays below one and a half times the limit.
 
-A gateway that hears fewer than half of the others can't know who gives permits.
-It takes an even share of the limit, in turns at random times.
+A gateway that hears fewer than half of the others can't know which one issues
+permits. It takes an even share of the limit, in turns at random times.
 """
 
 import asyncio
@@ -43,7 +43,7 @@
 PERMIT_TTL_S = 0.4  # within which the request has to be sent
 ANSWER_TIMEOUT_S = 0.15  # an answer takes some milliseconds
 SILENCE_PAUSE_S = 0.5  # after which an unresponsive gateway is asked again
-UNASSIGNED_PAUSE_S = 0.25  # until gateways agree on who gives permits
+UNASSIGNED_PAUSE_S = 0.25  # until gateways agree on which one issues permits
 MIN_PAUSE_S = 0.05  # after a denial
 MAX_PAUSE_S = 1.0  # permits may come earlier than predicted
 MAX_DENIED_PER_S = 200  # requests to one gateway
@@ -111,7 +111,7 @@
         self._was_connected = False
         self._assignment = HostAssignment()
         self._schedules: dict[Lifetime, PermitSchedule] = {}
-        self._givers: Mapping[Lifetime, str] = {}
+        self._issuers: Mapping[Lifetime, str] = {}
         self._turns = RandomTurns(self._random)
         self._denied_until: dict[Lifetime, float] = {}
         self._silent_until: dict[str, float] = {}
@@ -184,7 +184,7 @@
 
     def update(self, is_accepting: bool) -> None:
         """
-        Update who gives permits; is called at short intervals.
+        Update which one issues permits; is called at short intervals.
 
         :param is_accepting: whether this gateway accepts callers.
         """
@@ -198,14 +198,14 @@
             for lifetime, until in self._denied_until.items()
             if now < until
         }
-        givers = {
-            lifetime: '' if self._is_isolated() else self._giver(lifetime)
+        issuers = {
+            lifetime: '' if self._is_isolated() else self._issuer_of(lifetime)
             for lifetime in self.limits.in_force()
         }
         for lifetime in list(self._schedules):
-            if givers.get(lifetime) != self._host:
+            if issuers.get(lifetime) != self._host:
                 self._schedules.pop(lifetime)
-        self._log_givers(givers)
+        self._log_issuers(issuers)
 
     def handle_datagram(self, raw: bytes, sender: Address) -> None:
         """
@@ -216,7 +216,7 @@
             case PermitRequest():
                 self.limits.apply_report(message.lifetime, message.limit)
                 answer = replace(
-                    self._give(message.lifetime, message.max_wait_s),
+                    self._issue(message.lifetime, message.max_wait_s),
                     number=message.number,
                 )
                 self._peers.send(pack_permit_answer(answer), sender)
@@ -225,16 +225,16 @@
                 if pending and not pending.done():
                     pending.set_result(message)
 
-    def _log_givers(self, givers: Mapping[Lifetime, str]) -> None:
-        for lifetime, giver in givers.items():
-            if self._givers.get(lifetime) != giver:
+    def _log_issuers(self, issuers: Mapping[Lifetime, str]) -> None:
+        for lifetime, issuer in issuers.items():
+            if self._issuers.get(lifetime) != issuer:
                 self._journal.say(
-                    'limits: permits given',
+                    'limits: permit issuer changed',
                     target=lifetime.identity,
-                    giver=giver or None,
-                    share=1 if giver else round(1 / self._peers.count(), 4),
+                    issuer=issuer or None,
+                    share=1 if issuer else round(1 / self._peers.count(), 4),
                 )
-        self._givers = givers
+        self._issuers = issuers
 
     async def _claim_one(
         self, lifetime: Lifetime, max_wait_s: float
@@ -250,10 +250,10 @@
             return _answer(
                 self._turns.claim(lifetime, interval_s, monotonic_s())
             )
-        giver = self._giver(lifetime)
-        if giver == self._host:
-            return self._give(lifetime, max_wait_s)
-        status = self._candidates().get(giver)
+        issuer = self._issuer_of(lifetime)
+        if issuer == self._host:
+            return self._issue(lifetime, max_wait_s)
+        status = self._candidates().get(issuer)
         if status is None:
             return _answer(UNASSIGNED_PAUSE_S, Verdict.NOT_ASSIGNED)
         limit = observed.report(monotonic_s())
@@ -263,7 +263,7 @@
 
     async def _ask(
         self,
-        giver: GatewayStatus,
+        issuer: GatewayStatus,
         request: PermitRequest,
         may_repeat: bool = True,
     ) -> PermitAnswer:
@@ -272,13 +272,13 @@
 
         :param may_repeat: whether to ask again, as a datagram may be lost.
         """
-        if monotonic_s() < self._silent_until.get(giver.host, -inf):
+        if monotonic_s() < self._silent_until.get(issuer.host, -inf):
             return _answer(SILENCE_PAUSE_S)
         number = next(self._numbers)
         pending = asyncio.get_running_loop().create_future()
         self._pending[number] = pending
         self._peers.send(
-            pack_permit_request(replace(request, number=number)), giver.gossip
+            pack_permit_request(replace(request, number=number)), issuer.gossip
         )
         try:
             async with asyncio.timeout(ANSWER_TIMEOUT_S):
@@ -288,17 +288,17 @@
         finally:
             self._pending.pop(number)
         if may_repeat:
-            return await self._ask(giver, request, may_repeat=False)
-        self._silent_until[giver.host] = monotonic_s() + SILENCE_PAUSE_S
+            return await self._ask(issuer, request, may_repeat=False)
+        self._silent_until[issuer.host] = monotonic_s() + SILENCE_PAUSE_S
         return _answer(SILENCE_PAUSE_S)
 
-    def _give(self, lifetime: Lifetime, max_wait_s: float) -> PermitAnswer:
+    def _issue(self, lifetime: Lifetime, max_wait_s: float) -> PermitAnswer:
         """
-        Give a permit as the gateway that is responsible for a target.
+        Issue a permit as the gateway that is responsible for a target.
         """
         now = monotonic_s()
         is_settled = now - self._started_at > SETTLE_S
-        if not is_settled or self._giver(lifetime) != self._host:
+        if not is_settled or self._issuer_of(lifetime) != self._host:
             return _answer(UNASSIGNED_PAUSE_S, Verdict.NOT_ASSIGNED)
         observed = self.limits.find(lifetime)
         if observed is None:
@@ -327,9 +327,9 @@
         return_s = max(MIN_PAUSE_S, answer.return_s or answer.wait_s + spread_s)
         return Denial(lifetime, answer.wait_s, min(MAX_RETRY_AFTER_S, return_s))
 
-    def _giver(self, lifetime: Lifetime) -> str:
+    def _issuer_of(self, lifetime: Lifetime) -> str:
         """
-        Return the host that gives a target's permits; empty if none does.
+        Return the host that issues a target's permits; empty if none does.
         """
         hosts = set(self._candidates())
         if self._is_accepting:
@@ -339,7 +339,7 @@
 
     def _candidates(self) -> dict[str, GatewayStatus]:
         """
-        Return the other gateways that may give permits, by host.
+        Return the other gateways that may issue permits, by host.
 
         Those of earlier builds send no limits, and don't answer requests.
         """
--- a/mallowcrank/limits/schedule.py
+++ b/mallowcrank/limits/schedule.py
@@ -1,5 +1,5 @@
 """
-Permits for requests to one target that names a limit, given by one gateway.
+Permits for requests to one target that names a limit, issued by one gateway.
 """
 
 from dataclasses import dataclass, field
@@ -8,9 +8,9 @@
 from mallowcrank.overload.retry_after import RetryAfterSchedule
 
 # The rest is for requests that were on their way when the limit fell, or when
-# another gateway began to give the permits.
+# another gateway began to issue the permits.
 GRANTED_SHARE = 0.95
-MAX_WAIT_S = 0.5  # permits are given this far ahead, at most
+MAX_WAIT_S = 0.5  # permits are issued this far ahead, at most
 
 
 @dataclass(slots=True)
@@ -18,9 +18,9 @@
     """
     Times of permits, at the rate of the limit.
 
-    It starts without any: another gateway may just have given some.
+    It starts without any: another gateway may just have issued some.
 
-    :param bucket: permits that may be given now; negative while some are given
+    :param bucket: permits that may be issued now; negative while some are issued
         for later.
     """
 
@@ -29,7 +29,7 @@
 
     def claim(self, limit: float, now: float, max_wait_s: float) -> float:
         """
-        Give a permit, unless it would be too far ahead.
+        Issue a permit, unless it would be too far ahead.
 
         :param limit: requests per second.
         :param now: steady time, in seconds.
--- a/scripts/measure_permits.py
+++ b/scripts/measure_permits.py
@@ -92,12 +92,12 @@
 
 def measure_permits(size: int) -> None:
     """
-    Print the time that the gateway which gives permits takes for one.
+    Print the time that the gateway which issues permits takes for one.
 
     :param size: number of gateways.
     """
     settings = SimpleNamespace(
-        gossip=Address('10.99.0.1', PORT), host='edge-giver'
+        gossip=Address('10.99.0.1', PORT), host='edge-issuer'
     )
     peers = Peers(settings, Mock())
     permits = Permits(settings, peers, Mock(), Meters())
@@ -123,7 +123,7 @@
 
 def target_of(host: str, size: int) -> Lifetime:
     """
-    Return a target whose permits a host gives.
+    Return a target whose permits a host issues.
 
     :param size: number of gateways.
     """
--- a/tests/test_permits.py
+++ b/tests/test_permits.py
@@ -56,31 +56,31 @@
 
 
 class TestFailures(PermitCase):
-    async def lose_giver(self, network):
-        giver = network.giver()
-        network.stop(giver)
+    async def lose_issuer_of(self, network):
+        issuer = network.issuer()
+        network.stop(issuer)
         await network.load(4)
         network.recovered_at = network.now()
         await network.load(10)
 
-    def test_dead_gateway_that_gave_permits_is_replaced(self):
+    def test_dead_gateway_that_issued_permits_is_replaced(self):
         for size in (6, 24):
             with self.subTest(size=size):
-                network = self.play(self.lose_giver, size)
+                network = self.play(self.lose_issuer, size)
                 self.check_kept(network)
                 self.check_used(network, network.recovered_at)
 
-    async def freeze_giver(self, network):
-        giver = network.gateways[network.giver()]
-        giver.freeze()
+    async def freeze_issuer_of(self, network):
+        issuer = network.gateways[network.issuer()]
+        issuer.freeze()
         await network.load(5)
-        giver.thaw()
+        issuer.thaw()
         await network.load(10)
 
-    def test_gateway_that_wakes_up_gives_no_permits_beside_another(self):
+    def test_gateway_that_wakes_up_issues_no_permits_beside_another(self):
         for size in (6, 24):
             with self.subTest(size=size):
-                network = self.play(self.freeze_giver, size)
+                network = self.play(self.freeze_issuer, size)
                 self.check_kept(network)
                 self.check_used(network)
 
--- a/tests/utils/permit_network.py
+++ b/tests/utils/permit_network.py
@@ -197,9 +197,9 @@
     def stop(self, number):
         self.gateways[number].stopped = True
 
-    def giver(self):
+    def issuer(self):
         """
-        Return the number of the gateway that gives most permits.
+        Return the number of the gateway that issues most permits.
         """
         return max(
             self.gateways,
