--- a/mallowcrank/gateway/permits.py
+++ b/mallowcrank/gateway/permits.py
@@ -7,8 +7,8 @@
 are few and for a second at most; a gateway that has just become responsible
 starts with no permits. So the sum stays below one and a half times the limit.
 
-A gateway that hears fewer than half of the others can't know which one issues
-permits. It takes an even share of the limit, in turns at random times.
+A gateway that hears fewer than half of the others can't know which one that
+is. It takes an even share of the limit, in turns at random times.
 """
 
 import asyncio
@@ -91,6 +91,8 @@
 class Permits:
     """
     Decides whether a request may be sent to a target now, and counts it.
+
+    It issues the permits of some targets, and asks others for the rest.
     """
 
     def __init__(
@@ -184,7 +186,7 @@
 
     def update(self, is_accepting: bool) -> None:
         """
-        Update which one issues permits; is called at short intervals.
+        Update which gateways issue permits; is called at short intervals.
 
         :param is_accepting: whether this gateway accepts callers.
         """
--- a/mallowcrank/limits/schedule.py
+++ b/mallowcrank/limits/schedule.py
@@ -20,8 +20,8 @@
 
     It starts without any: another gateway may just have issued some.
 
-    :param bucket: permits that may be issued now; negative while some are issued
-        for later.
+    :param bucket: permits that may be issued now; negative while some are
+        issued for later.
     """
 
     bucket: Bucket
