--- a/tests/test_permits.py
+++ b/tests/test_permits.py
@@ -56,7 +56,7 @@
 
 
 class TestFailures(PermitCase):
-    async def lose_issuer_of(self, network):
+    async def lose_issuer(self, network):
         issuer = network.issuer()
         network.stop(issuer)
         await network.load(4)
@@ -70,7 +70,7 @@
                 self.check_kept(network)
                 self.check_used(network, network.recovered_at)
 
-    async def freeze_issuer_of(self, network):
+    async def freeze_issuer(self, network):
         issuer = network.gateways[network.issuer()]
         issuer.freeze()
         await network.load(5)
