Decide in one place whether a gateway hears too few of the others

The leader's rule and that of permits were the same comparison twice; the update of permits made it once for each limit. Behaviour is as before.

--- a/mallowcrank/gateway/gossip.py
+++ b/mallowcrank/gateway/gossip.py
@@ -8,6 +8,7 @@
 from mallowcrank.gateway.datagrams import GatewayStatus
 from mallowcrank.gateway.followers import LatestDesired
 from mallowcrank.gateway.leadership import Leadership, should_take_over
+from mallowcrank.gateway.peers import is_isolated
 from mallowcrank.gateway.targets import Target
 
 
@@ -56,9 +57,9 @@
         if self._leadership.leader_generation:
             self._leader_seen_at = now
             return self._leadership.leader_generation
-        others = [peer.last_status for peer in self._core.peers.live()]
-        if 2 * len(others) + 1 < self._core.peers.count():
+        if is_isolated(self._core.peers):
             return 0
+        others = [peer.last_status for peer in self._core.peers.live()]
         mine = self._core.settings.host
         return int(
             should_take_over(
--- a/mallowcrank/gateway/peers.py
+++ b/mallowcrank/gateway/peers.py
@@ -191,6 +191,13 @@
             self.send(raw, address)
 
 
+def is_isolated(peers: Peers) -> bool:
+    """
+    Return whether a gateway hears fewer than half of the others.
+    """
+    return 2 * len(peers.live()) + 1 < peers.count()
+
+
 def _address_sample(live: Iterable[Peer], random: Random) -> bytes:
     """
     Return a datagram of some addresses of gateways, chosen at random.
--- a/mallowcrank/gateway/permits.py
+++ b/mallowcrank/gateway/permits.py
@@ -23,7 +23,7 @@
 from mallowcrank.gateway.datagrams import GatewayStatus
 from mallowcrank.gateway.journal import Journal
 from mallowcrank.gateway.meters import Meters
-from mallowcrank.gateway.peers import Peers
+from mallowcrank.gateway.peers import Peers, is_isolated
 from mallowcrank.gateway.permit_messages import (
     PermitAnswer,
     PermitRequest,
@@ -192,7 +192,8 @@
         """
         self._is_accepting = is_accepting
         now = monotonic_s()
-        if not self._is_isolated():
+        is_cut_off = is_isolated(self._peers)
+        if not is_cut_off:
             self._was_connected = True
             self._turns.clear()
         self._denied_until = {
@@ -201,7 +202,7 @@
             if now < until
         }
         issuers = {
-            lifetime: '' if self._is_isolated() else self._issuer_of(lifetime)
+            lifetime: '' if is_cut_off else self._issuer_of(lifetime)
             for lifetime in self.limits.in_force()
         }
         for lifetime in list(self._schedules):
@@ -244,7 +245,7 @@
         observed = self.limits.find(lifetime)
         if observed is None:
             return _answer(0)
-        if self._is_isolated():
+        if is_isolated(self._peers):
             if not self._was_connected:
                 # The number of gateways is unknown.
                 return _answer(SILENCE_PAUSE_S)
@@ -352,10 +353,6 @@
             if status.accepts_callers and status.limits is not None
         }
 
-    def _is_isolated(self) -> bool:
-        live = 1 + len(self._peers.live())
-        return 2 * live - 1 < self._peers.count()
-
 
 def _answer(wait_s: float, denial: Verdict = Verdict.DENIED) -> PermitAnswer:
     """
