Log the store's era, and how old a gateway's view of the targets is

The record of the incident can't tell whether the store came back from an older copy, from which offset a follower read on, nor how old the entries were that a request was sent by. Era changes, invalid eras and the first read of entries after a pause are logged now, outcomes of requests carry the entries' age, and both are metrics. Nothing acts on the era yet.

--- a/mallowcrank/gateway/assembly.py
+++ b/mallowcrank/gateway/assembly.py
@@ -85,10 +85,14 @@
     """
     core = build_core(settings, vocabulary, journal)
     incarnation = secrets.token_hex(INCARNATION_BYTES)
-    store_client = StoreClient(settings.store, journal, core.meters)
+    store_client = StoreClient(
+        settings.store, vocabulary.store, journal, core.meters
+    )
     known = LatestDesired(vocabulary, journal)
     desired = DesiredFollower(known, store_client, vocabulary, core.random)
-    targets = TargetsFollower(core.fleet, store_client, vocabulary, core.random)
+    targets = TargetsFollower(
+        core.fleet, store_client, vocabulary, core.random, journal
+    )
     member = member_name(settings, incarnation)
     duty = Leadership(
         settings, member, store_client, vocabulary, core.peers, journal
--- a/mallowcrank/gateway/core.py
+++ b/mallowcrank/gateway/core.py
@@ -266,5 +266,6 @@
         waited_s=round(call.waited_s, 4),
         age_s=round(call.age_s(), 4),
         left_s=round(call.remaining_s(), 3),
+        entries_age_s=round(monotonic_s() - core.fleet.entries_read_at, 2),
         **details,
     )
--- a/mallowcrank/gateway/fleet.py
+++ b/mallowcrank/gateway/fleet.py
@@ -28,6 +28,7 @@
         self._displaced: dict[str, bytes] = {}
         self.health = TargetHealth(journal)
         self.changed_at = -inf
+        self.entries_read_at = -inf
 
     def __len__(self) -> int:
         """
--- a/mallowcrank/gateway/followers.py
+++ b/mallowcrank/gateway/followers.py
@@ -4,6 +4,7 @@
 
 import asyncio
 from http import HTTPStatus
+from math import isfinite
 from random import Random
 
 from mallowcrank.gateway.clock import monotonic_s
@@ -25,6 +26,7 @@
 DESIRED_WAIT_S = 10  # of a long poll for a newer desired state
 DESIRED_PAUSE_S = 0.4  # between reads, when versions come in quick succession
 TARGETS_INTERVAL_S = 1.0  # the bound for a leaving target is 2 s
+LATE_READ_S = 2 * TARGETS_INTERVAL_S
 MIN_BACKOFF_S = 0.2  # doubles with each failed call
 MAX_BACKOFF_S = 1.5
 # After a store outage, entries that expired during it may return. An entry
@@ -115,6 +117,7 @@
         self._store_calls = vocabulary.store
         self._backoff = Backoff(random)
         self._offset = -1
+        self._era = 0  # in which the offset holds
 
     async def step(self) -> bool:
         """
@@ -152,6 +155,7 @@
             return False
         self._apply(page.records)
         self._offset += len(page.records)
+        self._era = answer.era
         return True
 
     async def _newest_page(
@@ -243,9 +247,11 @@
         link: StoreClient,
         vocabulary: Vocabulary,
         random: Random,
+        journal: Journal,
     ) -> None:
         super().__init__(link, vocabulary, random)
         self._fleet = fleet
+        self._journal = journal
         self._vocabulary = vocabulary
         self._random = random
 
@@ -263,6 +269,7 @@
         while True:
             has_succeeded = await self.step()
             if has_succeeded:
+                self._record_read()
                 self._backoff.reset()
                 jitter = 0.9 + 0.2 * self._random.random()
                 await asyncio.sleep(TARGETS_INTERVAL_S * jitter)
@@ -312,5 +319,17 @@
             else:
                 self.apply_raw(record.key, record.content)
 
+    def _record_read(self) -> None:
+        now = monotonic_s()
+        age_s = now - self._fleet.entries_read_at
+        self._fleet.entries_read_at = now
+        if age_s > LATE_READ_S:
+            self._journal.say(
+                'targets: read after a pause',
+                age_s=round(age_s, 3) if isfinite(age_s) else None,
+                offset=self._offset,
+                era=self._era,
+            )
+
     def _is_removal_confirmed(self) -> bool:
         return monotonic_s() - self._link.recovered_at > UNCONFIRMED_S
--- a/mallowcrank/gateway/meters.py
+++ b/mallowcrank/gateway/meters.py
@@ -34,6 +34,16 @@
         self.store_calls = self._counter(
             'store_calls', 'Calls to the store.', ('call', 'outcome')
         )
+        self.store_era = Gauge(
+            'mallowcrank_store_era',
+            'Era of the store, as its last response named it.',
+            registry=self._registry,
+        )
+        self.entries_age_s = Gauge(
+            'mallowcrank_target_entries_age_seconds',
+            "Time since the targets' entries were last read.",
+            registry=self._registry,
+        )
         self.target_channels = self._counter(
             'target_channels', 'New channels to targets.', ('outcome',)
         )
--- a/mallowcrank/gateway/ports.py
+++ b/mallowcrank/gateway/ports.py
@@ -224,6 +224,13 @@
         :param epoch: the epoch of the current holder.
         """
 
+    def decode_era(self, headers: Headers) -> int | DecodeFailure:
+        """
+        Decode the store's era from the headers of any response.
+
+        The era changes when the store comes back from an older copy.
+        """
+
     def decode_newest(self, body: bytes) -> NewestPage | DecodeFailure:
         """
         Decode the response to `newest`.
--- a/mallowcrank/gateway/program.py
+++ b/mallowcrank/gateway/program.py
@@ -239,7 +239,11 @@
             for channels in (self._front_channels, *self._internal_channels):
                 channels.sweep()
             self._core.pool.sweep()
-            self._core.fleet.drop_lapsed(monotonic_s())
+            now = monotonic_s()
+            self._core.fleet.drop_lapsed(now)
+            self._core.meters.entries_age_s.set(
+                now - self._core.fleet.entries_read_at
+            )
             self._core.limits.forget_missing(
                 partial(is_current, self._core.fleet)
             )
--- a/mallowcrank/gateway/store_client.py
+++ b/mallowcrank/gateway/store_client.py
@@ -9,7 +9,12 @@
 from mallowcrank.gateway.clock import monotonic_s
 from mallowcrank.gateway.journal import Journal
 from mallowcrank.gateway.meters import Meters
-from mallowcrank.gateway.ports import HttpCall
+from mallowcrank.gateway.ports import (
+    DecodeFailure,
+    Headers,
+    HttpCall,
+    StoreCalls,
+)
 from mallowcrank.gateway.settings import Address
 from mallowcrank.gateway.target_channel import (
     ChannelBroken,
@@ -28,10 +33,13 @@
 class StoreResponse:
     """
     A response of the store, with any status.
+
+    :param era: the store's era, in which the offsets hold.
     """
 
     status: int
     body: bytes
+    era: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -51,14 +59,21 @@
     """
 
     def __init__(
-        self, address: Address, journal: Journal, meters: Meters
+        self,
+        address: Address,
+        store_calls: StoreCalls,
+        journal: Journal,
+        meters: Meters,
     ) -> None:
         self._address = address
+        self._store_calls = store_calls
         self._journal = journal
         self._meters = meters
         self._pool = ChannelPool()
         self._unavailable_since: float | None = None
         self._recovered_at = -inf
+        self._era = 0
+        self._era_problem = ''
         self._host = (b'Host', str(address).encode())
 
     @property
@@ -86,14 +101,14 @@
         :param name: name of the call in metrics and logs.
         :param wait_s: seconds that the store may wait before it responds.
         """
-        response = await self._exchange(call, wait_s + CALL_TIMEOUT_S)
+        response = await self._exchange(name, call, wait_s + CALL_TIMEOUT_S)
         failure = _failure_of(response)
         self._meters.store_calls.labels(name, failure or 'ok').inc()
         self._track_availability(name, failure)
         return response
 
     async def _exchange(
-        self, call: HttpCall, timeout_s: float
+        self, name: str, call: HttpCall, timeout_s: float
     ) -> StoreResponse | StoreFailure:
         idle = self._pool.take_idle(self._address)
         channel = idle or await self._pool.connect(self._address)
@@ -111,13 +126,32 @@
         finally:
             self._pool.release(channel)
         match response:
-            case Response():
-                return StoreResponse(response.head.status, response.body)
+            case Response(head, body):
+                self._track_era(name, head.headers)
+                return StoreResponse(head.status, body, self._era)
             case ChannelBroken():
                 return StoreFailure('broken')
             case ReadTimeout():
                 return StoreFailure('silent')
 
+    def _track_era(self, name: str, headers: Headers) -> None:
+        """
+        Record the era of a response; without a valid one, it is of the era
+        before.
+        """
+        era = self._store_calls.decode_era(headers)
+        problem = era.reason if isinstance(era, DecodeFailure) else ''
+        if problem and problem != self._era_problem:
+            self._journal.say('store: no era', call=name, why=problem)
+        self._era_problem = problem
+        if isinstance(era, DecodeFailure) or era == self._era:
+            return
+        self._journal.say(
+            'store: era changed', era=era, before=self._era, call=name
+        )
+        self._meters.store_era.set(era)
+        self._era = era
+
     def _track_availability(self, name: str, failure: str) -> None:
         if failure:
             # The other connections may be dead as well.
--- a/mallowcrank/platform/store.py
+++ b/mallowcrank/platform/store.py
@@ -11,6 +11,7 @@
 
 from mallowcrank.gateway.ports import (
     DecodeFailure,
+    Headers,
     HttpCall,
     LogSlice,
     Membership,
@@ -31,6 +32,8 @@
 LENGTH_BYTES = 4
 OFFSETS_BYTES = 16
 END_BYTES = 8
+ERA = b'store-era'
+MAX_ERA_DIGITS = 18
 
 
 class PlatformStore:
@@ -104,6 +107,20 @@
         query = f'topic={MEMBERS_TOPIC}&part=0&producer={group}'
         return HttpCall('POST', f'/log-append?{query}&epoch={epoch}&sequence=0')
 
+    def decode_era(self, headers: Headers) -> int | DecodeFailure:
+        """
+        Decode the number of times that the store came back from an older copy.
+        """
+        values = {value.strip() for name, value in headers if _is_era(name)}
+        if not values:
+            return DecodeFailure('Store-Era is missing')
+        if len(values) > 1:
+            return DecodeFailure('Store-Era is given twice')
+        text = values.pop()
+        if not text.isdigit() or len(text) > MAX_ERA_DIGITS:
+            return DecodeFailure('Store-Era is not a number')
+        return int(text)
+
     def decode_newest(self, body: bytes) -> NewestPage | DecodeFailure:
         """
         Decode the answer to `newest`.
@@ -151,6 +168,10 @@
         return tuple({row[2]: None for row in rows if _names_member(row)})
 
 
+def _is_era(name: bytes) -> bool:
+    return name.lower() == ERA
+
+
 def _post(path: str, body: Mapping[str, Any]) -> HttpCall:
     return HttpCall('POST', path, orjson.dumps(body), JSON_HEADERS)
 
--- a/tests/test_gateway_beliefs.py
+++ b/tests/test_gateway_beliefs.py
@@ -227,7 +227,9 @@
 
     def make_follower(self, *answers):
         self.link = FakeLink(*answers)
-        return TargetsFollower(self.fleet, self.link, VOCABULARY, Random(1))
+        return TargetsFollower(
+            self.fleet, self.link, VOCABULARY, Random(1), quiet_journal()
+        )
 
     async def test_entries_are_read_and_followed(self):
         follower = self.make_follower(
--- a/tests/test_platform_store.py
+++ b/tests/test_platform_store.py
@@ -24,6 +24,29 @@
         )
         self.assertEqual(found.end, 9)
 
+    def test_decodes_the_era(self):
+        for headers in (
+            ((b'Store-Era', b'12'),),
+            ((b'store-era', b' 12 '), (b'Store-Era', b'12')),
+        ):
+            with self.subTest(headers=headers):
+                self.assertEqual(self.store.decode_era(headers), 12)
+
+    def test_invalid_era_is_unreadable(self):
+        for values in (
+            (),
+            (b'3', b'4'),
+            (b'-1',),
+            (b'x',),
+            (b'',),
+            (b'9' * 99,),
+        ):
+            with self.subTest(values=values):
+                headers = tuple((b'Store-Era', value) for value in values)
+                self.assertIsInstance(
+                    self.store.decode_era(headers), DecodeFailure
+                )
+
     def test_truncated_answer_is_unreadable(self):
         whole = read_page(7, ('a', b'12345'))
         for length in (0, 5, len(whole) - 1, len(whole) - 7):
