--- a/mallowcrank/platform/standins/in_process.py
+++ b/mallowcrank/platform/standins/in_process.py
@@ -154,15 +154,16 @@
                 held=(first, end),
             )
 
-    async def start_gateway(self, zone='a', seeds=()):
+    async def start_gateway(self, zone='a', seeds=(), entrance=None):
         """
         Start a gateway and wait until it is ready for callers.
+
+        :param entrance: of the store; the first one by default.
         """
         number = next(HOST_NUMBERS)
         ip = _process_address(number)
-        text = settings_text(
-            f'edge-{number}', ip, zone, self.store.server.address, seeds
-        )
+        store = (entrance or self.store).server.address
+        text = settings_text(f'edge-{number}', ip, zone, store, seeds)
         journal = Journal('test', os.open(os.devnull, os.O_WRONLY))
         gateway = Gateway(read_settings(text), platform_vocabulary(), journal)
         self.gateways.append(gateway)
@@ -188,7 +189,7 @@
             gateway.stop_now()
         for replica in self.replicas.values():
             replica.server.stop()
-        self.store.server.stop()
+        self.store.stop()
 
     async def connect(self, address):
         """
--- a/mallowcrank/platform/standins/replica.py
+++ b/mallowcrank/platform/standins/replica.py
@@ -94,6 +94,7 @@
     :param all_replicas: all replicas by address, to look up paths.
     :param held: first and end of the held layers.
     :param orders: number of accepted placement orders.
+    :param writes: number of times that it has written its entry.
     :param misdirected: number of orders meant for another replica.
     :param cancelled_requests: ids of streams whose caller has left.
     :param named_limits: the values of `Server-Limit` in its answers.
@@ -113,6 +114,7 @@
     state: str = 'ready'
     held: tuple[int, int] | None = None
     orders: int = 0
+    writes: int = 0
     misdirected: int = 0
     pace: float = 1
     faults: ReplicaFaults = field(default_factory=ReplicaFaults)
@@ -146,8 +148,9 @@
 
     def entry(self) -> bytes:
         """
-        Return the body of its entry in the store.
+        Return the body of its entry in the store, for another write.
         """
+        self.writes += 1
         return orjson.dumps(
             {
                 'service': self.service,
@@ -157,7 +160,7 @@
                 'slots': 96,
                 'state': self.state,
                 'cold_remaining_ms': 0,
-                'sequence': len(self.runs),
+                'sequence': self.writes,
                 'born': self.born,
                 'kind': self.kind,
                 'layers': self._layers(),
--- a/mallowcrank/platform/standins/server.py
+++ b/mallowcrank/platform/standins/server.py
@@ -37,6 +37,12 @@
         """
         if self._server:
             self._server.close()
+        self.abort_channels()
+
+    def abort_channels(self) -> None:
+        """
+        Reset all open channels.
+        """
         for channel in list(self._channels.open):
             channel.abort()
 
--- a/mallowcrank/platform/standins/store.py
+++ b/mallowcrank/platform/standins/store.py
@@ -5,37 +5,26 @@
 import asyncio
 import base64
 from collections import defaultdict
+from copy import deepcopy
 from dataclasses import dataclass, field
 from http import HTTPStatus
-from urllib.parse import parse_qs
 
 import orjson
 
-from mallowcrank.gateway.caller_channel import CallerRequest, ResponseWriter
-from mallowcrank.gateway.core import JSON_HEADER
+from mallowcrank.gateway.ports import Headers
+from mallowcrank.gateway.settings import Address
 from mallowcrank.platform.standins.server import StandinServer
+from mallowcrank.platform.standins.store_entrance import (
+    StoreEntrance,
+    StoreFaults,
+)
 
 OFFSET_BYTES = 8
 LENGTH_BYTES = 4
 PARTITIONS = 8
-FOREVER_S = 3600
 POLL_INTERVAL_S = 0.01  # for new records, while a read waits
 
 
-@dataclass
-class StoreFaults:
-    """
-    Injected faults.
-
-    :param mode: '' for none, 'busy' (503), 'many' (429), 'silent' or 'reset'.
-    :param lost_answers: number of calls that are carried out, but not
-        answered.
-    """
-
-    mode: str = ''
-    lost_answers: int = 0
-
-
 @dataclass
 class _Topic:
     records: list[bytes] = field(default_factory=list)
@@ -52,83 +41,38 @@
     generation: int = 0
 
 
-class StandinStore:
+@dataclass
+class StoreState:
     """
-    The store. Its state is in memory only.
+    All that the store keeps.
     """
 
-    def __init__(self) -> None:
-        self.server = StandinServer(self._serve)
-        self.faults = StoreFaults()
-        self.calls: list[str] = []
-        self._topics: dict[str, _Topic] = defaultdict(_Topic)
-        self._latest_by_key: dict[str, dict[str, bytes]] = defaultdict(dict)
-        self._groups: dict[str, _Group] = defaultdict(_Group)
-        self._epochs: dict[str, int] = {}
-
-    def put(self, topic: str, key: str, content: bytes | None) -> None:
-        """
-        Write a keyed record, as the operator or a replica does.
-
-        :param content: none to delete the key.
-        """
-        raw = bytes([len(key)]) + key.encode() + (content or b'')
-        self._topics[topic].records.append(raw)
-        if content is None:
-            self._latest_by_key[topic].pop(key, None)
-        else:
-            self._latest_by_key[topic][key] = content
+    topics: dict[str, _Topic] = field(
+        default_factory=lambda: defaultdict(_Topic)
+    )
+    latest_by_key: dict[str, dict[str, bytes]] = field(
+        default_factory=lambda: defaultdict(dict)
+    )
+    groups: dict[str, _Group] = field(
+        default_factory=lambda: defaultdict(_Group)
+    )
+    epochs: dict[str, int] = field(default_factory=dict)
 
-    def drop_history(self, topic: str) -> None:
-        """
-        Drop the records of a topic; the newest of each key remain readable.
-        """
-        dropped = self._topics[topic]
-        dropped.first = dropped.end
-        dropped.records.clear()
 
-    def reassign_partitions(self) -> None:
-        """
-        Reassign the partitions of each group and raise its generation.
-        """
-        for group in self._groups.values():
-            group.members.reverse()
-            group.generation += 1
+class _StoreCalls:
+    """
+    Carries out the calls of gateways.
+    """
 
-    async def _serve(
-        self, request: CallerRequest, answer: ResponseWriter
-    ) -> None:
-        self.calls.append(request.path)
-        if self.faults.mode:
-            await self._refuse(answer)
-            return
-        query = {
-            name: values[0] for name, values in parse_qs(request.query).items()
-        }
-        name = request.path.removeprefix('/log-').replace('-', '_')
-        handler = getattr(self, f'_do_{name}')
-        status, body = await handler(query, request.body)
-        if self.faults.lost_answers:
-            self.faults.lost_answers -= 1
-            await asyncio.sleep(FOREVER_S)
-        answer.send(status, (JSON_HEADER,), body)
-
-    async def _refuse(self, answer: ResponseWriter) -> None:
-        if self.faults.mode == 'silent':
-            await asyncio.sleep(FOREVER_S)
-        elif self.faults.mode == 'reset':
-            answer.abort()
-        elif self.faults.mode == 'many':
-            answer.send(HTTPStatus.TOO_MANY_REQUESTS, (), b'')
-        else:
-            answer.send(HTTPStatus.SERVICE_UNAVAILABLE, (), b'')
+    def __init__(self, state: StoreState) -> None:
+        self._state = state
 
-    async def _do_read(
+    async def do_read(
         self, query: dict[str, str], body: bytes
     ) -> tuple[int, bytes]:
-        topic = self._topics[query['topic']]
+        topic = self._state.topics[query['topic']]
         offset = int(query['source'])
-        if offset < topic.first:
+        if not topic.first <= offset <= topic.end:
             oldest = orjson.dumps({'first_offset': topic.first})
             return HTTPStatus.GONE, oldest
         remaining_s = int(query.get('wait_ms', 0)) / 1000
@@ -143,27 +87,27 @@
         ]
         return HTTPStatus.OK, end_bytes + first_bytes + b''.join(framed)
 
-    async def _do_newest(
+    async def do_newest(
         self, query: dict[str, str], body: bytes
     ) -> tuple[int, bytes]:
         topic = query['topic']
         items = [
             {'key': key, 'value': base64.b64encode(raw), 'offset': 0}
-            for key, raw in sorted(self._latest_by_key[topic].items())
+            for key, raw in sorted(self._state.latest_by_key[topic].items())
             if key > query.get('after', '')
         ]
         page = {
             'items': items,
             'has_more': False,
-            'end_offset': self._topics[topic].end,
+            'end_offset': self._state.topics[topic].end,
         }
         return HTTPStatus.OK, orjson.dumps(page, default=bytes.decode)
 
-    async def _do_join(
+    async def do_join(
         self, query: dict[str, str], body: bytes
     ) -> tuple[int, bytes]:
         fields = orjson.loads(body)
-        group = self._groups[fields['group']]
+        group = self._state.groups[fields['group']]
         if fields['member'] not in group.members:
             group.members.append(fields['member'])
             group.generation += 1
@@ -177,30 +121,32 @@
         membership = {'generation': group.generation, 'parts': owned}
         return HTTPStatus.OK, orjson.dumps(membership)
 
-    async def _do_leave(
+    async def do_leave(
         self, query: dict[str, str], body: bytes
     ) -> tuple[int, bytes]:
         fields = orjson.loads(body)
-        group = self._groups[fields['group']]
+        group = self._state.groups[fields['group']]
         if fields['member'] in group.members:
             group.members.remove(fields['member'])
             group.generation += 1
         return HTTPStatus.OK, b'{}'
 
-    async def _do_owners(
+    async def do_owners(
         self, query: dict[str, str], body: bytes
     ) -> tuple[int, bytes]:
-        rows = self._ownership_rows(self._groups[query['group']], 'members')
+        rows = self._ownership_rows(
+            self._state.groups[query['group']], 'members'
+        )
         return HTTPStatus.OK, orjson.dumps({'parts': rows})
 
-    async def _do_append(
+    async def do_append(
         self, query: dict[str, str], body: bytes
     ) -> tuple[int, bytes]:
         epoch = int(query.get('epoch', 0))
         producer = query.get('producer', '')
-        if epoch < self._epochs.get(producer, 0):
+        if epoch < self._state.epochs.get(producer, 0):
             return HTTPStatus.CONFLICT, b'{"reason":"fenced"}'
-        self._epochs[producer] = epoch
+        self._state.epochs[producer] = epoch
         return HTTPStatus.OK, b'{"offset":0,"end_offset":0}'
 
     def _ownership_rows(self, group: _Group, topic: str) -> list[list[object]]:
@@ -210,3 +156,108 @@
             [topic, part, group.members[part % len(group.members)], -1]
             for part in range(PARTITIONS)
         ]
+
+
+class StandinStore:
+    """
+    The store. Its state is in memory only.
+
+    The attribute `era_headers` replaces the headers that name the era.
+    """
+
+    def __init__(self) -> None:
+        self._entrances = [self._make_entrance()]
+        self.era = 1
+        self.era_headers: Headers | None = None
+        self.calls: list[str] = []
+        self._state = StoreState()
+
+    @property
+    def server(self) -> StandinServer:
+        """
+        Return the server of the first entrance.
+        """
+        return self._entrances[0].server
+
+    @property
+    def faults(self) -> StoreFaults:
+        """
+        Return the faults of the first entrance.
+        """
+        return self._entrances[0].faults
+
+    async def open_entrance(self) -> StoreEntrance:
+        """
+        Open another entrance, which may refuse calls by itself.
+        """
+        entrance = self._make_entrance()
+        await entrance.server.start(Address(self.server.address.ip, 0))
+        self._entrances.append(entrance)
+        return entrance
+
+    def stop(self) -> None:
+        """
+        Close all entrances.
+        """
+        for entrance in self._entrances:
+            entrance.server.stop()
+
+    def copy(self) -> StoreState:
+        """
+        Return a copy of all that the store keeps now.
+        """
+        return deepcopy(self._state)
+
+    def restore(self, copy: StoreState) -> None:
+        """
+        Come back from an older copy, in a new era; all channels are reset.
+        """
+        self._state = deepcopy(copy)
+        self.era += 1
+        for entrance in self._entrances:
+            entrance.server.abort_channels()
+
+    def put(self, topic: str, key: str, content: bytes | None) -> None:
+        """
+        Write a keyed record, as the operator or a replica does.
+
+        :param content: none to delete the key.
+        """
+        raw = bytes([len(key)]) + key.encode() + (content or b'')
+        self._state.topics[topic].records.append(raw)
+        if content is None:
+            self._state.latest_by_key[topic].pop(key, None)
+        else:
+            self._state.latest_by_key[topic][key] = content
+
+    def drop_history(self, topic: str) -> None:
+        """
+        Drop the records of a topic; the newest of each key remain readable.
+        """
+        dropped = self._state.topics[topic]
+        dropped.first = dropped.end
+        dropped.records.clear()
+
+    def reassign_partitions(self) -> None:
+        """
+        Reassign the partitions of each group and raise its generation.
+        """
+        for group in self._state.groups.values():
+            group.members.reverse()
+            group.generation += 1
+
+    async def _answer(
+        self, name: str, query: dict[str, str], body: bytes
+    ) -> tuple[int, bytes]:
+        self.calls.append(f'/log-{name}')
+        calls = _StoreCalls(self._state)
+        handler = getattr(calls, f'do_{name}')
+        return await handler(query, body)
+
+    def _era_headers(self) -> Headers:
+        if self.era_headers is not None:
+            return self.era_headers
+        return ((b'Store-Era', b'%d' % self.era),)
+
+    def _make_entrance(self) -> StoreEntrance:
+        return StoreEntrance(self._answer, self._era_headers)
