Take targets' entries from other gateways while the store turns one away

Callers' requests reached targets 12 s after they had left (DRAIN). The store turned three of eight gateways away for 11 s. They got newer versions of the desired state from the others within a second, but targets' entries only from the store: PeerSync fetched entries only where none had ever been read. So what a gateway believed of targets stood still as long as it was turned away, and for up to 3 s more.

Class: state that each gateway learns on its own, with no way to learn it from the others that have it.

Statuses now say up to which position of the topic a gateway has read the entries, and for how long its reads have succeeded. A gateway whose reads fail takes all entries of one that is further on and reads, of its own zone if there is one; what is missing there is gone. Its own reads go on from that position. A read that began before such a change is dropped.

--- a/mallowcrank/gateway/assembly.py
+++ b/mallowcrank/gateway/assembly.py
@@ -97,7 +97,7 @@
     duty = Leadership(
         settings, member, store_client, vocabulary, core.peers, journal
     )
-    gossip = Gossip(core, known, duty, incarnation)
+    gossip = Gossip(core, known, targets, duty, incarnation)
     core.peers.listen(
         gossip.own_status, gossip.handle_status, core.permits.handle_datagram
     )
--- a/mallowcrank/gateway/datagrams.py
+++ b/mallowcrank/gateway/datagrams.py
@@ -12,6 +12,7 @@
 
 import msgpack
 
+from mallowcrank.gateway.ports import LogPosition
 from mallowcrank.gateway.settings import Address
 from mallowcrank.gateway.targets import HeldLayers, Lifetime
 from mallowcrank.limits.named import LimitReport
@@ -29,6 +30,20 @@
 )
 
 
+@dataclass(frozen=True, slots=True)
+class EntriesStatus:
+    """
+    How far a gateway has followed the targets' entries.
+
+    :param position: of the next record; records before it are applied.
+    :param read_for_s: seconds for which its reads have succeeded; 0 if they
+        fail.
+    """
+
+    position: LogPosition
+    read_for_s: float
+
+
 @dataclass(frozen=True, slots=True)
 class GatewayStatus:
     """
@@ -48,6 +63,8 @@
         not show yet, by identity.
     :param limits: what targets said of their limits; none if the gateway is
         of an earlier build, which knows no limits.
+    :param entries: its view of the targets' entries; none if it has none, or
+        is of an earlier build.
     """
 
     host: str
@@ -64,20 +81,19 @@
     paces: Mapping[str, float] = field(default_factory=dict)
     layers: Mapping[str, HeldLayers] = field(default_factory=dict)
     limits: Mapping[Lifetime, LimitReport] | None = None
+    entries: EntriesStatus | None = None
 
 
 def pack_status(status: GatewayStatus) -> bytes:
     """
     Encode a status as a datagram.
     """
-    optional = []
-    if status.limits is not None:
-        optional.append(
-            [
-                [*lifetime, *encode_limit(limit)]
-                for lifetime, limit in status.limits.items()
-            ]
-        )
+    # Earlier builds end a status before or after the limits.
+    optional: list[Any] = []
+    if status.limits is not None or status.entries is not None:
+        optional.append(_encode_limits(status.limits or {}))
+    if status.entries is not None:
+        optional.append(_encode_entries(status.entries))
     return msgpack.packb(
         [
             STATUS_FORMAT,
@@ -191,6 +207,26 @@
         layers={str(key): HeldLayers(*held) for key, held in reported_layers},
         paces={str(key): float(pace) for key, pace in fields[11].items()},
         limits=_decode_limits(fields[13]) if len(fields) > 13 else None,
+        entries=_decode_entries(fields[14]) if len(fields) > 14 else None,
+    )
+
+
+def _encode_limits(limits: Mapping[Lifetime, LimitReport]) -> list[Any]:
+    return [
+        [*lifetime, *encode_limit(limit)] for lifetime, limit in limits.items()
+    ]
+
+
+def _encode_entries(entries: EntriesStatus) -> list[int]:
+    return [*entries.position, round(entries.read_for_s * MS_PER_S)]
+
+
+def _decode_entries(fields: Sequence[Any]) -> EntriesStatus:
+    era, offset, read_for_ms = fields
+    if min(era, offset, read_for_ms) < 0:
+        raise ValueError('no position')
+    return EntriesStatus(
+        LogPosition(int(era), int(offset)), int(read_for_ms) / MS_PER_S
     )
 
 
--- a/mallowcrank/gateway/fleet.py
+++ b/mallowcrank/gateway/fleet.py
@@ -151,21 +151,22 @@
             self._lapsed[identity] = now
             self._journal.say('fleet: entry lapsed', target=identity)
 
-    def mark_missing_lapsed(
-        self, identities: Iterable[str], now: float
+    def apply_missing(
+        self, identities: Iterable[str], now: float, is_confirmed: bool
     ) -> None:
         """
-        Mark as lapsed the targets whose entries are missing from a full read.
+        Remove the targets whose entries are missing from a full read.
 
         :param identities: those of all entries.
         :param now: steady time, in seconds.
+        :param is_confirmed: as for `apply_removal`.
         """
         present = set(identities)
         for identity in self._displaced.keys() - present:
             self._displaced.pop(identity)
         for identity in list(self._targets):
             if identity not in present:
-                self.apply_removal(identity, now, is_confirmed=False)
+                self.apply_removal(identity, now, is_confirmed)
 
     def drop_lapsed(self, now: float) -> None:
         """
--- a/mallowcrank/gateway/followers.py
+++ b/mallowcrank/gateway/followers.py
@@ -3,16 +3,19 @@
 """
 
 import asyncio
+from collections.abc import Mapping
 from http import HTTPStatus
-from math import isfinite
+from math import inf, isfinite
 from random import Random
 
 from mallowcrank.gateway.clock import monotonic_s
+from mallowcrank.gateway.datagrams import EntriesStatus
 from mallowcrank.gateway.desired import Desired
 from mallowcrank.gateway.fleet import Fleet
 from mallowcrank.gateway.journal import Journal
 from mallowcrank.gateway.ports import (
     DecodeFailure,
+    LogPosition,
     NewestPage,
     StoreRecord,
     Vocabulary,
@@ -116,8 +119,14 @@
         self._link = link
         self._store_calls = vocabulary.store
         self._backoff = Backoff(random)
-        self._offset = -1
-        self._era = 0  # in which the offset holds
+        self._position: LogPosition | None = None
+
+    @property
+    def position(self) -> LogPosition | None:
+        """
+        Return the position of the next record, once the topic was read.
+        """
+        return self._position
 
     async def step(self) -> bool:
         """
@@ -125,11 +134,11 @@
 
         :returns: whether the read succeeded.
         """
-        if self._offset >= 0:
-            return await self._read()
+        if self._position:
+            return await self._read(self._position)
         return await self._read_newest()
 
-    async def _read(self) -> bool:
+    async def _read(self, position: LogPosition) -> bool:
         raise NotImplementedError
 
     async def _read_newest(self) -> bool:
@@ -138,29 +147,39 @@
     def _apply(self, records: tuple[StoreRecord, ...]) -> None:
         raise NotImplementedError
 
-    def _apply_answer(self, answer: StoreResponse | StoreFailure) -> bool:
+    def _apply_answer(
+        self, answer: StoreResponse | StoreFailure, position: LogPosition
+    ) -> bool:
         """
         Apply the answer to a read.
 
+        :param position: at which the read began.
         :returns: whether the read succeeded.
         """
         if not isinstance(answer, StoreResponse):
             return False
+        if position != self._position:
+            # Another gateway's view was adopted meanwhile.
+            return True
         if answer.status == HTTPStatus.GONE:
             # The records were deleted; start with the newest of each key.
-            self._offset = -1
+            self._position = None
             return True
-        page = self._store_calls.decode_slice(answer.body, self._offset)
+        page = self._store_calls.decode_slice(answer.body, position.offset)
         if answer.status != HTTPStatus.OK or isinstance(page, DecodeFailure):
             return False
         self._apply(page.records)
-        self._offset += len(page.records)
-        self._era = answer.era
+        self._position = LogPosition(
+            answer.era, position.offset + len(page.records)
+        )
         return True
 
     async def _newest_page(
         self, name: str, topic: str, after: str
-    ) -> NewestPage | None:
+    ) -> tuple[NewestPage, int] | None:
+        """
+        Read a page, and the era that it is of.
+        """
         answer = await self._link.call(
             name, self._store_calls.newest(topic, after)
         )
@@ -169,7 +188,7 @@
         page = self._store_calls.decode_newest(answer.body)
         if answer.status != HTTPStatus.OK or isinstance(page, DecodeFailure):
             return None
-        return page
+        return page, answer.era
 
 
 class DesiredFollower(_TopicFollower):
@@ -214,19 +233,22 @@
 
     async def _read_newest(self) -> bool:
         topic = self._store_calls.desired_topic
-        page = await self._newest_page('desired-newest', topic, '')
-        if page is None:
+        found = await self._newest_page('desired-newest', topic, '')
+        if found is None:
             return False
+        page, era = found
         self._apply(page.records)
-        self._offset = page.end
+        self._position = LogPosition(era, page.end)
         return True
 
-    async def _read(self) -> bool:
+    async def _read(self, position: LogPosition) -> bool:
         call = self._store_calls.read(
-            self._store_calls.desired_topic, self._offset, DESIRED_WAIT_S * 1000
+            self._store_calls.desired_topic,
+            position.offset,
+            DESIRED_WAIT_S * 1000,
         )
         answer = await self._link.call('desired-read', call, DESIRED_WAIT_S)
-        return self._apply_answer(answer)
+        return self._apply_answer(answer, position)
 
     def _apply(self, records: tuple[StoreRecord, ...]) -> None:
         # Only the newest version matters; those in between are skipped.
@@ -254,13 +276,26 @@
         self._journal = journal
         self._vocabulary = vocabulary
         self._random = random
+        self._last_read_at = -inf
+        self._reading_since: float | None = None
 
-    @property
-    def has_read(self) -> bool:
+    def status(self) -> EntriesStatus | None:
         """
-        Return whether the entries were read at least once.
+        Return how far the entries are known, if they are known at all.
         """
-        return self._offset >= 0
+        if self._position is None:
+            return None
+        return EntriesStatus(self._position, self.read_for_s())
+
+    def read_for_s(self) -> float:
+        """
+        Return the seconds for which reads have succeeded, or 0.
+        """
+        now = monotonic_s()
+        is_late = now - self._last_read_at > LATE_READ_S
+        if self._reading_since is None or is_late:
+            return 0
+        return now - self._reading_since
 
     async def run(self) -> None:
         """
@@ -268,14 +303,32 @@
         """
         while True:
             has_succeeded = await self.step()
+            self._record_read(has_succeeded)
             if has_succeeded:
-                self._record_read()
                 self._backoff.reset()
                 jitter = 0.9 + 0.2 * self._random.random()
                 await asyncio.sleep(TARGETS_INTERVAL_S * jitter)
             else:
                 await self._backoff.wait()
 
+    def adopt(
+        self, entries: Mapping[str, bytes], position: LogPosition
+    ) -> None:
+        """
+        Take over the entries that another gateway has read further on.
+
+        :param entries: all entries by identity, encoded as in the store.
+        :param position: up to which the other gateway has read.
+        """
+        if self._position and position <= self._position:
+            return
+        for identity, raw in entries.items():
+            self.apply_raw(identity, raw)
+        now = monotonic_s()
+        self._fleet.apply_missing(entries, now, is_confirmed=True)
+        self._position = position
+        self._record_view('targets: taken from another gateway')
+
     def apply_raw(self, identity: str, raw: bytes) -> None:
         """
         Apply an entry as encoded in the store.
@@ -289,25 +342,29 @@
         records: list[StoreRecord] = []
         after = ''
         while True:
-            page = await self._newest_page('targets-newest', topic, after)
-            if page is None:
+            found = await self._newest_page('targets-newest', topic, after)
+            if found is None:
                 return False
+            page, era = found
             records.extend(page.records)
             if not page.has_more or not page.records:
                 break
             after = page.records[-1].key
+        if self._position:
+            # Another gateway's view was adopted meanwhile.
+            return True
         self._apply(tuple(records))
         identities = [each.key for each in records]
-        self._fleet.mark_missing_lapsed(identities, monotonic_s())
-        self._offset = page.end
+        self._fleet.apply_missing(identities, monotonic_s(), is_confirmed=False)
+        self._position = LogPosition(era, page.end)
         return True
 
-    async def _read(self) -> bool:
+    async def _read(self, position: LogPosition) -> bool:
         call = self._store_calls.read(
-            self._store_calls.targets_topic, self._offset, 0
+            self._store_calls.targets_topic, position.offset, 0
         )
         answer = await self._link.call('targets-read', call)
-        return self._apply_answer(answer)
+        return self._apply_answer(answer, position)
 
     def _apply(self, records: tuple[StoreRecord, ...]) -> None:
         newest = {record.key: record for record in records}
@@ -319,16 +376,30 @@
             else:
                 self.apply_raw(record.key, record.content)
 
-    def _record_read(self) -> None:
+    def _record_read(self, has_succeeded: bool) -> None:
+        if not has_succeeded:
+            self._reading_since = None
+            return
+        now = monotonic_s()
+        if not self.read_for_s():
+            self._reading_since = now
+        self._last_read_at = now
+        self._record_view('targets: read after a pause')
+
+    def _record_view(self, sentence: str) -> None:
+        """
+        Record that the entries are up to date; log it after a pause.
+        """
         now = monotonic_s()
         age_s = now - self._fleet.entries_read_at
         self._fleet.entries_read_at = now
         if age_s > LATE_READ_S:
+            era, offset = self._position or (None, None)
             self._journal.say(
-                'targets: read after a pause',
+                sentence,
                 age_s=round(age_s, 3) if isfinite(age_s) else None,
-                offset=self._offset,
-                era=self._era,
+                offset=offset,
+                era=era,
             )
 
     def _is_removal_confirmed(self) -> bool:
--- a/mallowcrank/gateway/gossip.py
+++ b/mallowcrank/gateway/gossip.py
@@ -6,7 +6,7 @@
 from mallowcrank.gateway.clock import monotonic_s
 from mallowcrank.gateway.core import Core
 from mallowcrank.gateway.datagrams import GatewayStatus
-from mallowcrank.gateway.followers import LatestDesired
+from mallowcrank.gateway.followers import LatestDesired, TargetsFollower
 from mallowcrank.gateway.leadership import Leadership, should_take_over
 from mallowcrank.gateway.peers import is_isolated
 from mallowcrank.gateway.targets import Target
@@ -21,11 +21,13 @@
         self,
         core: Core,
         desired: LatestDesired,
+        targets: TargetsFollower,
         leadership: Leadership,
         incarnation: str,
     ) -> None:
         self._core = core
         self._desired = desired
+        self._targets = targets
         self._leadership = leadership
         self._incarnation = incarnation
         self._leader_seen_at = monotonic_s()
@@ -111,6 +113,7 @@
             paces=target_health.slow_paces(now),
             layers=target_health.reported_layers(now),
             limits=self._core.limits.reports(),
+            entries=self._targets.status(),
         )
 
     def handle_status(self, status: GatewayStatus) -> None:
--- a/mallowcrank/gateway/peer_sync.py
+++ b/mallowcrank/gateway/peer_sync.py
@@ -12,18 +12,19 @@
 from mallowcrank.gateway.caller_channel import CallerRequest, ResponseWriter
 from mallowcrank.gateway.clock import monotonic_s
 from mallowcrank.gateway.core import Core
-from mallowcrank.gateway.fleet import Fleet
+from mallowcrank.gateway.datagrams import DECODE_ERRORS
 from mallowcrank.gateway.followers import (
     DesiredFollower,
     LatestDesired,
     TargetsFollower,
 )
 from mallowcrank.gateway.peer_table import Peer
-from mallowcrank.gateway.ports import HttpCall
+from mallowcrank.gateway.ports import Headers, HttpCall, LogPosition
 from mallowcrank.gateway.target_channel import Response
 
 DESIRED_PATH = '/desired'
 TARGETS_PATH = '/targets'
+POSITION = b'Entries-Position'  # up to which the entries were read
 CHECK_INTERVAL_S = 0.2
 FETCH_DELAY_S = 0.4  # the store is read first
 FETCH_TIMEOUT_S = 1.0
@@ -56,9 +57,10 @@
         if request.path == DESIRED_PATH and self._known.raw:
             answer.send(HTTPStatus.OK, (), self._known.raw)
         elif request.path == TARGETS_PATH:
-            fleet: Fleet = self._core.fleet
             answer.send(
-                HTTPStatus.OK, (), msgpack.packb(dict(fleet.raw_entries))
+                HTTPStatus.OK,
+                _encode_position(self._targets.position),
+                msgpack.packb(dict(self._core.fleet.raw_entries)),
             )
         else:
             answer.send(HTTPStatus.NOT_FOUND, (), b'')
@@ -91,30 +93,83 @@
         newest = max(live, key=_version)
         if newest.last_status.desired_version > self._known.version:
             return newest
-        if not self._targets.has_read and not len(self._core.fleet):
+        if not self._targets.position and not len(self._core.fleet):
             return newest
+        return self._find_reader(live)
+
+    def _find_reader(self, live: list[Peer]) -> Peer | None:
+        """
+        Return a gateway that has read later entries of targets, if this one
+        can't read them; one of its own zone if possible.
+        """
+        if self._targets.read_for_s():
+            return None
+        readers = [peer for peer in live if self._has_later_entries(peer)]
+        zone = self._core.settings.zone
+        near = [peer for peer in readers if peer.last_status.zone == zone]
+        if near or readers:
+            return self._core.random.choice(near or readers)
         return None
 
+    def _has_later_entries(self, peer: Peer) -> bool:
+        entries = peer.last_status.entries
+        if entries is None or not entries.read_for_s:
+            return False
+        mine = self._targets.position
+        return mine is None or entries.position > mine
+
     async def _fetch(self, peer: Peer) -> None:
-        raw = await self._get(peer, DESIRED_PATH)
-        if raw:
-            self._known.update(raw, peer.last_status.host)
-        if self._targets.has_read:
+        if peer.last_status.desired_version > self._known.version:
+            desired = await self._get(peer, DESIRED_PATH)
+            if desired:
+                self._known.update(desired.body, peer.last_status.host)
+        if not self._targets.read_for_s():
+            await self._fetch_entries(peer)
+
+    async def _fetch_entries(self, peer: Peer) -> None:
+        response = await self._get(peer, TARGETS_PATH)
+        if response is None:
+            return
+        try:
+            entries = dict(msgpack.unpackb(response.body))
+            position = _decode_position(response.head.headers)
+        except DECODE_ERRORS as error:
+            self._core.journal.say(
+                'peers: unreadable entries',
+                peer=peer.last_status.host,
+                why=repr(error),
+            )
             return
-        packed = await self._get(peer, TARGETS_PATH)
-        if packed:
-            for identity, entry in msgpack.unpackb(packed).items():
+        if position:
+            self._targets.adopt(entries, position)
+        elif not self._targets.position:
+            for identity, entry in entries.items():
                 self._targets.apply_raw(identity, entry)
 
-    async def _get(self, peer: Peer, path: str) -> bytes:
+    async def _get(self, peer: Peer, path: str) -> Response | None:
         call = HttpCall('GET', path)
         answer = await self._core.pool.fetch(
             peer.last_status.peers, call, FETCH_TIMEOUT_S
         )
         if isinstance(answer, Response) and answer.head.status == HTTPStatus.OK:
-            return answer.body
-        return b''
+            return answer
+        self._core.journal.say(
+            'peers: nothing fetched', peer=peer.last_status.host, path=path
+        )
+        return None
 
 
 def _version(peer: Peer) -> int:
     return peer.last_status.desired_version
+
+
+def _encode_position(position: LogPosition | None) -> Headers:
+    return ((POSITION, b'%d,%d' % position),) if position else ()
+
+
+def _decode_position(headers: Headers) -> LogPosition | None:
+    for name, content in headers:
+        if name.lower() == POSITION.lower():
+            era, _, offset = content.partition(b',')
+            return LogPosition(int(era), int(offset))
+    return None
--- a/mallowcrank/gateway/ports.py
+++ b/mallowcrank/gateway/ports.py
@@ -7,7 +7,7 @@
 
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass
-from typing import Protocol
+from typing import NamedTuple, Protocol
 
 from mallowcrank.findings import Finding
 from mallowcrank.gateway.desired import Desired
@@ -115,6 +115,17 @@
     rate_limit_problem: str = ''
 
 
+class LogPosition(NamedTuple):
+    """
+    A position in a topic of the store; positions compare by their order.
+
+    :param era: the store's era, in which the offset holds.
+    """
+
+    era: int
+    offset: int
+
+
 @dataclass(frozen=True, slots=True)
 class StoreRecord:
     """
--- a/tests/test_gateway_beliefs.py
+++ b/tests/test_gateway_beliefs.py
@@ -83,7 +83,7 @@
     def test_displaced_target_may_return_after_its_entry_is_gone(self):
         self.apply('i-1')
         self.apply('i-2', now=3)
-        self.fleet.mark_missing_lapsed(['i-2'], now=4)
+        self.fleet.apply_missing(['i-2'], now=4, is_confirmed=False)
         self.apply('i-1', now=5)
         self.assertIsNotNone(self.fleet.find('i-1'))
 
@@ -447,6 +447,7 @@
                 fleet=Fleet(quiet_journal()),
             ),
             desired=Mock(newest=None, version=3),
+            targets=Mock(),
             leadership=Mock(leader_generation=0),
             incarnation='abcd',
         )
@@ -463,6 +464,7 @@
         gossip = Gossip(
             core=Mock(fleet=Fleet(quiet_journal()), ledger=MemoryLedger()),
             desired=Mock(newest=None, version=3),
+            targets=Mock(),
             leadership=Mock(leader_generation=7),
             incarnation='abcd',
         )
--- a/tests/test_gateway_peers.py
+++ b/tests/test_gateway_peers.py
@@ -143,6 +143,7 @@
                 prober=self.prober,
             ),
             desired=Mock(),
+            targets=Mock(),
             leadership=Mock(),
             incarnation='abcd',
         )
