Don't take one gateway's separation from the store for an outage of it

After 11 s without the store, gateways read of a removal and kept the target in use for 1.9 s to 2.3 s more (DRAIN): a removal that is read within 1.5 s of the first successful call counted as unconfirmed, since entries that expire in an outage may return. But the store had served the other gateways all along, and the time counted from the read, not from the end of the outage.

Class: a gateway's own trouble taken for trouble of the system.

A removal is confirmed if this gateway, or any that it hears, has read entries for 1.5 s; the others say so in their statuses. Otherwise the grace period counts from when the store was reached again. Entries that are missing from a full read follow the same rule: without an outage they are gone at once.

--- a/mallowcrank/gateway/assembly.py
+++ b/mallowcrank/gateway/assembly.py
@@ -91,7 +91,7 @@
     known = LatestDesired(vocabulary, journal)
     desired = DesiredFollower(known, store_client, vocabulary, core.random)
     targets = TargetsFollower(
-        core.fleet, store_client, vocabulary, core.random, journal
+        core.fleet, store_client, vocabulary, core.random, journal, core.peers
     )
     member = member_name(settings, incarnation)
     duty = Leadership(
--- a/mallowcrank/gateway/fleet.py
+++ b/mallowcrank/gateway/fleet.py
@@ -133,12 +133,13 @@
             )
 
     def apply_removal(
-        self, identity: str, now: float, is_confirmed: bool
+        self, identity: str, since: float, is_confirmed: bool
     ) -> None:
         """
         Remove a target whose entry is gone.
 
-        :param now: steady time, in seconds.
+        :param since: steady time from which the grace period counts, in
+            seconds; the time of the removal if it is confirmed.
         :param is_confirmed: False shortly after a store outage; the target
             then stays for a grace period, in which its entry may return.
         """
@@ -146,19 +147,19 @@
         if identity not in self._targets:
             return
         if is_confirmed:
-            self._drop(identity, now)
+            self._drop(identity, since)
         elif identity not in self._lapsed:
-            self._lapsed[identity] = now
+            self._lapsed[identity] = since
             self._journal.say('fleet: entry lapsed', target=identity)
 
     def apply_missing(
-        self, identities: Iterable[str], now: float, is_confirmed: bool
+        self, identities: Iterable[str], since: float, is_confirmed: bool
     ) -> None:
         """
         Remove the targets whose entries are missing from a full read.
 
         :param identities: those of all entries.
-        :param now: steady time, in seconds.
+        :param since: as for `apply_removal`.
         :param is_confirmed: as for `apply_removal`.
         """
         present = set(identities)
@@ -166,7 +167,7 @@
             self._displaced.pop(identity)
         for identity in list(self._targets):
             if identity not in present:
-                self.apply_removal(identity, now, is_confirmed)
+                self.apply_removal(identity, since, is_confirmed)
 
     def drop_lapsed(self, now: float) -> None:
         """
--- a/mallowcrank/gateway/followers.py
+++ b/mallowcrank/gateway/followers.py
@@ -13,6 +13,7 @@
 from mallowcrank.gateway.desired import Desired
 from mallowcrank.gateway.fleet import Fleet
 from mallowcrank.gateway.journal import Journal
+from mallowcrank.gateway.peers import Peers
 from mallowcrank.gateway.ports import (
     DecodeFailure,
     LogPosition,
@@ -270,10 +271,12 @@
         vocabulary: Vocabulary,
         random: Random,
         journal: Journal,
+        peers: Peers,
     ) -> None:
         super().__init__(link, vocabulary, random)
         self._fleet = fleet
         self._journal = journal
+        self._peers = peers
         self._vocabulary = vocabulary
         self._random = random
         self._last_read_at = -inf
@@ -355,7 +358,9 @@
             return True
         self._apply(tuple(records))
         identities = [each.key for each in records]
-        self._fleet.apply_missing(identities, monotonic_s(), is_confirmed=False)
+        self._fleet.apply_missing(
+            identities, self._gone_since(), self._is_removal_confirmed()
+        )
         self._position = LogPosition(era, page.end)
         return True
 
@@ -371,7 +376,9 @@
         for record in newest.values():
             if record.content is None:
                 self._fleet.apply_removal(
-                    record.key, monotonic_s(), self._is_removal_confirmed()
+                    record.key,
+                    self._gone_since(),
+                    self._is_removal_confirmed(),
                 )
             else:
                 self.apply_raw(record.key, record.content)
@@ -402,5 +409,23 @@
                 era=era,
             )
 
+    def _gone_since(self) -> float:
+        """
+        Return the steady time since which a removed entry may be missing, in
+        seconds: after an outage, when the store was reached again.
+        """
+        if self._is_removal_confirmed():
+            return monotonic_s()
+        return self._link.recovered_at
+
     def _is_removal_confirmed(self) -> bool:
-        return monotonic_s() - self._link.recovered_at > UNCONFIRMED_S
+        """
+        Return whether a gateway has reached the store long enough, so that
+        entries that expired in an outage would have returned.
+        """
+        if monotonic_s() - self._link.recovered_at > UNCONFIRMED_S:
+            return True
+        statuses = [peer.last_status.entries for peer in self._peers.live()]
+        return any(
+            status and status.read_for_s > UNCONFIRMED_S for status in statuses
+        )
--- a/tests/test_gateway_beliefs.py
+++ b/tests/test_gateway_beliefs.py
@@ -13,6 +13,7 @@
 from mallowcrank.gateway.assignment import HostAssignment
 from mallowcrank.gateway.clock import monotonic_s
 from mallowcrank.gateway.datagrams import (
+    EntriesStatus,
     GatewayStatus,
     pack_status,
     read_status,
@@ -27,6 +28,7 @@
 from mallowcrank.gateway.gossip import Gossip
 from mallowcrank.gateway.journal import Importance, Journal
 from mallowcrank.gateway.leadership import Leadership, should_take_over
+from mallowcrank.gateway.ports import LogPosition
 from mallowcrank.gateway.settings import Address
 from mallowcrank.gateway.store_client import StoreFailure, StoreResponse
 from mallowcrank.gateway.targets import HeldLayers, Lifetime
@@ -83,18 +85,18 @@
     def test_displaced_target_may_return_after_its_entry_is_gone(self):
         self.apply('i-1')
         self.apply('i-2', now=3)
-        self.fleet.apply_missing(['i-2'], now=4, is_confirmed=False)
+        self.fleet.apply_missing(['i-2'], since=4, is_confirmed=False)
         self.apply('i-1', now=5)
         self.assertIsNotNone(self.fleet.find('i-1'))
 
     def test_confirmed_removal_drops_the_target_at_once(self):
         self.apply()
-        self.fleet.apply_removal('i-1', now=1, is_confirmed=True)
+        self.fleet.apply_removal('i-1', since=1, is_confirmed=True)
         self.assertIsNone(self.fleet.find('i-1'))
 
     def test_lapsed_entry_keeps_its_target_if_it_returns(self):
         self.apply()
-        self.fleet.apply_removal('i-1', now=1, is_confirmed=False)
+        self.fleet.apply_removal('i-1', since=1, is_confirmed=False)
         self.fleet.drop_lapsed(1 + LAPSED_ENTRY_GRACE_S - 0.1)
         self.assertIsNotNone(self.fleet.find('i-1'))
         self.apply(now=2)
@@ -103,8 +105,8 @@
 
     def test_lapsed_entry_drops_its_target_after_the_grace_period(self):
         self.apply()
-        self.fleet.apply_removal('i-1', now=1, is_confirmed=False)
-        self.fleet.apply_removal('i-1', now=2, is_confirmed=False)
+        self.fleet.apply_removal('i-1', since=1, is_confirmed=False)
+        self.fleet.apply_removal('i-1', since=2, is_confirmed=False)
         self.fleet.drop_lapsed(1 + LAPSED_ENTRY_GRACE_S + 0.1)
         self.assertIsNone(self.fleet.find('i-1'))
 
@@ -120,7 +122,7 @@
 
     def test_reused_address_is_found_as_the_new_target(self):
         self.apply('i-1')
-        self.fleet.apply_removal('i-1', now=1, is_confirmed=True)
+        self.fleet.apply_removal('i-1', since=1, is_confirmed=True)
         self.apply('i-2', service='other')
         found = self.fleet.find_by_address('10.128.0.9:8080')
         self.assertEqual(found.identity, 'i-2')
@@ -227,10 +229,35 @@
 
     def make_follower(self, *answers):
         self.link = FakeLink(*answers)
+        self.peers = Mock()
+        self.peers.live.return_value = []
         return TargetsFollower(
-            self.fleet, self.link, VOCABULARY, Random(1), quiet_journal()
+            self.fleet,
+            self.link,
+            VOCABULARY,
+            Random(1),
+            quiet_journal(),
+            self.peers,
         )
 
+    def make_follower_of_a_removal(self):
+        return self.make_follower(
+            StoreResponse(200, newest_page(9, {'i-1': entry()})),
+            StoreResponse(200, read_page(10, ('i-1', None))),
+        )
+
+    def report_reads(self, *seconds):
+        """
+        Let other gateways say for how long they have read the entries.
+        """
+        statuses = [
+            make_status(entries=EntriesStatus(LogPosition(0, 9), read_for_s))
+            for read_for_s in seconds
+        ]
+        self.peers.live.return_value = [
+            Mock(last_status=status) for status in (make_status(), *statuses)
+        ]
+
     async def test_entries_are_read_and_followed(self):
         follower = self.make_follower(
             StoreResponse(200, newest_page(9, {'i-1': entry()})),
@@ -286,21 +313,51 @@
         self.assertTrue(await follower.step())
         self.assertEqual(len(self.fleet), 1)
 
-    async def test_removal_right_after_an_outage_is_unconfirmed(self):
+    async def test_removal_is_confirmed_where_others_reached_the_store(self):
+        follower = self.make_follower_of_a_removal()
+        await follower.step()
+        self.link.recovered_at = monotonic_s()
+        self.report_reads(0, 30)
+        await follower.step()
+        self.assertIsNone(self.fleet.find('i-1'))
+
+    async def test_removal_is_unconfirmed_if_no_gateway_reached_the_store(
+        self,
+    ):
+        follower = self.make_follower_of_a_removal()
+        await follower.step()
+        self.link.recovered_at = monotonic_s()
+        self.report_reads(0, 1)
+        await follower.step()
+        self.assertIsNotNone(self.fleet.find('i-1'))
+
+    async def test_unconfirmed_removal_ends_two_seconds_after_the_outage(self):
+        follower = self.make_follower_of_a_removal()
+        await follower.step()
+        self.link.recovered_at = monotonic_s() - 1.4
+        await follower.step()
+        self.fleet.drop_lapsed(monotonic_s() + 0.6)
+        self.assertIsNone(self.fleet.find('i-1'))
+
+    async def test_missing_entry_is_gone_if_the_store_was_reached(self):
         follower = self.make_follower(
             StoreResponse(200, newest_page(9, {'i-1': entry()})),
-            StoreResponse(200, read_page(10, ('i-1', None))),
+            StoreResponse(410, b'{"first_offset": 40}'),
+            StoreResponse(200, newest_page(50, {})),
         )
+        for _ in range(3):
+            await follower.step()
+        self.assertIsNone(self.fleet.find('i-1'))
+
+    async def test_removal_right_after_an_outage_is_unconfirmed(self):
+        follower = self.make_follower_of_a_removal()
         await follower.step()
         self.link.recovered_at = monotonic_s()
         await follower.step()
         self.assertIsNotNone(self.fleet.find('i-1'))
 
     async def test_removal_is_confirmed_two_seconds_after_an_outage(self):
-        follower = self.make_follower(
-            StoreResponse(200, newest_page(9, {'i-1': entry()})),
-            StoreResponse(200, read_page(10, ('i-1', None))),
-        )
+        follower = self.make_follower_of_a_removal()
         await follower.step()
         self.link.recovered_at = monotonic_s() - 2
         await follower.step()
@@ -344,7 +401,19 @@
 
 class TestStatuses(TestCase):
     def test_status_survives_encoding(self):
-        self.assertEqual(read_status(pack_status(make_status())), make_status())
+        for changes in (
+            {},
+            {'limits': {}},
+            {'limits': {}, 'entries': EntriesStatus(LogPosition(2, 70), 1.5)},
+        ):
+            with self.subTest(changes=changes):
+                status = make_status(**changes)
+                self.assertEqual(read_status(pack_status(status)), status)
+
+    def test_status_with_a_negative_position_is_ignored(self):
+        entries = EntriesStatus(LogPosition(2, -1), 0)
+        raw = pack_status(make_status(limits={}, entries=entries))
+        self.assertIsNone(read_status(raw))
 
     def test_foreign_datagrams_are_ignored(self):
         packed = pack_status(make_status())
