Let an entry from before a target left not bring it back

Entries count their writes; one with a count that isn't above that of the target as last known is ignored then.

--- a/mallowcrank/gateway/fleet.py
+++ b/mallowcrank/gateway/fleet.py
@@ -6,6 +6,7 @@
 from dataclasses import replace
 from math import inf
 
+from mallowcrank.gateway.gone_targets import GoneTargets
 from mallowcrank.gateway.journal import Journal
 from mallowcrank.gateway.target_health import LayersReport, TargetHealth
 from mallowcrank.gateway.targets import HeldLayers, Lifetime, Target
@@ -26,6 +27,7 @@
         self._lapsed: dict[str, float] = {}
         self._raw: dict[str, bytes] = {}
         self._displaced: dict[str, bytes] = {}
+        self._gone = GoneTargets()
         self.health = TargetHealth(journal)
         self.changed_at = -inf
         self.entries_read_at = -inf
@@ -78,7 +80,13 @@
                 return target
         return None
 
-    def apply_entry(self, target: Target, raw: bytes, now: float) -> None:
+    def apply_entry(
+        self,
+        target: Target,
+        raw: bytes,
+        now: float,
+        may_be_outdated: bool = False,
+    ) -> None:
         """
         Add or update a target from its entry.
 
@@ -87,10 +95,20 @@
 
         :param raw: the entry as encoded in the store.
         :param now: steady time, in seconds.
+        :param may_be_outdated: whether the store came back from an older copy;
+            an entry from before what is known of its target is then ignored.
         """
         identity = target.identity
         if self._displaced.get(identity) == raw:
             return
+        if may_be_outdated and self._gone.is_outdated(
+            target, self._targets.get(identity)
+        ):
+            self._lapsed.pop(identity, None)
+            self._journal.say(
+                'fleet: outdated entry', target=identity, writes=target.writes
+            )
+            return
         self._displaced.pop(identity, None)
         if self._raw.get(identity) != raw:
             self._displace_others(target, now)
@@ -203,6 +221,7 @@
         self._raw.pop(identity, None)
         if target:
             self.health.forget(target.lifetime)
+            self._gone.record(target, now)
         self.changed_at = now
         self._journal.say('fleet: target gone', target=identity)
 
--- a/mallowcrank/gateway/targets.py
+++ b/mallowcrank/gateway/targets.py
@@ -47,6 +47,7 @@
     :param leaving: whether it accepts no new work.
     :param layers: None if it has none loaded or isn't an engine.
     :param kind: kind of accelerator; empty if it isn't an engine.
+    :param writes: how often it has written its entry; 0 if unknown.
     """
 
     lifetime: Lifetime
@@ -57,6 +58,7 @@
     leaving: bool
     layers: HeldLayers | None
     kind: str
+    writes: int = 0
 
     @property
     def is_engine(self) -> bool:
--- a/mallowcrank/platform/entries.py
+++ b/mallowcrank/platform/entries.py
@@ -73,6 +73,8 @@
         leaving=state == DRAINING,
         layers=_decode_layers(body),
         kind=str(body.get('kind', '')),
+        # In an entry, `sequence` counts writes of the entry.
+        writes=_decode_writes(body.get('sequence')),
     )
 
 
@@ -85,14 +87,18 @@
         running=integer_field(body, 'running', 0),
         queued=integer_field(body, 'queued', 0),
         is_busy=bool(body.get('busy')),
-        # `sequence` counts writes in an entry, but placement orders in a
-        # report.
+        # In a report, `sequence` counts placement orders.
         orders=integer_field(body, 'sequence', 0),
         layers=_decode_layers(body),
         stalled=tuple(map(_decode_stalled, list_field(body, 'stalled'))),
     )
 
 
+def _decode_writes(raw: object) -> int:
+    is_count = isinstance(raw, int) and not isinstance(raw, bool)
+    return max(0, raw) if is_count else 0
+
+
 def _decode_stalled(row: object) -> tuple[str, str]:
     stream = as_object(row, 'stalled')
     return text_field(stream, 'id'), text_field(stream, 'address')
--- a/tests/test_gateway_beliefs.py
+++ b/tests/test_gateway_beliefs.py
@@ -56,9 +56,11 @@
     def setUp(self):
         self.fleet = Fleet(quiet_journal())
 
-    def apply(self, identity='i-1', now=0, **changes):
+    def apply(self, identity='i-1', now=0, may_be_outdated=False, **changes):
         raw = entry(**changes)
-        self.fleet.apply_entry(read_entry(identity, raw), raw, now)
+        self.fleet.apply_entry(
+            read_entry(identity, raw), raw, now, may_be_outdated
+        )
 
     def test_leaving_target_accepts_no_new_work(self):
         self.apply()
@@ -67,6 +69,41 @@
         self.assertEqual(self.fleet.accepting_targets('stock'), [])
         self.assertEqual(len(self.fleet.all_targets('stock')), 1)
 
+    def test_outdated_entry_brings_back_no_target_that_left(self):
+        for state in ('draining', 'ready'):
+            with self.subTest(state=state):
+                self.setUp()
+                self.apply(state=state, sequence=6)
+                self.fleet.apply_removal('i-1', since=1, is_confirmed=True)
+                self.apply(now=2, sequence=5, may_be_outdated=True)
+                self.apply(now=2, sequence=6, may_be_outdated=True)
+                self.assertIsNone(self.fleet.find('i-1'))
+
+    def test_outdated_entry_ends_no_leaving(self):
+        for sequence in (5, 6):
+            self.apply(state='draining', sequence=6)
+            self.apply(now=1, sequence=sequence, may_be_outdated=True)
+            self.assertTrue(self.fleet.find('i-1').leaving)
+
+    def test_target_that_writes_again_is_back(self):
+        self.apply(sequence=6)
+        self.fleet.apply_removal('i-1', since=1, is_confirmed=True)
+        self.apply(now=2, sequence=7, may_be_outdated=True)
+        self.assertIsNotNone(self.fleet.find('i-1'))
+
+    def test_new_lifetime_is_no_outdated_entry(self):
+        self.apply(sequence=6, born=5)
+        self.fleet.apply_removal('i-1', since=1, is_confirmed=True)
+        self.apply(now=2, sequence=1, born=6, may_be_outdated=True)
+        self.assertIsNotNone(self.fleet.find('i-1'))
+
+    def test_outdated_entry_keeps_a_target_that_lapsed(self):
+        self.apply(sequence=6)
+        self.fleet.apply_removal('i-1', since=1, is_confirmed=False)
+        self.apply(now=2, sequence=5, may_be_outdated=True)
+        self.fleet.drop_lapsed(10)
+        self.assertIsNotNone(self.fleet.find('i-1'))
+
     def test_reused_address_removes_the_previous_target(self):
         self.apply('i-1')
         self.apply('i-2', now=3)
