Begin anew when the store comes back from an older copy

Routes that had been added weren't served and targets that had left stayed in use (CONFIG, DRAIN) after the store came back from a copy some seconds old: offsets are given out again, and a follower whose offset was among them read on and never learned what it had missed.

Class: a position without the identity of the log that it is a position in.

A position is an era and an offset. Each response carries the era (Store-Era); a follower whose position is of another era begins anew with the newest records, also when another call has seen the new era first: a read would wait for records after the lost ones. A long poll under way is broken off, idle channels are closed, and an answer of the era before to an earlier call is dropped. A version older than the one in force is still never applied; one of the same number with other content is, if the store says so in a later era. Entries that are missing in the new era lapse as after an outage; those that were written before what is known of their target are ignored for 10 s, and then read once more. Without a valid Store-Era, responses count as of the last known era.

--- a/mallowcrank/gateway/assembly.py
+++ b/mallowcrank/gateway/assembly.py
@@ -89,7 +89,10 @@
         settings.store, vocabulary.store, journal, core.meters
     )
     known = LatestDesired(vocabulary, journal)
-    desired = DesiredFollower(known, store_client, vocabulary, core.random)
+    desired = DesiredFollower(
+        known, store_client, vocabulary, core.random, journal
+    )
+    store_client.listen(desired.refresh)
     targets = TargetsFollower(
         core.fleet, store_client, vocabulary, core.random, journal, core.peers
     )
--- a/mallowcrank/gateway/followers.py
+++ b/mallowcrank/gateway/followers.py
@@ -36,6 +36,9 @@
 # After a store outage, entries that expired during it may return. An entry
 # that is removed later is gone.
 UNCONFIRMED_S = 1.5
+# After the store comes back from an older copy, outdated entries are replaced
+# when their targets write them again, or expire.
+RESTORED_S = 10
 
 
 class Backoff:
@@ -71,6 +74,7 @@
         self._vocabulary = vocabulary
         self._journal = journal
         self._newest: Desired | None = None
+        self._era = -1
         self.raw = b''
 
     @property
@@ -87,21 +91,27 @@
         """
         return self._newest.version if self._newest else -1
 
-    def update(self, raw: bytes, source: str) -> None:
+    def update(self, raw: bytes, source: str, era: int = -1) -> None:
         """
         Replace the desired state, unless the version isn't newer.
 
+        A version that the store lost may have been written again with other
+        content. The store's later era decides then.
+
         :param raw: the encoded version.
         :param source: where it comes from, for the log.
+        :param era: of the store; lower than any for other sources.
         """
         if raw == self.raw:
+            self._era = max(self._era, era)
             return
         read = self._vocabulary.read_desired(raw)
         if isinstance(read, DecodeFailure):
             self._journal.say('desired: unreadable', why=read.reason)
             return
-        if read.version <= self.version:
+        if (read.version, era) <= (self.version, self._era):
             return
+        self._era = era
         self._newest = read
         self.raw = raw
         self._journal.say(
@@ -114,10 +124,17 @@
     Follows the records of a topic, starting with the newest of each key.
     """
 
+    _topic: str
+
     def __init__(
-        self, link: StoreClient, vocabulary: Vocabulary, random: Random
+        self,
+        link: StoreClient,
+        vocabulary: Vocabulary,
+        random: Random,
+        journal: Journal,
     ) -> None:
         self._link = link
+        self._journal = journal
         self._store_calls = vocabulary.store
         self._backoff = Backoff(random)
         self._position: LogPosition | None = None
@@ -135,9 +152,12 @@
 
         :returns: whether the read succeeded.
         """
-        if self._position:
-            return await self._read(self._position)
-        return await self._read_newest()
+        if self._position and self._position.era < self._link.era:
+            # A read would wait for records after those that were lost.
+            self._begin_anew(self._link.era)
+        if self._position and not await self._read(self._position):
+            return False
+        return self._position is not None or await self._read_newest()
 
     async def _read(self, position: LogPosition) -> bool:
         raise NotImplementedError
@@ -145,7 +165,7 @@
     async def _read_newest(self) -> bool:
         raise NotImplementedError
 
-    def _apply(self, records: tuple[StoreRecord, ...]) -> None:
+    def _apply(self, records: tuple[StoreRecord, ...], era: int) -> None:
         raise NotImplementedError
 
     def _apply_answer(
@@ -162,27 +182,36 @@
         if position != self._position:
             # Another gateway's view was adopted meanwhile.
             return True
-        if answer.status == HTTPStatus.GONE:
-            # The records were deleted; start with the newest of each key.
-            self._position = None
+        if answer.era != position.era or answer.status == HTTPStatus.GONE:
+            # The records of the position were lost or deleted.
+            self._begin_anew(answer.era)
             return True
         page = self._store_calls.decode_slice(answer.body, position.offset)
         if answer.status != HTTPStatus.OK or isinstance(page, DecodeFailure):
             return False
-        self._apply(page.records)
+        self._apply(page.records, answer.era)
         self._position = LogPosition(
             answer.era, position.offset + len(page.records)
         )
         return True
 
+    def _begin_anew(self, era: int) -> None:
+        self._journal.say(
+            'store: topic read anew',
+            topic=self._topic,
+            position=self._position,
+            era=era,
+        )
+        self._position = None
+
     async def _newest_page(
-        self, name: str, topic: str, after: str
+        self, name: str, after: str
     ) -> tuple[NewestPage, int] | None:
         """
         Read a page, and the era that it is of.
         """
         answer = await self._link.call(
-            name, self._store_calls.newest(topic, after)
+            name, self._store_calls.newest(self._topic, after)
         )
         if not isinstance(answer, StoreResponse):
             return None
@@ -203,17 +232,21 @@
         link: StoreClient,
         vocabulary: Vocabulary,
         random: Random,
+        journal: Journal,
     ) -> None:
-        super().__init__(link, vocabulary, random)
+        super().__init__(link, vocabulary, random, journal)
+        self._topic = self._store_calls.desired_topic
         self._known = known
         self._current_read: asyncio.Task[bool] | None = None
 
     def refresh(self) -> None:
         """
-        Read again after a short pause: another gateway has a newer version.
+        Read again after a short pause: another gateway has a newer version,
+        or the store is in a new era, unless this read itself has found that.
         """
-        if self._current_read:
-            self._current_read.cancel()
+        reading = self._current_read
+        if reading and reading is not asyncio.current_task():
+            reading.cancel()
 
     async def run(self) -> None:
         """
@@ -233,29 +266,26 @@
                 await self._backoff.wait()
 
     async def _read_newest(self) -> bool:
-        topic = self._store_calls.desired_topic
-        found = await self._newest_page('desired-newest', topic, '')
+        found = await self._newest_page('desired-newest', '')
         if found is None:
             return False
         page, era = found
-        self._apply(page.records)
+        self._apply(page.records, era)
         self._position = LogPosition(era, page.end)
         return True
 
     async def _read(self, position: LogPosition) -> bool:
         call = self._store_calls.read(
-            self._store_calls.desired_topic,
-            position.offset,
-            DESIRED_WAIT_S * 1000,
+            self._topic, position.offset, DESIRED_WAIT_S * 1000
         )
         answer = await self._link.call('desired-read', call, DESIRED_WAIT_S)
         return self._apply_answer(answer, position)
 
-    def _apply(self, records: tuple[StoreRecord, ...]) -> None:
+    def _apply(self, records: tuple[StoreRecord, ...], era: int) -> None:
         # Only the newest version matters; those in between are skipped.
         for record in reversed(records):
             if record.key == self._store_calls.desired_key and record.content:
-                self._known.update(record.content, 'store')
+                self._known.update(record.content, 'store', era)
                 return
 
 
@@ -273,13 +303,14 @@
         journal: Journal,
         peers: Peers,
     ) -> None:
-        super().__init__(link, vocabulary, random)
+        super().__init__(link, vocabulary, random, journal)
+        self._topic = self._store_calls.targets_topic
         self._fleet = fleet
-        self._journal = journal
         self._peers = peers
         self._vocabulary = vocabulary
         self._random = random
         self._last_read_at = -inf
+        self._settled_at = -inf
         self._reading_since: float | None = None
 
     def status(self) -> EntriesStatus | None:
@@ -300,6 +331,18 @@
             return 0
         return now - self._reading_since
 
+    async def step(self) -> bool:
+        """
+        Read once; begin anew some time after a change of the era, for entries
+        that were ignored as outdated.
+        """
+        now = monotonic_s()
+        settled_at = self._link.era_changed_at + RESTORED_S
+        if self._position and self._settled_at < settled_at < now:
+            self._settled_at = now
+            self._begin_anew(self._link.era)
+        return await super().step()
+
     async def run(self) -> None:
         """
         Follow the topic until cancelled.
@@ -338,14 +381,15 @@
         """
         read = self._vocabulary.read_entry(identity, raw)
         if not isinstance(read, DecodeFailure):
-            self._fleet.apply_entry(read, raw, monotonic_s())
+            now = monotonic_s()
+            is_restored = now - self._link.era_changed_at < RESTORED_S
+            self._fleet.apply_entry(read, raw, now, is_restored)
 
     async def _read_newest(self) -> bool:
-        topic = self._store_calls.targets_topic
         records: list[StoreRecord] = []
         after = ''
         while True:
-            found = await self._newest_page('targets-newest', topic, after)
+            found = await self._newest_page('targets-newest', after)
             if found is None:
                 return False
             page, era = found
@@ -356,7 +400,7 @@
         if self._position:
             # Another gateway's view was adopted meanwhile.
             return True
-        self._apply(tuple(records))
+        self._apply(tuple(records), era)
         identities = [each.key for each in records]
         self._fleet.apply_missing(
             identities, self._gone_since(), self._is_removal_confirmed()
@@ -365,13 +409,11 @@
         return True
 
     async def _read(self, position: LogPosition) -> bool:
-        call = self._store_calls.read(
-            self._store_calls.targets_topic, position.offset, 0
-        )
+        call = self._store_calls.read(self._topic, position.offset, 0)
         answer = await self._link.call('targets-read', call)
         return self._apply_answer(answer, position)
 
-    def _apply(self, records: tuple[StoreRecord, ...]) -> None:
+    def _apply(self, records: tuple[StoreRecord, ...], era: int) -> None:
         newest = {record.key: record for record in records}
         for record in newest.values():
             if record.content is None:
@@ -416,14 +458,17 @@
         """
         if self._is_removal_confirmed():
             return monotonic_s()
-        return self._link.recovered_at
+        return max(self._link.recovered_at, self._link.era_changed_at)
 
     def _is_removal_confirmed(self) -> bool:
         """
         Return whether a gateway has reached the store long enough, so that
         entries that expired in an outage would have returned.
         """
-        if monotonic_s() - self._link.recovered_at > UNCONFIRMED_S:
+        now = monotonic_s()
+        if now - self._link.era_changed_at <= UNCONFIRMED_S:
+            return False
+        if now - self._link.recovered_at > UNCONFIRMED_S:
             return True
         statuses = [peer.last_status.entries for peer in self._peers.live()]
         return any(
--- a/mallowcrank/gateway/store_client.py
+++ b/mallowcrank/gateway/store_client.py
@@ -2,6 +2,7 @@
 Makes calls to the platform's store and tracks whether it is available.
 """
 
+from collections.abc import Callable
 from dataclasses import dataclass
 from http import HTTPStatus
 from math import inf
@@ -27,6 +28,7 @@
 
 # A response takes a few ms; that of a slow store takes 60 times as long.
 CALL_TIMEOUT_S = 1.0
+OUTDATED = 'outdated'
 
 
 @dataclass(frozen=True, slots=True)
@@ -47,7 +49,8 @@
     """
     A call that got no response.
 
-    :param reason: `unreached`, `broken` or `silent`.
+    :param reason: `unreached`, `broken`, `silent`, or `outdated` for a response
+        of an era of the store that is over.
     """
 
     reason: str
@@ -72,8 +75,10 @@
         self._pool = ChannelPool()
         self._unavailable_since: float | None = None
         self._recovered_at = -inf
-        self._era = 0
+        self._era: int | None = None
+        self._era_changed_at = -inf
         self._era_problem = ''
+        self._on_new_era: Callable[[], None] = _ignore
         self._host = (b'Host', str(address).encode())
 
     @property
@@ -92,6 +97,27 @@
         """
         return self._recovered_at
 
+    @property
+    def era(self) -> int:
+        """
+        Return the era of the last response; 0 before the first one.
+        """
+        return self._era or 0
+
+    @property
+    def era_changed_at(self) -> float:
+        """
+        Return the monotonic time at which the store was first seen in another
+        era, in seconds.
+        """
+        return self._era_changed_at
+
+    def listen(self, on_new_era: Callable[[], None]) -> None:
+        """
+        Set the callback for a new era.
+        """
+        self._on_new_era = on_new_era
+
     async def call(
         self, name: str, call: HttpCall, wait_s: float = 0
     ) -> StoreResponse | StoreFailure:
@@ -120,6 +146,7 @@
             (self._host, *call.headers),
             call.body,
         )
+        sent_at = monotonic_s()
         channel.send(data)
         try:
             response = await channel.read_response(timeout_s)
@@ -127,17 +154,21 @@
             self._pool.release(channel)
         match response:
             case Response(head, body):
-                self._track_era(name, head.headers)
-                return StoreResponse(head.status, body, self._era)
+                if self._is_outdated(name, head.headers, sent_at):
+                    return StoreFailure(OUTDATED)
+                return StoreResponse(head.status, body, self.era)
             case ChannelBroken():
                 return StoreFailure('broken')
             case ReadTimeout():
                 return StoreFailure('silent')
 
-    def _track_era(self, name: str, headers: Headers) -> None:
+    def _is_outdated(self, name: str, headers: Headers, sent_at: float) -> bool:
         """
-        Record the era of a response; without a valid one, it is of the era
-        before.
+        Return whether a response is of an earlier era; record a new era.
+
+        A response without a valid era counts as of the last known one.
+
+        :param sent_at: steady time at which the call was sent, in seconds.
         """
         era = self._store_calls.decode_era(headers)
         problem = era.reason if isinstance(era, DecodeFailure) else ''
@@ -145,14 +176,35 @@
             self._journal.say('store: no era', call=name, why=problem)
         self._era_problem = problem
         if isinstance(era, DecodeFailure) or era == self._era:
+            return False
+        if self._era is not None and sent_at < self._era_changed_at:
+            self._journal.say(
+                'store: outdated answer', era=era, known=self._era, call=name
+            )
+            return True
+        self._enter_era(name, era)
+        return False
+
+    def _enter_era(self, name: str, era: int) -> None:
+        """
+        Go on in an era, which may be lower than the one before.
+        """
+        before = self._era
+        self._era = era
+        self._meters.store_era.set(era)
+        if before is None:
             return
         self._journal.say(
-            'store: era changed', era=era, before=self._era, call=name
+            'store: era changed', era=era, before=before, call=name
         )
-        self._meters.store_era.set(era)
-        self._era = era
+        self._era_changed_at = monotonic_s()
+        # Channels of the era before may be silent for good.
+        self._pool.close_idle(self._address)
+        self._on_new_era()
 
     def _track_availability(self, name: str, failure: str) -> None:
+        if failure == OUTDATED:
+            return
         if failure:
             # The other connections may be dead as well.
             self._pool.close_idle(self._address)
@@ -169,6 +221,12 @@
             self._recovered_at = now
 
 
+def _ignore() -> None:
+    """
+    Do nothing; the default until a callback is set.
+    """
+
+
 def _failure_of(response: StoreResponse | StoreFailure) -> str:
     if isinstance(response, StoreFailure):
         return response.reason
--- a/tests/test_gateway_beliefs.py
+++ b/tests/test_gateway_beliefs.py
@@ -5,6 +5,7 @@
 import asyncio
 import json
 import os
+from math import inf
 from random import Random
 from unittest import IsolatedAsyncioTestCase, TestCase
 from unittest.mock import Mock, patch
@@ -28,9 +29,18 @@
 from mallowcrank.gateway.gossip import Gossip
 from mallowcrank.gateway.journal import Importance, Journal
 from mallowcrank.gateway.leadership import Leadership, should_take_over
-from mallowcrank.gateway.ports import LogPosition
+from mallowcrank.gateway.ports import HttpCall, LogPosition
 from mallowcrank.gateway.settings import Address
-from mallowcrank.gateway.store_client import StoreFailure, StoreResponse
+from mallowcrank.gateway.store_client import (
+    StoreClient,
+    StoreFailure,
+    StoreResponse,
+)
+from mallowcrank.gateway.target_channel import (
+    ChannelPool,
+    Response,
+    ResponseHead,
+)
 from mallowcrank.gateway.targets import HeldLayers, Lifetime
 from mallowcrank.platform.entries import read_entry
 from mallowcrank.platform.standins.bodies import desired_body, entry_body
@@ -253,6 +263,8 @@
         self.answers = list(answers)
         self.calls = []
         self.recovered_at = -100
+        self.era_changed_at = -inf
+        self.era = 0
         self.unavailable_since = None
 
     async def call(self, name, call, wait_s=0):
@@ -325,12 +337,25 @@
             StoreResponse(410, b'{"first_offset": 40}'),
             StoreResponse(200, newest_page(50, {'i-2': entry()})),
         )
-        for _ in range(3):
+        for _ in range(2):
             self.assertTrue(await follower.step())
         self.assertIsNotNone(self.fleet.find('i-2'))
         self.fleet.drop_lapsed(monotonic_s() + LAPSED_ENTRY_GRACE_S + 1)
         self.assertIsNone(self.fleet.find('i-1'))
 
+    async def test_position_of_another_era_is_not_read_on(self):
+        follower = self.make_follower(
+            StoreResponse(200, newest_page(9, {'i-1': entry()}), era=1),
+            StoreResponse(200, read_page(12, ('i-1', None)), era=2),
+            StoreResponse(200, newest_page(11, {'i-1': entry()}), era=2),
+            StoreResponse(200, read_page(12, ('i-2', entry())), era=2),
+        )
+        for _ in range(3):
+            self.assertTrue(await follower.step())
+        self.assertIn('log-newest', self.link.calls[2])
+        self.assertIn('source=11', self.link.calls[3])
+        self.assertEqual(follower.position, (2, 12))
+
     async def test_failed_reads_change_nothing(self):
         follower = self.make_follower(
             StoreResponse(200, newest_page(9, {'i-1': entry()})),
@@ -382,7 +407,7 @@
             StoreResponse(410, b'{"first_offset": 40}'),
             StoreResponse(200, newest_page(50, {})),
         )
-        for _ in range(3):
+        for _ in range(2):
             await follower.step()
         self.assertIsNone(self.fleet.find('i-1'))
 
@@ -400,6 +425,20 @@
         await follower.step()
         self.assertIsNone(self.fleet.find('i-1'))
 
+    async def test_version_of_a_later_era_replaces_one_of_the_same_number(
+        self,
+    ):
+        known = LatestDesired(VOCABULARY, quiet_journal())
+        changed = json.dumps(desired_body(version=7, routes=[])).encode()
+        known.update(raw_desired(7), 'store', era=1)
+        known.update(changed, 'another gateway')
+        known.update(changed, 'store', era=1)
+        self.assertTrue(known.newest.routes)
+        known.update(changed, 'store', era=2)
+        self.assertFalse(known.newest.routes)
+        known.update(raw_desired(6), 'store', era=3)
+        self.assertEqual(known.version, 7)
+
     async def test_only_the_newest_of_several_versions_applies(self):
         known = LatestDesired(VOCABULARY, quiet_journal())
         pages = read_page(
@@ -410,7 +449,9 @@
             StoreResponse(200, pages),
             StoreResponse(200, read_page(13, ('else', b'x'))),
         )
-        follower = DesiredFollower(known, link, VOCABULARY, Random(1))
+        follower = DesiredFollower(
+            known, link, VOCABULARY, Random(1), quiet_journal()
+        )
         await follower.step()
         self.assertEqual(known.version, 7)
         await follower.step()
@@ -436,6 +477,61 @@
     return GatewayStatus(host=host, zone=zone, **{**fields, **changes})
 
 
+class TestStoreEras(IsolatedAsyncioTestCase):
+    def setUp(self):
+        self.headers = []
+        self.entered = Mock()
+        self.client = StoreClient(
+            Address('127.0.0.1', 9), VOCABULARY.store, Mock(), Mock()
+        )
+        self.client.listen(self.entered)
+
+    async def answer(self, *eras, delay_s=0):
+        """
+        Make a call whose answer has these eras.
+        """
+
+        async def read_response(timeout_s):
+            await asyncio.sleep(delay_s)
+            headers = tuple((b'Store-Era', era) for era in eras)
+            return Response(ResponseHead(200, headers), b'')
+
+        channel = Mock(read_response=read_response)
+        with patch.object(ChannelPool, 'take_idle', return_value=channel):
+            return await self.client.call('x', HttpCall('GET', '/'))
+
+    async def test_first_era_is_no_change(self):
+        self.assertEqual((await self.answer(b'3')).era, 3)
+        self.entered.assert_not_called()
+
+    async def test_change_of_the_era_is_announced_once(self):
+        await self.answer(b'3')
+        self.assertEqual((await self.answer(b'4')).era, 4)
+        await self.answer(b'4')
+        self.entered.assert_called_once()
+
+    async def test_late_answer_of_an_earlier_era_is_dropped(self):
+        await self.answer(b'3')
+        late = asyncio.create_task(self.answer(b'3', delay_s=0.05))
+        await asyncio.sleep(0.01)
+        await self.answer(b'4')
+        self.assertEqual(await late, StoreFailure('outdated'))
+        self.assertIsNone(self.client.unavailable_since)
+
+    async def test_lower_era_of_a_later_call_is_a_change(self):
+        await self.answer(b'3')
+        await self.answer(b'4')
+        self.assertEqual((await self.answer(b'2')).era, 2)
+        self.assertEqual(self.entered.call_count, 2)
+
+    async def test_invalid_era_counts_as_the_last_one(self):
+        await self.answer(b'3')
+        for eras in ((), (b'x',), (b'3', b'4'), (b'-1',)):
+            with self.subTest(eras=eras):
+                self.assertEqual((await self.answer(*eras)).era, 3)
+        self.entered.assert_not_called()
+
+
 class TestStatuses(TestCase):
     def test_status_survives_encoding(self):
         for changes in (
