Compare leaders' generations with the era of the store

After the store came back from an older copy, a generation may be given out again, and a leader that can't reach the store went on beside the new one with the same number for up to 20 s: each stepped down only for a higher one. A leader remembers the era of its membership and compares the era first. Orders are absolute and name the state that they were made for, so that two leaders did no harm but double orders.

Two tests failed before: a leader of an earlier era stayed, and one of a later era stepped down.

--- a/mallowcrank/gateway/leadership.py
+++ b/mallowcrank/gateway/leadership.py
@@ -86,6 +86,7 @@
         self._journal = journal
         self._backoff = Backoff(Random())
         self._generation = 0
+        self._era = 0  # of the store, in which the generation holds
         self._is_leader = False
         self._has_left = False
         self._renewal_lock = asyncio.Lock()
@@ -109,8 +110,13 @@
     def handle_status(self, status: GatewayStatus) -> None:
         """
         Step down if another gateway leads in a later generation.
+
+        The store may give out a generation again in a later era.
         """
-        if self._is_leader and status.leader_generation > self._generation:
+        if not self._is_leader or not status.leader_generation:
+            return
+        era = status.entries.position.era if status.entries else self._era
+        if (era, status.leader_generation) > (self._era, self._generation):
             self._step_down('another gateway leads', by=status.host)
 
     async def run(self) -> None:
@@ -162,6 +168,7 @@
         if answer.status != HTTPStatus.OK or isinstance(joined, DecodeFailure):
             return False
         self._generation = joined.generation
+        self._era = answer.era
         self._renewed_at = sent_at
         owns_leadership = any(
             part == LEADER_PARTITION for _, part in joined.owned
--- a/tests/test_gateway_beliefs.py
+++ b/tests/test_gateway_beliefs.py
@@ -683,6 +683,7 @@
     """
 
     unavailable_since = None
+    era = 0
 
     def __init__(self, body):
         self.body = body
@@ -691,7 +692,7 @@
     async def call(self, name, call, wait_s=0):
         self.names.append(name)
         await asyncio.sleep(0)
-        return StoreResponse(200, self.body)
+        return StoreResponse(200, self.body, self.era)
 
 
 class TestLeadership(IsolatedAsyncioTestCase):
@@ -714,6 +715,42 @@
         self.assertEqual(self.leadership.leader_generation, 4)
         running.cancel()
 
+    async def lead_in_era(self, era):
+        self.link.era = era
+        self.leadership = Leadership(
+            settings=Mock(min_lease_s=3),
+            member='h1/abcd/10.0.0.1:1',
+            link=self.link,
+            vocabulary=VOCABULARY,
+            peers=Mock(),
+            journal=quiet_journal(),
+        )
+        await self.leadership.renew()
+        self.assertEqual(self.leadership.leader_generation, 4)
+
+    async def test_leader_of_an_earlier_era_steps_down(self):
+        for generation in (1, 4):
+            await self.lead_in_era(1)
+            self.leadership.handle_status(
+                make_status(
+                    leader_generation=generation,
+                    entries=EntriesStatus(LogPosition(2, 0), 0),
+                )
+            )
+            self.assertEqual(self.leadership.leader_generation, 0)
+
+    async def test_leader_of_a_later_era_stays(self):
+        await self.lead_in_era(2)
+        for era, generation in ((1, 9), (2, 4)):
+            self.leadership.handle_status(
+                make_status(
+                    leader_generation=generation,
+                    entries=EntriesStatus(LogPosition(era, 0), 0),
+                )
+            )
+        self.leadership.handle_status(make_status(leader_generation=0))
+        self.assertEqual(self.leadership.leader_generation, 4)
+
     async def test_leaving_member_does_not_join_again(self):
         for turns in range(6):
             with self.subTest(turns=turns):
