Read targets' entries on from the first page of a full read

An entry that was written between two pages, with a key of the earlier one, was in neither page, and reads went on behind it. Reads go on from the first page's end, and pages of two eras are no view.

Two tests failed before.

--- a/mallowcrank/gateway/followers.py
+++ b/mallowcrank/gateway/followers.py
@@ -388,11 +388,16 @@
     async def _read_newest(self) -> bool:
         records: list[StoreRecord] = []
         after = ''
+        position: LogPosition | None = None
         while True:
             found = await self._newest_page('targets-newest', after)
             if found is None:
                 return False
             page, era = found
+            # Records that are written between two pages are read after them.
+            position = position or LogPosition(era, page.end)
+            if era != position.era:
+                return False
             records.extend(page.records)
             if not page.has_more or not page.records:
                 break
@@ -405,7 +410,7 @@
         self._fleet.apply_missing(
             identities, self._gone_since(), self._is_removal_confirmed()
         )
-        self._position = LogPosition(era, page.end)
+        self._position = position
         return True
 
     async def _read(self, position: LogPosition) -> bool:
--- a/tests/test_gateway_beliefs.py
+++ b/tests/test_gateway_beliefs.py
@@ -331,6 +331,26 @@
         self.assertIn('after=i-1', self.link.calls[1])
         self.assertEqual(len(self.fleet), 2)
 
+    async def test_record_written_between_two_pages_is_read(self):
+        follower = self.make_follower(
+            StoreResponse(200, newest_page(9, {'i-2': entry()}, has_more=True)),
+            StoreResponse(200, newest_page(10, {})),
+            StoreResponse(200, read_page(10, ('i-1', entry()))),
+        )
+        for _ in range(2):
+            self.assertTrue(await follower.step())
+        self.assertIn('source=9', self.link.calls[2])
+
+    async def test_pages_of_two_eras_are_no_view(self):
+        follower = self.make_follower(
+            StoreResponse(
+                200, newest_page(9, {'i-1': entry()}, has_more=True), era=1
+            ),
+            StoreResponse(200, newest_page(9, {'i-2': entry()}), era=2),
+        )
+        self.assertFalse(await follower.step())
+        self.assertEqual(len(self.fleet), 0)
+
     async def test_deleted_history_is_read_again_from_the_newest(self):
         follower = self.make_follower(
             StoreResponse(200, newest_page(9, {'i-1': entry()})),
