Refuse prompts with a part that crashes engines

Class: a request that is retried without asking whether it was the cause of the failure; and a decision that no gateway can take alone.

A stream whose path's first engine has crashed before an answer is recorded with the parts of its prompt, but for the last one. A part is in doubt until a request with it is answered; it is to blame if requests with it were lost in two crashes while others were answered, and more crashes speak against it than against any other part of them. Parts that were answered shortly before need three. Statuses carry lost requests, answered and blamed parts, so that all gateways decide alike and one that restarts hears of it.

A request with a part to blame gets 422 at once, which callers don't repeat: it has not run. While a part is in doubt, each gateway sends one request with it at a time. What was lost in a crash is sent again only if all its parts were answered lately and none is in doubt. After 30 s, then doubled times, one request is let through again; the operator lists and clears parts at the metrics address.

Call, the error responses and the building of Core moved to modules of their own, as their modules had grown.

--- /dev/null
+++ b/mallowcrank/gateway/call.py
@@ -0,0 +1,80 @@
+"""
+The state of one call.
+"""
+
+from dataclasses import dataclass, field
+
+from mallowcrank.chains.suspect_parts import PromptPart
+from mallowcrank.gateway.caller_channel import CallerRequest, ResponseWriter
+from mallowcrank.gateway.clock import monotonic_s
+from mallowcrank.gateway.desired import Repeat, RouteRule, ServiceRule
+from mallowcrank.gateway.ports import CallerFields
+from mallowcrank.gateway.targets import Lifetime
+
+
+@dataclass(slots=True)
+class Call:
+    """
+    A caller's request while it is served by targets.
+
+    :param desired_version: version of the desired state that routed it.
+    :param deadline_at: monotonic time by which the final response is due, in
+        seconds.
+    :param sends: number of sends after which the request may have run.
+    :param sent_at: steady time of the last send, in seconds.
+    :param refusals: number of sends that a target states it did not run.
+    :param waited_s: seconds spent waiting for a path.
+    :param avoided: lifetimes of targets that must not get the request again.
+    """
+
+    request: CallerRequest
+    fields: CallerFields
+    response: ResponseWriter
+    route: RouteRule
+    service: ServiceRule
+    workspace: str
+    priority: int
+    desired_version: int
+    deadline_at: float
+    sends: int = 0
+    sent_at: float = 0
+    refusals: int = 0
+    waited_s: float = 0
+    avoided: set[Lifetime] = field(default_factory=set)
+
+    @property
+    def kind(self) -> str:
+        """
+        Return the kind of request, for metrics and logs.
+        """
+        return 'stream' if self.route.streams else self.route.repeat.value
+
+    @property
+    def prompt_parts(self) -> tuple[PromptPart, ...]:
+        """
+        Return the parts of its prompt that other requests may share.
+        """
+        names = self.fields.prompt_parts
+        return tuple(PromptPart(self.service.name, name) for name in names)
+
+    def may_retry(self) -> bool:
+        """
+        Return whether the deadline and the route allow another send.
+        """
+        if self.remaining_s() <= 0 or self.response.has_ended:
+            return False
+        if self.sends and self.route.repeat is Repeat.ONCE:
+            return False
+        return self.sends < self.route.max_sends
+
+    def remaining_s(self) -> float:
+        """
+        Return the seconds until the final response is due.
+        """
+        return self.deadline_at - monotonic_s()
+
+    def age_s(self) -> float:
+        """
+        Return the seconds since the first byte of the request was received.
+        """
+        return monotonic_s() - self.request.received_at
--- a/mallowcrank/gateway/core.py
+++ b/mallowcrank/gateway/core.py
@@ -1,5 +1,5 @@
 """
-The services that all parts of a gateway share, and the state of one call.
+The services that all parts of a gateway share.
 """
 
 from collections.abc import Callable
@@ -7,25 +7,23 @@
 from http import HTTPStatus
 from random import Random
 
-import orjson
-
 from mallowcrank.chains.budget import (
     RetryUsage,
     RetryWindows,
     SentRequest,
 )
 from mallowcrank.chains.memory import MemoryLedger
-from mallowcrank.gateway.caller_channel import CallerRequest, ResponseWriter
+from mallowcrank.gateway.call import Call
 from mallowcrank.gateway.clock import monotonic_s
-from mallowcrank.gateway.desired import Repeat, RouteRule, ServiceRule
 from mallowcrank.gateway.fleet import Fleet
 from mallowcrank.gateway.journal import Importance, Journal
 from mallowcrank.gateway.meters import Meters
 from mallowcrank.gateway.peers import Peers
 from mallowcrank.gateway.permits import Permits
-from mallowcrank.gateway.ports import CallerFields, Headers, Vocabulary
+from mallowcrank.gateway.ports import Headers, Vocabulary
 from mallowcrank.gateway.prober import Prober
 from mallowcrank.gateway.settings import GatewaySettings
+from mallowcrank.gateway.suspects import Suspects
 from mallowcrank.gateway.target_channel import (
     ChannelPool,
     ConnectFailure,
@@ -57,6 +55,7 @@
     prober: Prober
     peers: Peers
     permits: Permits
+    suspects: Suspects
     retry_after: RetryAfterSchedule = field(default_factory=RetryAfterSchedule)
 
     @property
@@ -114,6 +113,19 @@
         window = self.retry_windows.for_service(service)
         return window.count_retry(monotonic_s())
 
+    async def check_crash(self, call: Call, lifetime: Lifetime) -> bool:
+        """
+        Record a call that got no answer if its target has crashed.
+
+        :returns: whether the call may be sent again, as it can't have been
+            the cause.
+        """
+        parts = call.prompt_parts
+        if not parts or not await self.prober.verify_loss(lifetime):
+            return True
+        self.suspects.record_lost(call.fields.request_id, lifetime, parts)
+        return self.suspects.may_resend(parts)
+
     def record_limit(
         self, lifetime: Lifetime, head: ResponseHead, sent_at: float
     ) -> None:
@@ -151,7 +163,7 @@
         is_misdirected = head.status == HTTPStatus.MISDIRECTED_REQUEST
         return fields.did_not_run or is_misdirected
 
-    def response_matcher(self, call: 'Call') -> Callable[[Headers], bool]:
+    def response_matcher(self, call: Call) -> Callable[[Headers], bool]:
         """
         Return a predicate on response headers: do they response this call?
 
@@ -168,84 +180,6 @@
         return matches
 
 
-@dataclass(slots=True)
-class Call:
-    """
-    A caller's request while it is served by targets.
-
-    :param desired_version: version of the desired state that routed it.
-    :param deadline_at: monotonic time by which the final response is due, in
-        seconds.
-    :param sends: number of sends after which the request may have run.
-    :param sent_at: steady time of the last send, in seconds.
-    :param refusals: number of sends that a target states it did not run.
-    :param waited_s: seconds spent waiting for a path.
-    :param avoided: lifetimes of targets that must not get the request again.
-    """
-
-    request: CallerRequest
-    fields: CallerFields
-    response: ResponseWriter
-    route: RouteRule
-    service: ServiceRule
-    workspace: str
-    priority: int
-    desired_version: int
-    deadline_at: float
-    sends: int = 0
-    sent_at: float = 0
-    refusals: int = 0
-    waited_s: float = 0
-    avoided: set[Lifetime] = field(default_factory=set)
-
-    @property
-    def kind(self) -> str:
-        """
-        Return the kind of request, for metrics and logs.
-        """
-        return 'stream' if self.route.streams else self.route.repeat.value
-
-    def may_retry(self) -> bool:
-        """
-        Return whether the deadline and the route allow another send.
-        """
-        if self.remaining_s() <= 0 or self.response.has_ended:
-            return False
-        if self.sends and self.route.repeat is Repeat.ONCE:
-            return False
-        return self.sends < self.route.max_sends
-
-    def remaining_s(self) -> float:
-        """
-        Return the seconds until the final response is due.
-        """
-        return self.deadline_at - monotonic_s()
-
-    def age_s(self) -> float:
-        """
-        Return the seconds since the first byte of the request was received.
-        """
-        return monotonic_s() - self.request.received_at
-
-
-JSON_HEADER = (b'Content-Type', b'application/json')
-
-
-def send_error(
-    response: ResponseWriter, status: int, reason: str, retry_after_s: float = 0
-) -> None:
-    """
-    Respond with an error that the gateway itself generates.
-
-    :param retry_after_s: seconds after which the caller should retry; 0 sends
-        no `Retry-After`.
-    """
-    headers: Headers = (JSON_HEADER,)
-    if retry_after_s:
-        headers = (JSON_HEADER, (b'Retry-After', b'%.2f' % retry_after_s))
-    response.send(status, headers, orjson.dumps({'error': reason}))
-
-
 def record_outcome(
     core: Core, call: Call, outcome: str, **details: object
 ) -> None:
--- a/mallowcrank/gateway/datagrams.py
+++ b/mallowcrank/gateway/datagrams.py
@@ -4,16 +4,23 @@
 Each datagram is complete, so that a lost one does no harm.
 """
 
-from collections.abc import Iterable, Mapping, Sequence
+from collections.abc import Callable, Iterable, Mapping, Sequence
 from dataclasses import dataclass, field
 from ipaddress import ip_address
 from math import isfinite
-from typing import Any
+from typing import Any, TypeVar
 
 import msgpack
 
-from mallowcrank.gateway.ports import LogPosition
 from mallowcrank.gateway.settings import Address
+from mallowcrank.gateway.status_parts import (
+    EntriesStatus,
+    PartsReport,
+    decode_entries,
+    decode_parts,
+    encode_entries,
+    encode_parts,
+)
 from mallowcrank.gateway.targets import HeldLayers, Lifetime
 from mallowcrank.limits.named import LimitReport
 
@@ -21,6 +28,7 @@
 ADDRESSES_FORMAT = 2
 MAX_PORT = 65_535
 MS_PER_S = 1000
+Decoded = TypeVar('Decoded')
 DECODE_ERRORS = (
     ValueError,
     TypeError,
@@ -30,20 +38,6 @@
 )
 
 
-@dataclass(frozen=True, slots=True)
-class EntriesStatus:
-    """
-    How far a gateway has followed the targets' entries.
-
-    :param position: of the next record; records before it are applied.
-    :param read_for_s: seconds for which its reads have succeeded; 0 if they
-        fail.
-    """
-
-    position: LogPosition
-    read_for_s: float
-
-
 @dataclass(frozen=True, slots=True)
 class GatewayStatus:
     """
@@ -65,6 +59,8 @@
         of an earlier build, which knows no limits.
     :param entries: its view of the targets' entries; none if it has none, or
         is of an earlier build.
+    :param parts: parts of prompts that may crash engines; none if there are
+        none.
     """
 
     host: str
@@ -82,18 +78,13 @@
     layers: Mapping[str, HeldLayers] = field(default_factory=dict)
     limits: Mapping[Lifetime, LimitReport] | None = None
     entries: EntriesStatus | None = None
+    parts: PartsReport | None = None
 
 
 def pack_status(status: GatewayStatus) -> bytes:
     """
     Encode a status as a datagram.
     """
-    # Earlier builds end a status before or after the limits.
-    optional: list[Any] = []
-    if status.limits is not None or status.entries is not None:
-        optional.append(_encode_limits(status.limits or {}))
-    if status.entries is not None:
-        optional.append(_encode_entries(status.entries))
     return msgpack.packb(
         [
             STATUS_FORMAT,
@@ -112,7 +103,7 @@
                 name: [held.first, held.end, held.version]
                 for name, held in status.layers.items()
             },
-            *optional,
+            *_encode_optional(status),
         ]
     )
 
@@ -206,28 +197,38 @@
         unresponsive_targets=tuple(str(each) for each in fields[10]),
         layers={str(key): HeldLayers(*held) for key, held in reported_layers},
         paces={str(key): float(pace) for key, pace in fields[11].items()},
-        limits=_decode_limits(fields[13]) if len(fields) > 13 else None,
-        entries=_decode_entries(fields[14]) if len(fields) > 14 else None,
+        limits=_decode_optional(fields, 13, _decode_limits),
+        entries=_decode_optional(fields, 14, decode_entries),
+        parts=_decode_optional(fields, 15, decode_parts),
     )
 
 
-def _encode_limits(limits: Mapping[Lifetime, LimitReport]) -> list[Any]:
-    return [
-        [*lifetime, *encode_limit(limit)] for lifetime, limit in limits.items()
+def _encode_optional(status: GatewayStatus) -> list[Any]:
+    """
+    Encode the fields that builds have added at the end; unset ones are none,
+    and left out at the end.
+    """
+    encoded = [
+        None if status.limits is None else _encode_limits(status.limits),
+        status.entries and encode_entries(status.entries),
+        status.parts and encode_parts(status.parts),
     ]
+    while encoded and encoded[-1] is None:
+        encoded.pop()
+    return encoded
 
 
-def _encode_entries(entries: EntriesStatus) -> list[int]:
-    return [*entries.position, round(entries.read_for_s * MS_PER_S)]
+def _decode_optional(
+    fields: Sequence[Any], index: int, decode: Callable[[Any], Decoded]
+) -> Decoded | None:
+    raw = fields[index] if len(fields) > index else None
+    return None if raw is None else decode(raw)
 
 
-def _decode_entries(fields: Sequence[Any]) -> EntriesStatus:
-    era, offset, read_for_ms = fields
-    if min(era, offset, read_for_ms) < 0:
-        raise ValueError('no position')
-    return EntriesStatus(
-        LogPosition(int(era), int(offset)), int(read_for_ms) / MS_PER_S
-    )
+def _encode_limits(limits: Mapping[Lifetime, LimitReport]) -> list[Any]:
+    return [
+        [*lifetime, *encode_limit(limit)] for lifetime, limit in limits.items()
+    ]
 
 
 def _decode_limits(rows: list[Any]) -> dict[Lifetime, LimitReport]:
--- a/mallowcrank/gateway/detours.py
+++ b/mallowcrank/gateway/detours.py
@@ -10,7 +10,8 @@
 from http import HTTPStatus
 
 from mallowcrank.chains.paths import ChainPath
-from mallowcrank.gateway.core import Call, Core
+from mallowcrank.gateway.call import Call
+from mallowcrank.gateway.core import Core
 from mallowcrank.gateway.path_finder import PathFinder, format_path
 from mallowcrank.gateway.permits import Denial
 from mallowcrank.gateway.target_channel import Response
--- a/mallowcrank/gateway/endings.py
+++ b/mallowcrank/gateway/endings.py
@@ -5,13 +5,17 @@
 from dataclasses import dataclass
 from http import HTTPStatus
 
+from mallowcrank.chains.suspect_parts import Suspicion
+from mallowcrank.gateway.call import Call
 from mallowcrank.gateway.caller_channel import end_to_end_headers
 from mallowcrank.gateway.clock import monotonic_s
-from mallowcrank.gateway.core import Call, Core, record_outcome, send_error
+from mallowcrank.gateway.core import Core, record_outcome
+from mallowcrank.gateway.error_responses import send_error
 from mallowcrank.gateway.permits import Denial
 from mallowcrank.gateway.target_channel import ResponseHead
 
 TIMEOUT = 'timeout'
+TRIAL_S = 1.0  # within which a request with a part in doubt is answered
 
 
 @dataclass(frozen=True, slots=True)
@@ -71,6 +75,19 @@
         _refuse(core, call, denial.reason, denial.return_s)
 
 
+def refuse_suspect(core: Core, call: Call, suspicion: Suspicion) -> None:
+    """
+    End a call whose prompt crashes engines, or may do so; it was not sent.
+    """
+    if suspicion is Suspicion.DOUBTFUL:
+        _refuse(core, call, 'a part of the prompt is in doubt', TRIAL_S)
+        return
+    reason = 'a part of the prompt crashes engines'
+    core.meters.refusals.labels(call.kind).inc()
+    send_error(call.response, HTTPStatus.UNPROCESSABLE_ENTITY, reason)
+    record_outcome(core, call, 'refused', why=reason)
+
+
 def forward_answer(
     core: Core, call: Call, head: ResponseHead, body: bytes
 ) -> None:
--- a/mallowcrank/gateway/followers.py
+++ b/mallowcrank/gateway/followers.py
@@ -9,7 +9,6 @@
 from random import Random
 
 from mallowcrank.gateway.clock import monotonic_s
-from mallowcrank.gateway.datagrams import EntriesStatus
 from mallowcrank.gateway.desired import Desired
 from mallowcrank.gateway.fleet import Fleet
 from mallowcrank.gateway.journal import Journal
@@ -21,6 +20,7 @@
     StoreRecord,
     Vocabulary,
 )
+from mallowcrank.gateway.status_parts import EntriesStatus
 from mallowcrank.gateway.store_client import (
     StoreClient,
     StoreFailure,
--- a/mallowcrank/gateway/frontend.py
+++ b/mallowcrank/gateway/frontend.py
@@ -4,8 +4,9 @@
 
 from http import HTTPStatus
 
+from mallowcrank.gateway.call import Call
 from mallowcrank.gateway.caller_channel import CallerRequest, ResponseWriter
-from mallowcrank.gateway.core import Call, Core, send_error
+from mallowcrank.gateway.core import Core
 from mallowcrank.gateway.desired import (
     Desired,
     RouteRule,
@@ -13,6 +14,7 @@
     find_route,
     pick_service,
 )
+from mallowcrank.gateway.error_responses import send_error
 from mallowcrank.gateway.followers import LatestDesired
 from mallowcrank.gateway.plain_calls import PlainCalls
 from mallowcrank.gateway.ports import CallerFields
--- a/mallowcrank/gateway/local_endpoints.py
+++ b/mallowcrank/gateway/local_endpoints.py
@@ -3,12 +3,18 @@
 """
 
 from http import HTTPStatus
+from urllib.parse import parse_qs
 
+import orjson
+
+from mallowcrank.chains.suspect_parts import PromptPart
 from mallowcrank.gateway.caller_channel import CallerRequest, ResponseWriter
-from mallowcrank.gateway.core import JSON_HEADER, Core
+from mallowcrank.gateway.core import Core
 from mallowcrank.gateway.directory import ANSWER_TTL_S, fronts_for
+from mallowcrank.gateway.error_responses import JSON_HEADER
 from mallowcrank.gateway.gossip import Gossip
 
+SUSPECTS_PATH = '/suspects'
 METRICS_TYPE = (b'Content-Type', b'text/plain; version=0.0.4')
 
 
@@ -59,7 +65,25 @@
         self, request: CallerRequest, response: ResponseWriter
     ) -> None:
         """
-        Respond with all metrics.
+        Respond with all metrics, or with the parts of prompts that may crash
+        engines.
         """
+        if request.path == SUSPECTS_PATH:
+            self._suspects(request, response)
+            return
         exposition = self._core.meters.text()
         response.send(HTTPStatus.OK, (METRICS_TYPE,), exposition)
+
+    def _suspects(
+        self, request: CallerRequest, response: ResponseWriter
+    ) -> None:
+        """
+        List the suspects, or clear the one that a DELETE names in its query.
+        """
+        suspects = self._core.suspects
+        if request.method == 'DELETE':
+            query = parse_qs(request.query)
+            service = query.get('service', [''])[0]
+            suspects.clear(PromptPart(service, query.get('part', [''])[0]))
+        body = orjson.dumps(suspects.known())
+        response.send(HTTPStatus.OK, (JSON_HEADER,), body)
--- a/mallowcrank/gateway/meters.py
+++ b/mallowcrank/gateway/meters.py
@@ -93,6 +93,12 @@
             "Requests refused because of targets' limits.",
             ('kind',),
         )
+        self.suspect_parts = Gauge(
+            'mallowcrank_suspect_parts',
+            'Parts of prompts that may crash engines.',
+            ('suspicion',),
+            registry=self._registry,
+        )
         self.waiting = Gauge(
             'mallowcrank_waiting',
             'Requests that wait for memory of engines.',
--- a/mallowcrank/gateway/path_finder.py
+++ b/mallowcrank/gateway/path_finder.py
@@ -17,8 +17,9 @@
     choose_path,
     detour,
 )
+from mallowcrank.gateway.call import Call
 from mallowcrank.gateway.clock import monotonic_s
-from mallowcrank.gateway.core import Call, Core
+from mallowcrank.gateway.core import Core
 from mallowcrank.gateway.desired import EngineRule
 from mallowcrank.gateway.ports import Hop
 from mallowcrank.gateway.targets import Lifetime, Target
--- a/mallowcrank/gateway/plain_calls.py
+++ b/mallowcrank/gateway/plain_calls.py
@@ -11,14 +11,17 @@
 
 from mallowcrank.chains.budget import SentRequest
 from mallowcrank.chains.replicas import ReplicaRecords
+from mallowcrank.chains.suspect_parts import Suspicion
+from mallowcrank.gateway.call import Call
 from mallowcrank.gateway.clock import monotonic_s
-from mallowcrank.gateway.core import Call, Core
+from mallowcrank.gateway.core import Core
 from mallowcrank.gateway.desired import Repeat
 from mallowcrank.gateway.endings import (
     RetryAfter,
     end_denied,
     forward_answer,
     give_up,
+    refuse_suspect,
 )
 from mallowcrank.gateway.permits import Denial
 from mallowcrank.gateway.ports import ForwardFields
@@ -68,6 +71,10 @@
         """
         window = self._core.retry_windows.for_service(call.service.name)
         window.count_request(monotonic_s())
+        suspicion = self._core.suspects.suspicion(call.prompt_parts)
+        if suspicion is Suspicion.CONFIRMED:
+            refuse_suspect(self._core, call, suspicion)
+            return
         result: Response | NoResponse = NoResponse(
             'no target is there', may_have_run=False
         )
@@ -79,6 +86,8 @@
             is_final = isinstance(result, Response) and not result.is_failure
             if is_final or not self._may_retry(call):
                 break
+            if not await self._may_resend(call, claimed.target, result):
+                break
             retry = self._claim_retry(call)
             if retry is None:
                 break
@@ -99,6 +108,13 @@
         window = self._core.retry_windows.for_service(call.service.name)
         window.cancel_retry(retry)
 
+    async def _may_resend(
+        self, call: Call, target: Target, result: Response | NoResponse
+    ) -> bool:
+        if isinstance(result, Response) or not result.may_have_run:
+            return True
+        return await self._core.check_crash(call, target.lifetime)
+
     def _may_retry(self, call: Call) -> bool:
         return call.refusals <= MAX_REFUSALS and call.may_retry()
 
--- a/mallowcrank/gateway/ports.py
+++ b/mallowcrank/gateway/ports.py
@@ -46,6 +46,8 @@
     :param output_estimate: the caller's estimate of the tokens that will be
         generated; 0 if unknown.
     :param problem: what is invalid in the headers; empty if nothing is.
+    :param prompt_parts: ids of the parts of the prompt that other requests may
+        share; the request's own last part is left out.
     """
 
     request_id: str
@@ -56,6 +58,7 @@
     output_tokens: int
     output_estimate: int
     problem: str = ''
+    prompt_parts: tuple[str, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
--- a/mallowcrank/gateway/prober.py
+++ b/mallowcrank/gateway/prober.py
@@ -69,6 +69,18 @@
             if target and is_current(self._fleet, lifetime):
                 self._start_probe(target, SUSPECT_INTERVAL_S)
 
+    async def verify_loss(self, lifetime: Lifetime) -> bool:
+        """
+        Return whether a target doesn't answer any more; probe it if needed.
+        """
+        unresponsive = self._fleet.health.unresponsive()
+        target = self._fleet.find(lifetime.identity)
+        if target is None or not is_current(self._fleet, lifetime):
+            return False
+        if lifetime not in unresponsive:
+            await self._probe_target(target)
+        return lifetime in unresponsive
+
     def host_for(self, identity: str) -> str:
         """
         Return the host whose gateway probes a target regularly.
--- a/mallowcrank/gateway/program.py
+++ b/mallowcrank/gateway/program.py
@@ -248,6 +248,7 @@
                 partial(is_current, self._core.fleet)
             )
             self._core.permits.update(self.is_ready)
+            self._core.suspects.update()
             self._parts.gossip.log_view()
 
     async def _flush(self) -> None:
--- a/mallowcrank/gateway/streams.py
+++ b/mallowcrank/gateway/streams.py
@@ -12,9 +12,10 @@
 
 from mallowcrank.chains.budget import SentRequest
 from mallowcrank.chains.paths import ChainPath, NoPath
+from mallowcrank.gateway.call import Call
 from mallowcrank.gateway.caller_channel import end_to_end_headers
 from mallowcrank.gateway.clock import monotonic_s
-from mallowcrank.gateway.core import Call, Core, record_outcome
+from mallowcrank.gateway.core import Core, record_outcome
 from mallowcrank.gateway.desired import EngineRule
 from mallowcrank.gateway.detours import detour_stream
 from mallowcrank.gateway.endings import (
@@ -23,6 +24,7 @@
     end_denied,
     forward_answer,
     give_up,
+    refuse_suspect,
 )
 from mallowcrank.gateway.event_buffer import EventBuffer
 from mallowcrank.gateway.outcomes import (
@@ -103,6 +105,7 @@
         self._retry: SentRequest | None = None
         self._detours = 0
         self._is_accepted = False
+        self._may_crash = False
         self._path = NO_PATH
         self._permit = Permit()
 
@@ -111,6 +114,19 @@
         Try paths until the answer is complete, or no other attempt is allowed.
         """
         self._window.count_request(monotonic_s())
+        call = self._call
+        suspicion = await self._core.suspects.claim_trial(
+            call.fields.request_id, call.prompt_parts, self._path_wait_s()
+        )
+        if suspicion:
+            refuse_suspect(self._core, call, suspicion)
+            return
+        try:
+            await self._try_paths()
+        finally:
+            self._core.suspects.end_trial(call.fields.request_id)
+
+    async def _try_paths(self) -> None:
         while True:
             path = await self._find_path()
             if isinstance(path, Denial):
@@ -121,6 +137,8 @@
                 return
             self._path = path
             outcome = await self._attempt()
+            if isinstance(outcome, Interrupted):
+                await self._check_crash()
             if self._handle_outcome(outcome):
                 return
             await self._back_off()
@@ -157,6 +175,15 @@
             give_up(self._core, self._call, reason, RETRY_AFTER)
         return True
 
+    async def _check_crash(self) -> None:
+        """
+        Record an attempt that was lost in a crash of the path's first engine.
+        """
+        if not self._call.response.has_begun:
+            first = self._path.segments[0].lifetime
+            may_resend = await self._core.check_crash(self._call, first)
+            self._may_crash = not may_resend
+
     async def _find_path(self) -> ChainPath | Denial | str:
         """
         Choose a path, and wait a limited time for memory.
@@ -458,7 +485,7 @@
         Return whether the request may be sent again.
         """
         call = self._call
-        if not call.may_retry():
+        if not call.may_retry() or self._may_crash:
             return False
         if call.response.has_begun:
             return True
@@ -477,6 +504,8 @@
             target_health.record_acceptance(lifetimes)
         answer = self._call.response
         if not answer.has_begun:
+            self._core.suspects.record_answered(self._call.prompt_parts)
+            self._core.suspects.end_trial(self._call.fields.request_id)
             self._core.meters.first_event_s.labels('stream').observe(
                 self._call.age_s()
             )
--- a/mallowcrank/gateway/target_choice.py
+++ b/mallowcrank/gateway/target_choice.py
@@ -6,7 +6,8 @@
 from dataclasses import dataclass
 
 from mallowcrank.chains.replicas import ReplicaRecords
-from mallowcrank.gateway.core import Call, Core
+from mallowcrank.gateway.call import Call
+from mallowcrank.gateway.core import Core
 from mallowcrank.gateway.permits import Denial, Permit
 from mallowcrank.gateway.targets import Lifetime, Target
 
--- a/mallowcrank/platform/exchange.py
+++ b/mallowcrank/platform/exchange.py
@@ -20,6 +20,7 @@
 REQUEST_ID = b'mallowcrank-request-id'
 DEADLINE = b'mallowcrank-deadline-ms'
 TOKEN_COUNTS = b'mallowcrank-token-count'
+PROMPT_PARTS = b'mallowcrank-prompt-prefix'
 LENGTH_HINT = b'mallowcrank-length-hint'
 LAST_EVENT = b'last-event-id'
 API_KEY = b'x-api-key'
@@ -28,6 +29,8 @@
 FAULTY_REPLICA = b'at-server'
 RATE_LIMIT = b'server-limit'
 ENCODING = b'content-encoding'
+MAX_PROMPT_PARTS = 32  # further ones are ignored
+MAX_PART_LENGTH = 64  # characters of an id; longer ones are ignored
 MAX_NUMBER_LENGTH = 32  # characters; longer numbers are invalid
 
 SET_BY_GATEWAY = frozenset(
@@ -60,6 +63,7 @@
         output_tokens=output,
         output_estimate=_parse_count(by_name.get(LENGTH_HINT, '')),
         problem=problem,
+        prompt_parts=_parse_prompt_parts(by_name.get(PROMPT_PARTS, '')),
     )
 
 
@@ -188,6 +192,12 @@
     return _parse_count(prompt), _parse_count(output)
 
 
+def _parse_prompt_parts(text: str) -> tuple[str, ...]:
+    names = [entry.partition(':')[0].strip() for entry in text.split(',')]
+    shared = names[: min(len(names) - 1, MAX_PROMPT_PARTS)]
+    return tuple(name for name in shared if 0 < len(name) <= MAX_PART_LENGTH)
+
+
 def _parse_count(text: str) -> int:
     stripped = text.strip()
     return int(stripped) if stripped.isascii() and stripped.isdecimal() else 0
--- a/mallowcrank/platform/standins/replica.py
+++ b/mallowcrank/platform/standins/replica.py
@@ -14,7 +14,7 @@
 
 from mallowcrank.gateway.caller_channel import CallerRequest, ResponseWriter
 from mallowcrank.gateway.clock import monotonic_s
-from mallowcrank.gateway.core import JSON_HEADER
+from mallowcrank.gateway.error_responses import JSON_HEADER
 from mallowcrank.gateway.ports import Headers
 from mallowcrank.gateway.settings import Address
 from mallowcrank.platform.standins.placing import (
@@ -101,6 +101,11 @@
     :param names_limit_in_reports: whether its reports have them, too.
     :param arrivals: steady times at which requests arrived from gateways, in
         seconds.
+    :param deadly_parts: of prompts, under which it crashes when it begins to
+        answer.
+    :param crashed_at: steady time of its last crash, in seconds; none while
+        it runs.
+    :param crashes: number of its crashes.
     :param relayed_arrivals: those at which requests arrived from other
         engines.
     """
@@ -125,6 +130,9 @@
     names_limit_in_reports: bool = False
     arrivals: list[float] = field(default_factory=list)
     relayed_arrivals: list[float] = field(default_factory=list)
+    deadly_parts: set[str] = field(default_factory=set)
+    crashed_at: float | None = None
+    crashes: int = 0
 
     def __post_init__(self) -> None:
         """
@@ -146,6 +154,14 @@
         await self.server.start(address)
         self.all_replicas[str(self.address)] = self
 
+    def crash(self) -> None:
+        """
+        End at once, with all requests.
+        """
+        self.crashes += 1
+        self.crashed_at = monotonic_s()
+        self.server.stop()
+
     def entry(self) -> bytes:
         """
         Return the body of its entry in the store, for another write.
@@ -163,15 +179,10 @@
                 'sequence': self.writes,
                 'born': self.born,
                 'kind': self.kind,
-                'layers': self._layers(),
+                'layers': _layers_row(self.held),
             }
         )
 
-    def _layers(self) -> dict[str, int] | None:
-        if not self.held:
-            return None
-        return {'source': self.held[0], 'to': self.held[1], 'version': 1}
-
     async def _serve(
         self, request: CallerRequest, answer: ResponseWriter
     ) -> None:
@@ -189,7 +200,7 @@
             'sequence': self.orders,
             'born': self.born,
             'pace': self.pace,
-            'layers': self._layers(),
+            'layers': _layers_row(self.held),
             'busy': False,
         }
         headers: Headers = (JSON_HEADER,)
@@ -309,6 +320,10 @@
         is_cut = self.faults.consume('cuts')
         is_stalled = self.faults.consume('stalls')
         half = (run.last_event + EVENT_COUNT) // 2
+        await asyncio.sleep(EVENT_INTERVAL_S)
+        if self.deadly_parts.intersection(_shared_parts(run)):
+            self.crash()
+            return
         try:
             answer.begin(HTTPStatus.OK, self._response_headers(run))
             for number in range(run.last_event + 1, EVENT_COUNT + 1):
@@ -327,6 +342,18 @@
             raise
 
 
+def _layers_row(held: tuple[int, int] | None) -> dict[str, int] | None:
+    if not held:
+        return None
+    return {'source': held[0], 'to': held[1], 'version': 1}
+
+
+def _shared_parts(run: RequestRun) -> list[str]:
+    prompt = dict(run.headers).get(b'mallowcrank-prompt-prefix', b'')
+    parts = [part.partition(':')[0] for part in prompt.decode().split(',')]
+    return parts[:-1]
+
+
 def _sealed_headers(run: RequestRun) -> Headers:
     seal = f'seal.{run.request}'.encode()
     id_headers = _request_id_headers(run.request.encode())
--- a/mallowcrank/platform/standins/store_entrance.py
+++ b/mallowcrank/platform/standins/store_entrance.py
@@ -9,7 +9,7 @@
 from urllib.parse import parse_qs
 
 from mallowcrank.gateway.caller_channel import CallerRequest, ResponseWriter
-from mallowcrank.gateway.core import JSON_HEADER
+from mallowcrank.gateway.error_responses import JSON_HEADER
 from mallowcrank.gateway.ports import Headers
 from mallowcrank.platform.standins.server import StandinServer
 
--- a/tests/test_gateway_beliefs.py
+++ b/tests/test_gateway_beliefs.py
@@ -14,7 +14,6 @@
 from mallowcrank.gateway.assignment import HostAssignment
 from mallowcrank.gateway.clock import monotonic_s
 from mallowcrank.gateway.datagrams import (
-    EntriesStatus,
     GatewayStatus,
     pack_status,
     read_status,
@@ -31,6 +30,7 @@
 from mallowcrank.gateway.leadership import Leadership, should_take_over
 from mallowcrank.gateway.ports import HttpCall, LogPosition
 from mallowcrank.gateway.settings import Address
+from mallowcrank.gateway.status_parts import EntriesStatus
 from mallowcrank.gateway.store_client import (
     StoreClient,
     StoreFailure,
--- a/tests/test_gateway_retries.py
+++ b/tests/test_gateway_retries.py
@@ -8,8 +8,9 @@
 from unittest.mock import AsyncMock, Mock
 
 from mallowcrank.chains.budget import RetryWindows
+from mallowcrank.gateway.call import Call
 from mallowcrank.gateway.clock import monotonic_s
-from mallowcrank.gateway.core import Call, Core
+from mallowcrank.gateway.core import Core
 from mallowcrank.gateway.desired import Repeat
 from mallowcrank.gateway.permits import Permit
 from mallowcrank.gateway.plain_calls import PlainCalls
@@ -62,7 +63,7 @@
     def setUp(self):
         self.sent = []
         self.is_reachable = True
-        fleet = Mock()
+        fleet = Mock(entries_read_at=0)
         fleet.accepting_targets.return_value = [replica(1), replica(2)]
         fleet.health.unresponsive.return_value = {}
         vocabulary = Mock()
@@ -101,7 +102,7 @@
                 body=b'',
                 received_at=monotonic_s(),
             ),
-            fields=SimpleNamespace(request_id='r'),
+            fields=SimpleNamespace(request_id='r', prompt_parts=()),
             response=Mock(has_begun=False, has_ended=False),
             route=Mock(repeat=Repeat.ANY, streams=False, max_sends=2),
             service=SimpleNamespace(name='stock'),
--- /dev/null
+++ b/tests/test_gateway_suspects.py
@@ -0,0 +1,242 @@
+"""
+Prompts with a part that crashes each engine that begins to answer it.
+"""
+
+import json
+from unittest import IsolatedAsyncioTestCase, TestCase
+
+from mallowcrank.chains.suspect_parts import (
+    HOLD_S,
+    MAX_LOST,
+    SOUND_ANSWERS,
+    LostRequest,
+    PromptPart,
+    SuspectParts,
+    Suspicion,
+)
+from mallowcrank.gateway.ports import HttpCall
+from tests.utils.poisoned_site import DEADLY, FIRST_PART, PoisonedSite
+
+MAX_CRASHES = 5  # after which at most three further requests are run
+MAX_LATER = 3
+SERVED_SHARE = 0.9  # of sound prompts, beside crashes
+SIZES = (6, 24)
+
+
+class TestDeadlyPart(IsolatedAsyncioTestCase):
+    async def start(self, size):
+        site = PoisonedSite(size)
+        self.addAsyncCleanup(site.close)
+        await site.start()
+        return site
+
+    async def test_engines_stop_crashing_at_a_deadly_part(self):
+        for size in SIZES:
+            with self.subTest(size=size):
+                site = await self.start(size)
+                await site.load(2, poisoned_share=0)
+                site.poison()
+                await site.load(10)
+                self.assertLessEqual(site.crashes, MAX_CRASHES + MAX_LATER)
+                sound = site.statuses
+                self.assertGreater(
+                    sound[200], SERVED_SHARE * sound.total(), sound
+                )
+
+    async def test_request_that_crashed_an_engine_is_not_sent_again(self):
+        site = await self.start(6)
+        await site.load(1, poisoned_share=0)
+        site.poison()
+        for _ in range(3):
+            await site.send(is_poisoned=True)
+        runs = site.poisoned_runs
+        self.assertEqual(len(runs), len(set(runs)))
+
+    async def test_part_that_turns_deadly_is_found(self):
+        site = await self.start(6)
+        await site.load(3, poisoned_share=0.1)
+        site.poison()
+        await site.load(12)
+        self.assertLessEqual(site.crashes, MAX_CRASHES + MAX_LATER)
+        self.assertGreater(
+            site.statuses[200], SERVED_SHARE * site.statuses.total()
+        )
+
+    async def test_restarted_gateway_hears_of_a_deadly_part(self):
+        site = await self.start(6)
+        await site.load(1, poisoned_share=0)
+        site.poison()
+        await site.load(5)
+        before = site.crashes
+        seeds = (str(site.gateways[0].settings.listening.peers),)
+        started = await site.world.start_gateway(seeds=seeds)
+        await site.world.wait_for(lambda: started.core.peers.live())
+        response = await site.send(is_poisoned=True, gateway=started)
+        self.assertEqual(response.status, 422)
+        self.assertEqual(site.crashes, before)
+
+    async def test_refusal_of_a_deadly_part_is_final(self):
+        site = await self.start(6)
+        await site.load(1, poisoned_share=0)
+        site.poison()
+        await site.load(5)
+        response = await site.send(is_poisoned=True)
+        self.assertEqual(response.status, 422)
+        self.assertNotIn(b'retry-after', response.headers)
+
+    async def test_crash_for_another_reason_blames_no_part(self):
+        site = await self.start(6)
+        await site.load(2, poisoned_share=0)
+        for number in range(4):
+            site.engines[number].crash()
+            await site.load(1.5, poisoned_share=0)
+        await site.load(1, poisoned_share=0)
+        self.assertNotIn(422, site.statuses)
+        self.assertGreater(
+            site.statuses[200], SERVED_SHARE * site.statuses.total()
+        )
+
+    async def test_two_deadly_parts_are_found(self):
+        site = await self.start(6)
+        await site.load(2, poisoned_share=0)
+        site.poison(DEADLY, 'a3')
+        await site.load(12)
+        self.assertLessEqual(site.crashes, 2 * (MAX_CRASHES + MAX_LATER))
+        self.assertGreater(site.statuses[200], 0.8 * site.statuses.total())
+
+    async def test_operator_sees_and_clears_a_part(self):
+        site = await self.start(2)
+        await site.load(1, poisoned_share=0)
+        site.poison()
+        await site.load(5)
+        for engine in site.engines:
+            engine.deadly_parts = set()
+        metrics = site.gateways[0].settings.metrics
+        pool = site.gateways[0].core.pool
+        listed = await pool.fetch(metrics, HttpCall('GET', '/suspects'), 1)
+        rows = {row['part']: row for row in json.loads(listed.body)}
+        self.assertEqual(rows[DEADLY]['suspicion'], 'confirmed')
+        self.assertGreater(len(rows[DEADLY]['lost']), 1)
+        query = f'service=model&part={DEADLY}'
+        await pool.fetch(metrics, HttpCall('DELETE', f'/suspects?{query}'), 1)
+        part = PromptPart('model', DEADLY)
+        await site.world.wait_for(
+            lambda: (
+                not any(
+                    gateway.core.suspects.suspicion((part,))
+                    for gateway in site.gateways
+                )
+            )
+        )
+        response = await site.send(is_poisoned=True)
+        self.assertEqual(response.status, 200)
+
+
+class TestSuspectParts(TestCase):
+    def setUp(self):
+        self.parts = SuspectParts()
+        self.lost_count = 0
+
+    def lose(self, at, *names):
+        self.lost_count += 1
+        lost = LostRequest(
+            f'r{self.lost_count}', 'i-1', at, tuple(map(part_of, names))
+        )
+        self.parts.record_lost(lost, at)
+
+    def answer(self, at, *names):
+        self.parts.record_answered(map(part_of, names), at)
+
+    def suspicion(self, name, now):
+        return self.parts.suspicions(now).get(part_of(name), Suspicion.NONE)
+
+    def test_part_of_two_crashes_is_to_blame(self):
+        self.lose(0, FIRST_PART, 'x')
+        self.assertEqual(self.suspicion('x', 0), Suspicion.DOUBTFUL)
+        self.answer(0.5, FIRST_PART, 'y')
+        self.lose(1, FIRST_PART, 'x')
+        self.answer(1.5, FIRST_PART, 'y')
+        self.assertEqual(self.suspicion('x', 2), Suspicion.CONFIRMED)
+        self.assertEqual(self.suspicion(FIRST_PART, 2), Suspicion.NONE)
+
+    def test_request_that_is_lost_twice_shows_two_crashes(self):
+        for engine in ('i-1', 'i-2'):
+            lost = LostRequest('r', engine, 0.1, (part_of('x'),))
+            self.parts.record_lost(lost, 0.1)
+        self.answer(1, 'z')
+        self.assertEqual(self.suspicion('x', 1), Suspicion.CONFIRMED)
+
+    def test_part_that_another_gateway_confirms_is_to_blame(self):
+        for at in (0, 1):
+            self.lose(at, 'x')
+        self.assertEqual(self.suspicion('x', 1), Suspicion.DOUBTFUL)
+        self.parts.record_confirmed(part_of('x'), 1)
+        self.parts.record_confirmed(part_of('unknown'), 1)
+        self.assertEqual(self.suspicion('x', 1), Suspicion.CONFIRMED)
+        self.assertEqual(self.suspicion('x', 20), Suspicion.DOUBTFUL)
+        self.assertEqual(self.suspicion('unknown', 1), Suspicion.NONE)
+
+    def test_requests_lost_at_once_are_one_crash(self):
+        for at in (0, 0.1, 0.2):
+            self.lose(at, FIRST_PART, 'x')
+        self.answer(1, FIRST_PART)
+        self.assertEqual(self.suspicion('x', 1), Suspicion.DOUBTFUL)
+
+    def test_answered_part_is_not_to_blame(self):
+        self.lose(0, 'x')
+        self.answer(1, 'x')
+        self.lose(2, 'x')
+        self.assertNotEqual(self.suspicion('x', 2), Suspicion.CONFIRMED)
+
+    def test_no_part_is_to_blame_while_nothing_is_answered(self):
+        self.answer(0, FIRST_PART)
+        for at in (1, 2, 3, 4, 5):
+            self.lose(at, FIRST_PART, f'x{at}')
+        self.assertNotEqual(self.suspicion(FIRST_PART, 5), Suspicion.CONFIRMED)
+
+    def test_parts_that_crashes_cannot_tell_apart_are_in_doubt(self):
+        for at in (0, 1):
+            self.lose(at, 'x', 'y')
+        self.answer(2, 'z')
+        for name in ('x', 'y'):
+            self.assertEqual(self.suspicion(name, 2), Suspicion.DOUBTFUL)
+
+    def test_new_parts_of_many_crashes_are_to_blame_without_answers(self):
+        for at in range(4):
+            self.lose(at, 'x', 'y')
+        self.assertEqual(self.suspicion('x', 4), Suspicion.CONFIRMED)
+
+    def test_part_that_was_answered_before_needs_more_crashes(self):
+        self.answer(0, FIRST_PART, 'x')
+        for at in range(1, 4):
+            self.assertNotEqual(self.suspicion('x', at), Suspicion.CONFIRMED)
+            self.lose(at, FIRST_PART, 'x')
+            for _ in range(SOUND_ANSWERS):
+                self.answer(at + 0.5, FIRST_PART)
+        self.assertEqual(self.suspicion('x', 5), Suspicion.CONFIRMED)
+
+    def test_losses_that_a_deadly_part_explains_blame_no_other(self):
+        for at in (0, 1, 2):
+            self.lose(at, 'x', f'y{at % 2}')
+        self.answer(3, 'z')
+        self.assertEqual(self.suspicion('x', 3), Suspicion.CONFIRMED)
+        self.assertEqual(self.suspicion('y0', 3), Suspicion.NONE)
+
+    def test_part_is_tried_again_after_a_while(self):
+        for at in (0, 1):
+            self.lose(at, 'x')
+        self.answer(2, 'z')
+        self.assertEqual(self.suspicion('x', HOLD_S), Suspicion.CONFIRMED)
+        self.assertEqual(self.suspicion('x', HOLD_S + 2), Suspicion.DOUBTFUL)
+        self.lose(HOLD_S + 2, 'x')
+        later = 2 * HOLD_S + 30
+        self.assertEqual(self.suspicion('x', later), Suspicion.CONFIRMED)
+
+    def test_lost_requests_are_bounded(self):
+        for at in range(3 * MAX_LOST):
+            self.lose(at, f'x{at}')
+        self.assertLessEqual(len(self.parts.lost), MAX_LOST)
+
+
+def part_of(name):
+    return PromptPart('model', name)
