Test suspected parts of prompts among 84 gateways, and their encoding

In virtual time: at 6, 24 and 84 gateways that exchange statuses every 0.5 s, at most five requests with a deadly part run before all gateways refuse it.

--- a/tests/test_gateway_beliefs.py
+++ b/tests/test_gateway_beliefs.py
@@ -10,7 +10,10 @@
 from unittest import IsolatedAsyncioTestCase, TestCase
 from unittest.mock import Mock, patch
 
+import msgpack
+
 from mallowcrank.chains.memory import MemoryLedger
+from mallowcrank.chains.suspect_parts import PromptPart
 from mallowcrank.gateway.assignment import HostAssignment
 from mallowcrank.gateway.clock import monotonic_s
 from mallowcrank.gateway.datagrams import (
@@ -30,7 +33,12 @@
 from mallowcrank.gateway.leadership import Leadership, should_take_over
 from mallowcrank.gateway.ports import HttpCall, LogPosition
 from mallowcrank.gateway.settings import Address
-from mallowcrank.gateway.status_parts import EntriesStatus
+from mallowcrank.gateway.status_parts import (
+    AnsweredPart,
+    EntriesStatus,
+    LostReport,
+    PartsReport,
+)
 from mallowcrank.gateway.store_client import (
     StoreClient,
     StoreFailure,
@@ -48,6 +56,12 @@
 from tests.utils.platform_pages import newest_page, read_page
 
 VOCABULARY = platform_vocabulary()
+PART = PromptPart('model', '5c1e07a2')
+PARTS_REPORT = PartsReport(
+    lost=(LostReport('r1', 'i-1', 2.5, (PART,)),),
+    answered=(AnsweredPart(PART, 0.25),),
+    confirmed=(PART,),
+)
 
 
 def quiet_journal():
@@ -558,11 +572,20 @@
             {},
             {'limits': {}},
             {'limits': {}, 'entries': EntriesStatus(LogPosition(2, 70), 1.5)},
+            {'parts': PARTS_REPORT},
+            {'limits': {}, 'parts': PARTS_REPORT},
         ):
             with self.subTest(changes=changes):
                 status = make_status(**changes)
                 self.assertEqual(read_status(pack_status(status)), status)
 
+    def test_malformed_report_of_parts_is_ignored(self):
+        fields = msgpack.unpackb(pack_status(make_status(parts=PARTS_REPORT)))
+        for parts in ([], 7, [[], [], [7]], [[['r', 'i', -1, []]], [], []]):
+            with self.subTest(parts=parts):
+                raw = msgpack.packb([*fields[:-1], parts])
+                self.assertIsNone(read_status(raw))
+
     def test_status_with_a_negative_position_is_ignored(self):
         entries = EntriesStatus(LogPosition(2, -1), 0)
         raw = pack_status(make_status(limits={}, entries=entries))
--- a/tests/test_gateway_suspects.py
+++ b/tests/test_gateway_suspects.py
@@ -3,7 +3,10 @@
 """
 
 import json
+from collections import Counter
+from random import Random
 from unittest import IsolatedAsyncioTestCase, TestCase
+from unittest.mock import Mock, patch
 
 from mallowcrank.chains.suspect_parts import (
     HOLD_S,
@@ -15,6 +18,8 @@
     Suspicion,
 )
 from mallowcrank.gateway.ports import HttpCall
+from mallowcrank.gateway.suspects import Suspects
+from mallowcrank.gateway.targets import Lifetime
 from tests.utils.poisoned_site import DEADLY, FIRST_PART, PoisonedSite
 
 MAX_CRASHES = 5  # after which at most three further requests are run
@@ -132,6 +137,74 @@
         self.assertEqual(response.status, 200)
 
 
+class SuspectNetwork:
+    """
+    Gateways in virtual time, which hear each other's statuses in turn.
+    """
+
+    status_interval_s = 0.5
+
+    def __init__(self, size):
+        self.now = 100.0
+        self.crashes = 0
+        self.refused = Counter()
+        self.random = Random(1)
+        self.gateways = [Suspects(Mock(), Mock()) for _ in range(size)]
+        self.answered = 0
+
+    def run(self, seconds, sound_per_s, deadly_per_s):
+        step_s = 0.01
+        with patch('mallowcrank.gateway.suspects.monotonic_s', self.read_clock):
+            for number in range(int(seconds / step_s)):
+                self.now += step_s
+                if self.random.random() < sound_per_s * step_s:
+                    self.send(f'a{self.random.randrange(12)}')
+                if self.random.random() < deadly_per_s * step_s:
+                    self.send(DEADLY)
+                if number % int(self.status_interval_s / step_s) == 0:
+                    self.exchange()
+
+    def read_clock(self):
+        return self.now
+
+    def send(self, middle):
+        gateway = self.random.choice(self.gateways)
+        parts = tuple(map(part_of, (FIRST_PART, middle)))
+        if gateway.suspicion(parts) is Suspicion.CONFIRMED:
+            self.refused[middle] += 1
+        elif middle == DEADLY:
+            self.crashes += 1
+            engine = Lifetime(f'i-{self.crashes}', 0)
+            gateway.record_lost(f'r{self.crashes}', engine, parts)
+        else:
+            self.answered += 1
+            gateway.record_answered(parts)
+
+    def exchange(self):
+        reports = [gateway.report() for gateway in self.gateways]
+        for receiver in self.gateways:
+            for report in filter(None, reports):
+                receiver.apply(report)
+
+
+class TestManyGateways(TestCase):
+    def test_few_requests_run_before_all_gateways_refuse_a_part(self):
+        for size in (6, 24, 84):
+            with self.subTest(size=size):
+                network = SuspectNetwork(size)
+                network.run(20, sound_per_s=45, deadly_per_s=1.2)
+                self.assertLessEqual(network.crashes, MAX_CRASHES)
+                self.assertEqual(set(network.refused), {DEADLY})
+
+    def test_frequent_requests_with_a_deadly_part_stop_within_a_second(self):
+        network = SuspectNetwork(84)
+        network.run(3, sound_per_s=45, deadly_per_s=6)
+        before = network.crashes
+        network.run(20, sound_per_s=45, deadly_per_s=6)
+        self.assertEqual(network.crashes, before)
+        self.assertEqual(set(network.refused), {DEADLY})
+
+
 class TestSuspectParts(TestCase):
     def setUp(self):
         self.parts = SuspectParts()
--- a/tests/test_platform_exchange.py
+++ b/tests/test_platform_exchange.py
@@ -160,3 +160,23 @@
         self.assertEqual(
             json.loads(body), {'addresses': ['10.0.0.1:80'], 'ttl_s': 1}
         )
+
+
+class TestPromptParts(TestCase):
+    def parts(self, text):
+        headers = ((b'Mallowcrank-Prompt-Prefix', text.encode()),)
+        return caller_fields(headers).prompt_parts
+
+    def test_last_part_belongs_to_the_request(self):
+        self.assertEqual(self.parts('5c:800,91:410,e4:250'), ('5c', '91'))
+        self.assertEqual(self.parts('5c:800'), ())
+        self.assertEqual(caller_fields(()).prompt_parts, ())
+
+    def test_malformed_parts_are_ignored(self):
+        for text in ('', ',', ':,::', f'{"a" * 65}:3,b:1'):
+            with self.subTest(text=text):
+                self.assertEqual(self.parts(text), ())
+
+    def test_number_of_parts_is_bounded(self):
+        text = ','.join(f'{number}:1' for number in range(500))
+        self.assertEqual(len(self.parts(text)), 32)
