Take a membership with rows that aren't numbers as unreadable

An answer of the store with the row [null, null] raised TypeError in the renewal of the lease, which ends the process; only ValueError was caught. Topic and partition are checked by type. A test with this row, and others, failed before.

--- a/mallowcrank/platform/store.py
+++ b/mallowcrank/platform/store.py
@@ -218,9 +218,12 @@
 
 
 def _decode_partition(row: object) -> tuple[str, int]:
-    if isinstance(row, list) and len(row) > 1:
-        return str(row[0]), int(row[1])
-    raise MalformedError('a partition of a membership is not a list')
+    if not isinstance(row, list) or len(row) < 2:
+        raise MalformedError('a partition of a membership is not a list')
+    topic, part = row[:2]
+    if not isinstance(topic, str) or not isinstance(part, int):
+        raise MalformedError('a partition of a membership has no number')
+    return topic, part
 
 
 def _find_owner_rows(decoded: object) -> list[Any]:
--- a/tests/test_platform_store.py
+++ b/tests/test_platform_store.py
@@ -77,9 +77,12 @@
                 self.assertIsInstance(
                     self.store.decode_newest(body), DecodeFailure
                 )
-        self.assertIsInstance(
-            self.store.decode_membership(b'{"parts": [7]}'), DecodeFailure
-        )
+        for parts in (b'[7]', b'[[null, null]]', b'[["t", "0"]]', b'[["t"]]'):
+            with self.subTest(parts=parts):
+                body = b'{"generation": 1, "parts": %b}' % parts
+                self.assertIsInstance(
+                    self.store.decode_membership(body), DecodeFailure
+                )
         self.assertIsInstance(self.store.decode_owners(b'7'), DecodeFailure)
 
     def test_decodes_a_membership(self):
