Bound the heads, bodies and events of targets' answers

Bytes that are no answer may come without end.

A head ends the channel at 64 KB, an answer that is read as a whole at 32 MB, an event of a stream or the body of its refusal at 1 MB. The first counts as no HTTP answer; the stream goes on elsewhere and avoids the engine.

--- a/mallowcrank/gateway/streams.py
+++ b/mallowcrank/gateway/streams.py
@@ -60,6 +60,7 @@
 MAX_REFUSALS = 3  # refused attempts before the first event
 MAX_DETOURS = 3
 MAX_TRIES = 4  # attempts before the first event
+MAX_EVENT_BYTES = 1_048_576  # also of an answer that is no stream
 NO_PATH = ChainPath((), 0, 0)
 NO_BUDGET = 'the retry budget is spent'
 PERMIT_EXPIRED = 'a permit has expired'
@@ -325,6 +326,7 @@
     async def _relay(self, channel: TargetChannel) -> Outcome:
         head: ResponseHead | None = None
         body: list[bytes] = []
+        unread_bytes = 0
         self._pieces.discard_remainder()
         self._is_accepted = False
         while True:
@@ -334,8 +336,10 @@
                     head = event
                 case BodyChunk() if head and head.status == HTTPStatus.OK:
                     await self._forward_events(head, event.data)
+                    unread_bytes = len(self._pieces.remainder)
                 case BodyChunk():
                     body.append(event.data)
+                    unread_bytes += len(event.data)
                 case ResponseEnd() if head and head.status == HTTPStatus.OK:
                     if self._pieces.remainder:
                         return Interrupted('the last event is cut')
@@ -348,6 +352,10 @@
                     return event
                 case ChannelBroken():
                     return Interrupted(event.reason)
+            if unread_bytes > MAX_EVENT_BYTES:
+                channel.close()
+                self._call.avoided.add(self._path.segments[0].lifetime)
+                return Interrupted('an event or error is too long')
 
     async def _next(
         self, channel: TargetChannel
--- a/mallowcrank/gateway/target_channel.py
+++ b/mallowcrank/gateway/target_channel.py
@@ -21,6 +21,8 @@
 IDLE_TIMEOUT_S = 3  # if the target's `Keep-Alive` names no timeout
 IDLE_MARGIN_S = 1  # channels are closed so long before the target's timeout
 MAX_IDLE = 32  # channels to one target
+MAX_HEAD_BYTES = 65_536  # of a response
+MAX_BODY_BYTES = 33_554_432  # of a response that is read as a whole
 
 
 @dataclass(frozen=True, slots=True)
@@ -127,6 +129,8 @@
         self._until_close = False
         self._matches: ResponseMatcher = _match_any
         self._is_skipped = False
+        self._is_in_head = False
+        self._head_bytes = 0
         self._keep_alive = False
         self._idle_timeout_s: float = IDLE_TIMEOUT_S
 
@@ -195,6 +199,7 @@
         self._matches = matches or _match_any
         self._head_only = head_only
         self._until_close = False
+        self._begin_head()
         if self._transport and self._is_open:
             self._transport.write(data)
         else:
@@ -216,9 +221,12 @@
             httptools.HttpParserError,
             httptools.HttpParserUpgrade,
         ) as error:
-            if self._is_pending:
-                self._emit(ChannelBroken(f'no HTTP answer: {error}'))
-            self.close()
+            self._break_off(f'no HTTP answer: {error}')
+            return
+        if self._is_in_head:
+            self._head_bytes += len(data)
+            if self._head_bytes > MAX_HEAD_BYTES:
+                self._break_off('the head of the answer is too long')
 
     async def next_event(self, timeout_s: float) -> ResponseEvent:
         """
@@ -248,6 +256,7 @@
         deadline_at = monotonic_s() + timeout_s
         head = ResponseHead(0, ())
         chunks = []
+        body_bytes = 0
         while True:
             event = await self.next_event(deadline_at - monotonic_s())
             match event:
@@ -255,6 +264,10 @@
                     head = event
                 case BodyChunk():
                     chunks.append(event.data)
+                    body_bytes += len(event.data)
+                    if body_bytes > MAX_BODY_BYTES:
+                        self.close()
+                        return ChannelBroken('the answer is too long')
                 case ResponseEnd():
                     return Response(head, b''.join(chunks))
                 case ChannelBroken() | ReadTimeout():
@@ -274,7 +287,7 @@
         """
         Start a response.
         """
-        self._headers = []
+        self._begin_head()
         if not self._is_pending:
             self._keep_alive = False
 
@@ -288,6 +301,7 @@
         """
         Emit the head, unless the response is interim or to another request.
         """
+        self._is_in_head = False
         if not self._is_pending:
             return
         status = self._parser.get_status_code()
@@ -320,6 +334,16 @@
             self._keep_alive = self._parser.should_keep_alive()
             self._complete()
 
+    def _begin_head(self) -> None:
+        self._headers = []
+        self._is_in_head = True
+        self._head_bytes = 0
+
+    def _break_off(self, reason: str) -> None:
+        if self._is_pending:
+            self._emit(ChannelBroken(reason))
+        self.close()
+
     def _complete(self) -> None:
         self._is_pending = False
         self.last_used_at = monotonic_s()
--- a/mallowcrank/platform/standins/replica.py
+++ b/mallowcrank/platform/standins/replica.py
@@ -30,6 +30,7 @@
 LAYERS = 80
 EVENT_COUNT = 12
 PATH_HEADER = b'mallowcrank-hop-count'
+ENDLESS_PIECE = b'x' * 65_536
 NOT_EXECUTED = ((b'Mallowcrank-Not-Executed', b'1'),)
 
 
@@ -47,6 +48,7 @@
     :param is_silent: whether nothing is answered at all.
     :param refusals_after: answered 503, once a request has been run.
     :param late_orders: orders that are carried out and not answered.
+    :param endless: answered with an event without end.
     :param refuses_detours: whether orders for another path are refused.
     """
 
@@ -58,6 +60,7 @@
     unsealed: int = 0
     is_silent: bool = False
     late_orders: int = 0
+    endless: int = 0
     refusals_after: int = 0
     refuses_detours: bool = False
 
@@ -335,6 +338,8 @@
                 if is_stalled and number > half:
                     is_stalled = False
                     await self.stalled_streams.wait(run.request)
+                if self.faults.endless:
+                    await _write_endlessly(answer)
                 answer.write(b'id: %d\ndata: event %d\n\n' % (number, number))
             answer.finish()
         except asyncio.CancelledError:
@@ -342,6 +347,12 @@
             raise
 
 
+async def _write_endlessly(answer: ResponseWriter) -> None:
+    while True:
+        answer.write(ENDLESS_PIECE)
+        await answer.drain()
+
+
 def _layers_row(held: tuple[int, int] | None) -> dict[str, int] | None:
     if not held:
         return None
--- a/tests/test_gateway_serving.py
+++ b/tests/test_gateway_serving.py
@@ -164,6 +164,18 @@
         response = await self.draft()
         self.assertEqual(response.status, 502)
 
+    async def test_event_without_end_moves_the_stream(self):
+        await self.serve(engines=((0, LAYERS), (0, LAYERS)))
+        endless = self.engines()[0]
+        endless.faults.endless = 1
+        for _ in range(4):
+            response = await self.draft()
+            self.assertEqual(response.events, ALL_EVENTS)
+            if endless.runs:
+                break
+        self.assertTrue(endless.runs)
+        await self.world.wait_for(lambda: endless.cancelled_requests)
+
     async def test_stream_that_must_not_resume_runs_once(self):
         rows = [stream_row('draft', stream_resume=False)]
         await self.serve(engines=((0, LAYERS), (0, LAYERS)), routes=rows)
--- a/tests/test_target_channel.py
+++ b/tests/test_target_channel.py
@@ -10,6 +10,8 @@
 from mallowcrank.gateway.event_buffer import EventBuffer
 from mallowcrank.gateway.settings import Address
 from mallowcrank.gateway.target_channel import (
+    MAX_BODY_BYTES,
+    MAX_HEAD_BYTES,
     BodyChunk,
     ChannelBroken,
     ReadTimeout,
@@ -101,6 +103,38 @@
         self.assertEqual(kinds, [ResponseHead, BodyChunk, ResponseEnd])
         self.assertFalse(self.channel.is_reusable)
 
+    async def test_head_without_end_breaks_the_channel(self):
+        field = b'X-Field: value\r\n'
+        for start, piece in (
+            (b'HTTP/1.1 200 OK\r\n', field * 500),
+            (b'HTTP/1.1 200 OK\r\nX-Field: ', b'x' * 5000),
+            (b'HTTP/1.1 200 ', b'O' * 5000),
+        ):
+            with self.subTest(piece=piece[:20]):
+                self.setUp()
+                self.ask()
+                self.channel.data_received(start)
+                for _ in range(100):
+                    self.channel.data_received(piece)
+                self.assertTrue(self.transport.is_aborted)
+                kinds = [type(event) for event in await self.events()]
+                self.assertEqual(kinds, [ChannelBroken])
+
+    async def test_long_body_after_a_head_is_read(self):
+        self.ask()
+        payload = bytes(4 * MAX_HEAD_BYTES)
+        self.channel.data_received(response(payload))
+        self.assertEqual(await self.body(), payload)
+
+    async def test_answer_without_end_is_no_response(self):
+        self.ask()
+        self.channel.data_received(b'HTTP/1.1 200 OK\r\nId: r1\r\n\r\n')
+        for _ in range(MAX_BODY_BYTES // MAX_HEAD_BYTES + 1):
+            self.channel.data_received(bytes(MAX_HEAD_BYTES))
+        answer = await self.channel.read_response(1)
+        self.assertIsInstance(answer, ChannelBroken)
+        self.assertTrue(self.transport.is_aborted)
+
     async def test_response_without_length_is_broken_by_a_reset(self):
         self.ask()
         self.channel.data_received(b'HTTP/1.1 200 OK\r\nId: r1\r\n\r\nabc')
