--- a/mallowcrank/gateway/endings.py
+++ b/mallowcrank/gateway/endings.py
@@ -16,6 +16,7 @@
 
 TIMEOUT = 'timeout'
 TRIAL_S = 1.0  # within which a request with a part in doubt is answered
+TRIALS_PER_S = 4
 
 
 @dataclass(frozen=True, slots=True)
@@ -80,7 +81,10 @@
     End a call whose prompt crashes engines, or may do so; it was not sent.
     """
     if suspicion is Suspicion.DOUBTFUL:
-        _refuse(core, call, 'a part of the prompt is in doubt', TRIAL_S)
+        retry_after_s = core.retry_after.assign_delay_s(
+            monotonic_s(), TRIAL_S, TRIALS_PER_S
+        )
+        _refuse(core, call, 'a part of the prompt is in doubt', retry_after_s)
         return
     reason = 'a part of the prompt crashes engines'
     core.meters.refusals.labels(call.kind).inc()
--- a/mallowcrank/gateway/store_client.py
+++ b/mallowcrank/gateway/store_client.py
@@ -154,21 +154,21 @@
             self._pool.release(channel)
         match response:
             case Response(head, body):
-                if self._is_outdated(name, head.headers, sent_at):
-                    return StoreFailure(OUTDATED)
-                return StoreResponse(head.status, body, self.era)
+                if self._accept_era(name, head.headers, sent_at):
+                    return StoreResponse(head.status, body, self.era)
+                return StoreFailure(OUTDATED)
             case ChannelBroken():
                 return StoreFailure('broken')
             case ReadTimeout():
                 return StoreFailure('silent')
 
-    def _is_outdated(self, name: str, headers: Headers, sent_at: float) -> bool:
+    def _accept_era(self, name: str, headers: Headers, sent_at: float) -> bool:
         """
-        Return whether a response is of an earlier era; record a new era.
-
-        A response without a valid era counts as of the last known one.
+        Record the era of a response; without a valid one, a response counts as
+        of the last known era.
 
         :param sent_at: steady time at which the call was sent, in seconds.
+        :returns: whether the response holds: it is not of an earlier era.
         """
         era = self._store_calls.decode_era(headers)
         problem = era.reason if isinstance(era, DecodeFailure) else ''
@@ -176,14 +176,14 @@
             self._journal.say('store: no era', call=name, why=problem)
         self._era_problem = problem
         if isinstance(era, DecodeFailure) or era == self._era:
-            return False
+            return True
         if self._era is not None and sent_at < self._era_changed_at:
             self._journal.say(
                 'store: outdated answer', era=era, known=self._era, call=name
             )
-            return True
+            return False
         self._enter_era(name, era)
-        return False
+        return True
 
     def _enter_era(self, name: str, era: int) -> None:
         """
