Pass on which entries have lapsed along with the entries of targets

A gateway that took the entries of another one just after the store came back from an older copy took one that had lapsed there for present, and used the target for as long as no other entry changed: the removal lay before the position that it went on from.

It has a path of its own, as gateways of earlier builds take another form.

--- a/mallowcrank/gateway/fleet.py
+++ b/mallowcrank/gateway/fleet.py
@@ -19,12 +19,15 @@
 class Fleet:
     """
     All targets, by identity.
+
+    :ivar lapsed: targets whose entries may return, with the steady time, in
+        seconds, from which their grace period counts.
     """
 
     def __init__(self, journal: Journal) -> None:
         self._journal = journal
         self._targets: dict[str, Target] = {}
-        self._lapsed: dict[str, float] = {}
+        self.lapsed: dict[str, float] = {}
         self._raw: dict[str, bytes] = {}
         self._displaced: dict[str, bytes] = {}
         self._gone = GoneTargets()
@@ -104,7 +107,7 @@
         if may_be_outdated and self._gone.is_outdated(
             target, self._targets.get(identity)
         ):
-            self._lapsed.pop(identity, None)
+            self.lapsed.pop(identity, None)
             self._journal.say(
                 'fleet: outdated entry', target=identity, writes=target.writes
             )
@@ -116,7 +119,7 @@
         target = self.health.with_reported_layers(target, now)
         self._targets[identity] = target
         self._raw[identity] = raw
-        self._lapsed.pop(identity, None)
+        self.lapsed.pop(identity, None)
         if before is None or before.lifetime != target.lifetime:
             self.changed_at = now
             if before:
@@ -166,8 +169,8 @@
             return
         if is_confirmed:
             self._drop(identity, since)
-        elif identity not in self._lapsed:
-            self._lapsed[identity] = since
+        elif identity not in self.lapsed:
+            self.lapsed[identity] = since
             self._journal.say('fleet: entry lapsed', target=identity)
 
     def apply_missing(
@@ -193,7 +196,7 @@
 
         :param now: steady time, in seconds.
         """
-        for identity, since in list(self._lapsed.items()):
+        for identity, since in list(self.lapsed.items()):
             if now - since > LAPSED_ENTRY_GRACE_S:
                 self._drop(identity, now)
 
@@ -217,7 +220,7 @@
 
     def _drop(self, identity: str, now: float) -> None:
         target = self._targets.pop(identity, None)
-        self._lapsed.pop(identity, None)
+        self.lapsed.pop(identity, None)
         self._raw.pop(identity, None)
         if target:
             self.health.forget(target.lifetime)
--- a/mallowcrank/gateway/followers.py
+++ b/mallowcrank/gateway/followers.py
@@ -3,7 +3,6 @@
 """
 
 import asyncio
-from collections.abc import Mapping
 from http import HTTPStatus
 from math import inf, isfinite
 from random import Random
@@ -20,7 +19,7 @@
     StoreRecord,
     Vocabulary,
 )
-from mallowcrank.gateway.status_parts import EntriesStatus
+from mallowcrank.gateway.status_parts import EntriesSnapshot, EntriesStatus
 from mallowcrank.gateway.store_client import (
     StoreClient,
     StoreFailure,
@@ -357,22 +356,21 @@
             else:
                 await self._backoff.wait()
 
-    def adopt(
-        self, entries: Mapping[str, bytes], position: LogPosition
-    ) -> None:
+    def adopt(self, snapshot: EntriesSnapshot) -> None:
         """
         Take over the entries that another gateway has read further on.
-
-        :param entries: all entries by identity, encoded as in the store.
-        :param position: up to which the other gateway has read.
         """
-        if self._position and position <= self._position:
+        if self._position and snapshot.position <= self._position:
             return
-        for identity, raw in entries.items():
+        for identity, raw in snapshot.entries.items():
             self.apply_raw(identity, raw)
         now = monotonic_s()
-        self._fleet.apply_missing(entries, now, is_confirmed=True)
-        self._position = position
+        for identity, lapsed_for_s in snapshot.lapsed.items():
+            self._fleet.apply_removal(
+                identity, now - lapsed_for_s, is_confirmed=False
+            )
+        self._fleet.apply_missing(snapshot.entries, now, is_confirmed=True)
+        self._position = snapshot.position
         self._record_view('targets: taken from another gateway')
 
     def apply_raw(self, identity: str, raw: bytes) -> None:
--- a/mallowcrank/gateway/peer_sync.py
+++ b/mallowcrank/gateway/peer_sync.py
@@ -7,24 +7,27 @@
 import asyncio
 from http import HTTPStatus
 
-import msgpack
-
 from mallowcrank.gateway.caller_channel import CallerRequest, ResponseWriter
 from mallowcrank.gateway.clock import monotonic_s
 from mallowcrank.gateway.core import Core
 from mallowcrank.gateway.datagrams import DECODE_ERRORS
+from mallowcrank.gateway.fleet import Fleet
 from mallowcrank.gateway.followers import (
     DesiredFollower,
     LatestDesired,
     TargetsFollower,
 )
 from mallowcrank.gateway.peer_table import Peer
-from mallowcrank.gateway.ports import Headers, HttpCall, LogPosition
+from mallowcrank.gateway.ports import HttpCall, LogPosition
+from mallowcrank.gateway.status_parts import (
+    EntriesSnapshot,
+    pack_snapshot,
+    read_snapshot,
+)
 from mallowcrank.gateway.target_channel import Response
 
 DESIRED_PATH = '/desired'
-TARGETS_PATH = '/targets'
-POSITION = b'Entries-Position'  # up to which the entries were read
+ENTRIES_PATH = '/entries'
 CHECK_INTERVAL_S = 0.2
 FETCH_DELAY_S = 0.4  # the store is read first
 FETCH_TIMEOUT_S = 1.0
@@ -56,12 +59,9 @@
         """
         if request.path == DESIRED_PATH and self._known.raw:
             answer.send(HTTPStatus.OK, (), self._known.raw)
-        elif request.path == TARGETS_PATH:
-            answer.send(
-                HTTPStatus.OK,
-                _encode_position(self._targets.position),
-                msgpack.packb(dict(self._core.fleet.raw_entries)),
-            )
+        elif request.path == ENTRIES_PATH and self._targets.position:
+            snapshot = _make_snapshot(self._core.fleet, self._targets.position)
+            answer.send(HTTPStatus.OK, (), pack_snapshot(snapshot))
         else:
             answer.send(HTTPStatus.NOT_FOUND, (), b'')
 
@@ -127,24 +127,19 @@
             await self._fetch_entries(peer)
 
     async def _fetch_entries(self, peer: Peer) -> None:
-        response = await self._get(peer, TARGETS_PATH)
+        response = await self._get(peer, ENTRIES_PATH)
         if response is None:
             return
         try:
-            entries = dict(msgpack.unpackb(response.body))
-            position = _decode_position(response.head.headers)
+            snapshot = read_snapshot(response.body)
         except DECODE_ERRORS as error:
             self._core.journal.say(
                 'peers: unreadable entries',
                 peer=peer.last_status.host,
                 why=repr(error),
             )
-            return
-        if position:
-            self._targets.adopt(entries, position)
-        elif not self._targets.position:
-            for identity, entry in entries.items():
-                self._targets.apply_raw(identity, entry)
+        else:
+            self._targets.adopt(snapshot)
 
     async def _get(self, peer: Peer, path: str) -> Response | None:
         call = HttpCall('GET', path)
@@ -163,13 +158,10 @@
     return peer.last_status.desired_version
 
 
-def _encode_position(position: LogPosition | None) -> Headers:
-    return ((POSITION, b'%d,%d' % position),) if position else ()
-
-
-def _decode_position(headers: Headers) -> LogPosition | None:
-    for name, content in headers:
-        if name.lower() == POSITION.lower():
-            era, _, offset = content.partition(b',')
-            return LogPosition(int(era), int(offset))
-    return None
+def _make_snapshot(fleet: Fleet, position: LogPosition) -> EntriesSnapshot:
+    now = monotonic_s()
+    return EntriesSnapshot(
+        position,
+        dict(fleet.raw_entries),
+        {identity: now - since for identity, since in fleet.lapsed.items()},
+    )
--- a/mallowcrank/gateway/status_parts.py
+++ b/mallowcrank/gateway/status_parts.py
@@ -3,10 +3,12 @@
 what it knows of parts of prompts that may crash engines.
 """
 
-from collections.abc import Sequence
+from collections.abc import Mapping, Sequence
 from dataclasses import dataclass
 from typing import Any
 
+import msgpack
+
 from mallowcrank.chains.suspect_parts import PromptPart
 from mallowcrank.gateway.ports import LogPosition
 
@@ -69,6 +71,45 @@
     confirmed: tuple[PromptPart, ...]
 
 
+@dataclass(frozen=True, slots=True)
+class EntriesSnapshot:
+    """
+    All entries of targets, as one gateway knows them.
+
+    :param position: up to which it has read.
+    :param entries: by identity, encoded as in the store.
+    :param lapsed: seconds for which entries have been missing that may return,
+        by identity.
+    """
+
+    position: LogPosition
+    entries: Mapping[str, bytes]
+    lapsed: Mapping[str, float]
+
+
+def pack_snapshot(snapshot: EntriesSnapshot) -> bytes:
+    """
+    Encode a snapshot.
+    """
+    return msgpack.packb(
+        [list(snapshot.position), snapshot.entries, snapshot.lapsed]
+    )
+
+
+def read_snapshot(raw: bytes) -> EntriesSnapshot:
+    """
+    Decode a snapshot.
+
+    :raises ValueError: if it is malformed; other errors of decoding, too.
+    """
+    (era, offset), entries, lapsed = msgpack.unpackb(raw)
+    return EntriesSnapshot(
+        LogPosition(int(era), int(offset)),
+        {str(key): bytes(entry) for key, entry in entries.items()},
+        {str(key): max(0, float(age_s)) for key, age_s in lapsed.items()},
+    )
+
+
 def encode_entries(entries: EntriesStatus) -> list[int]:
     """
     Encode how far entries were followed as a part of a datagram.
--- a/tests/test_gateway_beliefs.py
+++ b/tests/test_gateway_beliefs.py
@@ -35,9 +35,12 @@
 from mallowcrank.gateway.settings import Address
 from mallowcrank.gateway.status_parts import (
     AnsweredPart,
+    EntriesSnapshot,
     EntriesStatus,
     LostReport,
     PartsReport,
+    pack_snapshot,
+    read_snapshot,
 )
 from mallowcrank.gateway.store_client import (
     StoreClient,
@@ -390,6 +393,34 @@
         self.assertIn('source=11', self.link.calls[3])
         self.assertEqual(follower.position, (2, 12))
 
+    async def test_lapsed_entries_of_a_snapshot_lapse(self):
+        follower = self.make_follower(
+            StoreResponse(200, newest_page(9, {'i-1': entry()}))
+        )
+        await follower.step()
+        snapshot = EntriesSnapshot(
+            LogPosition(0, 12),
+            {'i-1': entry(), 'i-2': entry(address='10.128.0.10:8080')},
+            {'i-2': 1},
+        )
+        packed = pack_snapshot(snapshot)
+        self.assertEqual(read_snapshot(packed), snapshot)
+        follower.adopt(snapshot)
+        self.assertEqual(follower.position, (0, 12))
+        self.assertAlmostEqual(monotonic_s() - self.fleet.lapsed['i-2'], 1, 1)
+        self.fleet.drop_lapsed(monotonic_s() + 1)
+        self.assertIsNone(self.fleet.find('i-2'))
+        self.assertIsNotNone(self.fleet.find('i-1'))
+
+    async def test_earlier_snapshot_changes_nothing(self):
+        follower = self.make_follower(
+            StoreResponse(200, newest_page(9, {'i-1': entry()}), era=2)
+        )
+        await follower.step()
+        for position in (LogPosition(2, 9), LogPosition(1, 90)):
+            follower.adopt(EntriesSnapshot(position, {}, {}))
+        self.assertIsNotNone(self.fleet.find('i-1'))
+
     async def test_failed_reads_change_nothing(self):
         follower = self.make_follower(
             StoreResponse(200, newest_page(9, {'i-1': entry()})),
--- a/tests/test_gateway_store_views.py
+++ b/tests/test_gateway_store_views.py
@@ -271,6 +271,18 @@
         arrivals = await self.request([self.separated])
         self.assertEqual(arrivals['stock-0'], 0)
 
+    async def test_entry_that_lapses_elsewhere_is_not_taken_as_present(self):
+        copy = await self.copy_then(lambda: self.put_others(3))
+        await self.lose(
+            copy,
+            lambda: self.world.store.put(TARGETS, 'stock-0', None),
+            lambda: self.put_others(4),
+        )
+        self.entrance.faults.mode = 'busy'
+        await asyncio.sleep(DRAIN_S + RETURN_S + 1)
+        arrivals = await self.request([self.separated])
+        self.assertEqual(arrivals['stock-0'], 0)
+
     async def test_invalid_eras_lose_nothing(self):
         for values in ((), (b'x',), (b'3', b'4'), (b'0',), (b'9',)):
             with self.subTest(values=values):
