--- a/mallowcrank/chains/suspect_parts.py
+++ b/mallowcrank/chains/suspect_parts.py
@@ -115,10 +115,10 @@
             if all(confirmed.intersection(each.parts) for each in lost):
                 continue
             if self._is_confirmed_elsewhere(part, now) or self._is_confirmed(
-                part, by_part
+                part, lost, crashes
             ):
                 confirmed.add(part)
-                is_held = now < _held_until(lost)
+                is_held = now < _held_until(lost, crashes[part])
                 found[part] = Suspicion(Suspicion.DOUBTFUL + is_held)
             elif crashes[part] > 1 or not self._was_sound(part, lost):
                 found[part] = Suspicion.DOUBTFUL
@@ -210,16 +210,18 @@
     def _is_confirmed(
         self,
         part: PromptPart,
-        by_part: Mapping[PromptPart, Collection[LostRequest]],
+        lost: Collection[LostRequest],
+        crashes_by_part: Mapping[PromptPart, int],
     ) -> bool:
         """
         Return whether a part is to blame.
 
         Without any answers meanwhile, a part that all requests share looks
         like one that crashes engines.
+
+        :param lost: the lost requests that speak against it.
         """
-        lost = by_part[part]
-        crashes = _crashes(lost)
+        crashes = crashes_by_part[part]
         min_crashes, min_answers = MIN_CRASHES, 1
         if self._was_sound(part, lost):
             min_crashes, min_answers = SOUND_CRASHES, SOUND_ANSWERS
@@ -230,9 +232,7 @@
         if crashes < min_crashes or answers < min_answers:
             return False
         others = {other for each in lost for other in each.parts} - {part}
-        return all(
-            _crashes(by_part.get(other, ())) < crashes for other in others
-        )
+        return all(crashes_by_part.get(other, 0) < crashes for other in others)
 
     def _was_sound(
         self, part: PromptPart, lost: Collection[LostRequest]
@@ -261,6 +261,6 @@
     return count
 
 
-def _held_until(lost: Collection[LostRequest]) -> float:
-    hold_s = HOLD_S * 2 ** (_crashes(lost) - MIN_CRASHES)
+def _held_until(lost: Collection[LostRequest], crashes: int) -> float:
+    hold_s = HOLD_S * 2 ** (crashes - MIN_CRASHES)
     return max(each.at for each in lost) + min(MAX_HOLD_S, hold_s)
