Log which requests are lost when a target's channel breaks

The incident's logs don't tell a replica that was lost for another reason from one that a repeated request crashed: a plain call and a begun stream leave no line with the target, and none says what the request was. The digest is the same for all repetitions of a request.

--- a/mallowcrank/gateway/call.py
+++ b/mallowcrank/gateway/call.py
@@ -3,6 +3,7 @@
 """
 
 from dataclasses import dataclass, field
+from hashlib import blake2b
 
 from mallowcrank.chains.suspect_parts import PromptPart
 from mallowcrank.gateway.caller_channel import CallerRequest, ResponseWriter
@@ -11,6 +12,8 @@
 from mallowcrank.gateway.ports import CallerFields
 from mallowcrank.gateway.targets import Lifetime
 
+DIGEST_BYTES = 12
+
 
 @dataclass(slots=True)
 class Call:
@@ -57,6 +60,27 @@
         names = self.fields.prompt_parts
         return tuple(PromptPart(self.service.name, name) for name in names)
 
+    def digest(self) -> str:
+        """
+        Return a digest that repetitions of the request share.
+
+        They have the workspace, method, host, path, query and body in common;
+        ids, deadlines and events to resume after differ.
+        """
+        request = self.request
+        fields = (
+            self.workspace.encode(),
+            request.method.encode(),
+            request.host.encode(),
+            request.target,
+            request.body,
+        )
+        digest = blake2b(digest_size=DIGEST_BYTES)
+        for each in fields:
+            digest.update(b'%d:' % len(each))
+            digest.update(each)
+        return digest.hexdigest()
+
     def may_retry(self) -> bool:
         """
         Return whether the deadline and the route allow another send.
--- a/mallowcrank/gateway/core.py
+++ b/mallowcrank/gateway/core.py
@@ -180,6 +180,25 @@
         return matches
 
 
+def log_broken_channel(
+    core: Core, call: Call, lifetime: Lifetime, reason: str
+) -> None:
+    """
+    Log that a target's channel broke before the answer was complete.
+    """
+    core.journal.say(
+        'request: channel broken',
+        Importance.FAILURE,
+        request=call.fields.request_id,
+        digest=call.digest(),
+        target=lifetime.identity,
+        born_ms=lifetime.born_ms,
+        has_begun=call.response.has_begun,
+        lasted_s=round(monotonic_s() - call.sent_at, 4),
+        why=reason,
+    )
+
+
 def record_outcome(
     core: Core, call: Call, outcome: str, **details: object
 ) -> None:
--- a/mallowcrank/gateway/plain_calls.py
+++ b/mallowcrank/gateway/plain_calls.py
@@ -14,7 +14,7 @@
 from mallowcrank.chains.suspect_parts import Suspicion
 from mallowcrank.gateway.call import Call
 from mallowcrank.gateway.clock import monotonic_s
-from mallowcrank.gateway.core import Core
+from mallowcrank.gateway.core import Core, log_broken_channel
 from mallowcrank.gateway.desired import Repeat
 from mallowcrank.gateway.endings import (
     RetryAfter,
@@ -141,7 +141,7 @@
         is_failed: bool | None = None
         try:
             self._send(call, target, channel)
-            result = await self._read_response(call, channel)
+            result = await self._read_response(call, target, channel)
             is_failed = _is_failed(result)
         finally:
             self._records.record_end(target.lifetime, is_failed)
@@ -170,7 +170,7 @@
         )
 
     async def _read_response(
-        self, call: Call, channel: TargetChannel
+        self, call: Call, target: Target, channel: TargetChannel
     ) -> Response | NoResponse:
         read_until = call.deadline_at
         if call.route.repeat is Repeat.ANY and self._has_other_target(call):
@@ -180,6 +180,9 @@
             case Response():
                 return response
             case ChannelBroken():
+                log_broken_channel(
+                    self._core, call, target.lifetime, response.reason
+                )
                 return NoResponse(response.reason, may_have_run=True)
             case ReadTimeout():
                 return NoResponse('silent', may_have_run=True)
--- a/mallowcrank/gateway/streams.py
+++ b/mallowcrank/gateway/streams.py
@@ -15,7 +15,11 @@
 from mallowcrank.gateway.call import Call
 from mallowcrank.gateway.caller_channel import end_to_end_headers
 from mallowcrank.gateway.clock import monotonic_s
-from mallowcrank.gateway.core import Core, record_outcome
+from mallowcrank.gateway.core import (
+    Core,
+    log_broken_channel,
+    record_outcome,
+)
 from mallowcrank.gateway.desired import EngineRule
 from mallowcrank.gateway.detours import detour_stream
 from mallowcrank.gateway.endings import (
@@ -351,6 +355,12 @@
                     channel.close()
                     return event
                 case ChannelBroken():
+                    log_broken_channel(
+                        self._core,
+                        self._call,
+                        self._path.segments[0].lifetime,
+                        event.reason,
+                    )
                     return Interrupted(event.reason)
             if unread_bytes > MAX_EVENT_BYTES:
                 channel.close()
