--- a/mallowcrank/platform/standins/replica.py
+++ b/mallowcrank/platform/standins/replica.py
@@ -80,6 +80,7 @@
 
     :param layers: the layers of its path, in order.
     :param last_event: the event after which a stream resumes, 0 for none.
+    :param at: steady time at which it began, in seconds.
     """
 
     request: str
@@ -87,6 +88,7 @@
     body: bytes
     layers: tuple[int, ...]
     last_event: int
+    at: float
 
 
 @dataclass
@@ -106,6 +108,8 @@
         seconds.
     :param deadly_parts: of prompts, under which it crashes when it begins to
         answer.
+    :param deadly_bodies: of requests under which it crashes.
+    :param events_before_crash: that it sends of a stream with such a body.
     :param crashed_at: steady time of its last crash, in seconds; none while
         it runs.
     :param crashes: number of its crashes.
@@ -134,6 +138,8 @@
     arrivals: list[float] = field(default_factory=list)
     relayed_arrivals: list[float] = field(default_factory=list)
     deadly_parts: set[str] = field(default_factory=set)
+    deadly_bodies: set[bytes] = field(default_factory=set)
+    events_before_crash: int = 0
     crashed_at: float | None = None
     crashes: int = 0
 
@@ -254,6 +260,10 @@
             )
             return
         run = self._record_run(by_name, request.body)
+        if self.held is None and run.body in self.deadly_bodies:
+            await asyncio.sleep(EVENT_INTERVAL_S)
+            self.crash()
+            return
         if self.faults.consume('losses'):
             answer.abort()
         elif self.faults.consume('failures'):
@@ -305,6 +315,7 @@
             body=body,
             layers=tuple(layers),
             last_event=int(by_name.get(b'last-event-id', b'0')),
+            at=monotonic_s(),
         )
         self.runs.append(run)
         return run
@@ -324,13 +335,15 @@
         is_stalled = self.faults.consume('stalls')
         half = (run.last_event + EVENT_COUNT) // 2
         await asyncio.sleep(EVENT_INTERVAL_S)
-        if self.deadly_parts.intersection(_shared_parts(run)):
-            self.crash()
-            return
+        crash_at = _find_crash_event(self, run)
+        if crash_at <= run.last_event:
+            return self.crash()
         try:
             answer.begin(HTTPStatus.OK, self._response_headers(run))
             for number in range(run.last_event + 1, EVENT_COUNT + 1):
                 await asyncio.sleep(EVENT_INTERVAL_S)
+                if number >= crash_at:
+                    return self.crash()
                 if is_cut and number > half:
                     answer.write(b'id: %d\nda' % number)
                     answer.abort()
@@ -365,6 +378,19 @@
     return parts[:-1]
 
 
+def _find_crash_event(replica: StandinReplica, run: RequestRun) -> int:
+    """
+    Return the number of the event before which a replica crashes; that of the
+    event after which the stream resumes if it crashes without an answer.
+    """
+    if replica.deadly_parts.intersection(_shared_parts(run)):
+        return run.last_event
+    if run.body in replica.deadly_bodies:
+        sent_before = replica.events_before_crash
+        return run.last_event + (sent_before + 1 if sent_before else 0)
+    return EVENT_COUNT + 1
+
+
 def _sealed_headers(run: RequestRun) -> Headers:
     seal = f'seal.{run.request}'.encode()
     id_headers = _request_id_headers(run.request.encode())
--- a/tests/utils/poisoned_site.py
+++ b/tests/utils/poisoned_site.py
@@ -1,5 +1,5 @@
 """
-A site whose engines crash when they begin to answer a certain part of prompts.
+Sites whose targets crash under requests with a certain part or body.
 """
 
 import asyncio
@@ -34,7 +34,7 @@
     async def start(self):
         asyncio.get_running_loop().set_debug(enabled=False)
         await self.world.start_store()
-        await self.world.start_engines(*((0, 80) for _ in range(ENGINE_COUNT)))
+        await self.start_targets()
         first = await self.world.start_gateway()
         seeds = (str(first.settings.listening.peers),)
         self.gateways = [first]
@@ -48,6 +48,9 @@
         )
         self.spawn(self._restart_engines())
 
+    async def start_targets(self):
+        await self.world.start_engines(*((0, 80) for _ in range(ENGINE_COUNT)))
+
     async def close(self):
         for task in self._tasks:
             task.cancel()
@@ -121,3 +124,78 @@
                     engine.born += 1
                     await engine.server.start(engine.address)
                     self.world.register(engine.identity)
+
+
+class DeadlyRequestSite(PoisonedSite):
+    """
+    Gateways before targets that crash under repetitions of some requests.
+
+    :param route: `lookup` and `claim` are of a plain service, `draft` streams.
+    """
+
+    def __init__(self, gateways, route='lookup', random_seed=1):
+        super().__init__(gateways, random_seed)
+        self.route = route
+        self.deadly = (b'deadly',)
+        self.events_before_crash = 0
+
+    @property
+    def deadly_runs(self):
+        """
+        Return the runs of deadly requests at all targets, the oldest first.
+        """
+        runs = [
+            run
+            for target in self.engines
+            for run in target.runs
+            if run.body in self.deadly
+        ]
+        return sorted(runs, key=lambda run: run.at)
+
+    def late_runs(self, body, within_s):
+        """
+        Return the runs of a deadly request that came later than some seconds
+        after the third one.
+        """
+        times = [run.at for run in self.deadly_runs if run.body == body]
+        return [at for at in times[3:] if at > times[2] + within_s]
+
+    async def start_targets(self):
+        if self.route == 'draft':
+            await super().start_targets()
+            return
+        for number in range(ENGINE_COUNT):
+            await self.world.start_replica(f's{number}', 'stock')
+
+    def poison(self, *bodies):
+        self.deadly = bodies or self.deadly
+        for target in self.engines:
+            target.deadly_bodies = set(self.deadly)
+            target.events_before_crash = self.events_before_crash
+
+    async def send(self, is_poisoned, gateway=None):
+        self._numbers += 1
+        kind = self._random.randrange(12)
+        body = f'order {kind} {self._numbers % 40}'.encode()
+        own_part = f'f{self._numbers}'
+        if is_poisoned:
+            body = self._random.choice(self.deadly)
+            own_part = body.hex()
+        headers = {}
+        if self.route == 'draft':
+            headers = {
+                'Mallowcrank_Token_Count': '740,200',
+                'Mallowcrank_Prompt_Prefix': (
+                    f'{FIRST_PART}:40,a{kind}:300,{own_part}:400'
+                ),
+            }
+        response = await self.world.fetch(
+            gateway or self._random.choice(self.gateways),
+            f'/{self.route}/x',
+            'POST',
+            body,
+            **headers,
+        )
+        counts = self.poisoned_statuses if is_poisoned else self.statuses
+        counts[response.status if response.is_complete else 'cut'] += 1
+        return response
