--- a/mallowcrank/platform/standins/replica.py
+++ b/mallowcrank/platform/standins/replica.py
@@ -331,33 +331,49 @@
         )
 
     async def _stream(self, run: RequestRun, answer: ResponseWriter) -> None:
-        is_cut = self.faults.consume('cuts')
-        is_stalled = self.faults.consume('stalls')
-        half = (run.last_event + EVENT_COUNT) // 2
         await asyncio.sleep(EVENT_INTERVAL_S)
-        crash_at = _find_crash_event(self, run)
-        if crash_at <= run.last_event:
-            return self.crash()
+        before_crash = _events_before_crash(self, run)
+        if before_crash == 0:
+            self.crash()
+            return
+        last = run.last_event + before_crash if before_crash else EVENT_COUNT
         try:
             answer.begin(HTTPStatus.OK, self._response_headers(run))
-            for number in range(run.last_event + 1, EVENT_COUNT + 1):
-                await asyncio.sleep(EVENT_INTERVAL_S)
-                if number >= crash_at:
-                    return self.crash()
-                if is_cut and number > half:
-                    answer.write(b'id: %d\nda' % number)
-                    answer.abort()
-                    return
-                if is_stalled and number > half:
-                    is_stalled = False
-                    await self.stalled_streams.wait(run.request)
-                if self.faults.endless:
-                    await _write_endlessly(answer)
-                answer.write(b'id: %d\ndata: event %d\n\n' % (number, number))
-            answer.finish()
+            is_complete = await _write_events(self, run, answer, last)
         except asyncio.CancelledError:
             self.cancelled_requests.append(run.request)
             raise
+        if before_crash:
+            self.crash()
+        elif is_complete:
+            answer.finish()
+
+
+async def _write_events(
+    replica: StandinReplica, run: RequestRun, answer: ResponseWriter, last: int
+) -> bool:
+    """
+    Write the events of a stream.
+
+    :param last: number of the last one.
+    :returns: false if the answer was broken off.
+    """
+    is_cut = replica.faults.consume('cuts')
+    is_stalled = replica.faults.consume('stalls')
+    half = (run.last_event + EVENT_COUNT) // 2
+    for number in range(run.last_event + 1, last + 1):
+        await asyncio.sleep(EVENT_INTERVAL_S)
+        if is_cut and number > half:
+            answer.write(b'id: %d\nda' % number)
+            answer.abort()
+            return False
+        if is_stalled and number > half:
+            is_stalled = False
+            await replica.stalled_streams.wait(run.request)
+        if replica.faults.endless:
+            await _write_endlessly(answer)
+        answer.write(b'id: %d\ndata: event %d\n\n' % (number, number))
+    return True
 
 
 async def _write_endlessly(answer: ResponseWriter) -> None:
@@ -378,17 +394,18 @@
     return parts[:-1]
 
 
-def _find_crash_event(replica: StandinReplica, run: RequestRun) -> int:
+def _events_before_crash(
+    replica: StandinReplica, run: RequestRun
+) -> int | None:
     """
-    Return the number of the event before which a replica crashes; that of the
-    event after which the stream resumes if it crashes without an answer.
+    Return how many events of a stream a replica sends before it crashes; none
+    if it doesn't crash.
     """
     if replica.deadly_parts.intersection(_shared_parts(run)):
-        return run.last_event
+        return 0
     if run.body in replica.deadly_bodies:
-        sent_before = replica.events_before_crash
-        return run.last_event + (sent_before + 1 if sent_before else 0)
-    return EVENT_COUNT + 1
+        return replica.events_before_crash
+    return None
 
 
 def _sealed_headers(run: RequestRun) -> Headers:
