--- /dev/null
+++ b/mallowcrank/chains/crash_evidence.py
@@ -0,0 +1,133 @@
+"""
+What was lost in crashes of targets, and what was answered.
+"""
+
+from collections import deque
+from collections.abc import Collection
+from dataclasses import dataclass
+from math import inf
+from operator import attrgetter
+from typing import NamedTuple
+
+SAME_CRASH_S = 0.5  # requests that are lost at once are lost to one crash
+MAX_ANSWERED_PARTS = 4096
+MAX_ANSWERED_REQUESTS = 1024
+MAX_LAST_ANSWERS = 8
+
+
+class Trait(NamedTuple):
+    """
+    What requests to one service have in common.
+
+    :param name: id of a part of their prompts, or digest of the request.
+    :param is_whole: whether requests with it are repetitions of one.
+    """
+
+    service: str
+    name: str
+    is_whole: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class LostRequest:
+    """
+    A request that was lost in the crash of a target, before its answer was
+    complete.
+
+    :param target: identity of the target.
+    :param at: steady time, in seconds.
+    :param traits: parts of its prompt, but for the last one, which is its own,
+        and its digest.
+    :param born_ms: start of the target's lifetime, in milliseconds.
+    """
+
+    request: str
+    target: str
+    at: float
+    traits: tuple[Trait, ...]
+    born_ms: int = 0
+
+    @property
+    def lifetime(self) -> tuple[str, int]:
+        """
+        Return what tells the crashed target from its earlier and later runs.
+        """
+        return self.target, self.born_ms
+
+    @property
+    def key(self) -> tuple[str, str, int]:
+        """
+        Return what tells it from other losses.
+        """
+        return self.request, *self.lifetime
+
+
+class AnswerRecords:
+    """
+    When requests with each trait were last answered.
+    """
+
+    def __init__(self) -> None:
+        self._parts: dict[Trait, float] = {}
+        self._requests: dict[Trait, float] = {}
+        self._last: deque[float] = deque(maxlen=MAX_LAST_ANSWERS)
+
+    def last_at(self, trait: Trait) -> float:
+        """
+        Return the steady time of the last answer, in seconds.
+        """
+        return self._of_kind(trait).get(trait, -inf)
+
+    def count_since(self, moment: float) -> int:
+        """
+        Return the number of answers since a moment, as far as it is known.
+
+        :param moment: steady time, in seconds.
+        """
+        return sum(at > moment for at in self._last)
+
+    def record_answer(self, at: float) -> None:
+        """
+        Record an answer to any request.
+
+        :param at: steady time, in seconds.
+        """
+        self._last.append(at)
+
+    def record(self, trait: Trait, at: float) -> None:
+        """
+        Record an answer to a request with a trait.
+
+        :param at: steady time, in seconds.
+        """
+        records = self._of_kind(trait)
+        records[trait] = max(at, records.pop(trait, -inf))
+        limit = MAX_ANSWERED_REQUESTS if trait.is_whole else MAX_ANSWERED_PARTS
+        if len(records) > limit:
+            records.pop(next(iter(records)))
+
+    def _of_kind(self, trait: Trait) -> dict[Trait, float]:
+        # Many requests are never repeated, and mustn't displace parts.
+        return self._requests if trait.is_whole else self._parts
+
+
+def count_crashes(trait: Trait, lost: Collection[LostRequest]) -> int:
+    """
+    Return the number of crashes in which requests were lost.
+
+    Targets that end at once, as in a loss of power, count as one crash for a
+    part of many requests, but not for a request that was sent to each of them.
+    """
+    if trait.is_whole:
+        return len({each.lifetime for each in lost})
+    count = 0
+    crashed_at = -inf
+    requests: set[str] = set()
+    for each in sorted(lost, key=attrgetter('at')):
+        is_other = each.at - crashed_at > SAME_CRASH_S
+        if is_other or each.request in requests:
+            count += 1
+            crashed_at = each.at
+            requests.clear()
+        requests.add(each.request)
+    return count
--- /dev/null
+++ b/mallowcrank/chains/suspect_traits.py
@@ -0,0 +1,321 @@
+"""
+Which requests crash the targets that run them.
+
+A crash ends all requests of a target, so each of those that were lost may have
+caused it. Requests are compared by their traits: the parts of their prompts
+that others share, and a digest of the whole request, which its repetitions
+share. A trait is to blame if requests with it were lost in several crashes, and
+none with it has been answered since. Traits of sound requests are answered
+again within moments, and then aren't suspects any more.
+
+Whoever has lost or answered a request records it; gateways exchange what they
+have recorded, and each decides by itself.
+"""
+
+from collections.abc import Callable, Collection, Iterable, Mapping, Sequence
+from enum import IntEnum, unique
+from math import inf
+from operator import attrgetter
+
+from mallowcrank.chains.crash_evidence import (
+    AnswerRecords,
+    LostRequest,
+    Trait,
+    count_crashes,
+)
+
+MIN_CRASHES = 2  # with requests of a part, after which it is to blame
+MIN_CRASHES_WHOLE = 3  # under repetitions of one request
+SOUND_CRASHES = 3  # if the trait was answered before
+SOUND_ANSWERS = 5  # to other requests meanwhile, if it was answered before
+MANY_CRASHES = 4  # if crashes can't tell a part from other parts
+# After which one more request with a trait that is to blame is let through; it
+# doubles with each further crash.
+HOLD_S = 120
+MAX_HOLD_S = 3600
+MEMORY_S = 3600
+EXCHANGE_S = 5  # within which gateways hear of a loss and of answers since
+MAX_LOST = 128
+RECENT_ANSWER_S = 30
+SURVIVED_S = 3  # after which a target that still answers hasn't crashed
+CACHE_S = 0.05  # for which the verdicts are kept if no loss is recorded
+
+
+@unique
+class Suspicion(IntEnum):
+    """
+    What is known against a trait.
+    """
+
+    NONE = 0
+    DOUBTFUL = 1
+    CONFIRMED = 2
+
+
+class SuspectTraits:
+    """
+    Traits of requests that were lost in crashes, and what is known of them.
+    """
+
+    def __init__(self) -> None:
+        self.answers = AnswerRecords()
+        self._lost: dict[tuple[str, str, int], LostRequest] = {}
+        self._confirmed_by_others: dict[Trait, float] = {}
+        self._verdicts: Mapping[Trait, Suspicion] | None = None
+        self._decided_at = -inf
+
+    # Queries
+
+    @property
+    def lost(self) -> tuple[LostRequest, ...]:
+        """
+        Return the lost requests that may explain crashes.
+        """
+        return tuple(self._lost.values())
+
+    def suspicions(self, now: float) -> Mapping[Trait, Suspicion]:
+        """
+        Return what is known against each trait that was lost in a crash and
+        not answered since.
+
+        :param now: steady time, in seconds.
+        """
+        if self._verdicts is None or now - self._decided_at > CACHE_S:
+            confirmed_by_others = {
+                trait
+                for trait, at in self._confirmed_by_others.items()
+                if now - at < EXCHANGE_S
+            }
+            decision = _Decision(self.answers, confirmed_by_others, now)
+            self._verdicts = decision.decide(self._lost_by_trait())
+            self._decided_at = now
+        return self._verdicts
+
+    def is_known(self, lost: LostRequest) -> bool:
+        """
+        Return whether a loss is recorded.
+        """
+        return lost.key in self._lost
+
+    def crash_count(self, trait: Trait) -> int:
+        """
+        Return the number of crashes that speak against a trait.
+        """
+        return count_crashes(trait, self._lost_by_trait().get(trait, ()))
+
+    def most_telling(self, limit: int) -> list[LostRequest]:
+        """
+        Return the lost requests with most crashes behind them, the latest of
+        them if there are more.
+        """
+        crashes = {
+            trait: count_crashes(trait, lost)
+            for trait, lost in self._lost_by_trait().items()
+        }
+
+        def weight(lost: LostRequest) -> tuple[int, float]:
+            counts = (crashes.get(trait, 0) for trait in lost.traits)
+            return max(counts, default=0), lost.at
+
+        return sorted(self._lost.values(), key=weight)[-limit:]
+
+    # Commands
+
+    def record_lost(self, lost: LostRequest, now: float) -> bool:
+        """
+        Record a request that was lost in a crash.
+
+        :param now: steady time, in seconds.
+        :returns: whether it is new.
+        """
+        if self.is_known(lost) or now - lost.at > MEMORY_S:
+            return False
+        self._lost[lost.key] = lost
+        self._keep(each for each in self.lost if _says(each, self.answers, now))
+        if len(self._lost) > MAX_LOST:
+            self._keep(self.most_telling(MAX_LOST))
+        return True
+
+    def record_answered(self, traits: Iterable[Trait], at: float) -> None:
+        """
+        Record that a request was answered.
+
+        :param at: steady time, in seconds.
+        """
+        self.answers.record_answer(at)
+        for trait in traits:
+            self.clear(trait, at)
+
+    def record_confirmed(self, trait: Trait, now: float) -> None:
+        """
+        Record that another gateway finds a trait to blame.
+
+        :param now: steady time, in seconds.
+        """
+        if any(trait in lost.traits for lost in self._lost.values()):
+            self._confirmed_by_others[trait] = now
+            self._verdicts = None
+
+    def clear(self, trait: Trait, at: float) -> None:
+        """
+        Drop what was held against a trait until a moment.
+
+        :param at: steady time, in seconds.
+        """
+        self.answers.record(trait, at)
+        self._confirmed_by_others.pop(trait, None)
+        if self._verdicts and trait in self._verdicts:
+            self._verdicts = None
+
+    def drop_survived(
+        self, is_alive: Callable[[str, int], bool], now: float
+    ) -> None:
+        """
+        Drop the losses whose target turns out to be alive.
+
+        :param is_alive: whether a target, given by its identity and the start
+            of its lifetime, answers.
+        :param now: steady time, in seconds.
+        """
+        self._keep(
+            each
+            for each in self.lost
+            if now - each.at < SURVIVED_S or not is_alive(*each.lifetime)
+        )
+
+    def _keep(self, kept: Iterable[LostRequest]) -> None:
+        by_time = sorted(kept, key=attrgetter('at'))
+        self._lost = {each.key: each for each in by_time}
+        self._verdicts = None
+
+    def _lost_by_trait(self) -> dict[Trait, list[LostRequest]]:
+        by_trait: dict[Trait, list[LostRequest]] = {}
+        for lost in self._lost.values():
+            for trait in lost.traits:
+                if self.answers.last_at(trait) < lost.at:
+                    by_trait.setdefault(trait, []).append(lost)
+        return by_trait
+
+
+class _Decision:
+    """
+    A decision on all traits, from those that explain most crashes on.
+    """
+
+    def __init__(
+        self,
+        answers: AnswerRecords,
+        confirmed_by_others: Collection[Trait],
+        now: float,
+    ) -> None:
+        self._answers = answers
+        self._confirmed_by_others = confirmed_by_others
+        self._now = now
+        self._found: dict[Trait, Suspicion] = {}
+        self._blamed: set[Trait] = set()
+        self._explained: set[tuple[str, int]] = set()
+
+    def decide(
+        self, by_trait: Mapping[Trait, Sequence[LostRequest]]
+    ) -> Mapping[Trait, Suspicion]:
+        """
+        Return what is known against traits.
+
+        Whole requests come first: a repeated request explains its crashes
+        better than a part of its prompt that others share.
+
+        :param by_trait: lost requests that weren't answered since.
+        """
+        for is_whole in (True, False):
+            self._decide_on(
+                {
+                    trait: [each for each in lost if not self._explains(each)]
+                    for trait, lost in by_trait.items()
+                    if trait.is_whole is is_whole
+                }
+            )
+        return self._found
+
+    def _decide_on(
+        self, by_trait: Mapping[Trait, Sequence[LostRequest]]
+    ) -> None:
+        crashes = {
+            trait: count_crashes(trait, lost)
+            for trait, lost in by_trait.items()
+        }
+        for trait in sorted(by_trait, key=crashes.__getitem__, reverse=True):
+            lost = by_trait[trait]
+            if all(map(self._explains, lost)):
+                continue
+            if self._is_to_blame(trait, lost, crashes):
+                self._blamed.add(trait)
+                if trait.is_whole:
+                    self._explained.update(each.lifetime for each in lost)
+                is_held = self._now < _held_until(lost, crashes[trait])
+                self._found[trait] = Suspicion(Suspicion.DOUBTFUL + is_held)
+            elif crashes[trait] > 1 or not self._was_sound(trait, lost):
+                self._found[trait] = Suspicion.DOUBTFUL
+
+    def _explains(self, lost: LostRequest) -> bool:
+        """
+        Return whether what is to blame so far explains a loss.
+        """
+        is_blamed = not self._blamed.isdisjoint(lost.traits)
+        return is_blamed or lost.lifetime in self._explained
+
+    def _is_to_blame(
+        self,
+        trait: Trait,
+        lost: Collection[LostRequest],
+        crashes_by_trait: Mapping[Trait, int],
+    ) -> bool:
+        """
+        Return whether a trait is to blame.
+
+        Without any answers meanwhile, a part that all requests share looks
+        like one that crashes targets. No other request shares a digest.
+
+        :param lost: the lost requests that speak against it.
+        """
+        if trait in self._confirmed_by_others:
+            return True
+        crashes = crashes_by_trait[trait]
+        min_crashes, min_answers = MIN_CRASHES, 1
+        if self._was_sound(trait, lost):
+            min_crashes, min_answers = SOUND_CRASHES, SOUND_ANSWERS
+        elif trait.is_whole:
+            min_crashes, min_answers = MIN_CRASHES_WHOLE, 0
+        elif crashes >= MANY_CRASHES:
+            return True
+        first_at = min(each.at for each in lost)
+        answers = self._answers.count_since(first_at)
+        if crashes < min_crashes or answers < min_answers:
+            return False
+        others = {other for each in lost for other in each.traits} - {trait}
+        return trait.is_whole or all(
+            crashes_by_trait.get(other, 0) < crashes for other in others
+        )
+
+    def _was_sound(self, trait: Trait, lost: Collection[LostRequest]) -> bool:
+        """
+        Return whether a trait was answered shortly before it was first lost.
+        """
+        first_at = min(each.at for each in lost)
+        return first_at - self._answers.last_at(trait) < RECENT_ANSWER_S
+
+
+def _says(lost: LostRequest, answers: AnswerRecords, now: float) -> bool:
+    """
+    Return whether a lost request still says anything to any gateway.
+    """
+    age_s = now - lost.at
+    if age_s < EXCHANGE_S:
+        return True
+    return age_s < MEMORY_S and any(
+        answers.last_at(trait) < lost.at for trait in lost.traits
+    )
+
+
+def _held_until(lost: Collection[LostRequest], crashes: int) -> float:
+    hold_s = HOLD_S * 2 ** max(0, crashes - MIN_CRASHES)
+    return max(each.at for each in lost) + min(MAX_HOLD_S, hold_s)
--- a/mallowcrank/gateway/call.py
+++ b/mallowcrank/gateway/call.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass, field
 from hashlib import blake2b
 
-from mallowcrank.chains.suspect_parts import PromptPart
+from mallowcrank.chains.crash_evidence import Trait
 from mallowcrank.gateway.caller_channel import CallerRequest, ResponseWriter
 from mallowcrank.gateway.clock import monotonic_s
 from mallowcrank.gateway.desired import Repeat, RouteRule, ServiceRule
@@ -44,6 +44,7 @@
     refusals: int = 0
     waited_s: float = 0
     avoided: set[Lifetime] = field(default_factory=set)
+    _digest: str = ''
 
     @property
     def kind(self) -> str:
@@ -53,12 +54,25 @@
         return 'stream' if self.route.streams else self.route.repeat.value
 
     @property
-    def prompt_parts(self) -> tuple[PromptPart, ...]:
+    def prompt_parts(self) -> tuple[Trait, ...]:
         """
         Return the parts of its prompt that other requests may share.
         """
         names = self.fields.prompt_parts
-        return tuple(PromptPart(self.service.name, name) for name in names)
+        return tuple(Trait(self.service.name, name) for name in names)
+
+    @property
+    def whole(self) -> Trait:
+        """
+        Return the trait that only its repetitions share.
+        """
+        return Trait(self.service.name, self.digest(), is_whole=True)
+
+    def traits(self) -> tuple[Trait, ...]:
+        """
+        Return what it has in common with other requests.
+        """
+        return (*self.prompt_parts, self.whole)
 
     def digest(self) -> str:
         """
@@ -67,6 +81,8 @@
         They have the workspace, method, host, path, query and body in common;
         ids, deadlines and events to resume after differ.
         """
+        if self._digest:
+            return self._digest
         request = self.request
         fields = (
             self.workspace.encode(),
@@ -79,7 +95,8 @@
         for each in fields:
             digest.update(b'%d:' % len(each))
             digest.update(each)
-        return digest.hexdigest()
+        self._digest = digest.hexdigest()
+        return self._digest
 
     def may_retry(self) -> bool:
         """
--- a/mallowcrank/gateway/core.py
+++ b/mallowcrank/gateway/core.py
@@ -15,7 +15,7 @@
 from mallowcrank.chains.memory import MemoryLedger
 from mallowcrank.gateway.call import Call
 from mallowcrank.gateway.clock import monotonic_s
-from mallowcrank.gateway.fleet import Fleet
+from mallowcrank.gateway.fleet import Fleet, is_current
 from mallowcrank.gateway.journal import Importance, Journal
 from mallowcrank.gateway.meters import Meters
 from mallowcrank.gateway.peers import Peers
@@ -113,18 +113,26 @@
         window = self.retry_windows.for_service(service)
         return window.count_retry(monotonic_s())
 
+    def has_ended(self, lifetime: Lifetime) -> bool:
+        """
+        Return whether a lifetime of a target is over, as far as this gateway
+        can tell.
+        """
+        unresponsive = self.fleet.health.unresponsive()
+        return lifetime in unresponsive or not is_current(self.fleet, lifetime)
+
     async def check_crash(self, call: Call, lifetime: Lifetime) -> bool:
         """
-        Record a call that got no answer if its target has crashed.
+        Record a call without a complete answer if its target has crashed.
 
-        :returns: whether the call may be sent again, as it can't have been
-            the cause.
+        :returns: whether the call may be sent again.
         """
-        parts = call.prompt_parts
-        if not parts or not await self.prober.verify_loss(lifetime):
+        if not await self.prober.verify_loss(lifetime):
             return True
-        self.suspects.record_lost(call.fields.request_id, lifetime, parts)
-        return self.suspects.may_resend(parts)
+        self.suspects.record_lost(
+            call.fields.request_id, lifetime, call.traits()
+        )
+        return self.suspects.may_resend(call.traits(), call.response.has_begun)
 
     def record_limit(
         self, lifetime: Lifetime, head: ResponseHead, sent_at: float
--- a/mallowcrank/gateway/datagrams.py
+++ b/mallowcrank/gateway/datagrams.py
@@ -15,11 +15,11 @@
 from mallowcrank.gateway.settings import Address
 from mallowcrank.gateway.status_parts import (
     EntriesStatus,
-    PartsReport,
+    SuspectsReport,
     decode_entries,
-    decode_parts,
+    decode_suspects,
     encode_entries,
-    encode_parts,
+    encode_suspects,
 )
 from mallowcrank.gateway.targets import HeldLayers, Lifetime
 from mallowcrank.limits.named import LimitReport
@@ -59,8 +59,7 @@
         of an earlier build, which knows no limits.
     :param entries: its view of the targets' entries; none if it has none, or
         is of an earlier build.
-    :param parts: parts of prompts that may crash engines; none if there are
-        none.
+    :param suspects: requests that may crash targets; none if there are none.
     """
 
     host: str
@@ -78,7 +77,7 @@
     layers: Mapping[str, HeldLayers] = field(default_factory=dict)
     limits: Mapping[Lifetime, LimitReport] | None = None
     entries: EntriesStatus | None = None
-    parts: PartsReport | None = None
+    suspects: SuspectsReport | None = None
 
 
 def pack_status(status: GatewayStatus) -> bytes:
@@ -199,7 +198,7 @@
         paces={str(key): float(pace) for key, pace in fields[11].items()},
         limits=_decode_optional(fields, 13, _decode_limits),
         entries=_decode_optional(fields, 14, decode_entries),
-        parts=_decode_optional(fields, 15, decode_parts),
+        suspects=_decode_optional(fields, 16, decode_suspects),
     )
 
 
@@ -211,7 +210,8 @@
     encoded = [
         None if status.limits is None else _encode_limits(status.limits),
         status.entries and encode_entries(status.entries),
-        status.parts and encode_parts(status.parts),
+        None,  # in use by an earlier build
+        status.suspects and encode_suspects(status.suspects),
     ]
     while encoded and encoded[-1] is None:
         encoded.pop()
--- a/mallowcrank/gateway/endings.py
+++ b/mallowcrank/gateway/endings.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass
 from http import HTTPStatus
 
-from mallowcrank.chains.suspect_parts import Suspicion
+from mallowcrank.chains.suspect_traits import Suspicion
 from mallowcrank.gateway.call import Call
 from mallowcrank.gateway.caller_channel import end_to_end_headers
 from mallowcrank.gateway.clock import monotonic_s
@@ -15,7 +15,7 @@
 from mallowcrank.gateway.target_channel import ResponseHead
 
 TIMEOUT = 'timeout'
-TRIAL_S = 1.0  # within which a request with a part in doubt is answered
+TRIAL_S = 1.0  # within which a request in doubt is answered
 TRIALS_PER_S = 4
 
 
@@ -78,15 +78,15 @@
 
 def refuse_suspect(core: Core, call: Call, suspicion: Suspicion) -> None:
     """
-    End a call whose prompt crashes engines, or may do so; it was not sent.
+    End a call that crashes targets, or may do so; it was not sent.
     """
     if suspicion is Suspicion.DOUBTFUL:
         retry_after_s = core.retry_after.assign_delay_s(
             monotonic_s(), TRIAL_S, TRIALS_PER_S
         )
-        _refuse(core, call, 'a part of the prompt is in doubt', retry_after_s)
+        _refuse(core, call, 'the request may crash targets', retry_after_s)
         return
-    reason = 'a part of the prompt crashes engines'
+    reason = 'the request or a part of its prompt crashes targets'
     core.meters.refusals.labels(call.kind).inc()
     send_error(call.response, HTTPStatus.UNPROCESSABLE_ENTITY, reason)
     record_outcome(core, call, 'refused', why=reason)
--- a/mallowcrank/gateway/gossip.py
+++ b/mallowcrank/gateway/gossip.py
@@ -114,7 +114,7 @@
             layers=target_health.reported_layers(now),
             limits=self._core.limits.reports(),
             entries=self._targets.status(),
-            parts=self._core.suspects.report(),
+            suspects=self._core.suspects.report(),
         )
 
     def handle_status(self, status: GatewayStatus) -> None:
@@ -141,8 +141,10 @@
             fleet.update_layers(identity, layers, now, is_direct=False)
         for lifetime, limit in (status.limits or {}).items():
             self._core.limits.apply_report(lifetime, limit)
-        if status.parts:
-            self._core.suspects.apply(status.parts)
+        if status.suspects:
+            self._core.prober.probe(
+                self._core.suspects.apply(status.suspects, self._core.has_ended)
+            )
         for identity in status.unresponsive_targets:
             target = fleet.find(identity)
             if target and self._should_verify(status.host, target):
--- a/mallowcrank/gateway/local_endpoints.py
+++ b/mallowcrank/gateway/local_endpoints.py
@@ -7,7 +7,7 @@
 
 import orjson
 
-from mallowcrank.chains.suspect_parts import PromptPart
+from mallowcrank.chains.crash_evidence import Trait
 from mallowcrank.gateway.caller_channel import CallerRequest, ResponseWriter
 from mallowcrank.gateway.core import Core
 from mallowcrank.gateway.directory import ANSWER_TTL_S, fronts_for
@@ -65,8 +65,7 @@
         self, request: CallerRequest, response: ResponseWriter
     ) -> None:
         """
-        Respond with all metrics, or with the parts of prompts that may crash
-        engines.
+        Respond with all metrics, or with the requests that may crash targets.
         """
         if request.path == SUSPECTS_PATH:
             self._suspects(request, response)
@@ -82,8 +81,13 @@
         """
         suspects = self._core.suspects
         if request.method == 'DELETE':
-            query = parse_qs(request.query)
-            service = query.get('service', [''])[0]
-            suspects.clear(PromptPart(service, query.get('part', [''])[0]))
+            suspects.clear(_parse_trait(request.query))
         body = orjson.dumps(suspects.known())
         response.send(HTTPStatus.OK, (JSON_HEADER,), body)
+
+
+def _parse_trait(query: str) -> Trait:
+    fields = {name: values[0] for name, values in parse_qs(query).items()}
+    digest = fields.get('digest', '')
+    name = digest or fields.get('part', '')
+    return Trait(fields.get('service', ''), name, is_whole=bool(digest))
--- a/mallowcrank/gateway/meters.py
+++ b/mallowcrank/gateway/meters.py
@@ -93,6 +93,12 @@
             "Requests refused because of targets' limits.",
             ('kind',),
         )
+        self.suspect_requests = Gauge(
+            'mallowcrank_suspect_requests',
+            'Repeated requests that may crash targets.',
+            ('suspicion',),
+            registry=self._registry,
+        )
         self.suspect_parts = Gauge(
             'mallowcrank_suspect_parts',
             'Parts of prompts that may crash engines.',
--- a/mallowcrank/gateway/outcomes.py
+++ b/mallowcrank/gateway/outcomes.py
@@ -27,9 +27,12 @@
 class Interrupted:
     """
     The path may have run the request, and sends nothing more.
+
+    :param is_broken: whether the channel to the first engine broke.
     """
 
     reason: str
+    is_broken: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/mallowcrank/gateway/plain_calls.py
+++ b/mallowcrank/gateway/plain_calls.py
@@ -11,7 +11,6 @@
 
 from mallowcrank.chains.budget import SentRequest
 from mallowcrank.chains.replicas import ReplicaRecords
-from mallowcrank.chains.suspect_parts import Suspicion
 from mallowcrank.gateway.call import Call
 from mallowcrank.gateway.clock import monotonic_s
 from mallowcrank.gateway.core import Core, log_broken_channel
@@ -33,7 +32,11 @@
     TargetChannel,
     encode_request,
 )
-from mallowcrank.gateway.target_choice import ClaimedTarget, TargetChooser
+from mallowcrank.gateway.target_choice import (
+    ClaimedTarget,
+    TargetChooser,
+    send_wait_s,
+)
 from mallowcrank.gateway.targets import Target
 
 MS_PER_S = 1000
@@ -49,10 +52,12 @@
 
     :param reason: why.
     :param may_have_run: false if the target certainly did not run the call.
+    :param is_broken: whether the channel broke after the call was sent.
     """
 
     reason: str
     may_have_run: bool
+    is_broken: bool = False
 
 
 class PlainCalls:
@@ -71,10 +76,19 @@
         """
         window = self._core.retry_windows.for_service(call.service.name)
         window.count_request(monotonic_s())
-        suspicion = self._core.suspects.suspicion(call.prompt_parts)
-        if suspicion is Suspicion.CONFIRMED:
+        suspects = self._core.suspects
+        suspicion = await suspects.claim_trial(
+            call.fields.request_id, call.traits(), send_wait_s(call)
+        )
+        if suspicion:
             refuse_suspect(self._core, call, suspicion)
             return
+        try:
+            await self._try_targets(call)
+        finally:
+            suspects.end_trial(call.fields.request_id)
+
+    async def _try_targets(self, call: Call) -> None:
         result: Response | NoResponse = NoResponse(
             'no target is there', may_have_run=False
         )
@@ -83,10 +97,8 @@
         while isinstance(claimed, ClaimedTarget):
             result = await self._attempt(call, claimed, retry)
             call.avoided.add(claimed.target.lifetime)
-            is_final = isinstance(result, Response) and not result.is_failure
-            if is_final or not self._may_retry(call):
-                break
-            if not await self._may_resend(call, claimed.target, result):
+            may_resend = await self._record_result(call, claimed.target, result)
+            if not may_resend or not self._may_retry(call):
                 break
             retry = self._claim_retry(call)
             if retry is None:
@@ -108,10 +120,18 @@
         window = self._core.retry_windows.for_service(call.service.name)
         window.cancel_retry(retry)
 
-    async def _may_resend(
+    async def _record_result(
         self, call: Call, target: Target, result: Response | NoResponse
     ) -> bool:
-        if isinstance(result, Response) or not result.may_have_run:
+        """
+        Record what an attempt says of the request.
+
+        :returns: whether the request may be sent again.
+        """
+        if isinstance(result, Response):
+            self._core.suspects.record_answered(call.traits())
+            return result.is_failure
+        if not result.is_broken:
             return True
         return await self._core.check_crash(call, target.lifetime)
 
@@ -183,7 +203,9 @@
                 log_broken_channel(
                     self._core, call, target.lifetime, response.reason
                 )
-                return NoResponse(response.reason, may_have_run=True)
+                return NoResponse(
+                    response.reason, may_have_run=True, is_broken=True
+                )
             case ReadTimeout():
                 return NoResponse('silent', may_have_run=True)
 
--- a/mallowcrank/gateway/program.py
+++ b/mallowcrank/gateway/program.py
@@ -22,6 +22,7 @@
 from mallowcrank.gateway.ports import Vocabulary
 from mallowcrank.gateway.reload import SettingsWatcher
 from mallowcrank.gateway.settings import Address, GatewaySettings
+from mallowcrank.gateway.targets import Lifetime
 from mallowcrank.status import ExitStatus
 
 SWEEP_INTERVAL_S = 0.5
@@ -248,9 +249,13 @@
                 partial(is_current, self._core.fleet)
             )
             self._core.permits.update(self.is_ready)
+            self._core.suspects.drop_survived(self._is_alive)
             self._core.suspects.update()
             self._parts.gossip.log_view()
 
+    def _is_alive(self, lifetime: Lifetime) -> bool:
+        return not self._core.has_ended(lifetime)
+
     async def _flush(self) -> None:
         while True:
             await asyncio.sleep(FLUSH_INTERVAL_S)
--- a/mallowcrank/gateway/status_parts.py
+++ b/mallowcrank/gateway/status_parts.py
@@ -1,6 +1,6 @@
 """
 Parts of a gateway's status: how far it has followed the targets' entries, and
-what it knows of parts of prompts that may crash engines.
+what it knows of requests that may crash targets.
 """
 
 from collections.abc import Mapping, Sequence
@@ -9,8 +9,9 @@
 
 import msgpack
 
-from mallowcrank.chains.suspect_parts import PromptPart
+from mallowcrank.chains.crash_evidence import Trait
 from mallowcrank.gateway.ports import LogPosition
+from mallowcrank.gateway.targets import Lifetime
 
 MS_PER_S = 1000
 
@@ -32,43 +33,43 @@
 @dataclass(frozen=True, slots=True)
 class LostReport:
     """
-    A request that was lost in the crash of an engine.
+    A request that was lost in the crash of a target.
 
-    :param engine: identity of the engine.
+    :param lifetime: of the target.
     :param age_s: seconds since the crash.
-    :param parts: of its prompt, which other requests may share.
+    :param traits: that other requests may share.
     """
 
     request: str
-    engine: str
+    lifetime: Lifetime
     age_s: float
-    parts: tuple[PromptPart, ...]
+    traits: tuple[Trait, ...]
 
 
 @dataclass(frozen=True, slots=True)
-class AnsweredPart:
+class AnsweredTrait:
     """
-    A part of a prompt with which a request was answered.
+    A trait with which a request was answered.
 
-    :param age_s: seconds since the begin of the last answer.
+    :param age_s: seconds since the last answer.
     """
 
-    part: PromptPart
+    trait: Trait
     age_s: float
 
 
 @dataclass(frozen=True, slots=True)
-class PartsReport:
+class SuspectsReport:
     """
-    What a gateway knows of parts of prompts that may crash engines.
+    What a gateway knows of requests that may crash targets.
 
-    :param answered: parts of these requests that were answered recently.
+    :param answered: traits of these requests that were answered recently.
     :param confirmed: those that are to blame.
     """
 
     lost: tuple[LostReport, ...]
-    answered: tuple[AnsweredPart, ...]
-    confirmed: tuple[PromptPart, ...]
+    answered: tuple[AnsweredTrait, ...]
+    confirmed: tuple[Trait, ...]
 
 
 @dataclass(frozen=True, slots=True)
@@ -131,55 +132,55 @@
     )
 
 
-def encode_parts(report: PartsReport) -> list[Any]:
+def encode_suspects(report: SuspectsReport) -> list[Any]:
     """
-    Encode a report of parts of prompts as a part of a datagram.
+    Encode a report of suspects as a part of a datagram.
     """
     return [
         [
             [
                 lost.request,
-                lost.engine,
+                *lost.lifetime,
                 round(lost.age_s * MS_PER_S),
-                [list(part) for part in lost.parts],
+                [list(trait) for trait in lost.traits],
             ]
             for lost in report.lost
         ],
         [
-            [*answered.part, round(answered.age_s * MS_PER_S)]
+            [list(answered.trait), round(answered.age_s * MS_PER_S)]
             for answered in report.answered
         ],
-        [list(part) for part in report.confirmed],
+        [list(trait) for trait in report.confirmed],
     ]
 
 
-def decode_parts(fields: Sequence[Any]) -> PartsReport:
+def decode_suspects(fields: Sequence[Any]) -> SuspectsReport:
     """
-    Decode a report of parts of prompts.
+    Decode a report of suspects.
 
     :raises ValueError: if an age is negative or not a number.
     """
     lost, answered, confirmed = fields
-    return PartsReport(
+    return SuspectsReport(
         tuple(
             LostReport(
                 str(request),
-                str(engine),
+                Lifetime(str(identity), int(born_ms)),
                 _decode_age_s(age_ms),
-                tuple(_decode_part(*part) for part in parts),
+                tuple(_decode_trait(*trait) for trait in traits),
             )
-            for request, engine, age_ms, parts in lost
+            for request, identity, born_ms, age_ms, traits in lost
         ),
         tuple(
-            AnsweredPart(_decode_part(service, name), _decode_age_s(age_ms))
-            for service, name, age_ms in answered
+            AnsweredTrait(_decode_trait(*trait), _decode_age_s(age_ms))
+            for trait, age_ms in answered
         ),
-        tuple(_decode_part(*part) for part in confirmed),
+        tuple(_decode_trait(*trait) for trait in confirmed),
     )
 
 
-def _decode_part(service: Any, name: Any) -> PromptPart:
-    return PromptPart(str(service), str(name))
+def _decode_trait(service: Any, name: Any, is_whole: Any) -> Trait:
+    return Trait(str(service), str(name), bool(is_whole))
 
 
 def _decode_age_s(age_ms: Any) -> float:
--- a/mallowcrank/gateway/streams.py
+++ b/mallowcrank/gateway/streams.py
@@ -61,6 +61,7 @@
 FIRST_EVENT_SILENCE_S = 0.15  # before engines are probed
 EVENT_SILENCE_S = 0.06  # streams have 20 events per second or more
 MAX_SILENCE_S = 0.9  # then a stream moves, even if all engines answer
+SURVIVAL_S = 0.25  # from the first event on
 MAX_REFUSALS = 3  # refused attempts before the first event
 MAX_DETOURS = 3
 MAX_TRIES = 4  # attempts before the first event
@@ -111,6 +112,8 @@
         self._detours = 0
         self._is_accepted = False
         self._may_crash = False
+        self._begun_at = monotonic_s()
+        self._has_survived = False
         self._path = NO_PATH
         self._permit = Permit()
 
@@ -121,7 +124,7 @@
         self._window.count_request(monotonic_s())
         call = self._call
         suspicion = await self._core.suspects.claim_trial(
-            call.fields.request_id, call.prompt_parts, self._path_wait_s()
+            call.fields.request_id, call.traits(), self._path_wait_s()
         )
         if suspicion:
             refuse_suspect(self._core, call, suspicion)
@@ -143,7 +146,7 @@
             self._path = path
             outcome = await self._attempt()
             if isinstance(outcome, Interrupted):
-                await self._check_crash()
+                await self._check_crash(outcome)
             if self._handle_outcome(outcome):
                 return
             await self._back_off()
@@ -180,14 +183,15 @@
             give_up(self._core, self._call, reason, RETRY_AFTER)
         return True
 
-    async def _check_crash(self) -> None:
+    async def _check_crash(self, outcome: Interrupted) -> None:
         """
-        Record an attempt that was lost in a crash of the path's first engine.
+        Record an attempt that was lost in a crash of an engine.
         """
-        if not self._call.response.has_begun:
-            first = self._path.segments[0].lifetime
-            may_resend = await self._core.check_crash(self._call, first)
-            self._may_crash = not may_resend
+        lost = self._lost_engines()
+        if outcome.is_broken or not lost:
+            lost = [self._path.segments[0].lifetime]
+        may_resend = await self._core.check_crash(self._call, lost[0])
+        self._may_crash = not may_resend
 
     async def _find_path(self) -> ChainPath | Denial | str:
         """
@@ -361,7 +365,7 @@
                         self._path.segments[0].lifetime,
                         event.reason,
                     )
-                    return Interrupted(event.reason)
+                    return Interrupted(event.reason, is_broken=True)
             if unread_bytes > MAX_EVENT_BYTES:
                 channel.close()
                 self._call.avoided.add(self._path.segments[0].lifetime)
@@ -521,9 +525,10 @@
             self._is_accepted = True
             target_health.record_acceptance(lifetimes)
         answer = self._call.response
-        if not answer.has_begun:
-            self._core.suspects.record_answered(self._call.prompt_parts)
-            self._core.suspects.end_trial(self._call.fields.request_id)
+        if answer.has_begun:
+            self._record_survival()
+        else:
+            self._begun_at = monotonic_s()
             self._core.meters.first_event_s.labels('stream').observe(
                 self._call.age_s()
             )
@@ -531,7 +536,22 @@
         answer.write(complete)
         await answer.drain()
 
+    def _record_survival(self) -> None:
+        """
+        Record an answer that has gone on for longer than engines take to
+        crash under a part of a prompt.
+        """
+        if self._has_survived or monotonic_s() - self._begun_at < SURVIVAL_S:
+            return
+        self._has_survived = True
+        self._core.suspects.record_answered(self._call.prompt_parts)
+        self._core.suspects.end_trial(self._call.fields.request_id)
+
     def _finish(self, head: ResponseHead) -> None:
+        if self._has_survived:
+            self._core.suspects.record_completed(self._call.whole)
+        else:
+            self._core.suspects.record_answered(self._call.traits())
         answer = self._call.response
         if not answer.has_begun:
             answer.begin(head.status, end_to_end_headers(head.headers))
--- a/mallowcrank/gateway/suspects.py
+++ b/mallowcrank/gateway/suspects.py
@@ -1,116 +1,131 @@
 """
-Requests that may crash the engines that begin to answer them.
+Requests that may crash the targets that run them.
 
-A request with a part that is known to crash engines is refused for good. While
-a part is in doubt, one request of this gateway at a time is sent with it. A
-request that was lost in a crash is sent again only if all its parts are sound.
+A request with a trait that is known to crash targets is refused for good. While
+a trait is in doubt, one request of this gateway at a time is sent with it. A
+request that was lost in a crash is sent again only if nothing was known against
+it before.
 """
 
 import asyncio
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 
-from mallowcrank.chains.suspect_parts import (
-    EXCHANGE_S,
-    LostRequest,
-    PromptPart,
-    SuspectParts,
+from mallowcrank.chains.crash_evidence import LostRequest, Trait
+from mallowcrank.chains.suspect_traits import (
+    MEMORY_S,
+    RECENT_ANSWER_S,
+    SuspectTraits,
     Suspicion,
 )
 from mallowcrank.gateway.clock import monotonic_s
 from mallowcrank.gateway.journal import Journal
 from mallowcrank.gateway.meters import Meters
 from mallowcrank.gateway.status_parts import (
-    AnsweredPart,
+    AnsweredTrait,
     LostReport,
-    PartsReport,
+    SuspectsReport,
 )
 from mallowcrank.gateway.targets import Lifetime
 
 CHECK_INTERVAL_S = 0.02
-MAX_REPORTED = 24  # lost requests in a status, the latest ones
+MAX_REPORTED = 24  # lost requests in a status, the most telling ones
 
 
 class Suspects:
     """
-    What this gateway and others know of parts of prompts that crash engines.
+    What this gateway and others know of requests that crash targets.
     """
 
     def __init__(self, journal: Journal, meters: Meters) -> None:
         self._journal = journal
         self._meters = meters
-        self._parts = SuspectParts()
-        self._logged: dict[PromptPart, Suspicion] = {}
-        self._trials: dict[PromptPart, str] = {}
+        self._traits = SuspectTraits()
+        self._logged: dict[Trait, Suspicion] = {}
+        self._trials: dict[Trait, str] = {}
 
     # Queries
 
-    def suspicion(self, parts: Iterable[PromptPart]) -> Suspicion:
+    def suspicion(self, traits: Iterable[Trait]) -> Suspicion:
         """
-        Return the worst that is known against some parts.
+        Return the worst that is known against some traits.
         """
-        if not self._parts.lost:
+        if not self._traits.lost:
             return Suspicion.NONE
-        known = self._parts.suspicions(monotonic_s())
+        known = self._traits.suspicions(monotonic_s())
         return max(
-            (known.get(part, Suspicion.NONE) for part in parts),
+            (known.get(trait, Suspicion.NONE) for trait in traits),
             default=Suspicion.NONE,
         )
 
-    def may_resend(self, parts: Iterable[PromptPart]) -> bool:
+    def may_resend(self, traits: Iterable[Trait], has_begun: bool) -> bool:
         """
-        Return whether a request that was lost in a crash may be sent again:
-        each of its parts was answered recently, and isn't in doubt.
+        Return whether a request that was just lost in a crash may be sent
+        again: nothing else speaks against it, and each part of its prompt was
+        answered before.
+
+        :param has_begun: whether its answer had begun; parts that are new
+            don't count then.
         """
-        parts = tuple(parts)
-        if self.suspicion(parts):
+        traits = tuple(traits)
+        if self.suspicion(traits) is Suspicion.CONFIRMED:
+            return False
+        if any(self._traits.crash_count(trait) > 1 for trait in traits):
             return False
-        return all(self._parts.is_sound(part, monotonic_s()) for part in parts)
+        known_since = monotonic_s() - MEMORY_S
+        return has_begun or all(
+            trait.is_whole or self._traits.answers.last_at(trait) > known_since
+            for trait in traits
+        )
 
     def known(self) -> list[dict[str, object]]:
         """
-        Return all parts in doubt, with the crashes that speak against them.
+        Return all traits in doubt, with the crashes that speak against them.
         """
-        suspicions = self._parts.suspicions(monotonic_s())
+        suspicions = self._traits.suspicions(monotonic_s())
         return [
             {
-                'service': part.service,
-                'part': part.name,
+                **_described(trait),
                 'suspicion': suspicion.name.lower(),
                 'lost': [
-                    {'request': each.request, 'engine': each.engine}
-                    for each in self._parts.lost
-                    if part in each.parts
+                    {'request': each.request, 'target': each.target}
+                    for each in self._traits.lost
+                    if trait in each.traits
                 ],
             }
-            for part, suspicion in suspicions.items()
+            for trait, suspicion in suspicions.items()
         ]
 
-    def report(self) -> PartsReport | None:
+    def report(self) -> SuspectsReport | None:
         """
         Return what other gateways should know; `None` if there is nothing.
         """
         now = monotonic_s()
-        latest = self._parts.lost[-MAX_REPORTED:]
-        if not latest:
+        reported = self._traits.most_telling(MAX_REPORTED)
+        if not reported:
             return None
         answered = {
-            part: now - self._parts.answered_at(part)
-            for lost in latest
-            for part in lost.parts
+            trait: now - self._traits.answers.last_at(trait)
+            for lost in reported
+            for trait in lost.traits
         }
-        return PartsReport(
+        return SuspectsReport(
             tuple(
-                LostReport(lost.request, lost.engine, now - lost.at, lost.parts)
-                for lost in latest
+                LostReport(
+                    lost.request,
+                    Lifetime(*lost.lifetime),
+                    now - lost.at,
+                    lost.traits,
+                )
+                for lost in reported
             ),
             tuple(
-                AnsweredPart(part, age_s)
-                for part, age_s in answered.items()
-                if age_s < EXCHANGE_S
+                AnsweredTrait(trait, age_s)
+                for trait, age_s in answered.items()
+                if age_s < RECENT_ANSWER_S
             ),
             tuple(
-                part
-                for part, suspicion in self._parts.suspicions(now).items()
+                trait
+                for trait, suspicion in self._traits.suspicions(now).items()
                 if suspicion is Suspicion.CONFIRMED
             ),
         )
@@ -118,22 +133,24 @@
     # Commands
 
     async def claim_trial(
-        self, request: str, parts: Iterable[PromptPart], within_s: float
+        self, request: str, traits: Iterable[Trait], within_s: float
     ) -> Suspicion:
         """
-        Wait until a request with parts in doubt may be sent.
+        Wait until a request with traits in doubt may be sent.
 
-        :param within_s: seconds to wait for other requests with these parts.
+        :param within_s: seconds to wait for other requests with these traits.
         :returns: what still speaks against the request, or that nothing does.
         """
-        parts = tuple(parts)
+        traits = tuple(traits)
         until = monotonic_s() + within_s
         while True:
-            suspicion = self.suspicion(parts)
+            suspicion = self.suspicion(traits)
             if suspicion is not Suspicion.DOUBTFUL:
                 return suspicion
-            if not any(part in self._trials for part in parts):
-                self._start_trial(request, parts)
+            if not any(trait in self._trials for trait in traits):
+                known = self._traits.suspicions(monotonic_s())
+                in_doubt = known.keys() & traits
+                self._trials.update(dict.fromkeys(in_doubt, request))
                 return Suspicion.NONE
             if monotonic_s() >= until:
                 return suspicion
@@ -141,64 +158,102 @@
 
     def end_trial(self, request: str) -> None:
         """
-        Let other requests with the parts of a request be sent.
+        Let other requests with the traits of a request be sent.
         """
         if self._trials:
             self._trials = {
-                part: holder
-                for part, holder in self._trials.items()
+                trait: holder
+                for trait, holder in self._trials.items()
                 if holder != request
             }
 
     def record_lost(
-        self, request: str, lifetime: Lifetime, parts: Iterable[PromptPart]
+        self, request: str, lifetime: Lifetime, traits: Iterable[Trait]
     ) -> None:
         """
-        Record a request that was lost in the crash of an engine.
+        Record a request that was lost in the crash of a target.
         """
         now = monotonic_s()
-        lost = LostRequest(request, lifetime.identity, now, tuple(parts))
-        if self._parts.record_lost(lost, now):
+        lost = LostRequest(
+            request,
+            lifetime.identity,
+            now,
+            tuple(traits),
+            lifetime.born_ms,
+        )
+        if self._traits.record_lost(lost, now):
             self._journal.say(
                 'suspects: request lost in a crash',
                 request=request,
                 target=lifetime.identity,
-                parts=[part.name for part in lost.parts],
+                parts=[each.name for each in lost.traits if not each.is_whole],
+                digests=[each.name for each in lost.traits if each.is_whole],
             )
             self.update()
 
-    def record_answered(self, parts: Iterable[PromptPart]) -> None:
+    def record_answered(self, traits: Iterable[Trait]) -> None:
         """
         Record that a request was answered.
         """
-        self._parts.record_answered(parts, monotonic_s())
+        self._traits.record_answered(traits, monotonic_s())
 
-    def apply(self, report: PartsReport) -> None:
+    def record_completed(self, trait: Trait) -> None:
+        """
+        Record that an answer that counted before is complete.
+        """
+        self._traits.clear(trait, monotonic_s())
+
+    def apply(
+        self,
+        report: SuspectsReport,
+        has_ended: Callable[[Lifetime], bool],
+    ) -> set[Lifetime]:
         """
         Apply what another gateway knows.
+
+        :param has_ended: whether this gateway, too, finds that a target has
+            ended; the other one may be cut off from it.
+        :returns: the targets of losses that don't count yet, as they haven't.
         """
         now = monotonic_s()
+        unconfirmed = set()
         for answered in report.answered:
-            self._parts.clear(answered.part, now - answered.age_s)
-        for lost in report.lost:
-            self._parts.record_lost(
-                LostRequest(
-                    lost.request, lost.engine, now - lost.age_s, lost.parts
-                ),
-                now,
+            self._traits.clear(answered.trait, now - answered.age_s)
+        for each in report.lost:
+            lost = LostRequest(
+                each.request,
+                each.lifetime.identity,
+                now - each.age_s,
+                each.traits,
+                each.lifetime.born_ms,
             )
-        for part in report.confirmed:
-            self._parts.record_confirmed(part, now)
+            if self._traits.is_known(lost):
+                continue
+            if has_ended(each.lifetime):
+                self._traits.record_lost(lost, now)
+            else:
+                unconfirmed.add(each.lifetime)
+        for trait in report.confirmed:
+            self._traits.record_confirmed(trait, now)
+        return unconfirmed
 
-    def clear(self, part: PromptPart) -> None:
+    def drop_survived(self, is_alive: Callable[[Lifetime], bool]) -> None:
         """
-        Drop what is held against a part, here and at all other gateways.
+        Drop the losses of targets that turn out to be alive.
         """
-        self._parts.clear(part, monotonic_s())
+        if self._traits.lost:
+            self._traits.drop_survived(
+                lambda identity, born_ms: is_alive(Lifetime(identity, born_ms)),
+                monotonic_s(),
+            )
+
+    def clear(self, trait: Trait) -> None:
+        """
+        Drop what is held against a trait, here and at all other gateways.
+        """
+        self._traits.clear(trait, monotonic_s())
         self._journal.say(
-            'suspects: part cleared by the operator',
-            service=part.service,
-            part=part.name,
+            'suspects: cleared by the operator', **_described(trait)
         )
         self.update()
 
@@ -206,29 +261,39 @@
         """
         Log and count what has changed; is called at short intervals.
         """
-        if not self._parts.lost and not self._logged:
+        if not self._traits.lost and not self._logged:
             return
-        known = dict(self._parts.suspicions(monotonic_s()))
-        for part in known.keys() | self._logged.keys():
-            suspicion = known.get(part, Suspicion.NONE)
-            if suspicion is not self._logged.get(part, Suspicion.NONE):
-                self._log_change(part, suspicion)
+        known = dict(self._traits.suspicions(monotonic_s()))
+        for trait in known.keys() | self._logged.keys():
+            suspicion = known.get(trait, Suspicion.NONE)
+            if suspicion is not self._logged.get(trait, Suspicion.NONE):
+                self._journal.say(
+                    'suspects: changed',
+                    **_described(trait),
+                    suspicion=suspicion.name.lower(),
+                    **_format_lost(trait, self._traits.lost),
+                )
         self._logged = known
         for level in (Suspicion.DOUBTFUL, Suspicion.CONFIRMED):
-            count = sum(each is level for each in known.values())
-            self._meters.suspect_parts.labels(level.name.lower()).set(count)
+            of_level = [each for each in known if known[each] is level]
+            whole_count = sum(each.is_whole for each in of_level)
+            label = level.name.lower()
+            self._meters.suspect_requests.labels(label).set(whole_count)
+            self._meters.suspect_parts.labels(label).set(
+                len(of_level) - whole_count
+            )
 
-    def _start_trial(self, request: str, parts: Iterable[PromptPart]) -> None:
-        known = self._parts.suspicions(monotonic_s())
-        self._trials.update({part: request for part in parts if part in known})
 
-    def _log_change(self, part: PromptPart, suspicion: Suspicion) -> None:
-        lost = [each for each in self._parts.lost if part in each.parts]
-        self._journal.say(
-            'suspects: part changed',
-            service=part.service,
-            part=part.name,
-            suspicion=suspicion.name.lower(),
-            requests=[each.request for each in lost],
-            targets=[each.engine for each in lost],
-        )
+def _format_lost(
+    trait: Trait, losses: Iterable[LostRequest]
+) -> dict[str, object]:
+    lost = [each for each in losses if trait in each.traits]
+    return {
+        'requests': [each.request for each in lost],
+        'targets': [each.target for each in lost],
+    }
+
+
+def _described(trait: Trait) -> dict[str, object]:
+    kind = 'digest' if trait.is_whole else 'part'
+    return {'service': trait.service, kind: trait.name}
--- a/mallowcrank/gateway/target_choice.py
+++ b/mallowcrank/gateway/target_choice.py
@@ -11,8 +11,8 @@
 from mallowcrank.gateway.permits import Denial, Permit
 from mallowcrank.gateway.targets import Lifetime, Target
 
-PERMIT_WAIT_SHARE = 0.8  # of the latency objective
-MIN_PERMIT_WAIT_S = 0.001
+WAIT_SHARE = 0.8  # of the latency objective
+MIN_WAIT_S = 0.001
 
 
 @dataclass(frozen=True, slots=True)
@@ -59,7 +59,7 @@
         claimed = None
         target = self._pick(call, unresponsive)
         if target:
-            claimed = await self._claim(target, _permit_wait_s(call))
+            claimed = await self._claim(target, send_wait_s(call))
         if isinstance(claimed, ClaimedTarget):
             return claimed
         suspect = self._pick(call, self._denied())
@@ -85,6 +85,9 @@
         )
 
 
-def _permit_wait_s(call: Call) -> float:
-    wait_s = PERMIT_WAIT_SHARE * call.route.latency_objective_s
-    return max(MIN_PERMIT_WAIT_S, wait_s - call.age_s())
+def send_wait_s(call: Call) -> float:
+    """
+    Return for how many seconds a plain call may wait before it is sent.
+    """
+    wait_s = WAIT_SHARE * call.route.latency_objective_s
+    return max(MIN_WAIT_S, wait_s - call.age_s())
--- a/tests/test_gateway_beliefs.py
+++ b/tests/test_gateway_beliefs.py
@@ -12,8 +12,8 @@
 
 import msgpack
 
+from mallowcrank.chains.crash_evidence import Trait
 from mallowcrank.chains.memory import MemoryLedger
-from mallowcrank.chains.suspect_parts import PromptPart
 from mallowcrank.gateway.assignment import HostAssignment
 from mallowcrank.gateway.clock import monotonic_s
 from mallowcrank.gateway.datagrams import (
@@ -34,11 +34,11 @@
 from mallowcrank.gateway.ports import HttpCall, LogPosition
 from mallowcrank.gateway.settings import Address
 from mallowcrank.gateway.status_parts import (
-    AnsweredPart,
+    AnsweredTrait,
     EntriesSnapshot,
     EntriesStatus,
     LostReport,
-    PartsReport,
+    SuspectsReport,
     pack_snapshot,
     read_snapshot,
 )
@@ -59,10 +59,11 @@
 from tests.utils.platform_pages import newest_page, read_page
 
 VOCABULARY = platform_vocabulary()
-PART = PromptPart('model', '5c1e07a2')
-PARTS_REPORT = PartsReport(
-    lost=(LostReport('r1', 'i-1', 2.5, (PART,)),),
-    answered=(AnsweredPart(PART, 0.25),),
+PART = Trait('model', '5c1e07a2')
+WHOLE = Trait('model', 'd1', is_whole=True)
+SUSPECTS_REPORT = SuspectsReport(
+    lost=(LostReport('r1', Lifetime('i-1', 7), 2.5, (PART, WHOLE)),),
+    answered=(AnsweredTrait(PART, 0.25),),
     confirmed=(PART,),
 )
 
@@ -603,18 +604,26 @@
             {},
             {'limits': {}},
             {'limits': {}, 'entries': EntriesStatus(LogPosition(2, 70), 1.5)},
-            {'parts': PARTS_REPORT},
-            {'limits': {}, 'parts': PARTS_REPORT},
+            {'suspects': SUSPECTS_REPORT},
+            {'limits': {}, 'suspects': SUSPECTS_REPORT},
         ):
             with self.subTest(changes=changes):
                 status = make_status(**changes)
                 self.assertEqual(read_status(pack_status(status)), status)
 
     def test_malformed_report_of_parts_is_ignored(self):
-        fields = msgpack.unpackb(pack_status(make_status(parts=PARTS_REPORT)))
-        for parts in ([], 7, [[], [], [7]], [[['r', 'i', -1, []]], [], []]):
-            with self.subTest(parts=parts):
-                raw = msgpack.packb([*fields[:-1], parts])
+        fields = msgpack.unpackb(
+            pack_status(make_status(suspects=SUSPECTS_REPORT))
+        )
+        for suspects in (
+            [],
+            7,
+            [[], [], [7]],
+            [[['r', 'i', 1, -1, []]], [], []],
+            [[['r', 'i', 1, 1, [['s', 'p']]]], [], []],
+        ):
+            with self.subTest(suspects=suspects):
+                raw = msgpack.packb([*fields[:-1], suspects])
                 self.assertIsNone(read_status(raw))
 
     def test_status_with_a_negative_position_is_ignored(self):
--- a/tests/test_gateway_suspects.py
+++ b/tests/test_gateway_suspects.py
@@ -8,14 +8,14 @@
 from unittest import IsolatedAsyncioTestCase, TestCase
 from unittest.mock import Mock, patch
 
-from mallowcrank.chains.suspect_parts import (
+from mallowcrank.chains.suspect_traits import (
     HOLD_S,
     MAX_LOST,
     SOUND_ANSWERS,
     LostRequest,
-    PromptPart,
-    SuspectParts,
+    SuspectTraits,
     Suspicion,
+    Trait,
 )
 from mallowcrank.gateway.ports import HttpCall
 from mallowcrank.gateway.suspects import Suspects
@@ -124,7 +124,7 @@
         self.assertGreater(len(rows[DEADLY]['lost']), 1)
         query = f'service=model&part={DEADLY}'
         await pool.fetch(metrics, HttpCall('DELETE', f'/suspects?{query}'), 1)
-        part = PromptPart('model', DEADLY)
+        part = Trait('model', DEADLY)
         await site.world.wait_for(
             lambda: (
                 not any(
@@ -184,7 +184,7 @@
         reports = [gateway.report() for gateway in self.gateways]
         for receiver in self.gateways:
             for report in filter(None, reports):
-                receiver.apply(report)
+                receiver.apply(report, has_ended=lambda lifetime: True)
 
 
 class TestManyGateways(TestCase):
@@ -205,9 +205,9 @@
         self.assertEqual(set(network.refused), {DEADLY})
 
 
-class TestSuspectParts(TestCase):
+class TestSuspectTraits(TestCase):
     def setUp(self):
-        self.parts = SuspectParts()
+        self.parts = SuspectTraits()
         self.lost_count = 0
 
     def lose(self, at, *names):
@@ -312,4 +312,4 @@
 
 
 def part_of(name):
-    return PromptPart('model', name)
+    return Trait('model', name)
