Log when a gateway alone reaches next to no target

Nothing in the logs tells a gateway that is cut off from an outage of the targets: each target is found silent by itself. Now a gateway compares the targets that it reaches with those that the others report as silent, and logs and counts the result. When several targets turn silent it probes the rest, at most twice a second. Statuses carry the result at their end, which earlier builds ignore.

--- a/mallowcrank/gateway/core.py
+++ b/mallowcrank/gateway/core.py
@@ -22,6 +22,7 @@
 from mallowcrank.gateway.permits import Permits
 from mallowcrank.gateway.ports import Headers, Vocabulary
 from mallowcrank.gateway.prober import Prober
+from mallowcrank.gateway.reachability import Reachability
 from mallowcrank.gateway.settings import GatewaySettings
 from mallowcrank.gateway.suspects import Suspects
 from mallowcrank.gateway.target_channel import (
@@ -56,6 +57,7 @@
     peers: Peers
     permits: Permits
     suspects: Suspects
+    reachability: Reachability
     retry_after: RetryAfterSchedule = field(default_factory=RetryAfterSchedule)
 
     @property
--- a/mallowcrank/gateway/core_assembly.py
+++ b/mallowcrank/gateway/core_assembly.py
@@ -15,6 +15,7 @@
 from mallowcrank.gateway.permits import Permits
 from mallowcrank.gateway.ports import Vocabulary
 from mallowcrank.gateway.prober import Prober
+from mallowcrank.gateway.reachability import Reachability
 from mallowcrank.gateway.settings import GatewaySettings
 from mallowcrank.gateway.suspects import Suspects
 from mallowcrank.gateway.target_channel import ChannelPool
@@ -31,6 +32,7 @@
     pool = ChannelPool()
     peers = Peers(settings, journal)
     permits = Permits(settings, peers, journal, meters)
+    prober = Prober(fleet, pool, vocabulary, meters, permits.limits)
     earlier_run_ended_s = None if settings.is_first_start else monotonic_s()
     return Core(
         settings=settings,
@@ -42,8 +44,9 @@
         ledger=MemoryLedger(),
         retry_windows=RetryWindows(settings.bounds, earlier_run_ended_s),
         pool=pool,
-        prober=Prober(fleet, pool, vocabulary, meters, permits.limits),
+        prober=prober,
         peers=peers,
         permits=permits,
         suspects=Suspects(journal, meters),
+        reachability=Reachability(fleet, peers, prober, journal, meters),
     )
--- a/mallowcrank/gateway/datagrams.py
+++ b/mallowcrank/gateway/datagrams.py
@@ -59,6 +59,7 @@
         of an earlier build, which knows no limits.
     :param entries: its view of the targets' entries; none if it has none, or
         is of an earlier build.
+    :param is_cut_off: whether it reaches next to no target, while others do.
     :param suspects: requests that may crash targets; none if there are none.
     """
 
@@ -78,6 +79,7 @@
     limits: Mapping[Lifetime, LimitReport] | None = None
     entries: EntriesStatus | None = None
     suspects: SuspectsReport | None = None
+    is_cut_off: bool = False
 
 
 def pack_status(status: GatewayStatus) -> bytes:
@@ -199,6 +201,7 @@
         limits=_decode_optional(fields, 13, _decode_limits),
         entries=_decode_optional(fields, 14, decode_entries),
         suspects=_decode_optional(fields, 16, decode_suspects),
+        is_cut_off=bool(_decode_optional(fields, 17, bool)),
     )
 
 
@@ -212,6 +215,7 @@
         status.entries and encode_entries(status.entries),
         None,  # in use by an earlier build
         status.suspects and encode_suspects(status.suspects),
+        status.is_cut_off or None,
     ]
     while encoded and encoded[-1] is None:
         encoded.pop()
--- a/mallowcrank/gateway/gossip.py
+++ b/mallowcrank/gateway/gossip.py
@@ -115,6 +115,7 @@
             limits=self._core.limits.reports(),
             entries=self._targets.status(),
             suspects=self._core.suspects.report(),
+            is_cut_off=self._core.reachability.is_cut_off,
         )
 
     def handle_status(self, status: GatewayStatus) -> None:
--- a/mallowcrank/gateway/meters.py
+++ b/mallowcrank/gateway/meters.py
@@ -93,6 +93,11 @@
             "Requests refused because of targets' limits.",
             ('kind',),
         )
+        self.is_cut_off = Gauge(
+            'mallowcrank_cut_off',
+            'Whether the gateway reaches next to no target, while others do.',
+            registry=self._registry,
+        )
         self.suspect_requests = Gauge(
             'mallowcrank_suspect_requests',
             'Repeated requests that may crash targets.',
--- a/mallowcrank/gateway/program.py
+++ b/mallowcrank/gateway/program.py
@@ -206,6 +206,7 @@
                 gossip.live_hosts,
                 gossip.is_silence_confirmed,
             ),
+            self._core.reachability.run(),
             parts.handover.run(),
             self._core.peers.run(),
             self._sweep(),
--- /dev/null
+++ b/mallowcrank/gateway/reachability.py
@@ -0,0 +1,126 @@
+"""
+Whether this gateway is cut off from the targets, while others reach them.
+
+Targets that are silent for this gateway alone are the fault of its own links;
+targets that are silent for all have failed. So when several targets turn silent,
+the others are probed at once, and the result is compared with what the other
+gateways report.
+"""
+
+import asyncio
+
+from mallowcrank.gateway.clock import monotonic_s
+from mallowcrank.gateway.datagrams import GatewayStatus
+from mallowcrank.gateway.fleet import Fleet
+from mallowcrank.gateway.journal import Journal
+from mallowcrank.gateway.meters import Meters
+from mallowcrank.gateway.peers import Peers
+from mallowcrank.gateway.prober import Prober
+
+CHECK_INTERVAL_S = 0.1
+SWEEP_INTERVAL_S = 0.5
+MIN_SILENT = 3  # targets that turn silent before the others are probed
+# Hysteresis: a gateway counts as cut off until it reaches half of the targets.
+CUT_OFF_SHARE = 0.9
+RETURN_SHARE = 0.5
+ALONE_S = 1.0  # without a gateway that is better off; statuses may be lost
+
+
+class Reachability:
+    """
+    Compares the targets that this gateway reaches with those of the others.
+    """
+
+    def __init__(
+        self,
+        fleet: Fleet,
+        peers: Peers,
+        prober: Prober,
+        journal: Journal,
+        meters: Meters,
+    ) -> None:
+        self._fleet = fleet
+        self._peers = peers
+        self._prober = prober
+        self._journal = journal
+        self._meters = meters
+        self._is_cut_off = False
+        self._swept_at = monotonic_s()
+        self._swept_silent = 0
+        self._better_off_at = monotonic_s()
+
+    @property
+    def is_cut_off(self) -> bool:
+        """
+        Return whether this gateway reaches next to no target, while another
+        one does.
+        """
+        return self._is_cut_off
+
+    def better_off(self) -> list[GatewayStatus]:
+        """
+        Return the gateways that accept callers and reach most of the targets.
+        """
+        most = len(self._fleet) / 2
+        statuses = [peer.last_status for peer in self._peers.live()]
+        return [
+            status
+            for status in statuses
+            if status.accepts_callers
+            and not status.is_cut_off
+            and len(status.unresponsive_targets) < most
+        ]
+
+    async def run(self) -> None:
+        """
+        Compare until cancelled.
+        """
+        while True:
+            await asyncio.sleep(CHECK_INTERVAL_S)
+            self.update()
+
+    def update(self) -> None:
+        """
+        Compare once, and probe targets where that isn't enough.
+        """
+        silent = len(self._fleet.health.unresponsive())
+        if not self._is_cut_off and silent < min(MIN_SILENT, len(self._fleet)):
+            self._swept_silent = 0
+            return
+        now = monotonic_s()
+        if self.better_off():
+            self._better_off_at = now
+        is_alone = now - self._better_off_at > ALONE_S
+        if self._is_cut_off:
+            if is_alone or silent <= RETURN_SHARE * len(self._fleet):
+                self._change(is_cut_off=False)
+        elif not is_alone and silent >= CUT_OFF_SHARE * len(self._fleet):
+            self._change(is_cut_off=True)
+        elif silent > self._swept_silent:
+            self._sweep(now, silent)
+
+    def _sweep(self, now: float, silent: int) -> None:
+        """
+        Probe the targets that aren't known to be silent.
+        """
+        if now - self._swept_at < SWEEP_INTERVAL_S:
+            return
+        self._swept_at = now
+        self._swept_silent = silent
+        unresponsive = self._fleet.health.unresponsive()
+        targets = map(self._fleet.find, self._fleet.raw_entries)
+        self._prober.probe(
+            target.lifetime
+            for target in targets
+            if target and target.lifetime not in unresponsive
+        )
+
+    def _change(self, is_cut_off: bool) -> None:
+        self._is_cut_off = is_cut_off
+        self._meters.is_cut_off.set(is_cut_off)
+        self._journal.say(
+            'reach: cut off' if is_cut_off else 'reach: back',
+            targets=len(self._fleet),
+            silent=len(self._fleet.health.unresponsive()),
+            better_off=[status.host for status in self.better_off()],
+        )
