Report each gateway's own losses, the sudden ones first

Cause: a status carries 24 losses, those with most crashes behind them. Crashes of engines end hundreds of streams, each of which is a loss, some of them twice, and gateways repeated those of others, too. They displaced the one loss that told.

Now a gateway reports its own losses, and of others only those that show what is to blame; requests that had run for over a second and those whose crash is explained come last. Losses are dropped in batches: recording one took some milliseconds with many held.

The new test fails before with 160 streams lost in each of three crashes, and passes.

--- a/mallowcrank/chains/crash_evidence.py
+++ b/mallowcrank/chains/crash_evidence.py
@@ -9,6 +9,7 @@
 from operator import attrgetter
 from typing import NamedTuple
 
+SUDDEN_S = 1.0  # most requests that crash a target do it sooner
 SAME_CRASH_S = 0.5  # requests that are lost at once are lost to one crash
 MAX_ANSWERED_PARTS = 4096
 MAX_ANSWERED_REQUESTS = 1024
@@ -39,6 +40,7 @@
     :param traits: parts of its prompt, but for the last one, which is its own,
         and its digest.
     :param born_ms: start of the target's lifetime, in milliseconds.
+    :param lasted_s: seconds for which the target may have run it.
     """
 
     request: str
@@ -46,6 +48,14 @@
     at: float
     traits: tuple[Trait, ...]
     born_ms: int = 0
+    lasted_s: float = 0
+
+    @property
+    def is_sudden(self) -> bool:
+        """
+        Return whether the target crashed soon after it had begun to run it.
+        """
+        return self.lasted_s < SUDDEN_S
 
     @property
     def lifetime(self) -> tuple[str, int]:
--- a/mallowcrank/chains/suspect_traits.py
+++ b/mallowcrank/chains/suspect_traits.py
@@ -61,6 +61,7 @@
         self.answers = AnswerRecords()
         self._lost: dict[tuple[str, str, int], LostRequest] = {}
         self._confirmed_by_others: dict[Trait, float] = {}
+        self._bystanders: set[tuple[str, str, int]] = set()
         self._verdicts: Mapping[Trait, Suspicion] | None = None
         self._decided_at = -inf
 
@@ -88,6 +89,11 @@
             }
             decision = _Decision(self.answers, confirmed_by_others, now)
             self._verdicts = decision.decide(self._lost_by_trait())
+            self._bystanders = {
+                each.key
+                for each in self._lost.values()
+                if decision.is_bystander(each)
+            }
             self._decided_at = now
         return self._verdicts
 
@@ -105,17 +111,21 @@
 
     def most_telling(self, limit: int) -> list[LostRequest]:
         """
-        Return the lost requests with most crashes behind them, the latest of
-        them if there are more.
+        Return the lost requests that are most likely to have caused crashes,
+        the most likely one last.
+
+        A crash ends hundreds of requests. Most of them had been running for
+        longer, or what crashed their target is known.
         """
         crashes = {
             trait: count_crashes(trait, lost)
             for trait, lost in self._lost_by_trait().items()
         }
 
-        def weight(lost: LostRequest) -> tuple[int, float]:
-            counts = (crashes.get(trait, 0) for trait in lost.traits)
-            return max(counts, default=0), lost.at
+        def weight(lost: LostRequest) -> tuple[bool, bool, int, float]:
+            count = max(crashes.get(trait, 0) for trait in lost.traits)
+            is_bystander = lost.key in self._bystanders
+            return not is_bystander, lost.is_sudden, count, lost.at
 
         return sorted(self._lost.values(), key=weight)[-limit:]
 
@@ -131,9 +141,12 @@
         if self.is_known(lost) or now - lost.at > MEMORY_S:
             return False
         self._lost[lost.key] = lost
-        self._keep(each for each in self.lost if _says(each, self.answers, now))
+        self._verdicts = None
         if len(self._lost) > MAX_LOST:
-            self._keep(self.most_telling(MAX_LOST))
+            self._keep(
+                each for each in self.lost if _says(each, self.answers, now)
+            )
+            self._keep(self.most_telling(MAX_LOST // 2))
         return True
 
     def record_answered(self, traits: Iterable[Trait], at: float) -> None:
@@ -171,7 +184,8 @@
         self, is_alive: Callable[[str, int], bool], now: float
     ) -> None:
         """
-        Drop the losses whose target turns out to be alive.
+        Drop the losses whose target turns out to be alive, and those that say
+        nothing any more.
 
         :param is_alive: whether a target, given by its identity and the start
             of its lifetime, answers.
@@ -180,7 +194,8 @@
         self._keep(
             each
             for each in self.lost
-            if now - each.at < SURVIVED_S or not is_alive(*each.lifetime)
+            if _says(each, self.answers, now)
+            and (now - each.at < SURVIVED_S or not is_alive(*each.lifetime))
         )
 
     def _keep(self, kept: Iterable[LostRequest]) -> None:
@@ -236,6 +251,13 @@
             )
         return self._found
 
+    def is_bystander(self, lost: LostRequest) -> bool:
+        """
+        Return whether another request is to blame for a loss.
+        """
+        is_blamed = not self._blamed.isdisjoint(lost.traits)
+        return not is_blamed and lost.lifetime in self._explained
+
     def _decide_on(
         self, by_trait: Mapping[Trait, Sequence[LostRequest]]
     ) -> None:
--- a/mallowcrank/gateway/core.py
+++ b/mallowcrank/gateway/core.py
@@ -132,7 +132,10 @@
         if not await self.prober.verify_loss(lifetime):
             return True
         self.suspects.record_lost(
-            call.fields.request_id, lifetime, call.traits()
+            call.fields.request_id,
+            lifetime,
+            call.traits(),
+            monotonic_s() - call.sent_at,
         )
         return self.suspects.may_resend(call.traits(), call.response.has_begun)
 
--- a/mallowcrank/gateway/status_parts.py
+++ b/mallowcrank/gateway/status_parts.py
@@ -37,12 +37,14 @@
 
     :param lifetime: of the target.
     :param age_s: seconds since the crash.
+    :param lasted_s: seconds for which the target may have run it.
     :param traits: that other requests may share.
     """
 
     request: str
     lifetime: Lifetime
     age_s: float
+    lasted_s: float
     traits: tuple[Trait, ...]
 
 
@@ -142,6 +144,7 @@
                 lost.request,
                 *lost.lifetime,
                 round(lost.age_s * MS_PER_S),
+                round(lost.lasted_s * MS_PER_S),
                 [list(trait) for trait in lost.traits],
             ]
             for lost in report.lost
@@ -162,15 +165,7 @@
     """
     lost, answered, confirmed = fields
     return SuspectsReport(
-        tuple(
-            LostReport(
-                str(request),
-                Lifetime(str(identity), int(born_ms)),
-                _decode_age_s(age_ms),
-                tuple(_decode_trait(*trait) for trait in traits),
-            )
-            for request, identity, born_ms, age_ms, traits in lost
-        ),
+        tuple(_decode_lost(*row) for row in lost),
         tuple(
             AnsweredTrait(_decode_trait(*trait), _decode_age_s(age_ms))
             for trait, age_ms in answered
@@ -179,6 +174,23 @@
     )
 
 
+def _decode_lost(
+    request: Any,
+    identity: Any,
+    born_ms: Any,
+    age_ms: Any,
+    lasted_ms: Any,
+    traits: Any,
+) -> LostReport:
+    return LostReport(
+        str(request),
+        Lifetime(str(identity), int(born_ms)),
+        _decode_age_s(age_ms),
+        _decode_age_s(lasted_ms),
+        tuple(_decode_trait(*trait) for trait in traits),
+    )
+
+
 def _decode_trait(service: Any, name: Any, is_whole: Any) -> Trait:
     return Trait(str(service), str(name), bool(is_whole))
 
--- a/mallowcrank/gateway/suspects.py
+++ b/mallowcrank/gateway/suspects.py
@@ -12,6 +12,7 @@
 
 from mallowcrank.chains.crash_evidence import LostRequest, Trait
 from mallowcrank.chains.suspect_traits import (
+    MAX_LOST,
     MEMORY_S,
     RECENT_ANSWER_S,
     SuspectTraits,
@@ -42,6 +43,7 @@
         self._traits = SuspectTraits()
         self._logged: dict[Trait, Suspicion] = {}
         self._trials: dict[Trait, str] = {}
+        self._own: set[tuple[str, str, int]] = set()  # keys of own losses
 
     # Queries
 
@@ -98,9 +100,21 @@
     def report(self) -> SuspectsReport | None:
         """
         Return what other gateways should know; `None` if there is nothing.
+
+        Each gateway reports its own losses, and the others only those that
+        show what is to blame, for gateways that have just started.
         """
         now = monotonic_s()
-        reported = self._traits.most_telling(MAX_REPORTED)
+        confirmed = {
+            trait
+            for trait, suspicion in self._traits.suspicions(now).items()
+            if suspicion is Suspicion.CONFIRMED
+        }
+        reported = [
+            lost
+            for lost in self._traits.most_telling(MAX_LOST)
+            if lost.key in self._own or confirmed.intersection(lost.traits)
+        ][-MAX_REPORTED:]
         if not reported:
             return None
         answered = {
@@ -114,6 +128,7 @@
                     lost.request,
                     Lifetime(*lost.lifetime),
                     now - lost.at,
+                    lost.lasted_s,
                     lost.traits,
                 )
                 for lost in reported
@@ -123,11 +138,7 @@
                 for trait, age_s in answered.items()
                 if age_s < RECENT_ANSWER_S
             ),
-            tuple(
-                trait
-                for trait, suspicion in self._traits.suspicions(now).items()
-                if suspicion is Suspicion.CONFIRMED
-            ),
+            tuple(confirmed),
         )
 
     # Commands
@@ -168,10 +179,16 @@
             }
 
     def record_lost(
-        self, request: str, lifetime: Lifetime, traits: Iterable[Trait]
+        self,
+        request: str,
+        lifetime: Lifetime,
+        traits: Iterable[Trait],
+        lasted_s: float = 0,
     ) -> None:
         """
-        Record a request that was lost in the crash of a target.
+        Record a request of this gateway that was lost in the crash of a target.
+
+        :param lasted_s: seconds for which the target may have run it.
         """
         now = monotonic_s()
         lost = LostRequest(
@@ -180,6 +197,7 @@
             now,
             tuple(traits),
             lifetime.born_ms,
+            lasted_s,
         )
         if self._traits.record_lost(lost, now):
             self._journal.say(
@@ -188,8 +206,10 @@
                 target=lifetime.identity,
                 parts=[each.name for each in lost.traits if not each.is_whole],
                 digests=[each.name for each in lost.traits if each.is_whole],
+                lasted_s=round(lasted_s, 3),
             )
-            self.update()
+            held = {each.key for each in self._traits.lost}
+            self._own = {lost.key, *self._own} & held
 
     def record_answered(self, traits: Iterable[Trait]) -> None:
         """
@@ -226,6 +246,7 @@
                 now - each.age_s,
                 each.traits,
                 each.lifetime.born_ms,
+                each.lasted_s,
             )
             if self._traits.is_known(lost):
                 continue
@@ -263,7 +284,12 @@
         """
         if not self._traits.lost and not self._logged:
             return
-        known = dict(self._traits.suspicions(monotonic_s()))
+        suspicions = self._traits.suspicions(monotonic_s())
+        known = {
+            trait: suspicion
+            for trait, suspicion in suspicions.items()
+            if not _is_first_loss(trait, self._traits.lost)
+        }
         for trait in known.keys() | self._logged.keys():
             suspicion = known.get(trait, Suspicion.NONE)
             if suspicion is not self._logged.get(trait, Suspicion.NONE):
@@ -284,6 +310,14 @@
             )
 
 
+def _is_first_loss(trait: Trait, losses: Iterable[LostRequest]) -> bool:
+    """
+    Return whether nothing but one loss speaks against a whole request: each
+    crash ends many requests.
+    """
+    return trait.is_whole and sum(trait in lost.traits for lost in losses) < 2
+
+
 def _format_lost(
     trait: Trait, losses: Iterable[LostRequest]
 ) -> dict[str, object]:
--- a/tests/test_gateway_beliefs.py
+++ b/tests/test_gateway_beliefs.py
@@ -62,7 +62,7 @@
 PART = Trait('model', '5c1e07a2')
 WHOLE = Trait('model', 'd1', is_whole=True)
 SUSPECTS_REPORT = SuspectsReport(
-    lost=(LostReport('r1', Lifetime('i-1', 7), 2.5, (PART, WHOLE)),),
+    lost=(LostReport('r1', Lifetime('i-1', 7), 2.5, 0.5, (PART, WHOLE)),),
     answered=(AnsweredTrait(PART, 0.25),),
     confirmed=(PART,),
 )
@@ -619,8 +619,8 @@
             [],
             7,
             [[], [], [7]],
-            [[['r', 'i', 1, -1, []]], [], []],
-            [[['r', 'i', 1, 1, [['s', 'p']]]], [], []],
+            [[['r', 'i', 1, -1, 0, []]], [], []],
+            [[['r', 'i', 1, 1, 0, [['s', 'p']]]], [], []],
         ):
             with self.subTest(suspects=suspects):
                 raw = msgpack.packb([*fields[:-1], suspects])
--- a/tests/test_gateway_suspects.py
+++ b/tests/test_gateway_suspects.py
@@ -180,6 +180,12 @@
             self.answered += 1
             gateway.record_answered(parts)
 
+    def lose_streams(self, crash):
+        for number, gateway in enumerate(self.gateways * 20):
+            name = f'{crash}-{number}'
+            traits = (part_of(f'p{name}'), Trait('model', name, is_whole=True))
+            gateway.record_lost(name, Lifetime(f'e{crash}', 0), traits, 3)
+
     def exchange(self):
         reports = [gateway.report() for gateway in self.gateways]
         for receiver in self.gateways:
@@ -204,6 +210,22 @@
         self.assertEqual(network.crashes, before)
         self.assertEqual(set(network.refused), {DEADLY})
 
+    def test_bystanders_of_crashes_do_not_hide_a_deadly_call(self):
+        network = SuspectNetwork(8)
+        with patch(
+            'mallowcrank.gateway.suspects.monotonic_s', network.read_clock
+        ):
+            deadly = Trait('stock', 'd', is_whole=True)
+            for crash, gateway in enumerate(network.gateways[:3]):
+                network.lose_streams(crash)
+                target = Lifetime(f's{crash}', 0)
+                gateway.record_lost(f'd{crash}', target, (deadly,))
+                network.now += 0.3
+                network.exchange()
+            network.exchange()
+            for gateway in network.gateways:
+                self.assertIs(gateway.suspicion((deadly,)), Suspicion.CONFIRMED)
+
 
 class TestSuspectTraits(TestCase):
     def setUp(self):
