--- a/mallowcrank/gateway/call.py
+++ b/mallowcrank/gateway/call.py
@@ -24,10 +24,13 @@
     :param deadline_at: monotonic time by which the final response is due, in
         seconds.
     :param sends: number of sends after which the request may have run.
+    :param arrivals: number of sends, also of those that were refused.
     :param sent_at: steady time of the last send, in seconds.
     :param refusals: number of sends that a target states it did not run.
     :param waited_s: seconds spent waiting for a path.
     :param avoided: lifetimes of targets that must not get the request again.
+    :param proxies: hosts of gateways that it was passed on to.
+    :param is_proxied: whether another gateway has passed it on to this one.
     """
 
     request: CallerRequest
@@ -40,10 +43,13 @@
     desired_version: int
     deadline_at: float
     sends: int = 0
+    arrivals: int = 0
     sent_at: float = 0
     refusals: int = 0
     waited_s: float = 0
     avoided: set[Lifetime] = field(default_factory=set)
+    proxies: set[str] = field(default_factory=set)
+    is_proxied: bool = False
     _digest: str = ''
 
     @property
@@ -108,6 +114,23 @@
             return False
         return self.sends < self.route.max_sends
 
+    def record_send(self, now: float) -> None:
+        """
+        Record that it is sent, and may run from now on.
+
+        :param now: steady time, in seconds.
+        """
+        self.sends += 1
+        self.arrivals += 1
+        self.sent_at = now
+
+    def record_refusal(self) -> None:
+        """
+        Record that the last send certainly didn't run.
+        """
+        self.sends -= 1
+        self.refusals += 1
+
     def remaining_s(self) -> float:
         """
         Return the seconds until the final response is due.
--- a/mallowcrank/gateway/core.py
+++ b/mallowcrank/gateway/core.py
@@ -16,13 +16,13 @@
 from mallowcrank.gateway.call import Call
 from mallowcrank.gateway.clock import monotonic_s
 from mallowcrank.gateway.fleet import Fleet, is_current
-from mallowcrank.gateway.journal import Importance, Journal
+from mallowcrank.gateway.journal import Journal
 from mallowcrank.gateway.meters import Meters
 from mallowcrank.gateway.peers import Peers
 from mallowcrank.gateway.permits import Permits
 from mallowcrank.gateway.ports import Headers, Vocabulary
 from mallowcrank.gateway.prober import Prober
-from mallowcrank.gateway.reachability import Reachability
+from mallowcrank.gateway.proxies import Proxies
 from mallowcrank.gateway.settings import GatewaySettings
 from mallowcrank.gateway.suspects import Suspects
 from mallowcrank.gateway.target_channel import (
@@ -57,7 +57,7 @@
     peers: Peers
     permits: Permits
     suspects: Suspects
-    reachability: Reachability
+    proxies: Proxies
     retry_after: RetryAfterSchedule = field(default_factory=RetryAfterSchedule)
 
     @property
@@ -103,6 +103,14 @@
         self.meters.retries.labels(service, 'allowed').set(usage.allowed)
         return usage
 
+    def count_request(self, call: Call) -> None:
+        """
+        Count a request for the retry budget, at the gateway that it came to.
+        """
+        if not call.is_proxied:
+            window = self.retry_windows.for_service(call.service.name)
+            window.count_request(monotonic_s())
+
     def claim_retry(self, service: str) -> SentRequest | None:
         """
         Count a retry if the budget allows it.
@@ -129,7 +137,8 @@
 
         :returns: whether the call may be sent again.
         """
-        if not await self.prober.verify_loss(lifetime):
+        is_lost = await self.prober.verify_loss(lifetime)
+        if not is_lost or self.proxies.reachability.is_in_doubt:
             return True
         self.suspects.record_lost(
             call.fields.request_id,
@@ -191,47 +200,3 @@
             return fields.request_id == call.fields.request_id
 
         return matches
-
-
-def log_broken_channel(
-    core: Core, call: Call, lifetime: Lifetime, reason: str
-) -> None:
-    """
-    Log that a target's channel broke before the answer was complete.
-    """
-    core.journal.say(
-        'request: channel broken',
-        Importance.FAILURE,
-        request=call.fields.request_id,
-        digest=call.digest(),
-        target=lifetime.identity,
-        born_ms=lifetime.born_ms,
-        has_begun=call.response.has_begun,
-        lasted_s=round(monotonic_s() - call.sent_at, 4),
-        why=reason,
-    )
-
-
-def record_outcome(
-    core: Core, call: Call, outcome: str, **details: object
-) -> None:
-    """
-    Count and log the outcome of a call.
-    """
-    core.meters.requests.labels(call.kind, outcome).inc()
-    core.journal.say(
-        f'request: {outcome}',
-        Importance.ROUTINE if outcome == 'served' else Importance.FAILURE,
-        request=call.fields.request_id,
-        route=call.route.name,
-        service=call.service.name,
-        workspace=call.workspace,
-        sends=call.sends,
-        refused=call.refusals,
-        desired=call.desired_version,
-        waited_s=round(call.waited_s, 4),
-        age_s=round(call.age_s(), 4),
-        left_s=round(call.remaining_s(), 3),
-        entries_age_s=round(monotonic_s() - core.fleet.entries_read_at, 2),
-        **details,
-    )
--- a/mallowcrank/gateway/core_assembly.py
+++ b/mallowcrank/gateway/core_assembly.py
@@ -15,6 +15,7 @@
 from mallowcrank.gateway.permits import Permits
 from mallowcrank.gateway.ports import Vocabulary
 from mallowcrank.gateway.prober import Prober
+from mallowcrank.gateway.proxies import Proxies
 from mallowcrank.gateway.reachability import Reachability
 from mallowcrank.gateway.settings import GatewaySettings
 from mallowcrank.gateway.suspects import Suspects
@@ -33,13 +34,15 @@
     peers = Peers(settings, journal)
     permits = Permits(settings, peers, journal, meters)
     prober = Prober(fleet, pool, vocabulary, meters, permits.limits)
+    reachability = Reachability(fleet, peers, prober, journal, meters)
+    random = Random()
     earlier_run_ended_s = None if settings.is_first_start else monotonic_s()
     return Core(
         settings=settings,
         vocabulary=vocabulary,
         journal=journal,
         meters=meters,
-        random=Random(),
+        random=random,
         fleet=fleet,
         ledger=MemoryLedger(),
         retry_windows=RetryWindows(settings.bounds, earlier_run_ended_s),
@@ -48,5 +51,5 @@
         peers=peers,
         permits=permits,
         suspects=Suspects(journal, meters),
-        reachability=Reachability(fleet, peers, prober, journal, meters),
+        proxies=Proxies(reachability, pool, vocabulary, random),
     )
--- a/mallowcrank/gateway/directory.py
+++ b/mallowcrank/gateway/directory.py
@@ -19,11 +19,15 @@
     Return the frontend addresses for a caller.
 
     They are those of its availability zone, or of its region, or all: the
-    nearest group that has enough of them.
+    nearest group that has enough of them. Gateways that are cut off from the
+    targets are left out, unless too few others are there.
 
     :param regions: region by availability zone.
     :param gateways: the gateways that accept callers.
     """
+    reaching = [gateway for gateway in gateways if not gateway.is_cut_off]
+    if len(reaching) >= MIN_FRONTS:
+        gateways = reaching
     zonal = [gateway.front for gateway in gateways if gateway.zone == zone]
     if len(zonal) >= MIN_FRONTS:
         return zonal[:MAX_FRONTS]
--- a/mallowcrank/gateway/endings.py
+++ b/mallowcrank/gateway/endings.py
@@ -7,9 +7,10 @@
 
 from mallowcrank.chains.suspect_traits import Suspicion
 from mallowcrank.gateway.call import Call
+from mallowcrank.gateway.call_log import record_outcome
 from mallowcrank.gateway.caller_channel import end_to_end_headers
 from mallowcrank.gateway.clock import monotonic_s
-from mallowcrank.gateway.core import Core, record_outcome
+from mallowcrank.gateway.core import Core
 from mallowcrank.gateway.error_responses import send_error
 from mallowcrank.gateway.permits import Denial
 from mallowcrank.gateway.target_channel import ResponseHead
--- a/mallowcrank/gateway/frontend.py
+++ b/mallowcrank/gateway/frontend.py
@@ -2,6 +2,7 @@
 The frontend: authenticates and routes callers' requests, then serves them.
 """
 
+from dataclasses import replace
 from http import HTTPStatus
 
 from mallowcrank.gateway.call import Call
@@ -18,6 +19,7 @@
 from mallowcrank.gateway.followers import LatestDesired
 from mallowcrank.gateway.plain_calls import PlainCalls
 from mallowcrank.gateway.ports import CallerFields
+from mallowcrank.gateway.proxies import read_origin, without_origin
 from mallowcrank.gateway.streams import Streams
 from mallowcrank.gateway.waiting import WaitQueue
 
@@ -52,6 +54,18 @@
         finally:
             self._core.meters.in_flight.dec()
 
+    async def serve_proxied(
+        self, request: CallerRequest, response: ResponseWriter
+    ) -> None:
+        """
+        Serve a request that another gateway has passed on.
+        """
+        self._core.meters.in_flight.inc()
+        try:
+            await self._serve_proxied(request, response)
+        finally:
+            self._core.meters.in_flight.dec()
+
     async def _serve(
         self, request: CallerRequest, response: ResponseWriter
     ) -> None:
@@ -66,8 +80,52 @@
             )
             return
         call = self._route(desired, request, fields, response)
-        if call is None:
-            return
+        if call:
+            await self._serve_call(call)
+
+    async def _serve_proxied(
+        self, request: CallerRequest, response: ResponseWriter
+    ) -> None:
+        fields = self._core.vocabulary.caller_fields(request.headers)
+        call = self._build_proxied(request, fields, response)
+        if call:
+            await self._serve_call(call)
+        else:
+            self._reject(
+                response,
+                fields,
+                HTTPStatus.SERVICE_UNAVAILABLE,
+                'the route or service of another gateway is unknown',
+            )
+
+    def _build_proxied(
+        self,
+        request: CallerRequest,
+        fields: CallerFields,
+        response: ResponseWriter,
+    ) -> Call | None:
+        origin = read_origin(request.headers)
+        desired = self._known.newest
+        if origin is None or desired is None or fields.problem:
+            return None
+        route = find_route(desired, request.host, request.path)
+        service = desired.services.get(origin.service)
+        if route is None or service is None:
+            return None
+        return Call(
+            request=replace(request, headers=without_origin(request.headers)),
+            fields=fields,
+            response=response,
+            route=route,
+            service=service,
+            workspace=origin.workspace,
+            priority=origin.priority,
+            desired_version=desired.version,
+            deadline_at=request.received_at + _timeout_s(fields, route),
+            is_proxied=True,
+        )
+
+    async def _serve_call(self, call: Call) -> None:
         if call.service.engine and call.route.streams:
             await self._streams.serve(call, call.service.engine)
         else:
--- a/mallowcrank/gateway/gossip.py
+++ b/mallowcrank/gateway/gossip.py
@@ -51,9 +51,10 @@
         Return the generation in which this gateway places layers, or 0.
 
         It also places layers, as generation 1, while it acts for a missing
-        leader; not if it reaches fewer than half of the others.
+        leader; not if it reaches fewer than half of the others, or no target,
+        as its orders wouldn't arrive.
         """
-        if self.is_stopping:
+        if self.is_stopping or self._core.proxies.reachability.is_cut_off:
             return 0
         now = monotonic_s()
         if self._leadership.leader_generation:
@@ -92,6 +93,7 @@
         """
         settings = self._core.settings
         target_health = self._core.fleet.health
+        is_cut_off = self._core.proxies.reachability.is_cut_off
         now = monotonic_s()
         return GatewayStatus(
             host=settings.host,
@@ -102,12 +104,15 @@
             peers=settings.listening.peers,
             accepts_callers=self.is_ready,
             desired_version=self._desired.version,
-            # A stopping gateway leads no more, so that others can take over.
+            # A gateway that stops or reaches no target leads no more, so that
+            # others can take over.
             leader_generation=0
-            if self.is_stopping
+            if self.is_stopping or is_cut_off
             else self._leadership.leader_generation,
             reserved=self._core.ledger.own_reservations(),
-            unresponsive_targets=tuple(
+            unresponsive_targets=()
+            if is_cut_off
+            else tuple(
                 lifetime.identity for lifetime in target_health.unresponsive()
             ),
             paces=target_health.slow_paces(now),
@@ -115,7 +120,7 @@
             limits=self._core.limits.reports(),
             entries=self._targets.status(),
             suspects=self._core.suspects.report(),
-            is_cut_off=self._core.reachability.is_cut_off,
+            is_cut_off=is_cut_off,
         )
 
     def handle_status(self, status: GatewayStatus) -> None:
@@ -173,13 +178,17 @@
         ]
         return [status for status in statuses if status.accepts_callers]
 
-    def live_hosts(self) -> tuple[str, list[str]]:
+    def probing_hosts(self) -> tuple[str, list[str]]:
         """
-        Return this gateway's host, and the hosts of all live gateways.
+        Return this gateway's host, and the hosts of all live gateways that
+        reach targets.
         """
         mine = self._core.settings.host
-        others = [peer.last_status.host for peer in self._core.peers.live()]
-        return mine, [mine, *others]
+        statuses = [peer.last_status for peer in self._core.peers.live()]
+        hosts = [each.host for each in statuses if not each.is_cut_off]
+        if not self._core.proxies.reachability.is_cut_off:
+            hosts.append(mine)
+        return mine, hosts
 
     def engine_services(self) -> list[str]:
         """
--- a/mallowcrank/gateway/leadership.py
+++ b/mallowcrank/gateway/leadership.py
@@ -41,7 +41,7 @@
 
     The store names a new leader only when a lease ends, and none during an
     outage. Until then the gateway whose host sorts first acts, among those
-    that reach each other and accept callers. Two acting gateways do no harm:
+    that reach each other and targets, and accept callers. Two acting gateways do no harm:
     orders are absolute and name the state that they were made for.
 
     :param mine: this gateway's host.
@@ -54,7 +54,11 @@
         status.leader_generation for status in others
     ):
         return False
-    candidates = [status.host for status in others if status.accepts_callers]
+    candidates = [
+        status.host
+        for status in others
+        if status.accepts_callers and not status.is_cut_off
+    ]
     return all(mine < host for host in candidates)
 
 
--- a/mallowcrank/gateway/outcomes.py
+++ b/mallowcrank/gateway/outcomes.py
@@ -1,11 +1,28 @@
 """
-Outcomes of one attempt to serve a stream.
+Outcomes of one attempt to serve a call.
 """
 
 from dataclasses import dataclass
 
 from mallowcrank.gateway.target_channel import ResponseHead
 
+UNSEALED = 'an answer without a seal'
+
+
+@dataclass(frozen=True, slots=True)
+class NoResponse:
+    """
+    An attempt that got no complete response.
+
+    :param reason: why.
+    :param may_have_run: false if the target certainly did not run the call.
+    :param is_broken: whether the channel broke after the call was sent.
+    """
+
+    reason: str
+    may_have_run: bool
+    is_broken: bool = False
+
 
 @dataclass(frozen=True, slots=True)
 class Served:
--- a/mallowcrank/gateway/plain_calls.py
+++ b/mallowcrank/gateway/plain_calls.py
@@ -6,14 +6,14 @@
 target just when the call is sent.
 """
 
-from dataclasses import dataclass
 from http import HTTPStatus
 
 from mallowcrank.chains.budget import SentRequest
 from mallowcrank.chains.replicas import ReplicaRecords
 from mallowcrank.gateway.call import Call
+from mallowcrank.gateway.call_log import log_broken_channel
 from mallowcrank.gateway.clock import monotonic_s
-from mallowcrank.gateway.core import Core, log_broken_channel
+from mallowcrank.gateway.core import Core
 from mallowcrank.gateway.desired import Repeat
 from mallowcrank.gateway.endings import (
     RetryAfter,
@@ -22,8 +22,11 @@
     give_up,
     refuse_suspect,
 )
+from mallowcrank.gateway.outcomes import UNSEALED, NoResponse
 from mallowcrank.gateway.permits import Denial
+from mallowcrank.gateway.plain_proxying import pass_on
 from mallowcrank.gateway.ports import ForwardFields
+from mallowcrank.gateway.proxies import Proxy
 from mallowcrank.gateway.target_channel import (
     ChannelBroken,
     ConnectFailure,
@@ -45,21 +48,6 @@
 RETRY_ADVICE = RetryAfter(min_s=0.2, rate_per_s=50)
 
 
-@dataclass(frozen=True, slots=True)
-class NoResponse:
-    """
-    An attempt that got no complete response.
-
-    :param reason: why.
-    :param may_have_run: false if the target certainly did not run the call.
-    :param is_broken: whether the channel broke after the call was sent.
-    """
-
-    reason: str
-    may_have_run: bool
-    is_broken: bool = False
-
-
 class PlainCalls:
     """
     Serves the calls of plain services.
@@ -74,8 +62,7 @@
         """
         Serve one call, trying targets until one responds or none is left.
         """
-        window = self._core.retry_windows.for_service(call.service.name)
-        window.count_request(monotonic_s())
+        self._core.count_request(call)
         suspects = self._core.suspects
         suspicion = await suspects.claim_trial(
             call.fields.request_id, call.traits(), send_wait_s(call)
@@ -93,35 +80,44 @@
             'no target is there', may_have_run=False
         )
         retry: SentRequest | None = None
-        claimed = await self._chooser.claim(call)
-        while isinstance(claimed, ClaimedTarget):
-            result = await self._attempt(call, claimed, retry)
-            call.avoided.add(claimed.target.lifetime)
-            may_resend = await self._record_result(call, claimed.target, result)
+        way = await self._choose_way(call)
+        while isinstance(way, ClaimedTarget | Proxy):
+            result = await self._attempt(call, way, retry)
+            may_resend = await self._record_result(call, way, result)
             if not may_resend or not self._may_retry(call):
                 break
-            retry = self._claim_retry(call)
-            if retry is None:
-                break
-            claimed = await self._chooser.claim(call)
-            if not isinstance(claimed, ClaimedTarget):
+            if call.arrivals:
+                retry = self._core.claim_retry(call.service.name)
+                if retry is None:
+                    break
+            way = await self._choose_way(call)
+            if not isinstance(way, ClaimedTarget | Proxy):
                 self._cancel_retry(call, retry)
-        if isinstance(claimed, Denial) and not call.sends:
-            end_denied(self._core, call, claimed, RETRY_ADVICE)
+        if isinstance(way, Denial) and not call.sends:
+            end_denied(self._core, call, way, RETRY_ADVICE)
         else:
             self._finish(call, result)
 
-    def _claim_retry(self, call: Call) -> SentRequest | None:
-        if not self._chooser.candidates(call):
-            return None
-        return self._core.claim_retry(call.service.name)
+    async def _choose_way(
+        self, call: Call
+    ) -> ClaimedTarget | Proxy | Denial | None:
+        """
+        Choose a target, or a gateway that reaches one where this one doesn't.
+        """
+        is_stuck = self._chooser.are_all_unresponsive(call)
+        proxy = self._core.proxies.find(call, is_stuck)
+        return proxy or await self._chooser.claim(call)
 
-    def _cancel_retry(self, call: Call, retry: SentRequest) -> None:
-        window = self._core.retry_windows.for_service(call.service.name)
-        window.cancel_retry(retry)
+    def _cancel_retry(self, call: Call, retry: SentRequest | None) -> None:
+        if retry:
+            window = self._core.retry_windows.for_service(call.service.name)
+            window.cancel_retry(retry)
 
     async def _record_result(
-        self, call: Call, target: Target, result: Response | NoResponse
+        self,
+        call: Call,
+        way: ClaimedTarget | Proxy,
+        result: Response | NoResponse,
     ) -> bool:
         """
         Record what an attempt says of the request.
@@ -130,15 +126,31 @@
         """
         if isinstance(result, Response):
             self._core.suspects.record_answered(call.traits())
-            return result.is_failure
-        if not result.is_broken:
-            return True
-        return await self._core.check_crash(call, target.lifetime)
+            return result.is_failure and isinstance(way, ClaimedTarget)
+        if result.is_broken and isinstance(way, ClaimedTarget):
+            lifetime = way.target.lifetime
+            return await self._core.check_crash(call, lifetime)
+        return True
 
     def _may_retry(self, call: Call) -> bool:
         return call.refusals <= MAX_REFUSALS and call.may_retry()
 
     async def _attempt(
+        self,
+        call: Call,
+        way: ClaimedTarget | Proxy,
+        retry: SentRequest | None,
+    ) -> Response | NoResponse:
+        if isinstance(way, Proxy):
+            arrivals = call.arrivals
+            result = await pass_on(self._core, call, way)
+            if call.arrivals == arrivals:
+                self._cancel_retry(call, retry)
+            return result
+        call.avoided.add(way.target.lifetime)
+        return await self._attempt_target(call, way, retry)
+
+    async def _attempt_target(
         self, call: Call, claimed: ClaimedTarget, retry: SentRequest | None
     ) -> Response | NoResponse:
         target = claimed.target
@@ -147,15 +159,13 @@
         )
         if isinstance(channel, ConnectFailure):
             call.refusals += 1
-            if retry:
-                self._cancel_retry(call, retry)
+            self._cancel_retry(call, retry)
             return NoResponse(
                 f'unreached: {channel.reason}', may_have_run=False
             )
         if not claimed.permit.is_valid():
             self._core.pool.release(channel)
-            if retry:
-                self._cancel_retry(call, retry)
+            self._cancel_retry(call, retry)
             return NoResponse('a permit has expired', may_have_run=False)
         self._records.record_start(target.lifetime)
         is_failed: bool | None = None
@@ -178,8 +188,7 @@
                 workspace=call.workspace,
             ),
         )
-        call.sends += 1
-        call.sent_at = monotonic_s()
+        call.record_send(monotonic_s())
         self._core.meters.sends.labels(call.kind, str(call.sends)).inc()
         channel.send(
             encode_request(
@@ -224,11 +233,10 @@
         self._core.record_limit(target.lifetime, result.head, call.sent_at)
         is_ok = result.head.status < HTTPStatus.MULTIPLE_CHOICES
         if is_ok and not self._core.is_success(result.head):
-            return NoResponse('an answer without a seal', may_have_run=True)
+            return NoResponse(UNSEALED, may_have_run=True)
         if not self._core.is_refusal(result.head):
             return result
-        call.sends -= 1
-        call.refusals += 1
+        call.record_refusal()
         reason = f'{result.head.status} at {target.identity}'
         return NoResponse(reason, may_have_run=False)
 
--- a/mallowcrank/gateway/ports.py
+++ b/mallowcrank/gateway/ports.py
@@ -291,4 +291,5 @@
     caller_zone: Callable[[str], str]
     directory_answer: Callable[[Sequence[Address], float], bytes]
     target_headers: Callable[[Headers, ForwardFields], Headers]
+    proxy_headers: Callable[[Headers, int, str], Headers]
     response_fields: Callable[[Headers], ResponseFields]
--- a/mallowcrank/gateway/prober.py
+++ b/mallowcrank/gateway/prober.py
@@ -9,6 +9,7 @@
 import asyncio
 from collections.abc import Callable, Iterable, Sequence
 from http import HTTPStatus
+from random import Random
 
 from mallowcrank.gateway.assignment import HostAssignment
 from mallowcrank.gateway.clock import monotonic_s
@@ -34,6 +35,10 @@
 # A probe ends within its timeouts unless this process was stalled.
 MAX_PROBE_S = 0.1
 MAX_STALLED_PROBES = 3
+# While this gateway is cut off, it probes some targets at random, and more as
+# soon as one answers.
+CUT_OFF_SAMPLE = 4
+RETURN_SAMPLE = 16
 PACE_INTERVAL_S = 2.5
 CHECK_INTERVAL_S = 0.25
 
@@ -59,6 +64,8 @@
         self._probed_at: dict[Lifetime, float] = {}
         self._tasks: set[asyncio.Task[None]] = set()
         self._assignment = HostAssignment()
+        self._random = Random()
+        self.is_cut_off = False
 
     def probe(self, lifetimes: Iterable[Lifetime]) -> None:
         """
@@ -135,22 +142,22 @@
     async def run(
         self,
         service_names: Callable[[], Iterable[str]],
-        live_hosts: Callable[[], tuple[str, Sequence[str]]],
+        probing_hosts: Callable[[], tuple[str, Sequence[str]]],
         is_silence_confirmed: Callable[[str], bool],
     ) -> None:
         """
         Probe until cancelled: silent targets often, others for their pace.
 
         :param service_names: returns the services to probe.
-        :param live_hosts: returns this gateway's host, and those of all
-            live gateways.
+        :param probing_hosts: returns this gateway's host, and those of all
+            gateways that probe.
         :param is_silence_confirmed: returns whether the gateway that probes a
             target regularly, if it is another one, finds it silent.
         """
         while True:
             await asyncio.sleep(CHECK_INTERVAL_S)
             self._probe_unresponsive(is_silence_confirmed)
-            mine, hosts = live_hosts()
+            mine, hosts = probing_hosts()
             self._assignment.update_hosts(hosts)
             for service in service_names():
                 for target in self._fleet.all_targets(service):
@@ -160,7 +167,7 @@
     def _probe_unresponsive(
         self, is_silence_confirmed: Callable[[str], bool]
     ) -> None:
-        for lifetime in list(self._fleet.health.unresponsive()):
+        for lifetime in self._select_unresponsive():
             target = self._fleet.find(lifetime.identity)
             if target and is_current(self._fleet, lifetime):
                 is_confirmed = is_silence_confirmed(target.identity)
@@ -171,6 +178,20 @@
                     else UNRESPONSIVE_INTERVAL_S,
                 )
 
+    def _select_unresponsive(self) -> list[Lifetime]:
+        """
+        Return the silent targets to probe now.
+
+        Gateways that were cut off together don't probe, or connect to, all
+        targets at the same moment when they are back.
+        """
+        unresponsive = list(self._fleet.health.unresponsive())
+        if not self.is_cut_off:
+            return unresponsive
+        is_back = len(unresponsive) < len(self._fleet)
+        size = RETURN_SAMPLE if is_back else CUT_OFF_SAMPLE
+        return self._random.sample(unresponsive, min(size, len(unresponsive)))
+
     def _start_probe(self, target: Target, interval_s: float) -> None:
         now = monotonic_s()
         if now - self._probed_at.get(target.lifetime, 0) < interval_s:
--- a/mallowcrank/gateway/program.py
+++ b/mallowcrank/gateway/program.py
@@ -6,11 +6,17 @@
 import os
 import signal
 from collections.abc import Coroutine
+from dataclasses import replace
 from functools import partial
 from typing import Any
 
 from mallowcrank.gateway.assembly import Parts, build_parts
-from mallowcrank.gateway.caller_channel import CallerChannels, RequestHandler
+from mallowcrank.gateway.caller_channel import (
+    CallerChannels,
+    CallerRequest,
+    RequestHandler,
+    ResponseWriter,
+)
 from mallowcrank.gateway.clock import monotonic_s
 from mallowcrank.gateway.core import Core
 from mallowcrank.gateway.desired import Desired, Limits
@@ -20,6 +26,7 @@
 from mallowcrank.gateway.journal import Journal
 from mallowcrank.gateway.local_endpoints import LocalEndpoints
 from mallowcrank.gateway.ports import Vocabulary
+from mallowcrank.gateway.proxies import read_origin
 from mallowcrank.gateway.reload import SettingsWatcher
 from mallowcrank.gateway.settings import Address, GatewaySettings
 from mallowcrank.gateway.targets import Lifetime
@@ -51,7 +58,11 @@
         self._core = self._parts.core
         self._stop_requested = asyncio.Event()
         frontend = Frontend(self._core, self._parts.known)
+        self._frontend = frontend
         self._front_channels = CallerChannels(frontend.serve, self._limits)
+        self._peer_channels = CallerChannels(
+            self._serve_peer, self._peer_limits
+        )
         self._internal_channels: list[CallerChannels] = []
         self._servers: list[asyncio.Server] = []
         self._tasks: list[asyncio.Task[None]] = []
@@ -141,7 +152,7 @@
         await asyncio.wait((leave_task,), timeout=LEAVE_TIMEOUT_S)
         await asyncio.sleep(max(0, linger_until - monotonic_s()))
         self._servers[0].close()
-        while self._front_channels.open and monotonic_s() < deadline_at:
+        while self._has_callers() and monotonic_s() < deadline_at:
             self._front_channels.close_idle()
             await asyncio.sleep(FLUSH_INTERVAL_S)
         self._journal.say(
@@ -157,11 +168,14 @@
             task.cancel()
         for server in self._servers:
             server.close()
-        for channels in (self._front_channels, *self._internal_channels):
+        for channels in self._all_channels():
             channels.abort_all()
         self._core.peers.close()
         self._journal.flush()
 
+    def _has_callers(self) -> bool:
+        return bool(self._front_channels.open or self._peer_channels.busy_count)
+
     async def _listen(self) -> None:
         listening = self._settings.listening
         endpoints = LocalEndpoints(self._core, self._parts.gossip)
@@ -169,10 +183,10 @@
         for address, serve in (
             (listening.ready, endpoints.ready),
             (listening.directory, endpoints.directory),
-            (listening.peers, self._parts.handover.serve),
             (self._settings.metrics, endpoints.metrics),
         ):
             await self._serve(address, self._add_internal_channels(serve))
+        await self._serve(listening.peers, self._peer_channels)
         gossip = self._settings.gossip
         await asyncio.get_running_loop().create_datagram_endpoint(
             lambda: self._core.peers, local_addr=(gossip.ip, gossip.port)
@@ -184,11 +198,36 @@
         )
         self._servers.append(server)
 
+    def _all_channels(self) -> tuple[CallerChannels, ...]:
+        return (
+            self._front_channels,
+            self._peer_channels,
+            *self._internal_channels,
+        )
+
     def _add_internal_channels(self, serve: RequestHandler) -> CallerChannels:
         channels = CallerChannels(serve, self._limits)
         self._internal_channels.append(channels)
         return channels
 
+    async def _serve_peer(
+        self, request: CallerRequest, response: ResponseWriter
+    ) -> None:
+        """
+        Serve a caller's request for another gateway, or tell it what it asks.
+        """
+        if read_origin(request.headers):
+            await self._frontend.serve_proxied(request, response)
+        else:
+            await self._parts.handover.serve(request, response)
+
+    def _peer_limits(self) -> Limits:
+        """
+        Return the limits on other gateways, which add headers to requests.
+        """
+        limits = self._limits()
+        return replace(limits, header_bytes=2 * limits.header_bytes)
+
     def _limits(self) -> Limits:
         desired = self._parts.known.newest
         return desired.limits if desired else Limits()
@@ -203,10 +242,10 @@
             parts.placer.run(self._placing_generation, self._newest_desired),
             self._core.prober.run(
                 gossip.engine_services,
-                gossip.live_hosts,
+                gossip.probing_hosts,
                 gossip.is_silence_confirmed,
             ),
-            self._core.reachability.run(),
+            self._core.proxies.reachability.run(),
             parts.handover.run(),
             self._core.peers.run(),
             self._sweep(),
@@ -238,7 +277,7 @@
     async def _sweep(self) -> None:
         while True:
             await asyncio.sleep(SWEEP_INTERVAL_S)
-            for channels in (self._front_channels, *self._internal_channels):
+            for channels in self._all_channels():
                 channels.sweep()
             self._core.pool.sweep()
             now = monotonic_s()
--- a/mallowcrank/gateway/reachability.py
+++ b/mallowcrank/gateway/reachability.py
@@ -23,6 +23,7 @@
 # Hysteresis: a gateway counts as cut off until it reaches half of the targets.
 CUT_OFF_SHARE = 0.9
 RETURN_SHARE = 0.5
+DOUBT_S = 0.6  # after another target has turned silent for this gateway alone
 ALONE_S = 1.0  # without a gateway that is better off; statuses may be lost
 
 
@@ -47,7 +48,10 @@
         self._is_cut_off = False
         self._swept_at = monotonic_s()
         self._swept_silent = 0
+        self._silent = 0
+        self._in_doubt_until = 0
         self._better_off_at = monotonic_s()
+        self._better_off: tuple[GatewayStatus, ...] = ()
 
     @property
     def is_cut_off(self) -> bool:
@@ -57,19 +61,28 @@
         """
         return self._is_cut_off
 
-    def better_off(self) -> list[GatewayStatus]:
+    @property
+    def is_in_doubt(self) -> bool:
         """
-        Return the gateways that accept callers and reach most of the targets.
+        Return whether this gateway is cut off, or may be.
         """
-        most = len(self._fleet) / 2
-        statuses = [peer.last_status for peer in self._peers.live()]
-        return [
-            status
-            for status in statuses
-            if status.accepts_callers
-            and not status.is_cut_off
-            and len(status.unresponsive_targets) < most
-        ]
+        if self._is_cut_off:
+            return True
+        return bool(self._better_off) and monotonic_s() < self._in_doubt_until
+
+    @property
+    def better_off(self) -> tuple[GatewayStatus, ...]:
+        """
+        Return the gateways that accept callers and reach most of the targets
+        that are silent for this one; none if only few are.
+        """
+        return self._better_off
+
+    def live_statuses(self) -> list[GatewayStatus]:
+        """
+        Return the statuses of the other live gateways.
+        """
+        return [peer.last_status for peer in self._peers.live()]
 
     async def run(self) -> None:
         """
@@ -85,10 +98,16 @@
         """
         silent = len(self._fleet.health.unresponsive())
         if not self._is_cut_off and silent < min(MIN_SILENT, len(self._fleet)):
+            self._silent = silent
             self._swept_silent = 0
+            self._better_off = ()
             return
         now = monotonic_s()
-        if self.better_off():
+        if silent > self._silent:
+            self._in_doubt_until = now + DOUBT_S
+        self._silent = silent
+        self._better_off = self._find_better_off()
+        if self._better_off:
             self._better_off_at = now
         is_alone = now - self._better_off_at > ALONE_S
         if self._is_cut_off:
@@ -99,6 +118,18 @@
         elif silent > self._swept_silent:
             self._sweep(now, silent)
 
+    def _find_better_off(self) -> tuple[GatewayStatus, ...]:
+        unresponsive = self._fleet.health.unresponsive()
+        silent = {lifetime.identity for lifetime in unresponsive}
+        return tuple(
+            status
+            for status in self.live_statuses()
+            if status.accepts_callers
+            and not status.is_cut_off
+            and 2 * len(silent.intersection(status.unresponsive_targets))
+            < len(silent)
+        )
+
     def _sweep(self, now: float, silent: int) -> None:
         """
         Probe the targets that aren't known to be silent.
@@ -117,10 +148,11 @@
 
     def _change(self, is_cut_off: bool) -> None:
         self._is_cut_off = is_cut_off
+        self._prober.is_cut_off = is_cut_off
         self._meters.is_cut_off.set(is_cut_off)
         self._journal.say(
             'reach: cut off' if is_cut_off else 'reach: back',
             targets=len(self._fleet),
             silent=len(self._fleet.health.unresponsive()),
-            better_off=[status.host for status in self.better_off()],
+            better_off=[status.host for status in self._better_off],
         )
--- a/mallowcrank/gateway/streams.py
+++ b/mallowcrank/gateway/streams.py
@@ -13,14 +13,11 @@
 from mallowcrank.chains.budget import SentRequest
 from mallowcrank.chains.paths import ChainPath, NoPath
 from mallowcrank.gateway.call import Call
+from mallowcrank.gateway.call_log import log_broken_channel, record_outcome
 from mallowcrank.gateway.caller_channel import end_to_end_headers
 from mallowcrank.gateway.clock import monotonic_s
-from mallowcrank.gateway.core import (
-    Core,
-    log_broken_channel,
-    record_outcome,
-)
-from mallowcrank.gateway.desired import EngineRule
+from mallowcrank.gateway.core import Core
+from mallowcrank.gateway.desired import EngineRule, Repeat
 from mallowcrank.gateway.detours import detour_stream
 from mallowcrank.gateway.endings import (
     TIMEOUT,
@@ -42,6 +39,11 @@
 from mallowcrank.gateway.path_finder import PathFinder, format_path
 from mallowcrank.gateway.permits import Denial, Permit
 from mallowcrank.gateway.ports import ForwardFields
+from mallowcrank.gateway.proxies import (
+    Proxy,
+    is_proxy_failure,
+    is_proxy_refusal,
+)
 from mallowcrank.gateway.target_channel import (
     BodyChunk,
     ChannelBroken,
@@ -62,6 +64,7 @@
 EVENT_SILENCE_S = 0.06  # streams have 20 events per second or more
 MAX_SILENCE_S = 0.9  # then a stream moves, even if all engines answer
 SURVIVAL_S = 0.25  # from the first event on
+MAX_PROXY_SILENCE_S = 3.0  # of a live proxy, which moves streams itself
 MAX_REFUSALS = 3  # refused attempts before the first event
 MAX_DETOURS = 3
 MAX_TRIES = 4  # attempts before the first event
@@ -115,14 +118,15 @@
         self._begun_at = monotonic_s()
         self._has_survived = False
         self._path = NO_PATH
+        self._proxy: Proxy | None = None
         self._permit = Permit()
 
     async def run(self) -> None:
         """
         Try paths until the answer is complete, or no other attempt is allowed.
         """
-        self._window.count_request(monotonic_s())
         call = self._call
+        self._core.count_request(call)
         suspicion = await self._core.suspects.claim_trial(
             call.fields.request_id, call.traits(), self._path_wait_s()
         )
@@ -143,14 +147,18 @@
             if isinstance(path, str):
                 give_up(self._core, self._call, path, RETRY_AFTER)
                 return
-            self._path = path
+            self._use(path)
             outcome = await self._attempt()
-            if isinstance(outcome, Interrupted):
+            if isinstance(outcome, Interrupted) and not self._proxy:
                 await self._check_crash(outcome)
             if self._handle_outcome(outcome):
                 return
             await self._back_off()
 
+    def _use(self, way: ChainPath | Proxy) -> None:
+        self._proxy = way if isinstance(way, Proxy) else None
+        self._path = way if isinstance(way, ChainPath) else NO_PATH
+
     def _handle_outcome(self, outcome: Outcome) -> bool:
         """
         Handle the outcome of an attempt, and end the call unless it may go on.
@@ -165,6 +173,7 @@
                     'served',
                     events=self._pieces.event_count,
                     path=format_path(self._path),
+                    **self._proxy_field(),
                 )
                 return True
             case TimedOut():
@@ -193,18 +202,18 @@
         may_resend = await self._core.check_crash(self._call, lost[0])
         self._may_crash = not may_resend
 
-    async def _find_path(self) -> ChainPath | Denial | str:
+    async def _find_path(self) -> ChainPath | Proxy | Denial | str:
         """
         Choose a path, and wait a limited time for memory.
 
-        :returns: the path, or why there is none.
+        :returns: the path, a gateway that finds one, or why there is none.
         """
         deadline = monotonic_s() + self._path_wait_s()
         while True:
             started_at = monotonic_s()
             found = await self._claim_path(max(0, deadline - started_at))
             self._call.waited_s += monotonic_s() - started_at
-            if isinstance(found, ChainPath):
+            if isinstance(found, ChainPath | Proxy):
                 return found
             is_denied = isinstance(found, Denial)
             if is_denied and not self._call.response.has_begun:
@@ -216,13 +225,18 @@
             await self._wait_queue.wait(self._call.priority, left_s)
             self._call.waited_s += monotonic_s() - waiting_since
 
-    async def _claim_path(self, left_s: float) -> ChainPath | Denial | str:
+    async def _claim_path(
+        self, left_s: float
+    ) -> ChainPath | Proxy | Denial | str:
         """
         Choose a path that the budget and the limits of its engines allow.
 
         :param left_s: seconds for which the call may wait.
-        :returns: the path, or why there is none.
+        :returns: the path, a gateway that finds one, or why there is none.
         """
+        proxy = self._core.proxies.find(self._call)
+        if proxy:
+            return self._claim_proxy(proxy)
         while True:
             candidate = self._finder.choose()
             if isinstance(candidate, NoPath):
@@ -231,9 +245,16 @@
             if not isinstance(answer, Denial):
                 return answer
 
+    def _claim_proxy(self, proxy: Proxy) -> Proxy | str:
+        """
+        Count the next send through another gateway, if the budget allows it.
+        """
+        self._permit = Permit()
+        return proxy if self._claim_retry() else NO_BUDGET
+
     async def _claim_denied_path(
         self, missing: NoPath, left_s: float
-    ) -> ChainPath | Denial | str:
+    ) -> ChainPath | Proxy | Denial | str:
         """
         Claim a path whose engines take few requests, as there is no other.
 
@@ -241,7 +262,9 @@
         """
         candidate = self._finder.choose_denied()
         if candidate is None:
-            return missing.value
+            is_uncovered = missing is NoPath.UNCOVERED
+            proxy = self._core.proxies.find(self._call, is_stuck=is_uncovered)
+            return self._claim_proxy(proxy) if proxy else missing.value
         if missing is NoPath.UNCOVERED:
             return await self._claim(candidate, left_s)
         answer = await self._claim(candidate)
@@ -285,7 +308,10 @@
             self._wait_queue.notify()
 
     async def _send_and_relay(self) -> Outcome:
-        channel = await self._open(self._path)
+        if self._proxy:
+            channel = await self._open_proxy(self._proxy)
+        else:
+            channel = await self._open(self._path)
         if isinstance(channel, Rejected):
             self._cancel_retry()
             return channel
@@ -316,13 +342,27 @@
         self._send(sending, channel)
         return channel
 
+    async def _open_proxy(self, proxy: Proxy) -> TargetChannel | Rejected:
+        """
+        Pass the call on to another gateway.
+        """
+        may_reuse = self._call.route.repeat is not Repeat.ONCE
+        channel = await self._core.proxies.open(self._call, proxy, may_reuse)
+        if isinstance(channel, ConnectFailure):
+            return Rejected(f'unreached: {proxy.host}: {channel.reason}')
+        self._tries += 1
+        self._core.proxies.send(self._call, channel, self._pieces.last_id)
+        return channel
+
+    def _proxy_field(self) -> dict[str, str]:
+        return {'proxy': self._proxy.host} if self._proxy else {}
+
     def _send(self, sending: ForwardFields, channel: TargetChannel) -> None:
         call = self._call
         request = call.request
         headers = self._core.vocabulary.target_headers(request.headers, sending)
         self._tries += 1
-        call.sends += 1
-        call.sent_at = monotonic_s()
+        call.record_send(monotonic_s())
         self._core.meters.sends.labels(call.kind, str(self._tries)).inc()
         channel.send(
             encode_request(
@@ -359,18 +399,18 @@
                     channel.close()
                     return event
                 case ChannelBroken():
-                    log_broken_channel(
-                        self._core,
-                        self._call,
-                        self._path.segments[0].lifetime,
-                        event.reason,
-                    )
+                    self._log_broken(event.reason)
                     return Interrupted(event.reason, is_broken=True)
             if unread_bytes > MAX_EVENT_BYTES:
                 channel.close()
-                self._call.avoided.add(self._path.segments[0].lifetime)
+                self._call.avoided.update(self._path.lifetimes[:1])
                 return Interrupted('an event or error is too long')
 
+    def _log_broken(self, reason: str) -> None:
+        if not self._proxy:
+            first = self._path.segments[0].lifetime
+            log_broken_channel(self._core, self._call, first, reason)
+
     async def _next(
         self, channel: TargetChannel
     ) -> ResponseEvent | Interrupted | TimedOut:
@@ -392,7 +432,7 @@
                 return moved
 
     def _check(self, event: ResponseEvent) -> ResponseEvent | Interrupted:
-        if isinstance(event, ResponseHead):
+        if isinstance(event, ResponseHead) and not self._proxy:
             first = self._path.segments[0].lifetime
             self._core.record_limit(first, event, self._call.sent_at)
         if isinstance(event, ResponseHead) and event.status == HTTPStatus.OK:
@@ -446,6 +486,8 @@
             if self._pieces.event_count
             else FIRST_EVENT_SILENCE_S
         )
+        if self._proxy:
+            return self._check_proxy(self._proxy, silence_s)
         if silence_s < allowed_s:
             return None
         lifetimes = self._path.lifetimes
@@ -453,6 +495,8 @@
         idle = target_health.idle_since(lifetimes, monotonic_s() - allowed_s)
         self._core.prober.probe(idle)
         lost = self._lost_engines()
+        if lost and self._is_useless_proxy():
+            return Interrupted('cut off from all targets')
         if lost and self._can_move(()):
             names = ','.join(lifetime.identity for lifetime in lost)
             return Interrupted(f'silent for {silence_s:.3f} s at {names}')
@@ -461,9 +505,33 @@
             return Interrupted(f'silent for {silence_s:.3f} s')
         return None
 
+    def _is_useless_proxy(self) -> bool:
+        """
+        Return whether another gateway waits for this one, which reaches no
+        target either.
+        """
+        is_cut_off = self._core.proxies.reachability.is_cut_off
+        return self._call.is_proxied and is_cut_off
+
+    def _check_proxy(
+        self, proxy: Proxy, silence_s: float
+    ) -> Interrupted | None:
+        """
+        Decide whether a stream leaves a silent proxy, which looks after the
+        engines itself.
+        """
+        is_available = self._core.proxies.is_available(proxy)
+        if is_available and silence_s < MAX_PROXY_SILENCE_S:
+            return None
+        if not self._can_move(()):
+            return None
+        return Interrupted(f'silent for {silence_s:.3f} s at {proxy.host}')
+
     def _can_move(self, avoided: Sequence[Lifetime]) -> bool:
         if not self._may_retry() or not self._has_budget():
             return False
+        if self._core.proxies.find(self._call, is_stuck=True):
+            return True
         return isinstance(self._finder.choose(avoided), ChainPath)
 
     def _has_budget(self) -> bool:
@@ -563,11 +631,12 @@
 
         A refusal isn't counted as a send, and its engine is avoided.
         """
+        if self._proxy:
+            return self._classify_proxied(self._proxy, head, body)
         if not self._core.is_refusal(head):
             return Failed(head, body)
         response_fields = self._core.vocabulary.response_fields(head.headers)
-        self._call.sends -= 1
-        self._call.refusals += 1
+        self._call.record_refusal()
         refusing = (
             self._core.fleet.find_by_address(response_fields.fault_address)
             if response_fields.fault_address
@@ -580,6 +649,17 @@
         self._core.fleet.health.record_refusal(lifetime, monotonic_s())
         return Rejected(f'{head.status} at {lifetime.identity}')
 
+    def _classify_proxied(
+        self, proxy: Proxy, head: ResponseHead, body: bytes
+    ) -> Outcome:
+        if is_proxy_refusal(head):
+            self._call.record_refusal()
+            return Rejected(f'refused by {proxy.host}')
+        fields = self._core.vocabulary.response_fields(head.headers)
+        if is_proxy_failure(head, fields.is_genuine):
+            return Interrupted(f'{head.status} of {proxy.host}')
+        return Failed(head, body)
+
     def _log_attempt(self, reason: str) -> None:
         usage = self._core.retry_usage(self._call.service.name)
         self._core.journal.say(
@@ -587,6 +667,7 @@
             request=self._call.fields.request_id,
             why=reason,
             path=format_path(self._path),
+            **self._proxy_field(),
             sends=self._call.sends,
             refused=self._call.refusals,
             events=self._pieces.event_count,
--- a/mallowcrank/gateway/target_choice.py
+++ b/mallowcrank/gateway/target_choice.py
@@ -41,6 +41,15 @@
         targets = self._core.fleet.accepting_targets(call.service.name)
         return [each for each in targets if each.lifetime not in call.avoided]
 
+    def are_all_unresponsive(self, call: Call) -> bool:
+        """
+        Return whether a call's service has targets, and none that answers.
+        """
+        targets = self._core.fleet.accepting_targets(call.service.name)
+        unresponsive = self._core.fleet.health.unresponsive()
+        lifetimes = {target.lifetime for target in targets}
+        return bool(lifetimes) and lifetimes <= unresponsive.keys()
+
     async def claim(self, call: Call) -> ClaimedTarget | Denial | None:
         """
         Choose a target, and claim a permit to send the call to it.
--- a/mallowcrank/platform/entries.py
+++ b/mallowcrank/platform/entries.py
@@ -12,7 +12,6 @@
     Target,
     TargetReport,
 )
-from mallowcrank.platform.exchange import instance_headers
 from mallowcrank.platform.fields import (
     MalformedError,
     as_object,
@@ -22,6 +21,7 @@
     number_field,
     text_field,
 )
+from mallowcrank.platform.forwarding import instance_headers
 from mallowcrank.platform.node_settings import read_address
 
 READY = 'ready'
--- a/mallowcrank/platform/exchange.py
+++ b/mallowcrank/platform/exchange.py
@@ -10,20 +10,16 @@
 
 from mallowcrank.gateway.ports import (
     CallerFields,
-    ForwardFields,
     Headers,
-    Hop,
     ResponseFields,
 )
 from mallowcrank.gateway.settings import Address
+from mallowcrank.platform.forwarding import API_KEY, DEADLINE, LAST_EVENT
 
 REQUEST_ID = b'mallowcrank-request-id'
-DEADLINE = b'mallowcrank-deadline-ms'
 TOKEN_COUNTS = b'mallowcrank-token-count'
 PROMPT_PARTS = b'mallowcrank-prompt-prefix'
 LENGTH_HINT = b'mallowcrank-length-hint'
-LAST_EVENT = b'last-event-id'
-API_KEY = b'x-api-key'
 RESPONSE_SEAL = b'mallowcrank-response-seal'
 NOT_EXECUTED = b'mallowcrank-not-executed'
 FAULTY_REPLICA = b'at-server'
@@ -33,18 +29,6 @@
 MAX_PART_LENGTH = 64  # characters of an id; longer ones are ignored
 MAX_NUMBER_LENGTH = 32  # characters; longer numbers are invalid
 
-SET_BY_GATEWAY = frozenset(
-    (
-        DEADLINE,
-        API_KEY,
-        b'mallowcrank-tenant',
-        b'mallowcrank-expect-instance',
-        b'mallowcrank-expect-version',
-        b'mallowcrank-hop-count',
-        b'mallowcrank-request-priority',
-    )
-)
-
 
 def caller_fields(headers: Headers) -> CallerFields:
     """
@@ -85,43 +69,6 @@
     )
 
 
-def instance_headers(identity: str) -> Headers:
-    """
-    Return the headers that make any other replica at the address refuse.
-    """
-    return ((b'Mallowcrank-Expect-Instance', identity.encode()),)
-
-
-def format_path(hops: Sequence[Hop]) -> str:
-    """
-    Return a path in the platform's header format.
-    """
-    return ','.join(f'{hop.address}={hop.first}-{hop.end}' for hop in hops)
-
-
-def target_headers(headers: Headers, sending: ForwardFields) -> Headers:
-    """
-    Return the headers of a request to a replica.
-
-    :param headers: the caller's, without connection-specific headers.
-    """
-    excluded = SET_BY_GATEWAY
-    if sending.last_event:
-        excluded = excluded | {LAST_EVENT}
-    kept = [pair for pair in headers if pair[0].lower() not in excluded]
-    kept.append((b'Mallowcrank-Deadline-Ms', b'%d' % sending.remaining_ms))
-    kept.extend(instance_headers(sending.target))
-    if sending.workspace:
-        kept.append((b'Mallowcrank-Tenant', sending.workspace.encode()))
-    if sending.hops:
-        kept.append(
-            (b'Mallowcrank-Hop-Count', format_path(sending.hops).encode())
-        )
-    if sending.last_event:
-        kept.append((b'Last-Event-Id', sending.last_event.encode()))
-    return tuple(kept)
-
-
 def answer_fields(headers: Headers) -> ResponseFields:
     """
     Decode the headers of a replica's answer.
--- a/mallowcrank/platform/orders.py
+++ b/mallowcrank/platform/orders.py
@@ -8,7 +8,7 @@
 
 from mallowcrank.gateway.ports import Hop, HttpCall
 from mallowcrank.gateway.targets import HeldLayers
-from mallowcrank.platform.exchange import format_path, instance_headers
+from mallowcrank.platform.forwarding import format_path, instance_headers
 
 JSON_HEADERS = ((b'Content-Type', b'application/json'),)
 
--- a/mallowcrank/platform/vocabulary.py
+++ b/mallowcrank/platform/vocabulary.py
@@ -14,8 +14,8 @@
     caller_fields,
     caller_zone,
     directory_answer,
-    target_headers,
 )
+from mallowcrank.platform.forwarding import proxy_headers, target_headers
 from mallowcrank.platform.node_settings import read_settings
 from mallowcrank.platform.orders import detour_call, place_call
 from mallowcrank.platform.store import PlatformStore
@@ -42,5 +42,6 @@
         caller_zone=caller_zone,
         directory_answer=directory_answer,
         target_headers=target_headers,
+        proxy_headers=proxy_headers,
         response_fields=answer_fields,
     )
--- a/tests/test_gateway_beliefs.py
+++ b/tests/test_gateway_beliefs.py
@@ -5,6 +5,7 @@
 import asyncio
 import json
 import os
+from dataclasses import replace
 from math import inf
 from random import Random
 from unittest import IsolatedAsyncioTestCase, TestCase
@@ -605,6 +606,7 @@
             {'limits': {}},
             {'limits': {}, 'entries': EntriesStatus(LogPosition(2, 70), 1.5)},
             {'suspects': SUSPECTS_REPORT},
+            {'is_cut_off': True},
             {'limits': {}, 'suspects': SUSPECTS_REPORT},
         ):
             with self.subTest(changes=changes):
@@ -663,6 +665,18 @@
         found = self.hosts('b')
         self.assertEqual(found, ['10.0.0.0', '10.0.0.1', '10.0.0.2'])
 
+    def test_gateways_without_targets_are_left_out(self):
+        cut_off = replace(self.statuses[0], is_cut_off=True)
+        found = self.hosts('a', [cut_off, *self.statuses[1:]])
+        self.assertNotIn('10.0.0.0', found)
+
+    def test_gateways_without_targets_stay_if_too_few_others_are_there(self):
+        cut_off = [
+            replace(status, is_cut_off=True) for status in self.statuses[:3]
+        ]
+        found = self.hosts('a', [*cut_off, self.statuses[3]])
+        self.assertEqual(found, ['10.0.0.0', '10.0.0.1'])
+
     def test_region_with_a_single_front_gets_all(self):
         self.assertEqual(len(self.hosts('c')), 4)
         self.assertEqual(len(self.hosts('elsewhere')), 4)
@@ -709,6 +723,18 @@
         gossip.handle_status(make_status('h3', leader_generation=6))
         self.assertEqual(gossip.leader_generation, 0)
 
+    def test_gateway_that_reaches_no_target_does_not_act(self):
+        gossip = self.make_gossip(3, 4, is_cut_off=True)
+        later = monotonic_s() + 5
+        with patch(
+            'mallowcrank.gateway.gossip.monotonic_s', return_value=later
+        ):
+            self.assertEqual(gossip.leader_generation, 0)
+
+    def test_gateways_that_reach_no_target_are_not_candidates(self):
+        others = [make_status('h1', is_cut_off=True), make_status('h3')]
+        self.assertTrue(should_take_over('h2', others, leaderless_s=5))
+
     def acting_generation(self, live_count, known_count, leaderless_s):
         gossip = self.make_gossip(live_count, known_count)
         later = monotonic_s() + leaderless_s
@@ -717,7 +743,7 @@
         ):
             return gossip.leader_generation
 
-    def make_gossip(self, live_count, known_count):
+    def make_gossip(self, live_count, known_count, is_cut_off=False):
         peers = Mock()
         peers.live.return_value = [
             Mock(last_status=make_status(f'h{number}'))
@@ -730,6 +756,7 @@
                 peers=peers,
                 settings=Mock(host='h1'),
                 fleet=Fleet(quiet_journal()),
+                proxies=Mock(reachability=Mock(is_cut_off=is_cut_off)),
             ),
             desired=Mock(newest=None, version=3),
             targets=Mock(),
@@ -737,6 +764,11 @@
             incarnation='abcd',
         )
 
+    def test_cut_off_gateway_reports_no_leadership(self):
+        status = self.sent_status(is_stopping=False, is_cut_off=True)
+        self.assertEqual(status.leader_generation, 0)
+        self.assertTrue(status.is_cut_off)
+
     def test_stopping_gateway_reports_no_leadership(self):
         self.assertEqual(
             self.sent_status(is_stopping=False).leader_generation, 7
@@ -745,9 +777,13 @@
             self.sent_status(is_stopping=True).leader_generation, 0
         )
 
-    def sent_status(self, is_stopping):
+    def sent_status(self, is_stopping, is_cut_off=False):
         gossip = Gossip(
-            core=Mock(fleet=Fleet(quiet_journal()), ledger=MemoryLedger()),
+            core=Mock(
+                fleet=Fleet(quiet_journal()),
+                ledger=MemoryLedger(),
+                proxies=Mock(reachability=Mock(is_cut_off=is_cut_off)),
+            ),
             desired=Mock(newest=None, version=3),
             targets=Mock(),
             leadership=Mock(leader_generation=7),
--- a/tests/test_gateway_retries.py
+++ b/tests/test_gateway_retries.py
@@ -8,6 +8,7 @@
 from unittest.mock import AsyncMock, Mock
 
 from mallowcrank.chains.budget import RetryWindows
+from mallowcrank.chains.suspect_traits import Suspicion
 from mallowcrank.gateway.call import Call
 from mallowcrank.gateway.clock import monotonic_s
 from mallowcrank.gateway.core import Core
@@ -79,6 +80,12 @@
             random=Mock(random=Mock(return_value=0)),
             retry_after=Mock(assign_delay_s=Mock(return_value=1)),
             retry_windows=RetryWindows(BOUNDS),
+            suspects=Mock(claim_trial=AsyncMock(return_value=Suspicion.NONE)),
+            proxies=Mock(
+                find=Mock(return_value=None),
+                reachability=Mock(is_in_doubt=False),
+            ),
+            prober=Mock(verify_loss=AsyncMock(return_value=False)),
             permits=Mock(
                 denied=Mock(return_value=set()),
                 claim=AsyncMock(return_value=Permit()),
@@ -98,13 +105,19 @@
             request=SimpleNamespace(
                 method='GET',
                 target=b'/',
+                host='shop.example',
                 headers=(),
                 body=b'',
                 received_at=monotonic_s(),
             ),
             fields=SimpleNamespace(request_id='r', prompt_parts=()),
             response=Mock(has_begun=False, has_ended=False),
-            route=Mock(repeat=Repeat.ANY, streams=False, max_sends=2),
+            route=Mock(
+                repeat=Repeat.ANY,
+                streams=False,
+                max_sends=2,
+                latency_objective_s=0.1,
+            ),
             service=SimpleNamespace(name='stock'),
             workspace='',
             priority=5,
--- a/tests/test_platform_exchange.py
+++ b/tests/test_platform_exchange.py
@@ -12,8 +12,8 @@
     caller_fields,
     caller_zone,
     directory_answer,
-    target_headers,
 )
+from mallowcrank.platform.forwarding import target_headers
 
 FORGED = (
     (b'Mallowcrank-Tenant', b'somebody-else'),
--- a/tests/utils/cut_site.py
+++ b/tests/utils/cut_site.py
@@ -86,6 +86,7 @@
         self._size = gateways
         self._random = Random(random_seed)
         self._numbers = 0
+        self._marked_at = monotonic_s()
 
     async def start(self):
         asyncio.get_running_loop().set_debug(enabled=False)
@@ -159,6 +160,35 @@
             if sent_at >= since and (gateway in self.cut_off) is is_cut_off
         )
 
+    @property
+    def engines(self):
+        return [each for each in self.world.replicas.values() if each.held]
+
+    def mark_runs(self):
+        """
+        Begin to count runs.
+        """
+        self._marked_at = monotonic_s()
+
+    def runs_since_mark(self):
+        """
+        Return how often each request was run since the mark.
+        """
+        return Counter(
+            run.request
+            for replica in self.world.replicas.values()
+            for run in replica.runs
+            if run.at > self._marked_at
+        )
+
+    def last_run(self):
+        runs = [
+            run
+            for replica in self.world.replicas.values()
+            for run in replica.runs
+        ]
+        return max(runs, key=lambda run: run.at)
+
     def runs_by_request(self):
         """
         Return how often each request was run.
