Stop reading from a target while its events aren't taken

A caller that reads slowly holds the writer of its stream back, but what the target sent meanwhile was kept in memory without a bound. Reading now pauses at 64 unread events and goes on at 16, so that the target, or the gateway that the stream passes through, is held back, too.

The new test fails before; tests.test_target_channel passes.

--- a/mallowcrank/gateway/target_channel.py
+++ b/mallowcrank/gateway/target_channel.py
@@ -20,6 +20,9 @@
 CONNECT_TIMEOUT_S = 0.25
 IDLE_TIMEOUT_S = 3  # if the target's `Keep-Alive` names no timeout
 IDLE_MARGIN_S = 1  # channels are closed so long before the target's timeout
+# Unread events of a response at which reading pauses, and goes on again.
+HIGH_WATER_EVENTS = 64
+LOW_WATER_EVENTS = 16
 MAX_IDLE = 32  # channels to one target
 MAX_HEAD_BYTES = 65_536  # of a response
 MAX_BODY_BYTES = 33_554_432  # of a response that is read as a whole
@@ -124,6 +127,7 @@
         self._parser = httptools.HttpResponseParser(self)
         self._headers: list[tuple[bytes, bytes]] = []
         self._is_open = True
+        self._is_paused = False
         self._is_pending = False
         self._head_only = False
         self._until_close = False
@@ -243,7 +247,10 @@
             finally:
                 timer.cancel()
                 self._waiter = None
-        return self._events.popleft() if self._events else ReadTimeout()
+        event = self._events.popleft() if self._events else ReadTimeout()
+        if self._is_paused and len(self._events) <= LOW_WATER_EVENTS:
+            self._set_paused(is_paused=False)
+        return event
 
     async def read_response(
         self, timeout_s: float
@@ -360,8 +367,19 @@
 
     def _emit(self, event: ResponseEvent) -> None:
         self._events.append(event)
+        if len(self._events) >= HIGH_WATER_EVENTS and not self._is_paused:
+            self._set_paused(is_paused=True)
         self._wake()
 
+    def _set_paused(self, is_paused: bool) -> None:
+        if self._transport is None or not self._is_open:
+            return
+        self._is_paused = is_paused
+        if is_paused:
+            self._transport.pause_reading()
+        else:
+            self._transport.resume_reading()
+
     def _wake(self) -> None:
         if self._waiter and not self._waiter.done():
             self._waiter.set_result(None)
--- a/tests/test_target_channel.py
+++ b/tests/test_target_channel.py
@@ -10,6 +10,7 @@
 from mallowcrank.gateway.event_buffer import EventBuffer
 from mallowcrank.gateway.settings import Address
 from mallowcrank.gateway.target_channel import (
+    HIGH_WATER_EVENTS,
     MAX_BODY_BYTES,
     MAX_HEAD_BYTES,
     BodyChunk,
@@ -57,6 +58,17 @@
         ]
         return b''.join(chunks)
 
+    async def test_reading_pauses_while_nobody_takes_the_events(self):
+        self.ask()
+        self.channel.data_received(
+            b'HTTP/1.1 200 OK\r\nId: r1\r\nTransfer-Encoding: chunked\r\n\r\n'
+        )
+        for _ in range(HIGH_WATER_EVENTS):
+            self.channel.data_received(b'1\r\nx\r\n')
+        self.assertTrue(self.transport.is_paused)
+        self.assertEqual(await self.body(), b'x' * HIGH_WATER_EVENTS)
+        self.assertFalse(self.transport.is_paused)
+
     def ask(self):
         self.channel.send(b'GET / HTTP/1.1\r\n\r\n', is_first)
 
--- a/tests/utils/fake_transport.py
+++ b/tests/utils/fake_transport.py
@@ -12,6 +12,7 @@
         self.written = b''
         self.is_closed = False
         self.is_aborted = False
+        self.is_paused = False
 
     def write(self, raw):
         if not self.is_closed:
@@ -24,5 +25,11 @@
         self.is_closed = True
         self.is_aborted = True
 
+    def pause_reading(self):
+        self.is_paused = True
+
+    def resume_reading(self):
+        self.is_paused = False
+
     def set_write_buffer_limits(self, high):
         self.high = high
