--- a/mallowcrank/gateway/prober.py
+++ b/mallowcrank/gateway/prober.py
@@ -65,7 +65,7 @@
         self._tasks: set[asyncio.Task[None]] = set()
         self._assignment = HostAssignment()
         self._random = Random()
-        self.is_cut_off = False
+        self._is_cut_off = False
 
     def probe(self, lifetimes: Iterable[Lifetime]) -> None:
         """
@@ -94,6 +94,19 @@
         """
         return self._assignment.host_for(identity)
 
+    def set_cut_off(self, is_cut_off: bool) -> None:
+        """
+        Set whether this gateway reaches next to no target.
+
+        Idle channels to silent targets are closed: they may stay dead when
+        their targets are back, and nothing shows it.
+        """
+        self._is_cut_off = is_cut_off
+        for lifetime in self._fleet.health.unresponsive():
+            target = self._fleet.find(lifetime.identity)
+            if target:
+                self._pool.close_idle(target.address)
+
     def handle_unreached(
         self, lifetime: Lifetime, failure: ConnectFailure
     ) -> None:
@@ -186,7 +199,7 @@
         targets at the same moment when they are back.
         """
         unresponsive = list(self._fleet.health.unresponsive())
-        if not self.is_cut_off:
+        if not self._is_cut_off:
             return unresponsive
         is_back = len(unresponsive) < len(self._fleet)
         size = RETURN_SAMPLE if is_back else CUT_OFF_SAMPLE
@@ -211,7 +224,7 @@
             if target.is_engine:
                 answer = await self._first_report(target)
             else:
-                answer = await self._try_connect(target)
+                answer = await _try_connect(self._pool, target)
             is_silent = target.is_engine and isinstance(answer, str)
             if not is_silent or monotonic_s() - started_at < MAX_PROBE_S:
                 break
@@ -235,18 +248,6 @@
             {first, second}, REPORT_TIMEOUT_S - RETRY_DELAY_S
         )
 
-    async def _try_connect(self, target: Target) -> str:
-        """
-        Open a channel to a target that gives no reports.
-
-        :returns: why it can't be reached, or an empty string.
-        """
-        channel = await self._pool.connect(target.address)
-        if isinstance(channel, ConnectFailure):
-            return channel.reason
-        channel.close()
-        return ''
-
     def _record(
         self, target: Target, answer: TargetReport | str, now: float
     ) -> None:
@@ -261,6 +262,19 @@
             self._fleet.health.record_silence(target.lifetime, answer, now)
 
 
+async def _try_connect(pool: ChannelPool, target: Target) -> str:
+    """
+    Open a channel to a target that gives no reports.
+
+    :returns: why it can't be reached, or an empty string.
+    """
+    channel = await pool.connect(target.address)
+    if isinstance(channel, ConnectFailure):
+        return channel.reason
+    channel.close()
+    return ''
+
+
 async def _first_report_of(
     requests: set[asyncio.Task[TargetReport | str]], within_s: float
 ) -> TargetReport | str:
--- a/mallowcrank/gateway/reachability.py
+++ b/mallowcrank/gateway/reachability.py
@@ -148,7 +148,7 @@
 
     def _change(self, is_cut_off: bool) -> None:
         self._is_cut_off = is_cut_off
-        self._prober.is_cut_off = is_cut_off
+        self._prober.set_cut_off(is_cut_off)
         self._meters.is_cut_off.set(is_cut_off)
         self._journal.say(
             'reach: cut off' if is_cut_off else 'reach: back',
