--- a/tests/test_gateway_deadly_requests.py
+++ b/tests/test_gateway_deadly_requests.py
@@ -3,9 +3,11 @@
 """
 
 import asyncio
+import json
 from types import MappingProxyType
 from unittest import IsolatedAsyncioTestCase
 
+from mallowcrank.gateway.ports import HttpCall
 from tests.utils.poisoned_site import DeadlyRequestSite
 
 SETTLED_S = 3  # after the third crash
@@ -90,6 +92,38 @@
         self.assertNotIn(b'retry-after', response.headers)
         self.assertEqual(len(site.deadly_runs), before)
 
+    async def test_reset_channel_of_a_live_target_is_no_crash(self):
+        site = await self.start(2)
+        for target in site.engines:
+            target.faults.losses = 4
+        for _ in range(8):
+            response = await site.send(is_poisoned=True)
+        self.assertNotEqual(response.status, 422)
+        for gateway in site.gateways:
+            self.assertEqual(gateway.core.suspects.known(), [])
+
+    async def test_operator_sees_and_clears_a_deadly_call(self):
+        site = await self.start(2)
+        site.poison()
+        await site.load(4, **LOAD)
+        for target in site.engines:
+            target.deadly_bodies = set()
+        gateway = site.gateways[0]
+        metrics = gateway.settings.metrics
+        pool = gateway.core.pool
+        listed = await pool.fetch(metrics, HttpCall('GET', '/suspects'), 1)
+        rows = [row for row in json.loads(listed.body) if 'digest' in row]
+        self.assertEqual(rows[0]['suspicion'], 'confirmed')
+        query = f'service=stock&digest={rows[0]["digest"]}'
+        await pool.fetch(metrics, HttpCall('DELETE', f'/suspects?{query}'), 1)
+        await site.world.wait_for(
+            lambda: (
+                not any(each.core.suspects.known() for each in site.gateways)
+            )
+        )
+        response = await site.send(is_poisoned=True)
+        self.assertEqual(response.status, 200)
+
     async def test_sound_calls_are_served_after_crashes_of_their_targets(self):
         site = await self.start(6)
         for number in range(4):
--- a/tests/test_gateway_suspects.py
+++ b/tests/test_gateway_suspects.py
@@ -151,6 +151,7 @@
         self.random = Random(1)
         self.gateways = [Suspects(Mock(), Mock()) for _ in range(size)]
         self.answered = 0
+        self.whole = None
 
     def run(self, seconds, sound_per_s, deadly_per_s):
         step_s = 0.01
@@ -170,6 +171,8 @@
     def send(self, middle):
         gateway = self.random.choice(self.gateways)
         parts = tuple(map(part_of, (FIRST_PART, middle)))
+        if self.whole and middle == DEADLY:
+            parts = (part_of(FIRST_PART), part_of('a1'), self.whole)
         if gateway.suspicion(parts) is Suspicion.CONFIRMED:
             self.refused[middle] += 1
         elif middle == DEADLY:
@@ -210,6 +213,18 @@
         self.assertEqual(network.crashes, before)
         self.assertEqual(set(network.refused), {DEADLY})
 
+    def test_few_repetitions_run_before_all_gateways_refuse_them(self):
+        for size in (6, 24, 84):
+            with self.subTest(size=size):
+                network = SuspectNetwork(size)
+                network.whole = Trait('model', 'd1', is_whole=True)
+                network.run(15, sound_per_s=45, deadly_per_s=2.5)
+                self.assertLessEqual(network.crashes, MAX_CRASHES)
+                before = network.crashes
+                network.run(15, sound_per_s=45, deadly_per_s=2.5)
+                self.assertEqual(network.crashes, before)
+                self.assertEqual(set(network.refused), {DEADLY})
+
     def test_bystanders_of_crashes_do_not_hide_a_deadly_call(self):
         network = SuspectNetwork(8)
         with patch(
@@ -227,6 +242,69 @@
                 self.assertIs(gateway.suspicion((deadly,)), Suspicion.CONFIRMED)
 
 
+class TestRepeatedRequests(TestCase):
+    def setUp(self):
+        self.traits = SuspectTraits()
+        self.whole = Trait('stock', 'd1', is_whole=True)
+
+    def lose(self, at, target, *others):
+        lost = LostRequest(f'r{at}', target, at, (self.whole, *others))
+        self.traits.record_lost(lost, at)
+
+    def suspicion(self, now, trait=None):
+        known = self.traits.suspicions(now)
+        return known.get(trait or self.whole, Suspicion.NONE)
+
+    def test_third_crash_shows_that_a_request_is_to_blame(self):
+        for at, target in enumerate(('i-1', 'i-2', 'i-3'), start=1):
+            self.assertNotEqual(self.suspicion(at), Suspicion.CONFIRMED)
+            self.lose(at, target)
+        self.assertEqual(self.suspicion(3), Suspicion.CONFIRMED)
+
+    def test_losses_in_one_lifetime_are_one_crash(self):
+        for at in (1, 2, 3):
+            self.lose(at, 'i-1')
+        self.assertEqual(self.suspicion(3), Suspicion.DOUBTFUL)
+
+    def test_targets_that_crash_at_once_count_each(self):
+        for number in range(3):
+            self.lose(1 + number / 100, f'i-{number}')
+        self.assertEqual(self.suspicion(2), Suspicion.CONFIRMED)
+
+    def test_complete_answer_clears_a_request(self):
+        for number in range(2):
+            self.lose(1 + number, f'i-{number}')
+        self.traits.record_answered((self.whole,), 3)
+        self.assertEqual(self.suspicion(3), Suspicion.NONE)
+        self.lose(4, 'i-4')
+        self.assertNotEqual(self.suspicion(4), Suspicion.CONFIRMED)
+
+    def test_repeated_request_explains_losses_of_its_parts(self):
+        part = part_of('x')
+        for number in range(3):
+            self.lose(1 + number, f'i-{number}', part)
+        self.traits.record_answered((part_of('z'),), 5)
+        self.assertEqual(self.suspicion(5), Suspicion.CONFIRMED)
+        self.assertEqual(self.suspicion(5, part), Suspicion.NONE)
+
+    def test_bystander_of_each_crash_is_not_to_blame(self):
+        bystander = Trait('stock', 'd2', is_whole=True)
+        for number in range(3):
+            self.lose(1 + number, f'i-{number}')
+            if number:
+                lost = LostRequest('b', f'i-{number}', 1 + number, (bystander,))
+                self.traits.record_lost(lost, 1 + number)
+        self.assertEqual(self.suspicion(4, bystander), Suspicion.NONE)
+
+    def test_losses_of_a_target_that_lives_are_dropped(self):
+        for number in range(3):
+            self.lose(1 + number, f'i-{number}')
+        self.traits.drop_survived(lambda identity, born: identity == 'i-2', 4)
+        self.assertEqual(self.suspicion(4), Suspicion.CONFIRMED)
+        self.traits.drop_survived(lambda identity, born: identity == 'i-2', 7)
+        self.assertEqual(self.suspicion(7), Suspicion.DOUBTFUL)
+
+
 class TestSuspectTraits(TestCase):
     def setUp(self):
         self.parts = SuspectTraits()
