Keep what a gateway's own cut and another gateway's refusal say out of the evidence

Found in reading. A call that another gateway refused with 422 counted as answered and cleared the request that was to blame, at all gateways. And the losses of the first moments of a cut counted as crashes here until the links were back, so that parts of sound prompts could be blamed at this gateway. While that is only in doubt, losses count: targets that crash one after the other under one request look alike for a moment.

tests.test_gateway_reachability, test_gateway_retries, TestRepeatedRequests pass.

--- a/mallowcrank/chains/suspect_traits.py
+++ b/mallowcrank/chains/suspect_traits.py
@@ -198,6 +198,14 @@
             and (now - each.at < SURVIVED_S or not is_alive(*each.lifetime))
         )
 
+    def drop_since(self, moment: float) -> None:
+        """
+        Drop the losses since a moment.
+
+        :param moment: steady time, in seconds.
+        """
+        self._keep(each for each in self.lost if each.at < moment)
+
     def _keep(self, kept: Iterable[LostRequest]) -> None:
         by_time = sorted(kept, key=attrgetter('at'))
         self._lost = {each.key: each for each in by_time}
--- a/mallowcrank/gateway/core.py
+++ b/mallowcrank/gateway/core.py
@@ -138,7 +138,7 @@
         :returns: whether the call may be sent again.
         """
         is_lost = await self.prober.verify_loss(lifetime)
-        if not is_lost or self.proxies.reachability.is_in_doubt:
+        if not is_lost or self.proxies.reachability.is_cut_off:
             return True
         self.suspects.record_lost(
             call.fields.request_id,
--- a/mallowcrank/gateway/core_assembly.py
+++ b/mallowcrank/gateway/core_assembly.py
@@ -34,15 +34,17 @@
     peers = Peers(settings, journal)
     permits = Permits(settings, peers, journal, meters)
     prober = Prober(fleet, pool, vocabulary, meters, permits.limits)
-    reachability = Reachability(fleet, peers, prober, journal, meters)
-    random = Random()
+    suspects = Suspects(journal, meters)
+    reachability = Reachability(
+        fleet, peers, prober, journal, meters, suspects.drop_recent
+    )
     earlier_run_ended_s = None if settings.is_first_start else monotonic_s()
     return Core(
         settings=settings,
         vocabulary=vocabulary,
         journal=journal,
         meters=meters,
-        random=random,
+        random=Random(),
         fleet=fleet,
         ledger=MemoryLedger(),
         retry_windows=RetryWindows(settings.bounds, earlier_run_ended_s),
@@ -50,6 +52,6 @@
         prober=prober,
         peers=peers,
         permits=permits,
-        suspects=Suspects(journal, meters),
-        proxies=Proxies(reachability, pool, vocabulary, random),
+        suspects=suspects,
+        proxies=Proxies(reachability, pool, vocabulary, Random()),
     )
--- a/mallowcrank/gateway/plain_calls.py
+++ b/mallowcrank/gateway/plain_calls.py
@@ -125,7 +125,9 @@
         :returns: whether the request may be sent again.
         """
         if isinstance(result, Response):
-            self._core.suspects.record_answered(call.traits())
+            fields = self._core.vocabulary.response_fields(result.head.headers)
+            if fields.is_genuine or isinstance(way, ClaimedTarget):
+                self._core.suspects.record_answered(call.traits())
             return result.is_failure and isinstance(way, ClaimedTarget)
         if result.is_broken and isinstance(way, ClaimedTarget):
             lifetime = way.target.lifetime
--- a/mallowcrank/gateway/reachability.py
+++ b/mallowcrank/gateway/reachability.py
@@ -8,6 +8,7 @@
 """
 
 import asyncio
+from collections.abc import Callable
 
 from mallowcrank.gateway.clock import monotonic_s
 from mallowcrank.gateway.datagrams import GatewayStatus
@@ -39,12 +40,19 @@
         prober: Prober,
         journal: Journal,
         meters: Meters,
+        on_cut_off: Callable[[], None],
     ) -> None:
+        """
+        Set the parts to compare.
+
+        :param on_cut_off: is called when this gateway finds that it is cut off.
+        """
         self._fleet = fleet
         self._peers = peers
         self._prober = prober
         self._journal = journal
         self._meters = meters
+        self._on_cut_off = on_cut_off
         self._is_cut_off = False
         self._swept_at = monotonic_s()
         self._swept_silent = 0
@@ -149,6 +157,8 @@
     def _change(self, is_cut_off: bool) -> None:
         self._is_cut_off = is_cut_off
         self._prober.set_cut_off(is_cut_off)
+        if is_cut_off:
+            self._on_cut_off()
         self._meters.is_cut_off.set(is_cut_off)
         self._journal.say(
             'reach: cut off' if is_cut_off else 'reach: back',
--- a/mallowcrank/gateway/streams.py
+++ b/mallowcrank/gateway/streams.py
@@ -616,10 +616,9 @@
         self._core.suspects.end_trial(self._call.fields.request_id)
 
     def _finish(self, head: ResponseHead) -> None:
-        if self._has_survived:
-            self._core.suspects.record_completed(self._call.whole)
-        else:
-            self._core.suspects.record_answered(self._call.traits())
+        self._core.suspects.record_answered(
+            self._call.traits(), is_first=not self._has_survived
+        )
         answer = self._call.response
         if not answer.has_begun:
             answer.begin(head.status, end_to_end_headers(head.headers))
--- a/mallowcrank/gateway/suspects.py
+++ b/mallowcrank/gateway/suspects.py
@@ -15,6 +15,7 @@
     MAX_LOST,
     MEMORY_S,
     RECENT_ANSWER_S,
+    SURVIVED_S,
     SuspectTraits,
     Suspicion,
 )
@@ -211,17 +212,20 @@
             held = {each.key for each in self._traits.lost}
             self._own = {lost.key, *self._own} & held
 
-    def record_answered(self, traits: Iterable[Trait]) -> None:
+    def record_answered(
+        self, traits: Iterable[Trait], is_first: bool = True
+    ) -> None:
         """
         Record that a request was answered.
-        """
-        self._traits.record_answered(traits, monotonic_s())
 
-    def record_completed(self, trait: Trait) -> None:
-        """
-        Record that an answer that counted before is complete.
+        :param is_first: false if its answer was recorded for other traits.
         """
-        self._traits.clear(trait, monotonic_s())
+        now = monotonic_s()
+        if is_first:
+            self._traits.record_answered(traits, now)
+            return
+        for trait in traits:
+            self._traits.clear(trait, now)
 
     def apply(
         self,
@@ -268,6 +272,13 @@
                 monotonic_s(),
             )
 
+    def drop_recent(self) -> None:
+        """
+        Drop the losses of the last seconds: it was this gateway that lost its
+        targets.
+        """
+        self._traits.drop_since(monotonic_s() - SURVIVED_S)
+
     def clear(self, trait: Trait) -> None:
         """
         Drop what is held against a trait, here and at all other gateways.
--- a/tests/test_gateway_reachability.py
+++ b/tests/test_gateway_reachability.py
@@ -43,11 +43,17 @@
         self.fleet = Fleet(Mock())
         self.peers = Mock()
         self.prober = Mock()
+        self.on_cut_off = Mock()
         self.host = f'h{number}'
         for each in map(make_target, range(TARGETS)):
             self.fleet.apply_entry(each, each.identity.encode(), 0)
         self.reachability = Reachability(
-            self.fleet, self.peers, self.prober, Mock(), Mock()
+            self.fleet,
+            self.peers,
+            self.prober,
+            Mock(),
+            Mock(),
+            self.on_cut_off,
         )
 
     @property
@@ -115,6 +121,7 @@
                     gateway.lose(range(TARGETS))
                 self.run_all(gateways, 1)
                 self.assertEqual(self.cut_off_count(gateways), len(cut))
+                cut[0].on_cut_off.assert_called_once_with()
                 better_off = {
                     status.host
                     for gateway in cut
--- a/tests/test_gateway_retries.py
+++ b/tests/test_gateway_retries.py
@@ -15,8 +15,14 @@
 from mallowcrank.gateway.desired import Repeat
 from mallowcrank.gateway.permits import Permit
 from mallowcrank.gateway.plain_calls import PlainCalls
+from mallowcrank.gateway.proxies import Proxy
 from mallowcrank.gateway.settings import Address, Bounds
-from mallowcrank.gateway.target_channel import ChannelBroken, ConnectFailure
+from mallowcrank.gateway.target_channel import (
+    ChannelBroken,
+    ConnectFailure,
+    Response,
+    ResponseHead,
+)
 from mallowcrank.gateway.targets import Lifetime, Target
 
 CALLS = 6
@@ -136,6 +142,15 @@
         await self.serve_all()
         self.assertEqual(len(self.sent), CALLS + 1)
 
+    async def test_refusal_by_another_gateway_clears_no_suspect(self):
+        self.core.vocabulary.response_fields.return_value = Mock(
+            is_genuine=False
+        )
+        refusal = Response(ResponseHead(422, ()), b'')
+        proxy = Proxy('h2', Address('10.0.0.2', 1))
+        await self.service._record_result(self.call(), proxy, refusal)
+        self.core.suspects.record_answered.assert_not_called()
+
     async def test_permit_that_expired_before_the_send_is_not_used(self):
         expired = Permit(valid_until=monotonic_s() - 1)
         self.core.permits.claim.return_value = expired
--- a/tests/test_gateway_suspects.py
+++ b/tests/test_gateway_suspects.py
@@ -296,6 +296,12 @@
                 self.traits.record_lost(lost, 1 + number)
         self.assertEqual(self.suspicion(4, bystander), Suspicion.NONE)
 
+    def test_losses_that_were_a_cut_of_this_gateway_are_dropped(self):
+        for number in range(3):
+            self.lose(1 + number, f'i-{number}')
+        self.traits.drop_since(2)
+        self.assertEqual(self.suspicion(4), Suspicion.DOUBTFUL)
+
     def test_losses_of_a_target_that_lives_are_dropped(self):
         for number in range(3):
             self.lose(1 + number, f'i-{number}')
