--- a/mallowcrank/platform/standins/replica.py
+++ b/mallowcrank/platform/standins/replica.py
@@ -104,6 +104,8 @@
     :param cancelled_requests: ids of streams whose caller has left.
     :param named_limits: the values of `Server-Limit` in its answers.
     :param names_limit_in_reports: whether its reports have them, too.
+    :param said_leaving: the value of `Server-Leaving` in its answers, if any.
+    :param wanted_rest: the value of `Retry-After` in its refusals, if any.
     :param arrivals: steady times at which requests arrived from gateways, in
         seconds.
     :param deadly_parts: of prompts, under which it crashes when it begins to
@@ -135,6 +137,8 @@
     stalled_streams: StalledStreams = field(default_factory=StalledStreams)
     named_limits: tuple[str, ...] = ()
     names_limit_in_reports: bool = False
+    said_leaving: str = ''
+    wanted_rest: str = ''
     arrivals: list[float] = field(default_factory=list)
     relayed_arrivals: list[float] = field(default_factory=list)
     deadly_parts: set[str] = field(default_factory=set)
@@ -214,7 +218,7 @@
         }
         headers: Headers = (JSON_HEADER,)
         if self.names_limit_in_reports:
-            headers += self._limit_headers()
+            headers += self._said_headers()
         answer.send(HTTPStatus.OK, headers, orjson.dumps(report))
 
     async def _order(
@@ -249,15 +253,17 @@
         by_name = {name.lower(): raw for name, raw in request.headers}
         status, faulty_address = self._find_refusal(by_name)
         if status:
-            at = ((b'At-Server', faulty_address.encode()),)
-            id_headers = _request_id_headers(
-                by_name.get(b'mallowcrank-request-id', b'')
-            )
-            answer.send(
-                status,
-                NOT_EXECUTED + at + id_headers + self._limit_headers(),
-                b'',
+            headers = (
+                *NOT_EXECUTED,
+                (b'At-Server', faulty_address.encode()),
+                *_request_id_headers(
+                    by_name.get(b'mallowcrank-request-id', b'')
+                ),
+                *self._said_headers(),
             )
+            if self.wanted_rest and status == HTTPStatus.SERVICE_UNAVAILABLE:
+                headers += ((b'Retry-After', self.wanted_rest.encode()),)
+            answer.send(status, headers, b'')
             return
         run = self._record_run(by_name, request.body)
         if self.held is None and run.body in self.deadly_bodies:
@@ -269,7 +275,7 @@
         elif self.faults.consume('failures'):
             answer.send(
                 HTTPStatus.INTERNAL_SERVER_ERROR,
-                _sealed_headers(run) + self._limit_headers(),
+                _sealed_headers(run) + self._said_headers(),
                 b'failed',
             )
         elif self.held is None:
@@ -323,12 +329,16 @@
     def _response_headers(self, run: RequestRun) -> Headers:
         if self.faults.consume('unsealed'):
             return _request_id_headers(run.request.encode())
-        return _sealed_headers(run) + self._limit_headers()
+        return _sealed_headers(run) + self._said_headers()
 
-    def _limit_headers(self) -> Headers:
-        return tuple(
-            (b'Server-Limit', limit.encode()) for limit in self.named_limits
-        )
+    def _said_headers(self) -> Headers:
+        """
+        Return what it says of itself in all answers.
+        """
+        said = [(b'Server-Limit', each.encode()) for each in self.named_limits]
+        if self.said_leaving:
+            said.append((b'Server-Leaving', self.said_leaving.encode()))
+        return tuple(said)
 
     async def _stream(self, run: RequestRun, answer: ResponseWriter) -> None:
         await asyncio.sleep(EVENT_INTERVAL_S)
