Send nothing more to a target that says in an answer that it leaves

What was seen: with six gateways and 60 requests a second, a target whose answers said Server-Leaving, and whose entry said ready, went on to get requests later than 2 s after the first such answer; the header was read nowhere.

Now an answer to a call, a stream or a report takes the target out of use for its lifetime, as an entry that says so does: no entry takes it back, a new lifetime does. Statuses pass it on, at their end, which earlier builds ignore. Other values than 1 are ignored with a log line.

--- a/mallowcrank/gateway/core.py
+++ b/mallowcrank/gateway/core.py
@@ -16,7 +16,7 @@
 from mallowcrank.gateway.call import Call
 from mallowcrank.gateway.clock import monotonic_s
 from mallowcrank.gateway.fleet import Fleet, is_current
-from mallowcrank.gateway.journal import Journal
+from mallowcrank.gateway.journal import Importance, Journal
 from mallowcrank.gateway.meters import Meters
 from mallowcrank.gateway.peers import Peers
 from mallowcrank.gateway.permits import Permits
@@ -148,24 +148,37 @@
         )
         return self.suspects.may_resend(call.traits(), call.response.has_begun)
 
-    def record_limit(
-        self, lifetime: Lifetime, head: ResponseHead, sent_at: float
+    def record_statements(
+        self,
+        call: Call,
+        lifetime: Lifetime,
+        head: ResponseHead,
     ) -> None:
         """
-        Record the limit that a target names in the head of a response.
+        Record what a target says of itself in the head of a response: that it
+        leaves, and its limit.
 
-        A refusal may be that of an engine farther down the path. 421
-        Misdirected Request comes from another lifetime at the address.
-
-        :param sent_at: steady time at which the request was sent, in seconds.
+        A refusal may be that of an engine farther down the path, and names
+        that one's limit. 421 Misdirected Request comes from another lifetime
+        at the address.
         """
         if head.status == HTTPStatus.MISDIRECTED_REQUEST:
             return
         fields = self.vocabulary.response_fields(head.headers)
+        if fields.is_leaving:
+            self.fleet.record_leaving(lifetime, call.fields.request_id)
+        if fields.leaving_problem:
+            self.journal.say(
+                'fleet: invalid statement of leaving',
+                Importance.FAILURE,
+                target=lifetime.identity,
+                request=call.fields.request_id,
+                why=fields.leaving_problem,
+            )
         if fields.fault_address:
             faulty = self.fleet.find_by_address(fields.fault_address)
             lifetime = faulty.lifetime if faulty else lifetime
-        self.limits.record_answer(lifetime, fields, sent_at)
+        self.limits.record_answer(lifetime, fields, call.sent_at)
 
     def is_success(self, head: ResponseHead) -> bool:
         """
--- a/mallowcrank/gateway/datagrams.py
+++ b/mallowcrank/gateway/datagrams.py
@@ -60,6 +60,7 @@
     :param entries: its view of the targets' entries; none if it has none, or
         is of an earlier build.
     :param is_cut_off: whether it reaches next to no target, while others do.
+    :param leaving: targets that have said in answers that they leave.
     :param suspects: requests that may crash targets; none if there are none.
     """
 
@@ -80,6 +81,7 @@
     entries: EntriesStatus | None = None
     suspects: SuspectsReport | None = None
     is_cut_off: bool = False
+    leaving: tuple[Lifetime, ...] = ()
 
 
 def pack_status(status: GatewayStatus) -> bytes:
@@ -202,6 +204,7 @@
         entries=_decode_optional(fields, 14, decode_entries),
         suspects=_decode_optional(fields, 16, decode_suspects),
         is_cut_off=bool(_decode_optional(fields, 17, bool)),
+        leaving=_decode_optional(fields, 18, _decode_lifetimes) or (),
     )
 
 
@@ -216,6 +219,7 @@
         None,  # in use by an earlier build
         status.suspects and encode_suspects(status.suspects),
         status.is_cut_off or None,
+        [list(lifetime) for lifetime in status.leaving] or None,
     ]
     while encoded and encoded[-1] is None:
         encoded.pop()
@@ -242,6 +246,12 @@
     }
 
 
+def _decode_lifetimes(rows: list[Any]) -> tuple[Lifetime, ...]:
+    return tuple(
+        Lifetime(str(identity), int(born_ms)) for identity, born_ms in rows
+    )
+
+
 def _decode_address(ip: Any, port: Any) -> Address:
     if not 0 < int(port) <= MAX_PORT:
         raise ValueError('no port')
--- a/mallowcrank/gateway/fleet.py
+++ b/mallowcrank/gateway/fleet.py
@@ -2,7 +2,7 @@
 The targets that a gateway knows, and their health.
 """
 
-from collections.abc import Iterable, Mapping
+from collections.abc import Iterable
 from dataclasses import replace
 from math import inf
 
@@ -22,15 +22,18 @@
 
     :ivar lapsed: targets whose entries may return, with the steady time, in
         seconds, from which their grace period counts.
+    :ivar raw_entries: entries by identity, encoded as in the store.
+    :ivar said_leaving: targets that have said in answers that they leave.
     """
 
     def __init__(self, journal: Journal) -> None:
         self._journal = journal
         self._targets: dict[str, Target] = {}
         self.lapsed: dict[str, float] = {}
-        self._raw: dict[str, bytes] = {}
+        self.raw_entries: dict[str, bytes] = {}
         self._displaced: dict[str, bytes] = {}
         self._gone = GoneTargets()
+        self.said_leaving: set[Lifetime] = set()
         self.health = TargetHealth(journal)
         self.changed_at = -inf
         self.entries_read_at = -inf
@@ -41,13 +44,6 @@
         """
         return len(self._targets)
 
-    @property
-    def raw_entries(self) -> Mapping[str, bytes]:
-        """
-        Return the entries by identity, encoded as in the store.
-        """
-        return self._raw
-
     def accepting_targets(self, service: str) -> list[Target]:
         """
         Return the targets of a service that accept new work.
@@ -113,20 +109,44 @@
             )
             return
         self._displaced.pop(identity, None)
-        if self._raw.get(identity) != raw:
+        if self.raw_entries.get(identity) != raw:
             self._displace_others(target, now)
         before = self._targets.get(identity)
         target = self.health.with_reported_layers(target, now)
+        if target.lifetime in self.said_leaving:
+            target = replace(target, leaving=True)
         self._targets[identity] = target
-        self._raw[identity] = raw
+        self.raw_entries[identity] = raw
         self.lapsed.pop(identity, None)
         if before is None or before.lifetime != target.lifetime:
             self.changed_at = now
             if before:
+                self.said_leaving.discard(before.lifetime)
                 self.health.forget(before.lifetime)
         if _differs(before, target):
             self._journal.say('fleet: target changed', **_described(target))
 
+    def record_leaving(self, lifetime: Lifetime, source: str) -> None:
+        """
+        Record that a target has said in an answer that it leaves.
+
+        No entry takes that back: it holds for the lifetime.
+
+        :param source: what showed it, for the log.
+        """
+        target = self._targets.get(lifetime.identity)
+        if lifetime in self.said_leaving or not is_current(self, lifetime):
+            return
+        self.said_leaving.add(lifetime)
+        if target and not target.leaving:
+            self._targets[lifetime.identity] = replace(target, leaving=True)
+            self._journal.say(
+                'fleet: target says it leaves',
+                target=lifetime.identity,
+                born_ms=lifetime.born_ms,
+                source=source,
+            )
+
     def update_layers(
         self,
         identity: str,
@@ -210,7 +230,9 @@
         for other in list(self._targets.values()):
             is_other = other.identity != target.identity
             if is_other and other.address == target.address:
-                self._displaced[other.identity] = self._raw[other.identity]
+                self._displaced[other.identity] = self.raw_entries[
+                    other.identity
+                ]
                 self._journal.say(
                     'fleet: address taken over',
                     target=other.identity,
@@ -221,8 +243,9 @@
     def _drop(self, identity: str, now: float) -> None:
         target = self._targets.pop(identity, None)
         self.lapsed.pop(identity, None)
-        self._raw.pop(identity, None)
+        self.raw_entries.pop(identity, None)
         if target:
+            self.said_leaving.discard(target.lifetime)
             self.health.forget(target.lifetime)
             self._gone.record(target, now)
         self.changed_at = now
--- a/mallowcrank/gateway/gossip.py
+++ b/mallowcrank/gateway/gossip.py
@@ -121,6 +121,7 @@
             entries=self._targets.status(),
             suspects=self._core.suspects.report(),
             is_cut_off=is_cut_off,
+            leaving=tuple(self._core.fleet.said_leaving),
         )
 
     def handle_status(self, status: GatewayStatus) -> None:
@@ -147,6 +148,8 @@
             fleet.update_layers(identity, layers, now, is_direct=False)
         for lifetime, limit in (status.limits or {}).items():
             self._core.limits.apply_report(lifetime, limit)
+        for lifetime in status.leaving:
+            fleet.record_leaving(lifetime, status.host)
         if status.suspects:
             self._core.prober.probe(
                 self._core.suspects.apply(status.suspects, self._core.has_ended)
--- a/mallowcrank/gateway/plain_calls.py
+++ b/mallowcrank/gateway/plain_calls.py
@@ -232,7 +232,7 @@
         if isinstance(result, NoResponse):
             self._core.prober.probe((target.lifetime,))
             return result
-        self._core.record_limit(target.lifetime, result.head, call.sent_at)
+        self._core.record_statements(call, target.lifetime, result.head)
         is_ok = result.head.status < HTTPStatus.MULTIPLE_CHOICES
         if is_ok and not self._core.is_success(result.head):
             return NoResponse(UNSEALED, may_have_run=True)
--- a/mallowcrank/gateway/ports.py
+++ b/mallowcrank/gateway/ports.py
@@ -108,6 +108,8 @@
         gateways together; `None` if it names no valid limit.
     :param rate_limit_problem: what is invalid in the limit; empty if nothing
         is.
+    :param is_leaving: whether the target says that it takes no new work.
+    :param leaving_problem: what is invalid in that; empty if nothing is.
     """
 
     request_id: str
@@ -116,6 +118,8 @@
     fault_address: str
     rate_limit: float | None = None
     rate_limit_problem: str = ''
+    is_leaving: bool = False
+    leaving_problem: str = ''
 
 
 class LogPosition(NamedTuple):
--- a/mallowcrank/gateway/prober.py
+++ b/mallowcrank/gateway/prober.py
@@ -143,11 +143,14 @@
             answer = await fetch_over(channel, call, REPORT_TIMEOUT_S)
         finally:
             self._pool.release(channel)
-        if not isinstance(answer, Response) or (
-            answer.head.status != HTTPStatus.OK
-        ):
+        if not isinstance(answer, Response):
             return f'no report in {REPORT_TIMEOUT_S} s'
         fields = self._vocabulary.response_fields(answer.head.headers)
+        is_misdirected = answer.head.status == HTTPStatus.MISDIRECTED_REQUEST
+        if fields.is_leaving and not is_misdirected:
+            self._fleet.record_leaving(target.lifetime, 'report')
+        if answer.head.status != HTTPStatus.OK:
+            return f'no report in {REPORT_TIMEOUT_S} s'
         self._limits.record_answer(target.lifetime, fields, sent_at)
         report = self._vocabulary.read_report(target.identity, answer.body)
         return report.reason if isinstance(report, DecodeFailure) else report
--- a/mallowcrank/gateway/streams.py
+++ b/mallowcrank/gateway/streams.py
@@ -434,7 +434,7 @@
     def _check(self, event: ResponseEvent) -> ResponseEvent | Interrupted:
         if isinstance(event, ResponseHead) and not self._proxy:
             first = self._path.segments[0].lifetime
-            self._core.record_limit(first, event, self._call.sent_at)
+            self._core.record_statements(self._call, first, event)
         if isinstance(event, ResponseHead) and event.status == HTTPStatus.OK:
             if not self._core.is_success(event):
                 return Interrupted('an answer without a seal')
--- a/mallowcrank/platform/exchange.py
+++ b/mallowcrank/platform/exchange.py
@@ -24,6 +24,7 @@
 NOT_EXECUTED = b'mallowcrank-not-executed'
 FAULTY_REPLICA = b'at-server'
 RATE_LIMIT = b'server-limit'
+LEAVING = b'server-leaving'
 ENCODING = b'content-encoding'
 MAX_PROMPT_PARTS = 32  # further ones are ignored
 MAX_PART_LENGTH = 64  # characters of an id; longer ones are ignored
@@ -75,6 +76,9 @@
     """
     by_name = {name.lower(): value.decode('latin-1') for name, value in headers}
     rate_limit, problem = _parse_rate_limits(headers)
+    leaving = [
+        value.strip() for name, value in headers if name.lower() == LEAVING
+    ]
     return ResponseFields(
         request_id=by_name.get(REQUEST_ID, ''),
         is_genuine=RESPONSE_SEAL in by_name and ENCODING not in by_name,
@@ -82,6 +86,8 @@
         fault_address=by_name.get(FAULTY_REPLICA, ''),
         rate_limit=rate_limit,
         rate_limit_problem=problem,
+        is_leaving=b'1' in leaving,
+        leaving_problem=_leaving_problem(leaving),
     )
 
 
@@ -108,6 +114,14 @@
     return min(valid, default=None), problem
 
 
+def _leaving_problem(values: Sequence[bytes]) -> str:
+    invalid = [value for value in values if value != b'1']
+    if not invalid:
+        return ''
+    text = invalid[0].decode('latin-1')[:MAX_NUMBER_LENGTH]
+    return f'neither 1 nor absent: {text!r}'
+
+
 def _parse_rate(text: str) -> float | None:
     """
     Return a number of requests per second, or None if it is invalid.
--- a/tests/test_gateway_beliefs.py
+++ b/tests/test_gateway_beliefs.py
@@ -607,6 +607,7 @@
             {'limits': {}, 'entries': EntriesStatus(LogPosition(2, 70), 1.5)},
             {'suspects': SUSPECTS_REPORT},
             {'is_cut_off': True},
+            {'leaving': (Lifetime('i-1', 7),)},
             {'limits': {}, 'suspects': SUSPECTS_REPORT},
         ):
             with self.subTest(changes=changes):
