Keep the time for which a target wants no requests

What was seen: with six gateways and 60 requests a second, three targets that refused all requests with Retry-After: 4 got 87 calls (20 streams as engines) in the time that they had named, 12 allowed; the header was read nowhere, and refused callers came back as if nothing were known.

Now such a refusal binds this gateway's calls, streams, retries and detours with that lifetime until the time is over, an hour at most. It is decided where limits are, in permits. Other targets are used meanwhile; if all rest, callers are refused at once with the shortest time, spread. Dates, negative and infinite values are ignored.

--- a/mallowcrank/gateway/core.py
+++ b/mallowcrank/gateway/core.py
@@ -156,7 +156,7 @@
     ) -> None:
         """
         Record what a target says of itself in the head of a response: that it
-        leaves, and its limit.
+        leaves, its limit, and for how long it wants no request of this gateway.
 
         A refusal may be that of an engine farther down the path, and names
         that one's limit. 421 Misdirected Request comes from another lifetime
@@ -167,6 +167,10 @@
         fields = self.vocabulary.response_fields(head.headers)
         if fields.is_leaving:
             self.fleet.record_leaving(lifetime, call.fields.request_id)
+        if self.is_refusal(head) and fields.retry_after_s:
+            self.permits.rests.record(
+                lifetime, fields.retry_after_s, call.fields.request_id
+            )
         if fields.leaving_problem:
             self.journal.say(
                 'fleet: invalid statement of leaving',
--- a/mallowcrank/gateway/permits.py
+++ b/mallowcrank/gateway/permits.py
@@ -34,6 +34,7 @@
 )
 from mallowcrank.gateway.settings import Address, GatewaySettings
 from mallowcrank.gateway.target_limits import TargetLimits
+from mallowcrank.gateway.target_rests import TargetRests
 from mallowcrank.gateway.targets import Lifetime
 from mallowcrank.limits.bucket import Bucket
 from mallowcrank.limits.schedule import MAX_WAIT_S, PermitSchedule
@@ -102,6 +103,7 @@
         journal: Journal,
         meters: Meters,
     ) -> None:
+        self.rests = TargetRests(journal)
         self.limits = TargetLimits(settings.host, journal, meters)
         self._host = settings.host
         self._journal = journal
@@ -126,14 +128,15 @@
         """
         Return the targets that take no further request now.
         """
+        resting = self.rests.resting()
         if not self._denied_until:
-            return set()
+            return resting
         now = monotonic_s()
-        return {
+        return resting.union(
             lifetime
             for lifetime, until in self._denied_until.items()
             if now < until and self.limits.find(lifetime)
-        }
+        )
 
     # Commands
 
@@ -148,6 +151,12 @@
         :param max_wait_s: how long to wait for a permit, in seconds; 0 if the
             request can go elsewhere.
         """
+        lifetimes = tuple(lifetimes)
+        resting = max(lifetimes, key=self.rests.left_s, default=None)
+        if resting and self.rests.left_s(resting):
+            return _deny_rest(
+                resting, self.rests.left_s(resting), self._random.random()
+            )
         permit = Permit()
         limited = [each for each in lifetimes if self.limits.find(each)]
         while limited:
@@ -201,6 +210,7 @@
             for lifetime, until in self._denied_until.items()
             if now < until
         }
+        self.rests.forget_ended()
         issuers = {
             lifetime: '' if is_cut_off else self._issuer_of(lifetime)
             for lifetime in self.limits.in_force()
@@ -360,3 +370,13 @@
     """
     verdict = denial if wait_s else Verdict.GRANTED
     return PermitAnswer(0, verdict, wait_s, 0)
+
+
+def _deny_rest(lifetime: Lifetime, rest_s: float, spread: float) -> Denial:
+    """
+    Return a denial; callers come back spread over as long a time again.
+
+    :param spread: a random number from 0 to 1.
+    """
+    return_s = min(MAX_RETRY_AFTER_S, rest_s + spread * rest_s)
+    return Denial(lifetime, rest_s, return_s)
--- a/mallowcrank/gateway/ports.py
+++ b/mallowcrank/gateway/ports.py
@@ -109,6 +109,8 @@
     :param rate_limit_problem: what is invalid in the limit; empty if nothing
         is.
     :param is_leaving: whether the target says that it takes no new work.
+    :param retry_after_s: seconds for which the target wants no request, if it
+        refuses one; `None` if it names no valid time.
     :param leaving_problem: what is invalid in that; empty if nothing is.
     """
 
@@ -119,6 +121,7 @@
     rate_limit: float | None = None
     rate_limit_problem: str = ''
     is_leaving: bool = False
+    retry_after_s: float | None = None
     leaving_problem: str = ''
 
 
--- a/mallowcrank/gateway/target_choice.py
+++ b/mallowcrank/gateway/target_choice.py
@@ -67,6 +67,8 @@
                 return claimed
         claimed = None
         target = self._pick(call, unresponsive)
+        if target and self._core.permits.rests.left_s(target.lifetime):
+            target = self._first_to_return(call)
         if target:
             claimed = await self._claim(target, send_wait_s(call))
         if isinstance(claimed, ClaimedTarget):
@@ -74,6 +76,15 @@
         suspect = self._pick(call, self._denied())
         return await self._claim(suspect) if suspect else claimed
 
+    def _first_to_return(self, call: Call) -> Target:
+        """
+        Return the target that wants no requests for the shortest time.
+        """
+        return min(
+            self.candidates(call),
+            key=lambda target: self._core.permits.rests.left_s(target.lifetime),
+        )
+
     async def _claim(
         self, target: Target, max_wait_s: float = 0
     ) -> ClaimedTarget | Denial:
--- a/mallowcrank/platform/exchange.py
+++ b/mallowcrank/platform/exchange.py
@@ -25,6 +25,7 @@
 FAULTY_REPLICA = b'at-server'
 RATE_LIMIT = b'server-limit'
 LEAVING = b'server-leaving'
+RETRY_AFTER = b'retry-after'
 ENCODING = b'content-encoding'
 MAX_PROMPT_PARTS = 32  # further ones are ignored
 MAX_PART_LENGTH = 64  # characters of an id; longer ones are ignored
@@ -87,6 +88,7 @@
         rate_limit=rate_limit,
         rate_limit_problem=problem,
         is_leaving=b'1' in leaving,
+        retry_after_s=_parse_number(by_name.get(RETRY_AFTER, '')),
         leaving_problem=_leaving_problem(leaving),
     )
 
@@ -104,7 +106,7 @@
     ]
     if not named:
         return None, ''
-    limits = [_parse_rate(text) for text in named]
+    limits = [_parse_number(text) for text in named]
     valid = [limit for limit in limits if limit is not None]
     if len(valid) < len(named):
         invalid = named[limits.index(None)]
@@ -122,9 +124,9 @@
     return f'neither 1 nor absent: {text!r}'
 
 
-def _parse_rate(text: str) -> float | None:
+def _parse_number(text: str) -> float | None:
     """
-    Return a number of requests per second, or None if it is invalid.
+    Return a number that isn't negative, or None if it is invalid.
     """
     if len(text) > MAX_NUMBER_LENGTH or '_' in text or not text.isascii():
         return None
