Don't take a gateway that knows no target yet for one that is cut off

In its first second a gateway that had read no entries counted none of none as silent, and said that it was cut off. The new test fails before and passes.

--- a/mallowcrank/gateway/reachability.py
+++ b/mallowcrank/gateway/reachability.py
@@ -105,7 +105,8 @@
         Compare once, and probe targets where that isn't enough.
         """
         silent = len(self._fleet.health.unresponsive())
-        if not self._is_cut_off and silent < min(MIN_SILENT, len(self._fleet)):
+        min_silent = max(1, min(MIN_SILENT, len(self._fleet)))
+        if not self._is_cut_off and silent < min_silent:
             self._silent = silent
             self._swept_silent = 0
             self._better_off = ()
@@ -121,7 +122,7 @@
         if self._is_cut_off:
             if is_alone or silent <= RETURN_SHARE * len(self._fleet):
                 self._change(is_cut_off=False)
-        elif not is_alone and silent >= CUT_OFF_SHARE * len(self._fleet):
+        elif self._better_off and silent >= CUT_OFF_SHARE * len(self._fleet):
             self._change(is_cut_off=True)
         elif silent > self._swept_silent:
             self._sweep(now, silent)
--- a/tests/test_gateway_reachability.py
+++ b/tests/test_gateway_reachability.py
@@ -39,13 +39,13 @@
     One gateway's view of the targets, and what it tells the others.
     """
 
-    def __init__(self, number):
+    def __init__(self, number, targets=TARGETS):
         self.fleet = Fleet(Mock())
         self.peers = Mock()
         self.prober = Mock()
         self.on_cut_off = Mock()
         self.host = f'h{number}'
-        for each in map(make_target, range(TARGETS)):
+        for each in map(make_target, range(targets)):
             self.fleet.apply_entry(each, each.identity.encode(), 0)
         self.reachability = Reachability(
             self.fleet,
@@ -155,6 +155,12 @@
         probe.assert_called_once()
         self.assertEqual(len(tuple(probe.call_args.args[0])), TARGETS - 3)
 
+    def test_gateway_that_knows_no_target_yet_is_not_cut_off(self):
+        gateways = self.start(6)
+        empty = FakeGateway(6, targets=0)
+        self.run_all([*gateways, empty], 0.5)
+        self.assertFalse(empty.reachability.is_cut_off)
+
     def test_doubt_ends_if_most_targets_answer(self):
         gateways = self.start(6)
         gateways[0].lose(range(3))
