Don't doubt sound parts for crashes under a repeated request

Found in reading: a request that was lost twice also counted twice against each part of its prompt, also those that all requests share. Until one of these was answered, sound requests waited for each other, and those that were lost with it weren't sent again; begun streams were cut. Crashes in which a request was lost that had been lost before don't put a part that was sound in doubt any more, and a begun stream goes on unless something is to blame.

Many streams that are lost at once ask for one probe of their engine, not for one each. A loss without traits, from a damaged datagram, no longer raises.

The new test fails before and passes; test_gateway_suspects, test_gateway_deadly_requests and test_gateway_retries pass.

--- a/mallowcrank/chains/suspect_traits.py
+++ b/mallowcrank/chains/suspect_traits.py
@@ -123,8 +123,9 @@
         }
 
         def weight(lost: LostRequest) -> tuple[bool, bool, int, float]:
-            count = max(crashes.get(trait, 0) for trait in lost.traits)
+            counts = (crashes.get(trait, 0) for trait in lost.traits)
             is_bystander = lost.key in self._bystanders
+            count = max(counts, default=0)
             return not is_bystander, lost.is_sudden, count, lost.at
 
         return sorted(self._lost.values(), key=weight)[-limit:]
@@ -237,6 +238,7 @@
         self._found: dict[Trait, Suspicion] = {}
         self._blamed: set[Trait] = set()
         self._explained: set[tuple[str, int]] = set()
+        self._repeated: set[tuple[str, int]] = set()
 
     def decide(
         self, by_trait: Mapping[Trait, Sequence[LostRequest]]
@@ -277,13 +279,15 @@
             lost = by_trait[trait]
             if all(map(self._explains, lost)):
                 continue
+            if trait.is_whole and crashes[trait] > 1:
+                self._repeated.update(each.lifetime for each in lost)
             if self._is_to_blame(trait, lost, crashes):
                 self._blamed.add(trait)
                 if trait.is_whole:
                     self._explained.update(each.lifetime for each in lost)
                 is_held = self._now < _held_until(lost, crashes[trait])
                 self._found[trait] = Suspicion(Suspicion.DOUBTFUL + is_held)
-            elif crashes[trait] > 1 or not self._was_sound(trait, lost):
+            elif self._is_in_doubt(trait, lost):
                 self._found[trait] = Suspicion.DOUBTFUL
 
     def _explains(self, lost: LostRequest) -> bool:
@@ -326,6 +330,21 @@
             crashes_by_trait.get(other, 0) < crashes for other in others
         )
 
+    def _is_in_doubt(self, trait: Trait, lost: Collection[LostRequest]) -> bool:
+        """
+        Return whether a trait that isn't to blame may be.
+
+        Crashes in which a request was lost that had been lost in another crash
+        don't speak against a part that was sound.
+        """
+        if not self._was_sound(trait, lost):
+            return True
+        if not trait.is_whole:
+            lost = [
+                each for each in lost if each.lifetime not in self._repeated
+            ]
+        return count_crashes(trait, lost) > 1
+
     def _was_sound(self, trait: Trait, lost: Collection[LostRequest]) -> bool:
         """
         Return whether a trait was answered shortly before it was first lost.
--- a/mallowcrank/gateway/prober.py
+++ b/mallowcrank/gateway/prober.py
@@ -62,6 +62,7 @@
         self._meters = meters
         self._limits = limits
         self._probed_at: dict[Lifetime, float] = {}
+        self._verifying: dict[Lifetime, asyncio.Task[None]] = {}
         self._tasks: set[asyncio.Task[None]] = set()
         self._assignment = HostAssignment()
         self._random = Random()
@@ -85,7 +86,13 @@
         if target is None or not is_current(self._fleet, lifetime):
             return False
         if lifetime not in unresponsive:
-            await self._probe_target(target)
+            # Many requests are lost in one crash.
+            probe = self._verifying.get(lifetime)
+            if probe is None:
+                probe = asyncio.create_task(self._probe_target(target))
+                self._verifying[lifetime] = probe
+                probe.add_done_callback(lambda _: self._verifying.pop(lifetime))
+            await asyncio.shield(probe)
         return lifetime in unresponsive
 
     def host_for(self, identity: str) -> str:
--- a/mallowcrank/gateway/suspects.py
+++ b/mallowcrank/gateway/suspects.py
@@ -8,7 +8,7 @@
 """
 
 import asyncio
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Collection, Iterable
 
 from mallowcrank.chains.crash_evidence import LostRequest, Trait
 from mallowcrank.chains.suspect_traits import (
@@ -60,24 +60,24 @@
             default=Suspicion.NONE,
         )
 
-    def may_resend(self, traits: Iterable[Trait], has_begun: bool) -> bool:
+    def may_resend(self, traits: Collection[Trait], has_begun: bool) -> bool:
         """
         Return whether a request that was just lost in a crash may be sent
-        again: nothing else speaks against it, and each part of its prompt was
+        again: it was lost in no other crash, and each part of its prompt was
         answered before.
 
-        :param has_begun: whether its answer had begun; parts that are new
-            don't count then.
+        :param has_begun: whether its answer had begun; parts in doubt don't
+            count then, as the events sent so far are useless without the rest.
         """
-        traits = tuple(traits)
-        if self.suspicion(traits) is Suspicion.CONFIRMED:
-            return False
-        if any(self._traits.crash_count(trait) > 1 for trait in traits):
+        wholes = [trait for trait in traits if trait.is_whole]
+        parts = [trait for trait in traits if not trait.is_whole]
+        if any(self._traits.crash_count(whole) > 1 for whole in wholes):
             return False
+        if has_begun:
+            return self.suspicion(traits) is not Suspicion.CONFIRMED
         known_since = monotonic_s() - MEMORY_S
-        return has_begun or all(
-            trait.is_whole or self._traits.answers.last_at(trait) > known_since
-            for trait in traits
+        return not self.suspicion(parts) and all(
+            self._traits.answers.last_at(part) > known_since for part in parts
         )
 
     def known(self) -> list[dict[str, object]]:
--- a/tests/test_gateway_suspects.py
+++ b/tests/test_gateway_suspects.py
@@ -287,6 +287,16 @@
         self.assertEqual(self.suspicion(5), Suspicion.CONFIRMED)
         self.assertEqual(self.suspicion(5, part), Suspicion.NONE)
 
+    def test_repeated_request_puts_no_sound_part_in_doubt(self):
+        part = part_of('x')
+        self.traits.record_answered((part,), 0)
+        for number in range(2):
+            self.lose(1 + number, f'i-{number}', part)
+            lost = LostRequest(f'b{number}', f'i-{number}', 1 + number, (part,))
+            self.traits.record_lost(lost, 1 + number)
+        self.assertEqual(self.suspicion(3), Suspicion.DOUBTFUL)
+        self.assertEqual(self.suspicion(3, part), Suspicion.NONE)
+
     def test_bystander_of_each_crash_is_not_to_blame(self):
         bystander = Trait('stock', 'd2', is_whole=True)
         for number in range(3):
