Don't exonerate a request for another that was lost as often

Cause: streams that were lost and resumed along with it had been lost in as many crashes. Whichever was looked at first was to blame, and explained the losses of the others. Now a loss is explained only by a request with more crashes against it.

The new test fails before, for one of two orders of the losses, and passes.

--- a/mallowcrank/chains/suspect_traits.py
+++ b/mallowcrank/chains/suspect_traits.py
@@ -237,7 +237,8 @@
         self._now = now
         self._found: dict[Trait, Suspicion] = {}
         self._blamed: set[Trait] = set()
-        self._explained: set[tuple[str, int]] = set()
+        # The crashes that speak against what explains the end of a lifetime.
+        self._explained: dict[tuple[str, int], int] = {}
         self._repeated: set[tuple[str, int]] = set()
 
     def decide(
@@ -254,7 +255,9 @@
         for is_whole in (True, False):
             self._decide_on(
                 {
-                    trait: [each for each in lost if not self._explains(each)]
+                    trait: [
+                        each for each in lost if not self._explains(each, 0)
+                    ]
                     for trait, lost in by_trait.items()
                     if trait.is_whole is is_whole
                 }
@@ -277,25 +280,32 @@
         }
         for trait in sorted(by_trait, key=crashes.__getitem__, reverse=True):
             lost = by_trait[trait]
-            if all(map(self._explains, lost)):
+            # Requests that were lost equally often may each be the cause.
+            least = crashes[trait] if trait.is_whole else 0
+            if all(self._explains(each, least) for each in lost):
                 continue
             if trait.is_whole and crashes[trait] > 1:
                 self._repeated.update(each.lifetime for each in lost)
             if self._is_to_blame(trait, lost, crashes):
                 self._blamed.add(trait)
                 if trait.is_whole:
-                    self._explained.update(each.lifetime for each in lost)
+                    for each in lost:
+                        self._explained.setdefault(
+                            each.lifetime, crashes[trait]
+                        )
                 is_held = self._now < _held_until(lost, crashes[trait])
                 self._found[trait] = Suspicion(Suspicion.DOUBTFUL + is_held)
             elif self._is_in_doubt(trait, lost):
                 self._found[trait] = Suspicion.DOUBTFUL
 
-    def _explains(self, lost: LostRequest) -> bool:
+    def _explains(self, lost: LostRequest, least: int) -> bool:
         """
         Return whether what is to blame so far explains a loss.
+
+        :param least: crashes that have to speak against it, and more.
         """
         is_blamed = not self._blamed.isdisjoint(lost.traits)
-        return is_blamed or lost.lifetime in self._explained
+        return is_blamed or self._explained.get(lost.lifetime, 0) > least
 
     def _is_to_blame(
         self,
--- a/tests/test_gateway_suspects.py
+++ b/tests/test_gateway_suspects.py
@@ -297,6 +297,20 @@
         self.assertEqual(self.suspicion(3), Suspicion.DOUBTFUL)
         self.assertEqual(self.suspicion(3, part), Suspicion.NONE)
 
+    def test_bystander_that_is_lost_as_often_does_not_exonerate(self):
+        for order in ('before', 'after'):
+            with self.subTest(order=order):
+                self.setUp()
+                bystander = Trait('stock', 'd2', is_whole=True)
+                for number in range(3):
+                    at = 1 + number
+                    lost = LostRequest('b', f'i-{number}', at, (bystander,))
+                    if order == 'before':
+                        self.traits.record_lost(lost, at)
+                    self.lose(at + 0.1, f'i-{number}')
+                    self.traits.record_lost(lost, at)
+                self.assertEqual(self.suspicion(4), Suspicion.CONFIRMED)
+
     def test_bystander_of_each_crash_is_not_to_blame(self):
         bystander = Trait('stock', 'd2', is_whole=True)
         for number in range(3):
