Don't suspect a request that its target had been running for long

A request that crashes whoever begins to run it does so soon: a loss later than 2 s after the send isn't recorded, and the stream goes on.

The new test fails before and passes.

--- a/mallowcrank/gateway/core.py
+++ b/mallowcrank/gateway/core.py
@@ -24,7 +24,7 @@
 from mallowcrank.gateway.prober import Prober
 from mallowcrank.gateway.proxies import Proxies
 from mallowcrank.gateway.settings import GatewaySettings
-from mallowcrank.gateway.suspects import Suspects
+from mallowcrank.gateway.suspects import MAX_RUN_S, Suspects
 from mallowcrank.gateway.target_channel import (
     ChannelPool,
     ConnectFailure,
@@ -137,14 +137,16 @@
 
         :returns: whether the call may be sent again.
         """
-        is_lost = await self.prober.verify_loss(lifetime)
-        if not is_lost or self.proxies.reachability.is_cut_off:
+        lasted_s = monotonic_s() - call.sent_at
+        if lasted_s > MAX_RUN_S or self.proxies.reachability.is_cut_off:
+            return True
+        if not await self.prober.verify_loss(lifetime):
             return True
         self.suspects.record_lost(
             call.fields.request_id,
             lifetime,
             call.traits(),
-            monotonic_s() - call.sent_at,
+            lasted_s,
         )
         return self.suspects.may_resend(call.traits(), call.response.has_begun)
 
--- a/mallowcrank/gateway/suspects.py
+++ b/mallowcrank/gateway/suspects.py
@@ -30,6 +30,7 @@
 from mallowcrank.gateway.targets import Lifetime
 
 CHECK_INTERVAL_S = 0.02
+MAX_RUN_S = 2.0  # a request that a target ran for longer didn't crash it
 MAX_REPORTED = 24  # lost requests in a status, the most telling ones
 
 
--- a/tests/test_gateway_retries.py
+++ b/tests/test_gateway_retries.py
@@ -89,7 +89,7 @@
             suspects=Mock(claim_trial=AsyncMock(return_value=Suspicion.NONE)),
             proxies=Mock(
                 find=Mock(return_value=None),
-                reachability=Mock(is_in_doubt=False),
+                reachability=Mock(is_in_doubt=False, is_cut_off=False),
             ),
             prober=Mock(verify_loss=AsyncMock(return_value=False)),
             permits=Mock(
@@ -142,6 +142,17 @@
         await self.serve_all()
         self.assertEqual(len(self.sent), CALLS + 1)
 
+    async def test_request_that_had_run_for_long_is_not_suspected(self):
+        self.core.prober.verify_loss.return_value = True
+        call = self.call()
+        call.sent_at = monotonic_s() - 5
+        lifetime = Lifetime('i-1', 1)
+        self.assertTrue(await self.core.check_crash(call, lifetime))
+        self.core.suspects.record_lost.assert_not_called()
+        call.sent_at = monotonic_s() - 0.1
+        await self.core.check_crash(call, lifetime)
+        self.core.suspects.record_lost.assert_called_once()
+
     async def test_refusal_by_another_gateway_clears_no_suspect(self):
         self.core.vocabulary.response_fields.return_value = Mock(
             is_genuine=False
