Don't pass requests on in a series of crashes, nor cut what was resumed

Now a gateway is in doubt about its own links only when three in ten targets are silent for it alone; the probes that three silent ones cause show that within a quarter of a second. And a stream that resumes counts as begun at the gateway that it was passed on to.

test_gateway_reachability, test_gateway_retries and four tests of test_gateway_partition pass.

--- a/mallowcrank/gateway/call.py
+++ b/mallowcrank/gateway/call.py
@@ -74,6 +74,15 @@
         """
         return Trait(self.service.name, self.digest(), is_whole=True)
 
+    @property
+    def has_begun(self) -> bool:
+        """
+        Return whether the caller has a part of its answer, from this gateway
+        or from the one that passed it on.
+        """
+        is_resumed = self.is_proxied and bool(self.fields.last_event)
+        return self.response.has_begun or is_resumed
+
     def traits(self) -> tuple[Trait, ...]:
         """
         Return what it has in common with other requests.
--- a/mallowcrank/gateway/core.py
+++ b/mallowcrank/gateway/core.py
@@ -148,7 +148,7 @@
             call.traits(),
             lasted_s,
         )
-        return self.suspects.may_resend(call.traits(), call.response.has_begun)
+        return self.suspects.may_resend(call.traits(), call.has_begun)
 
     def record_statements(
         self,
--- a/mallowcrank/gateway/reachability.py
+++ b/mallowcrank/gateway/reachability.py
@@ -24,6 +24,8 @@
 # Hysteresis: a gateway counts as cut off until it reaches half of the targets.
 CUT_OFF_SHARE = 0.9
 RETURN_SHARE = 0.5
+# Of the targets; a series of crashes is no sign of a cut.
+DOUBT_SHARE = 0.3
 DOUBT_S = 0.6  # after another target has turned silent for this gateway alone
 ALONE_S = 1.0  # without a gateway that is better off; statuses may be lost
 
@@ -112,7 +114,8 @@
             self._better_off = ()
             return
         now = monotonic_s()
-        if silent > self._silent:
+        has_risen = silent > self._silent
+        if has_risen and silent >= DOUBT_SHARE * len(self._fleet):
             self._in_doubt_until = now + DOUBT_S
         self._silent = silent
         self._better_off = self._find_better_off()
