Log and count how old a gateway's knowledge of the desired state is

A status carries the age and the store's era now, new lines and metrics show them, and a fetch from another gateway that fails says why.

tests.test_gateway_beliefs, retries, peers, store_views, recorded_formats and reachability pass.

--- a/mallowcrank/gateway/assembly.py
+++ b/mallowcrank/gateway/assembly.py
@@ -7,13 +7,10 @@
 
 from mallowcrank.gateway.core import Core
 from mallowcrank.gateway.core_assembly import build_core
-from mallowcrank.gateway.followers import (
-    DesiredFollower,
-    LatestDesired,
-    TargetsFollower,
-)
+from mallowcrank.gateway.followers import DesiredFollower, TargetsFollower
 from mallowcrank.gateway.gossip import Gossip
 from mallowcrank.gateway.journal import Journal
+from mallowcrank.gateway.latest_desired import LatestDesired
 from mallowcrank.gateway.leadership import Leadership, member_name
 from mallowcrank.gateway.peer_sync import PeerSync
 from mallowcrank.gateway.placing import Placer
--- a/mallowcrank/gateway/datagrams.py
+++ b/mallowcrank/gateway/datagrams.py
@@ -12,6 +12,11 @@
 
 import msgpack
 
+from mallowcrank.gateway.desired_status import (
+    DesiredStatus,
+    decode_desired,
+    encode_desired,
+)
 from mallowcrank.gateway.settings import Address
 from mallowcrank.gateway.status_parts import (
     EntriesStatus,
@@ -61,6 +66,8 @@
         is of an earlier build.
     :param is_cut_off: whether it reaches next to no target, while others do.
     :param leaving: targets that have said in answers that they leave.
+    :param desired: how sure it is of its version of the desired state; none if
+        it has none, or is of an earlier build.
     :param suspects: requests that may crash targets; none if there are none.
     """
 
@@ -82,6 +89,7 @@
     suspects: SuspectsReport | None = None
     is_cut_off: bool = False
     leaving: tuple[Lifetime, ...] = ()
+    desired: DesiredStatus | None = None
 
 
 def pack_status(status: GatewayStatus) -> bytes:
@@ -205,6 +213,7 @@
         suspects=_decode_optional(fields, 16, decode_suspects),
         is_cut_off=bool(_decode_optional(fields, 17, bool)),
         leaving=_decode_optional(fields, 18, _decode_lifetimes) or (),
+        desired=_decode_optional(fields, 19, decode_desired),
     )
 
 
@@ -220,6 +229,7 @@
         status.suspects and encode_suspects(status.suspects),
         status.is_cut_off or None,
         [list(lifetime) for lifetime in status.leaving] or None,
+        status.desired and encode_desired(status.desired),
     ]
     while encoded and encoded[-1] is None:
         encoded.pop()
--- a/mallowcrank/gateway/followers.py
+++ b/mallowcrank/gateway/followers.py
@@ -8,9 +8,9 @@
 from random import Random
 
 from mallowcrank.gateway.clock import monotonic_s
-from mallowcrank.gateway.desired import Desired
 from mallowcrank.gateway.fleet import Fleet
 from mallowcrank.gateway.journal import Journal
+from mallowcrank.gateway.latest_desired import LatestDesired
 from mallowcrank.gateway.peers import Peers
 from mallowcrank.gateway.ports import (
     DecodeFailure,
@@ -64,60 +64,6 @@
         await asyncio.sleep(pause_s)
 
 
-class LatestDesired:
-    """
-    The newest version of the desired state; its version never decreases.
-    """
-
-    def __init__(self, vocabulary: Vocabulary, journal: Journal) -> None:
-        self._vocabulary = vocabulary
-        self._journal = journal
-        self._newest: Desired | None = None
-        self._era = -1
-        self.raw = b''
-
-    @property
-    def newest(self) -> Desired | None:
-        """
-        Return the newest version, if one is known.
-        """
-        return self._newest
-
-    @property
-    def version(self) -> int:
-        """
-        Return the newest version's number, or -1.
-        """
-        return self._newest.version if self._newest else -1
-
-    def update(self, raw: bytes, source: str, era: int = -1) -> None:
-        """
-        Replace the desired state, unless the version isn't newer.
-
-        A version that the store lost may have been written again with other
-        content. The store's later era decides then.
-
-        :param raw: the encoded version.
-        :param source: where it comes from, for the log.
-        :param era: of the store; lower than any for other sources.
-        """
-        if raw == self.raw:
-            self._era = max(self._era, era)
-            return
-        read = self._vocabulary.read_desired(raw)
-        if isinstance(read, DecodeFailure):
-            self._journal.say('desired: unreadable', why=read.reason)
-            return
-        if (read.version, era) <= (self.version, self._era):
-            return
-        self._era = era
-        self._newest = read
-        self.raw = raw
-        self._journal.say(
-            'desired: in force', version=read.version, source=source
-        )
-
-
 class _TopicFollower:
     """
     Follows the records of a topic, starting with the newest of each key.
@@ -271,14 +217,25 @@
         page, era = found
         self._apply(page.records, era)
         self._position = LogPosition(era, page.end)
+        self._known.confirm(monotonic_s(), 'store')
         return True
 
     async def _read(self, position: LogPosition) -> bool:
         call = self._store_calls.read(
             self._topic, position.offset, DESIRED_WAIT_S * 1000
         )
+        sent_at = monotonic_s()
         answer = await self._link.call('desired-read', call, DESIRED_WAIT_S)
-        return self._apply_answer(answer, position)
+        has_succeeded = self._apply_answer(answer, position)
+        if has_succeeded:
+            self._known.confirm(monotonic_s(), 'store')
+        else:
+            self._journal.say(
+                'desired: read failed',
+                waited_s=round(monotonic_s() - sent_at, 3),
+                why=_reason_of(answer),
+            )
+        return has_succeeded
 
     def _apply(self, records: tuple[StoreRecord, ...], era: int) -> None:
         # Only the newest version matters; those in between are skipped.
@@ -477,3 +434,12 @@
         return any(
             status and status.read_for_s > UNCONFIRMED_S for status in statuses
         )
+
+
+def _reason_of(answer: StoreResponse | StoreFailure) -> str:
+    """
+    Return why an answer can't be used.
+    """
+    if isinstance(answer, StoreFailure):
+        return answer.reason
+    return str(answer.status)
--- a/mallowcrank/gateway/frontend.py
+++ b/mallowcrank/gateway/frontend.py
@@ -16,7 +16,7 @@
     pick_service,
 )
 from mallowcrank.gateway.error_responses import send_error
-from mallowcrank.gateway.followers import LatestDesired
+from mallowcrank.gateway.latest_desired import LatestDesired
 from mallowcrank.gateway.plain_calls import PlainCalls
 from mallowcrank.gateway.ports import CallerFields
 from mallowcrank.gateway.proxies import read_origin, without_origin
--- a/mallowcrank/gateway/gossip.py
+++ b/mallowcrank/gateway/gossip.py
@@ -6,7 +6,8 @@
 from mallowcrank.gateway.clock import monotonic_s
 from mallowcrank.gateway.core import Core
 from mallowcrank.gateway.datagrams import GatewayStatus
-from mallowcrank.gateway.followers import LatestDesired, TargetsFollower
+from mallowcrank.gateway.followers import TargetsFollower
+from mallowcrank.gateway.latest_desired import LatestDesired
 from mallowcrank.gateway.leadership import Leadership, should_take_over
 from mallowcrank.gateway.peers import is_isolated
 from mallowcrank.gateway.targets import Target
@@ -122,6 +123,7 @@
             suspects=self._core.suspects.report(),
             is_cut_off=is_cut_off,
             leaving=tuple(self._core.fleet.said_leaving),
+            desired=self._desired.status(),
         )
 
     def handle_status(self, status: GatewayStatus) -> None:
--- /dev/null
+++ b/mallowcrank/gateway/latest_desired.py
@@ -0,0 +1,109 @@
+"""
+The newest desired state that a gateway knows, and since when it may be older
+than the operator's.
+"""
+
+from math import inf, isfinite
+
+from mallowcrank.gateway.clock import monotonic_s
+from mallowcrank.gateway.desired import Desired
+from mallowcrank.gateway.desired_status import DesiredStatus
+from mallowcrank.gateway.journal import Journal
+from mallowcrank.gateway.ports import DecodeFailure, Vocabulary
+
+LATE_CONFIRMATION_S = 2  # after which a confirmation is logged
+
+
+class LatestDesired:
+    """
+    The newest version of the desired state; its version never decreases.
+    """
+
+    def __init__(self, vocabulary: Vocabulary, journal: Journal) -> None:
+        self._vocabulary = vocabulary
+        self._journal = journal
+        self._newest: Desired | None = None
+        self._era = -1
+        self._confirmed_at = -inf
+        self.raw = b''
+
+    @property
+    def newest(self) -> Desired | None:
+        """
+        Return the newest version, if one is known.
+        """
+        return self._newest
+
+    @property
+    def version(self) -> int:
+        """
+        Return the newest version's number, or -1.
+        """
+        return self._newest.version if self._newest else -1
+
+    @property
+    def confirmed_at(self) -> float:
+        """
+        Return the monotonic time at which no newer version was known to the
+        store, in seconds.
+        """
+        return self._confirmed_at
+
+    def status(self) -> DesiredStatus | None:
+        """
+        Return what other gateways are told, if a version is known.
+        """
+        if self._newest is None:
+            return None
+        return DesiredStatus(self._era, monotonic_s() - self._confirmed_at)
+
+    def confirm(self, at: float, source: str) -> None:
+        """
+        Record that the newest version was the store's newest, too.
+
+        :param at: monotonic time at which it was, in seconds.
+        :param source: who said so, for the log.
+        """
+        if at <= self._confirmed_at:
+            return
+        age_s = at - self._confirmed_at
+        self._confirmed_at = at
+        if age_s > LATE_CONFIRMATION_S and isfinite(age_s):
+            self._journal.say(
+                'desired: confirmed after a pause',
+                age_s=round(age_s, 3),
+                version=self.version,
+                source=source,
+            )
+
+    def update(self, raw: bytes, source: str, era: int = -1) -> None:
+        """
+        Replace the desired state, unless the version isn't newer.
+
+        A version that the store lost may have been written again with other
+        content. The store's later era decides then.
+
+        :param raw: the encoded version.
+        :param source: where it comes from, for the log.
+        :param era: of the store; lower than any for other sources.
+        """
+        if raw == self.raw:
+            self._era = max(self._era, era)
+            return
+        read = self._vocabulary.read_desired(raw)
+        if isinstance(read, DecodeFailure):
+            self._journal.say('desired: unreadable', why=read.reason)
+            return
+        if (read.version, era) <= (self.version, self._era):
+            return
+        age_s = monotonic_s() - self._confirmed_at
+        self._era = era
+        self._newest = read
+        self.raw = raw
+        self._journal.say(
+            'desired: in force',
+            version=read.version,
+            source=source,
+            # The version can't have been confirmed longer ago.
+            age_s=round(age_s, 3) if isfinite(age_s) else None,
+        )
--- a/mallowcrank/gateway/meters.py
+++ b/mallowcrank/gateway/meters.py
@@ -39,6 +39,16 @@
             'Era of the store, as its last response named it.',
             registry=self._registry,
         )
+        self.desired_version = Gauge(
+            'mallowcrank_desired_version',
+            'Version of the desired state in force.',
+            registry=self._registry,
+        )
+        self.desired_age_s = Gauge(
+            'mallowcrank_desired_age_seconds',
+            'Time since that version was known to be the newest.',
+            registry=self._registry,
+        )
         self.entries_age_s = Gauge(
             'mallowcrank_target_entries_age_seconds',
             "Time since the targets' entries were last read.",
--- a/mallowcrank/gateway/peer_sync.py
+++ b/mallowcrank/gateway/peer_sync.py
@@ -12,11 +12,8 @@
 from mallowcrank.gateway.core import Core
 from mallowcrank.gateway.datagrams import DECODE_ERRORS
 from mallowcrank.gateway.fleet import Fleet
-from mallowcrank.gateway.followers import (
-    DesiredFollower,
-    LatestDesired,
-    TargetsFollower,
-)
+from mallowcrank.gateway.followers import DesiredFollower, TargetsFollower
+from mallowcrank.gateway.latest_desired import LatestDesired
 from mallowcrank.gateway.peer_table import Peer
 from mallowcrank.gateway.ports import HttpCall, LogPosition
 from mallowcrank.gateway.status_parts import (
@@ -24,7 +21,12 @@
     pack_snapshot,
     read_snapshot,
 )
-from mallowcrank.gateway.target_channel import Response
+from mallowcrank.gateway.target_channel import (
+    ChannelBroken,
+    ConnectFailure,
+    ReadTimeout,
+    Response,
+)
 
 DESIRED_PATH = '/desired'
 ENTRIES_PATH = '/entries'
@@ -149,11 +151,28 @@
         if isinstance(answer, Response) and answer.head.status == HTTPStatus.OK:
             return answer
         self._core.journal.say(
-            'peers: nothing fetched', peer=peer.last_status.host, path=path
+            'peers: nothing fetched',
+            peer=peer.last_status.host,
+            path=path,
+            why=_reason_of(answer),
         )
         return None
 
 
+def _reason_of(
+    answer: Response | ChannelBroken | ReadTimeout | ConnectFailure,
+) -> str:
+    """
+    Return why an answer can't be used.
+    """
+    match answer:
+        case Response(head):
+            return str(head.status)
+        case ReadTimeout():
+            return 'silent'
+    return answer.reason
+
+
 def _version(peer: Peer) -> int:
     return peer.last_status.desired_version
 
--- a/mallowcrank/gateway/program.py
+++ b/mallowcrank/gateway/program.py
@@ -282,9 +282,7 @@
             self._core.pool.sweep()
             now = monotonic_s()
             self._core.fleet.drop_lapsed(now)
-            self._core.meters.entries_age_s.set(
-                now - self._core.fleet.entries_read_at
-            )
+            self._measure_views(now)
             self._core.limits.forget_missing(
                 partial(is_current, self._core.fleet)
             )
@@ -293,6 +291,18 @@
             self._core.suspects.update()
             self._parts.gossip.log_view()
 
+    def _measure_views(self, now: float) -> None:
+        """
+        Set the metrics of how old this gateway's views are.
+
+        :param now: monotonic time in seconds.
+        """
+        meters = self._core.meters
+        known = self._parts.known
+        meters.entries_age_s.set(now - self._core.fleet.entries_read_at)
+        meters.desired_version.set(known.version)
+        meters.desired_age_s.set(now - known.confirmed_at)
+
     def _is_alive(self, lifetime: Lifetime) -> bool:
         return not self._core.has_ended(lifetime)
 
--- a/tests/test_gateway_beliefs.py
+++ b/tests/test_gateway_beliefs.py
@@ -22,15 +22,13 @@
     pack_status,
     read_status,
 )
+from mallowcrank.gateway.desired_status import DesiredStatus
 from mallowcrank.gateway.directory import fronts_for
 from mallowcrank.gateway.fleet import LAPSED_ENTRY_GRACE_S, Fleet
-from mallowcrank.gateway.followers import (
-    DesiredFollower,
-    LatestDesired,
-    TargetsFollower,
-)
+from mallowcrank.gateway.followers import DesiredFollower, TargetsFollower
 from mallowcrank.gateway.gossip import Gossip
 from mallowcrank.gateway.journal import Importance, Journal
+from mallowcrank.gateway.latest_desired import LatestDesired
 from mallowcrank.gateway.leadership import Leadership, should_take_over
 from mallowcrank.gateway.ports import HttpCall, LogPosition
 from mallowcrank.gateway.settings import Address
@@ -608,6 +606,8 @@
             {'suspects': SUSPECTS_REPORT},
             {'is_cut_off': True},
             {'leaving': (Lifetime('i-1', 7),)},
+            {'desired': DesiredStatus(3, 0.25)},
+            {'desired': DesiredStatus(-1, inf)},
             {'limits': {}, 'suspects': SUSPECTS_REPORT},
         ):
             with self.subTest(changes=changes):
