--- a/mallowcrank/platform/standins/store.py
+++ b/mallowcrank/platform/standins/store.py
@@ -22,6 +22,8 @@
 OFFSET_BYTES = 8
 LENGTH_BYTES = 4
 PARTITIONS = 8
+MAX_READ_KB = 1024  # of one read, unless the call names another limit
+BYTES_PER_KB = 1024
 POLL_INTERVAL_S = 0.01  # for new records, while a read waits
 
 
@@ -29,6 +31,7 @@
 class _Topic:
     records: list[bytes] = field(default_factory=list)
     first: int = 0
+    offsets_by_key: dict[str, int] = field(default_factory=dict)
 
     @property
     def end(self) -> int:
@@ -81,18 +84,22 @@
             remaining_s -= POLL_INTERVAL_S
         end_bytes = topic.end.to_bytes(OFFSET_BYTES, 'big')
         first_bytes = topic.first.to_bytes(OFFSET_BYTES, 'big')
-        framed = [
-            len(raw).to_bytes(LENGTH_BYTES, 'big') + raw
-            for raw in topic.records[offset - topic.first :]
-        ]
-        return HTTPStatus.OK, end_bytes + first_bytes + b''.join(framed)
+        framed = _first_records(
+            topic.records[offset - topic.first :],
+            int(query.get('max_kb', MAX_READ_KB)) * BYTES_PER_KB,
+        )
+        return HTTPStatus.OK, end_bytes + first_bytes + framed
 
     async def do_newest(
         self, query: dict[str, str], body: bytes
     ) -> tuple[int, bytes]:
         topic = query['topic']
         items = [
-            {'key': key, 'value': base64.b64encode(raw), 'offset': 0}
+            {
+                'key': key,
+                'value': base64.b64encode(raw),
+                'offset': self._state.topics[topic].offsets_by_key[key],
+            }
             for key, raw in sorted(self._state.latest_by_key[topic].items())
             if key > query.get('after', '')
         ]
@@ -224,7 +231,9 @@
         :param content: none to delete the key.
         """
         raw = bytes([len(key)]) + key.encode() + (content or b'')
-        self._state.topics[topic].records.append(raw)
+        log = self._state.topics[topic]
+        log.offsets_by_key[key] = log.end
+        log.records.append(raw)
         if content is None:
             self._state.latest_by_key[topic].pop(key, None)
         else:
@@ -261,3 +270,16 @@
 
     def _make_entrance(self) -> StoreEntrance:
         return StoreEntrance(self._answer, self._era_headers)
+
+
+def _first_records(records: list[bytes], max_bytes: int) -> bytes:
+    """
+    Return the first records in the format of a read: at least one, and no
+    more than fit.
+    """
+    framed = b''
+    for raw in records:
+        if framed and len(framed) + len(raw) > max_bytes:
+            break
+        framed += len(raw).to_bytes(LENGTH_BYTES, 'big') + raw
+    return framed
