Ask the store anew before knowledge of the desired state is too old

Cause: the read that waits 10 s for a newer version was the only evidence that there is none. Its channel fell silent with the store and stayed so; calls on other channels found the store lost and regained, and nobody read the desired state anew. All gateways waited alike, so that none could tell the others. Class: a wait taken for knowledge.

Now the age of what a gateway knows decides. Before it reaches 0.7 of the bound (bounds.config_ms), a gateway reads without waiting over a new channel; if that shows that the waiting read missed something, that one begins anew. When the store is reached again, all followers read at once instead of ending their pause.

--- a/mallowcrank/gateway/assembly.py
+++ b/mallowcrank/gateway/assembly.py
@@ -4,9 +4,11 @@
 
 import secrets
 from dataclasses import dataclass
+from functools import partial
 
 from mallowcrank.gateway.core import Core
 from mallowcrank.gateway.core_assembly import build_core
+from mallowcrank.gateway.desired_checks import DesiredChecks
 from mallowcrank.gateway.followers import DesiredFollower, TargetsFollower
 from mallowcrank.gateway.gossip import Gossip
 from mallowcrank.gateway.journal import Journal
@@ -30,6 +32,7 @@
     core: Core
     known: LatestDesired
     desired: DesiredFollower
+    checks: DesiredChecks
     targets: TargetsFollower
     duty: Leadership
     placer: Placer
@@ -52,13 +55,23 @@
     desired = DesiredFollower(
         known, store_client, vocabulary, core.random, journal
     )
-    store_client.listen(desired.refresh)
     targets = TargetsFollower(
         core.fleet, store_client, vocabulary, core.random, journal, core.peers
     )
-    member = member_name(settings, incarnation)
+    checks = DesiredChecks(
+        settings.bounds.config_s, known, desired, store_client, core.peers
+    )
+
+    store_client.listen(
+        checks.request, partial(_resume_reads, checks, desired, targets)
+    )
     duty = Leadership(
-        settings, member, store_client, vocabulary, core.peers, journal
+        settings,
+        member_name(settings, incarnation),
+        store_client,
+        vocabulary,
+        core.peers,
+        journal,
     )
     gossip = Gossip(core, known, targets, duty, incarnation)
     core.peers.listen(
@@ -68,9 +81,21 @@
         core=core,
         known=known,
         desired=desired,
+        checks=checks,
         targets=targets,
         duty=duty,
         placer=Placer(core),
-        handover=PeerSync(core, known, desired, targets),
+        handover=PeerSync(core, known, checks, targets),
         gossip=gossip,
     )
+
+
+def _resume_reads(
+    checks: DesiredChecks, desired: DesiredFollower, targets: TargetsFollower
+) -> None:
+    """
+    Read what the store may have been told while it couldn't be reached.
+    """
+    checks.request()
+    desired.wake()
+    targets.wake()
--- /dev/null
+++ b/mallowcrank/gateway/desired_checks.py
@@ -0,0 +1,119 @@
+"""
+Checks of whether the desired state is still the store's newest.
+
+A read that waits for a newer version is no evidence of its own: its channel may
+be dead. So knowledge has an age, and a gateway asks the store anew before the
+age reaches the bound on late changes. Gateways tell each other the ages of
+their own reads, and one's check spares the others theirs.
+"""
+
+import asyncio
+from math import log
+from random import Random
+
+from mallowcrank.gateway.clock import monotonic_s
+from mallowcrank.gateway.followers import DesiredFollower
+from mallowcrank.gateway.latest_desired import LatestDesired
+from mallowcrank.gateway.peers import Peers
+from mallowcrank.gateway.store_client import StoreClient
+
+# Shares of the bound on late changes. What remains is for the read itself.
+MIN_AGE_SHARE = 0.3  # no check is due before this age
+SPREAD_SHARE = 0.4  # of the ages at which the gateways' checks are due
+RETRY_SHARE = 0.2  # pause after a check that failed
+
+
+class CheckSchedule:
+    """
+    The age of knowledge at which this gateway's next check is due.
+
+    It is random, and distributed so that in a group of any size only a few are
+    due early: these tell the others before their checks are due.
+
+    :param bound_s: seconds after which a confirmed change must be in force.
+    """
+
+    def __init__(self, bound_s: float, random: Random) -> None:
+        self._bound_s = bound_s
+        self._random = random
+        self._confirmed_at: float | None = None
+        self._fraction: float = 1
+
+    def due_at(self, confirmed_at: float, group_size: int) -> float:
+        """
+        Return the monotonic time at which a check is due, in seconds.
+
+        :param confirmed_at: when the knowledge was last confirmed.
+        :param group_size: number of gateways that check.
+        """
+        if confirmed_at != self._confirmed_at:
+            self._confirmed_at = confirmed_at
+            self._fraction = 1 - self._random.random()
+        spread = max(0, 1 + log(self._fraction) / log(1 + group_size))
+        age = MIN_AGE_SHARE + SPREAD_SHARE * spread
+        return confirmed_at + age * self._bound_s
+
+
+class DesiredChecks:
+    """
+    Asks the store when a check is due, or when there is a sign of a change.
+    """
+
+    def __init__(
+        self,
+        bound_s: float,
+        known: LatestDesired,
+        follower: DesiredFollower,
+        link: StoreClient,
+        peers: Peers,
+    ) -> None:
+        self._known = known
+        self._follower = follower
+        self._link = link
+        self._peers = peers
+        self._random = Random()
+        self._schedule = CheckSchedule(bound_s, self._random)
+        self._retry_s = RETRY_SHARE * bound_s
+        self._requested = asyncio.Event()
+
+    def request(self) -> None:
+        """
+        Check at once.
+        """
+        self._requested.set()
+
+    async def run(self) -> None:
+        """
+        Check whenever it is due, until cancelled.
+        """
+        while True:
+            await self._wait_until_due()
+            has_succeeded = await self._follower.check()
+            if not has_succeeded:
+                await self._wait(self._retry_s * (0.5 + self._random.random()))
+
+    async def _wait_until_due(self) -> None:
+        while not self._requested.is_set():
+            remaining_s = self._due_at() - monotonic_s()
+            if self._link.unavailable_since:
+                # The followers try until the store answers again.
+                remaining_s = self._retry_s
+            elif remaining_s <= 0:
+                return
+            await self._wait(remaining_s)
+        self._requested.clear()
+
+    async def _wait(self, seconds: float) -> None:
+        """
+        Wait for a time, or until a check is requested.
+        """
+        try:
+            async with asyncio.timeout(seconds):
+                await self._requested.wait()
+        except TimeoutError:
+            return
+
+    def _due_at(self) -> float:
+        return self._schedule.due_at(
+            self._known.confirmed_at, 1 + len(self._peers.live())
+        )
--- a/mallowcrank/gateway/followers.py
+++ b/mallowcrank/gateway/followers.py
@@ -55,13 +55,20 @@
         """
         self._next_pause_s = MIN_BACKOFF_S
 
-    async def wait(self) -> None:
+    def next_pause_s(self) -> float:
         """
-        Wait before the next call, and lengthen the next pause.
+        Return the seconds to wait before the next call, and lengthen the next
+        pause.
         """
         pause_s = self._next_pause_s * (0.5 + self._random.random())
         self._next_pause_s = min(MAX_BACKOFF_S, self._next_pause_s * 2)
-        await asyncio.sleep(pause_s)
+        return pause_s
+
+    async def wait(self) -> None:
+        """
+        Wait before the next call.
+        """
+        await asyncio.sleep(self.next_pause_s())
 
 
 class _TopicFollower:
@@ -83,6 +90,7 @@
         self._store_calls = vocabulary.store
         self._backoff = Backoff(random)
         self._position: LogPosition | None = None
+        self._woken = asyncio.Event()
 
     @property
     def position(self) -> LogPosition | None:
@@ -91,6 +99,12 @@
         """
         return self._position
 
+    def wake(self) -> None:
+        """
+        End the pause before the next read.
+        """
+        self._woken.set()
+
     async def step(self) -> bool:
         """
         Read once.
@@ -113,6 +127,18 @@
     def _apply(self, records: tuple[StoreRecord, ...], era: int) -> None:
         raise NotImplementedError
 
+    async def _pause(self, seconds: float) -> None:
+        """
+        Wait for a time, or until woken.
+        """
+        try:
+            async with asyncio.timeout(seconds):
+                await self._woken.wait()
+        except TimeoutError:
+            return
+        finally:
+            self._woken.clear()
+
     def _apply_answer(
         self, answer: StoreResponse | StoreFailure, position: LogPosition
     ) -> bool:
@@ -135,11 +161,17 @@
         if answer.status != HTTPStatus.OK or isinstance(page, DecodeFailure):
             return False
         self._apply(page.records, answer.era)
-        self._position = LogPosition(
-            answer.era, position.offset + len(page.records)
-        )
+        read_up_to = position.offset + len(page.records)
+        self._position = LogPosition(answer.era, read_up_to)
+        if read_up_to >= page.end:
+            self._handle_end()
         return True
 
+    def _handle_end(self) -> None:
+        """
+        Record that the topic was read up to its end.
+        """
+
     def _begin_anew(self, era: int) -> None:
         self._journal.say(
             'store: topic read anew',
@@ -183,32 +215,60 @@
         self._topic = self._store_calls.desired_topic
         self._known = known
         self._current_read: asyncio.Task[bool] | None = None
-
-    def refresh(self) -> None:
-        """
-        Read again after a short pause: another gateway has a newer version,
-        or the store is in a new era, unless this read itself has found that.
-        """
-        reading = self._current_read
-        if reading and reading is not asyncio.current_task():
-            reading.cancel()
+        self._read_began_at = -inf
 
     async def run(self) -> None:
         """
         Follow the topic until cancelled.
         """
         while True:
+            self._read_began_at = monotonic_s()
             self._current_read = asyncio.create_task(self.step())
-            await asyncio.wait((self._current_read,))
-            has_succeeded = not self._current_read.cancelled() and (
-                self._current_read.result()
-            )
-            self._current_read = None
-            if has_succeeded:
+            try:
+                await asyncio.wait((self._current_read,))
+            finally:
+                self._current_read.cancel()
+            if self._current_read.cancelled():
+                continue
+            if self._current_read.result():
                 self._backoff.reset()
-                await asyncio.sleep(DESIRED_PAUSE_S)
+                await self._pause(DESIRED_PAUSE_S)
             else:
-                await self._backoff.wait()
+                await self._pause(self._backoff.next_pause_s())
+
+    async def check(self) -> bool:
+        """
+        Read once without waiting, beside the read that waits for a change.
+
+        :returns: whether the read succeeded.
+        """
+        position = self._position
+        if position and position.era < self._link.era:
+            self._restart()
+            position = None
+        if position is None:
+            self.wake()
+            return False
+        call = self._store_calls.read(self._topic, position.offset, 0)
+        answer = await self._link.call('desired-check', call, is_fresh=True)
+        if not self._apply_answer(answer, position):
+            return False
+        has_moved = self._position != position
+        if has_moved or self._read_began_at < self._link.recovered_at:
+            # The read that waits has missed the change, or may have been lost.
+            self._restart()
+        return True
+
+    def _handle_end(self) -> None:
+        self._known.confirm_read()
+
+    def _restart(self) -> None:
+        """
+        Begin the read anew that waits for a change.
+        """
+        self.wake()
+        if self._current_read:
+            self._current_read.cancel()
 
     async def _read_newest(self) -> bool:
         found = await self._newest_page('desired-newest', '')
@@ -217,7 +277,7 @@
         page, era = found
         self._apply(page.records, era)
         self._position = LogPosition(era, page.end)
-        self._known.confirm(monotonic_s(), 'store')
+        self._known.confirm_read()
         return True
 
     async def _read(self, position: LogPosition) -> bool:
@@ -227,9 +287,7 @@
         sent_at = monotonic_s()
         answer = await self._link.call('desired-read', call, DESIRED_WAIT_S)
         has_succeeded = self._apply_answer(answer, position)
-        if has_succeeded:
-            self._known.confirm(monotonic_s(), 'store')
-        else:
+        if not has_succeeded:
             self._journal.say(
                 'desired: read failed',
                 waited_s=round(monotonic_s() - sent_at, 3),
@@ -309,9 +367,9 @@
             if has_succeeded:
                 self._backoff.reset()
                 jitter = 0.9 + 0.2 * self._random.random()
-                await asyncio.sleep(TARGETS_INTERVAL_S * jitter)
+                await self._pause(TARGETS_INTERVAL_S * jitter)
             else:
-                await self._backoff.wait()
+                await self._pause(self._backoff.next_pause_s())
 
     def adopt(self, snapshot: EntriesSnapshot) -> None:
         """
--- a/mallowcrank/gateway/gossip.py
+++ b/mallowcrank/gateway/gossip.py
@@ -131,6 +131,7 @@
         Handle another gateway's status.
         """
         now = monotonic_s()
+        self._desired.hear(status)
         fleet = self._core.fleet
         repeated_within_s = self._core.peers.liveness_timeout_s
         self._core.ledger.update_peer(
--- a/mallowcrank/gateway/latest_desired.py
+++ b/mallowcrank/gateway/latest_desired.py
@@ -6,6 +6,7 @@
 from math import inf, isfinite
 
 from mallowcrank.gateway.clock import monotonic_s
+from mallowcrank.gateway.datagrams import GatewayStatus
 from mallowcrank.gateway.desired import Desired
 from mallowcrank.gateway.desired_status import DesiredStatus
 from mallowcrank.gateway.journal import Journal
@@ -25,6 +26,7 @@
         self._newest: Desired | None = None
         self._era = -1
         self._confirmed_at = -inf
+        self._read_at = -inf
         self.raw = b''
 
     @property
@@ -55,26 +57,23 @@
         """
         if self._newest is None:
             return None
-        return DesiredStatus(self._era, monotonic_s() - self._confirmed_at)
+        # Ages that others have told aren't passed on: each gateway would add
+        # the time that a datagram takes, and be told so in turn.
+        return DesiredStatus(self._era, monotonic_s() - self._read_at)
 
-    def confirm(self, at: float, source: str) -> None:
+    def confirm_read(self) -> None:
         """
-        Record that the newest version was the store's newest, too.
+        Record that this gateway has read the store up to its end.
+        """
+        self._read_at = monotonic_s()
+        self._confirm(self._read_at, 'store')
 
-        :param at: monotonic time at which it was, in seconds.
-        :param source: who said so, for the log.
+    def hear(self, status: GatewayStatus) -> None:
         """
-        if at <= self._confirmed_at:
-            return
-        age_s = at - self._confirmed_at
-        self._confirmed_at = at
-        if age_s > LATE_CONFIRMATION_S and isfinite(age_s):
-            self._journal.say(
-                'desired: confirmed after a pause',
-                age_s=round(age_s, 3),
-                version=self.version,
-                source=source,
-            )
+        Record how old another gateway's knowledge is of the same version.
+        """
+        if status.desired and status.desired_version == self.version:
+            self._confirm(monotonic_s() - status.desired.age_s, status.host)
 
     def update(self, raw: bytes, source: str, era: int = -1) -> None:
         """
@@ -107,3 +106,22 @@
             # The version can't have been confirmed longer ago.
             age_s=round(age_s, 3) if isfinite(age_s) else None,
         )
+
+    def _confirm(self, at: float, source: str) -> None:
+        """
+        Record that the newest version was the store's newest, too.
+
+        :param at: monotonic time at which it was, in seconds.
+        :param source: who said so, for the log.
+        """
+        if at <= self._confirmed_at:
+            return
+        age_s = at - self._confirmed_at
+        self._confirmed_at = at
+        if age_s > LATE_CONFIRMATION_S and isfinite(age_s):
+            self._journal.say(
+                'desired: confirmed after a pause',
+                age_s=round(age_s, 3),
+                version=self.version,
+                source=source,
+            )
--- a/mallowcrank/gateway/peer_sync.py
+++ b/mallowcrank/gateway/peer_sync.py
@@ -12,7 +12,8 @@
 from mallowcrank.gateway.core import Core
 from mallowcrank.gateway.datagrams import DECODE_ERRORS
 from mallowcrank.gateway.fleet import Fleet
-from mallowcrank.gateway.followers import DesiredFollower, TargetsFollower
+from mallowcrank.gateway.desired_checks import DesiredChecks
+from mallowcrank.gateway.followers import TargetsFollower
 from mallowcrank.gateway.latest_desired import LatestDesired
 from mallowcrank.gateway.peer_table import Peer
 from mallowcrank.gateway.ports import HttpCall, LogPosition
@@ -44,12 +45,12 @@
         self,
         core: Core,
         known: LatestDesired,
-        desired: DesiredFollower,
+        checks: DesiredChecks,
         targets: TargetsFollower,
     ) -> None:
         self._core = core
         self._known = known
-        self._desired = desired
+        self._checks = checks
         self._targets = targets
         self._behind_since: float | None = None
 
@@ -80,7 +81,7 @@
             now = monotonic_s()
             if self._behind_since is None:
                 self._behind_since = now
-                self._desired.refresh()
+                self._checks.request()
             elif now - self._behind_since > FETCH_DELAY_S:
                 await self._fetch(source)
                 self._behind_since = None
--- a/mallowcrank/gateway/program.py
+++ b/mallowcrank/gateway/program.py
@@ -237,6 +237,7 @@
         gossip = parts.gossip
         for coroutine in (
             parts.desired.run(),
+            parts.checks.run(),
             parts.targets.run(),
             parts.duty.run(),
             parts.placer.run(self._placing_generation, self._newest_desired),
--- a/mallowcrank/gateway/settings.py
+++ b/mallowcrank/gateway/settings.py
@@ -43,6 +43,7 @@
 
     :param grace_s: seconds from SIGTERM to SIGKILL.
     :param drain_s: seconds for which a leaving target may still get work.
+    :param config_s: seconds after which a confirmed change is in force.
     :param max_directory_ttl_s: longest time for which callers cache an answer
         of the directory, in seconds.
     :param retry_ratio: retries allowed per request, over all gateways.
@@ -53,6 +54,7 @@
 
     grace_s: float
     drain_s: float
+    config_s: float
     max_directory_ttl_s: float
     retry_ratio: float
     retry_window_s: float
--- a/mallowcrank/gateway/store_client.py
+++ b/mallowcrank/gateway/store_client.py
@@ -79,6 +79,7 @@
         self._era_changed_at = -inf
         self._era_problem = ''
         self._on_new_era: Callable[[], None] = _ignore
+        self._on_recovery: Callable[[], None] = _ignore
         self._host = (b'Host', str(address).encode())
 
     @property
@@ -112,31 +113,44 @@
         """
         return self._era_changed_at
 
-    def listen(self, on_new_era: Callable[[], None]) -> None:
+    def listen(
+        self,
+        on_new_era: Callable[[], None],
+        on_recovery: Callable[[], None] | None = None,
+    ) -> None:
         """
-        Set the callback for a new era.
+        Set the callbacks for a new era, and for calls that succeed again.
         """
         self._on_new_era = on_new_era
+        self._on_recovery = on_recovery or _ignore
 
     async def call(
-        self, name: str, call: HttpCall, wait_s: float = 0
+        self,
+        name: str,
+        call: HttpCall,
+        wait_s: float = 0,
+        is_fresh: bool = False,
     ) -> StoreResponse | StoreFailure:
         """
         Make one call.
 
         :param name: name of the call in metrics and logs.
         :param wait_s: seconds that the store may wait before it responds.
+        :param is_fresh: whether to open a channel for it, as an idle one may
+            be dead.
         """
-        response = await self._exchange(name, call, wait_s + CALL_TIMEOUT_S)
+        response = await self._exchange(
+            name, call, wait_s + CALL_TIMEOUT_S, is_fresh
+        )
         failure = _failure_of(response)
         self._meters.store_calls.labels(name, failure or 'ok').inc()
         self._track_availability(name, failure)
         return response
 
     async def _exchange(
-        self, name: str, call: HttpCall, timeout_s: float
+        self, name: str, call: HttpCall, timeout_s: float, is_fresh: bool
     ) -> StoreResponse | StoreFailure:
-        idle = self._pool.take_idle(self._address)
+        idle = None if is_fresh else self._pool.take_idle(self._address)
         channel = idle or await self._pool.connect(self._address)
         if isinstance(channel, ConnectFailure):
             return StoreFailure('unreached')
@@ -219,6 +233,7 @@
             )
             self._unavailable_since = None
             self._recovered_at = now
+            self._on_recovery()
 
 
 def _ignore() -> None:
--- a/mallowcrank/platform/node_settings.py
+++ b/mallowcrank/platform/node_settings.py
@@ -42,6 +42,7 @@
         bounds=Bounds(
             grace_s=reader.read('bounds.grace_s', float),
             drain_s=reader.read('bounds.drain_ms', _parse_ms_as_s),
+            config_s=reader.read('bounds.config_ms', _parse_ms_as_s, '2000'),
             max_directory_ttl_s=reader.read('bounds.ttl_max_s', float),
             retry_ratio=reader.read('bounds.retry_budget_ratio', float),
             retry_window_s=reader.read('bounds.budget_window_s', float),
--- a/mallowcrank/platform/standins/in_process.py
+++ b/mallowcrank/platform/standins/in_process.py
@@ -60,6 +60,7 @@
         f'seeds={",".join(seeds)}',
         'bounds.grace_s=3',
         'bounds.drain_ms=2000',
+        'bounds.config_ms=2000',
         'bounds.ttl_max_s=5',
         'bounds.retry_budget_ratio=0.2',
         'bounds.budget_window_s=10',
--- a/tests/test_chain_decisions.py
+++ b/tests/test_chain_decisions.py
@@ -15,6 +15,7 @@
 BOUNDS = Bounds(
     grace_s=8,
     drain_s=2,
+    config_s=2,
     max_directory_ttl_s=5,
     retry_ratio=0.2,
     retry_window_s=10,
--- /dev/null
+++ b/tests/test_desired_checks.py
@@ -0,0 +1,96 @@
+"""
+When gateways check whether their desired state is the newest, in virtual time.
+"""
+
+from random import Random
+from unittest import TestCase
+
+from mallowcrank.gateway.desired_checks import (
+    MIN_AGE_SHARE,
+    SPREAD_SHARE,
+    CheckSchedule,
+)
+
+BOUND_S = 3
+STEP_S = 0.01
+BROADCAST_S = 0.25
+RECIPIENTS = 40  # of a status, at each broadcast
+SECONDS = 40
+
+
+class CheckGroup:
+    """
+    Gateways that check and tell each other, as long as they hear each other.
+    """
+
+    def __init__(self, size, are_heard=True):
+        self.random = Random(1)
+        self.confirmed = [0 for _ in range(size)]
+        self.read = [0 for _ in range(size)]
+        self.checks = 0
+        self.max_age_s = 0
+        self._are_heard = are_heard
+        self._schedules = [
+            CheckSchedule(BOUND_S, self.random) for _ in range(size)
+        ]
+        self._phases = [
+            self.random.randrange(int(BROADCAST_S / STEP_S))
+            for _ in range(size)
+        ]
+        self._next_recipient = [0 for _ in range(size)]
+
+    def run(self):
+        size = len(self.confirmed)
+        for step in range(int(SECONDS / STEP_S)):
+            now = step * STEP_S
+            for number in range(size):
+                self._check(number, now)
+                if (step + self._phases[number]) % int(BROADCAST_S / STEP_S):
+                    continue
+                if self._are_heard:
+                    self._tell(number)
+
+    def _check(self, number, now):
+        confirmed_at = self.confirmed[number]
+        size = len(self.confirmed) if self._are_heard else 1
+        self.max_age_s = max(self.max_age_s, now - confirmed_at)
+        if now >= self._schedules[number].due_at(confirmed_at, size):
+            self.confirmed[number] = now
+            self.read[number] = now
+            self.checks += 1
+
+    def _tell(self, number):
+        size = len(self.confirmed)
+        for _ in range(min(RECIPIENTS, size - 1)):
+            self._next_recipient[number] += 1
+            other = (number + self._next_recipient[number]) % size
+            self.confirmed[other] = max(
+                self.confirmed[other], self.read[number]
+            )
+
+
+class TestCheckSchedule(TestCase):
+    def test_knowledge_is_never_older_than_its_share_of_the_bound(self):
+        for size in (1, 6, 24, 84):
+            for are_heard in (True, False):
+                with self.subTest(size=size, are_heard=are_heard):
+                    group = CheckGroup(size, are_heard)
+                    group.run()
+                    share = MIN_AGE_SHARE + SPREAD_SHARE
+                    self.assertLessEqual(
+                        group.max_age_s, share * BOUND_S + 2 * STEP_S
+                    )
+
+    def test_one_gateway_checks_for_others(self):
+        for size in (24, 84):
+            with self.subTest(size=size):
+                group = CheckGroup(size)
+                group.run()
+                alone = size * SECONDS / BOUND_S
+                self.assertLess(group.checks, alone / 2)
+
+    def test_a_draw_holds_until_the_next_confirmation(self):
+        schedule = CheckSchedule(BOUND_S, Random(1))
+        first = schedule.due_at(5, 84)
+        self.assertEqual(schedule.due_at(5, 84), first)
+        self.assertNotEqual(schedule.due_at(6, 84), first + 1)
--- a/tests/test_gateway_peers.py
+++ b/tests/test_gateway_peers.py
@@ -35,6 +35,7 @@
 BOUNDS = Bounds(
     grace_s=8,
     drain_s=3,
+    config_s=2,
     max_directory_ttl_s=5,
     retry_ratio=0.2,
     retry_window_s=10,
--- a/tests/test_gateway_retries.py
+++ b/tests/test_gateway_retries.py
@@ -30,6 +30,7 @@
 BOUNDS = Bounds(
     grace_s=8,
     drain_s=3,
+    config_s=2,
     max_directory_ttl_s=5,
     retry_ratio=0,
     retry_window_s=10,
