Ask another gateway when one is silent, and not all the same one

What callers saw: gateways that the store turned away had a change 10 s late, as long as one neighbour that had it answered nothing over TCP (2 of 6, 8 of 24).

Cause: the first of the live gateways with the newest version was asked alone, for 1 s; after a pause the same one again. Class: a single source where there are many.

A status with a newer version starts it at once instead of a check each 0.2 s; where the store is known to be away, it isn't waited for. Targets' entries are fetched in the same way.

--- a/mallowcrank/gateway/desired_checks.py
+++ b/mallowcrank/gateway/desired_checks.py
@@ -76,6 +76,13 @@
         self._retry_s = RETRY_SHARE * bound_s
         self._requested = asyncio.Event()
 
+    @property
+    def is_store_available(self) -> bool:
+        """
+        Return whether the store answers this gateway, as far as it knows.
+        """
+        return self._link.unavailable_since is None
+
     def request(self) -> None:
         """
         Check at once.
@@ -95,7 +102,7 @@
     async def _wait_until_due(self) -> None:
         while not self._requested.is_set():
             remaining_s = self._due_at() - monotonic_s()
-            if self._link.unavailable_since:
+            if not self.is_store_available:
                 # The followers try until the store answers again.
                 remaining_s = self._retry_s
             elif remaining_s <= 0:
--- a/mallowcrank/gateway/latest_desired.py
+++ b/mallowcrank/gateway/latest_desired.py
@@ -3,6 +3,7 @@
 than the operator's.
 """
 
+from collections.abc import Callable
 from math import inf, isfinite
 
 from mallowcrank.gateway.clock import monotonic_s
@@ -27,6 +28,7 @@
         self._era = -1
         self._confirmed_at = -inf
         self._read_at = -inf
+        self._on_newer: Callable[[], None] = _ignore
         self.raw = b''
 
     @property
@@ -51,6 +53,12 @@
         """
         return self._confirmed_at
 
+    def listen(self, on_newer: Callable[[], None]) -> None:
+        """
+        Set the callback for another gateway that has a newer version.
+        """
+        self._on_newer = on_newer
+
     def status(self) -> DesiredStatus | None:
         """
         Return what other gateways are told, if a version is known.
@@ -70,9 +78,12 @@
 
     def hear(self, status: GatewayStatus) -> None:
         """
-        Record how old another gateway's knowledge is of the same version.
+        Notice a newer version of another gateway, or record how old its
+        knowledge is of the same one.
         """
-        if status.desired and status.desired_version == self.version:
+        if status.desired_version > self.version:
+            self._on_newer()
+        elif status.desired and status.desired_version == self.version:
             self._confirm(monotonic_s() - status.desired.age_s, status.host)
 
     def update(self, raw: bytes, source: str, era: int = -1) -> None:
@@ -125,3 +136,9 @@
                 version=self.version,
                 source=source,
             )
+
+
+def _ignore() -> None:
+    """
+    Do nothing; the default until a callback is set.
+    """
--- a/mallowcrank/gateway/peer_sync.py
+++ b/mallowcrank/gateway/peer_sync.py
@@ -11,29 +11,26 @@
 from mallowcrank.gateway.clock import monotonic_s
 from mallowcrank.gateway.core import Core
 from mallowcrank.gateway.datagrams import DECODE_ERRORS
-from mallowcrank.gateway.fleet import Fleet
 from mallowcrank.gateway.desired_checks import DesiredChecks
+from mallowcrank.gateway.fleet import Fleet
 from mallowcrank.gateway.followers import TargetsFollower
 from mallowcrank.gateway.latest_desired import LatestDesired
+from mallowcrank.gateway.peer_fetch import PeerFetcher
 from mallowcrank.gateway.peer_table import Peer
-from mallowcrank.gateway.ports import HttpCall, LogPosition
+from mallowcrank.gateway.ports import LogPosition
 from mallowcrank.gateway.status_parts import (
     EntriesSnapshot,
     pack_snapshot,
     read_snapshot,
 )
-from mallowcrank.gateway.target_channel import (
-    ChannelBroken,
-    ConnectFailure,
-    ReadTimeout,
-    Response,
-)
 
 DESIRED_PATH = '/desired'
 ENTRIES_PATH = '/entries'
 CHECK_INTERVAL_S = 0.2
-FETCH_DELAY_S = 0.4  # the store is read first
-FETCH_TIMEOUT_S = 1.0
+ENTRIES_DELAY_S = 0.4  # the store is read first
+# Shares of the bound on late changes.
+STORE_SHARE = 0.15  # for a read of the store, before others are asked
+HEDGE_SHARE = 0.15  # for one gateway, before the next one is asked, too
 
 
 class PeerSync:
@@ -52,7 +49,11 @@
         self._known = known
         self._checks = checks
         self._targets = targets
-        self._behind_since: float | None = None
+        bound_s = core.settings.bounds.config_s
+        self._store_delay_s = STORE_SHARE * bound_s
+        self._fetcher = PeerFetcher(core, HEDGE_SHARE * bound_s)
+        self._heard_newer = asyncio.Event()
+        known.listen(self._heard_newer.set)
 
     async def serve(
         self, request: CallerRequest, answer: ResponseWriter
@@ -72,47 +73,66 @@
         """
         Fetch from gateways that know more, until cancelled.
         """
+        async with asyncio.TaskGroup() as tasks:
+            tasks.create_task(self._follow_desired())
+            tasks.create_task(self._follow_entries())
+
+    async def _follow_desired(self) -> None:
+        while True:
+            await self._heard_newer.wait()
+            if self._checks.is_store_available:
+                self._checks.request()
+                await asyncio.sleep(self._store_delay_s)
+            await self._fetch_desired()
+            self._heard_newer.clear()
+
+    async def _fetch_desired(self) -> None:
+        ahead = [
+            peer
+            for peer in self._shuffled_peers()
+            if peer.last_status.desired_version > self._known.version
+        ]
+        fetched = await self._fetcher.fetch(ahead, DESIRED_PATH)
+        if fetched:
+            host = fetched.peer.last_status.host
+            self._known.update(fetched.body, host)
+
+    async def _follow_entries(self) -> None:
+        behind_since: float | None = None
         while True:
             await asyncio.sleep(CHECK_INTERVAL_S)
-            source = self._find_ahead()
-            if source is None:
-                self._behind_since = None
-                continue
+            sources = self._find_readers()
             now = monotonic_s()
-            if self._behind_since is None:
-                self._behind_since = now
-                self._checks.request()
-            elif now - self._behind_since > FETCH_DELAY_S:
-                await self._fetch(source)
-                self._behind_since = None
-
-    def _find_ahead(self) -> Peer | None:
+            if not sources:
+                behind_since = None
+            elif behind_since is None:
+                behind_since = now
+            elif now - behind_since > ENTRIES_DELAY_S:
+                await self._fetch_entries(sources)
+                behind_since = None
+
+    def _find_readers(self) -> list[Peer]:
         """
-        Return a gateway that knows more than this one, if there is one.
+        Return gateways that have read later entries of targets, if this one
+        can't read them; those of its own zone first.
         """
-        live = self._core.peers.live()
-        if not live:
-            return None
-        newest = max(live, key=_version)
-        if newest.last_status.desired_version > self._known.version:
-            return newest
+        peers = self._shuffled_peers()
         if not self._targets.position and not len(self._core.fleet):
-            return newest
-        return self._find_reader(live)
+            return peers
+        if self._targets.read_for_s():
+            return []
+        zone = self._core.settings.zone
+        return sorted(
+            (peer for peer in peers if self._has_later_entries(peer)),
+            key=lambda peer: peer.last_status.zone != zone,
+        )
 
-    def _find_reader(self, live: list[Peer]) -> Peer | None:
+    def _shuffled_peers(self) -> list[Peer]:
         """
-        Return a gateway that has read later entries of targets, if this one
-        can't read them; one of its own zone if possible.
+        Return the live gateways in random order, so that not all ask one.
         """
-        if self._targets.read_for_s():
-            return None
-        readers = [peer for peer in live if self._has_later_entries(peer)]
-        zone = self._core.settings.zone
-        near = [peer for peer in readers if peer.last_status.zone == zone]
-        if near or readers:
-            return self._core.random.choice(near or readers)
-        return None
+        live = self._core.peers.live()
+        return self._core.random.sample(live, len(live))
 
     def _has_later_entries(self, peer: Peer) -> bool:
         entries = peer.last_status.entries
@@ -121,62 +141,21 @@
         mine = self._targets.position
         return mine is None or entries.position > mine
 
-    async def _fetch(self, peer: Peer) -> None:
-        if peer.last_status.desired_version > self._known.version:
-            desired = await self._get(peer, DESIRED_PATH)
-            if desired:
-                self._known.update(desired.body, peer.last_status.host)
-        if not self._targets.read_for_s():
-            await self._fetch_entries(peer)
-
-    async def _fetch_entries(self, peer: Peer) -> None:
-        response = await self._get(peer, ENTRIES_PATH)
-        if response is None:
+    async def _fetch_entries(self, sources: list[Peer]) -> None:
+        fetched = await self._fetcher.fetch(sources, ENTRIES_PATH)
+        if fetched is None:
             return
         try:
-            snapshot = read_snapshot(response.body)
+            snapshot = read_snapshot(fetched.body)
         except DECODE_ERRORS as error:
             self._core.journal.say(
                 'peers: unreadable entries',
-                peer=peer.last_status.host,
+                peer=fetched.peer.last_status.host,
                 why=repr(error),
             )
         else:
             self._targets.adopt(snapshot)
 
-    async def _get(self, peer: Peer, path: str) -> Response | None:
-        call = HttpCall('GET', path)
-        answer = await self._core.pool.fetch(
-            peer.last_status.peers, call, FETCH_TIMEOUT_S
-        )
-        if isinstance(answer, Response) and answer.head.status == HTTPStatus.OK:
-            return answer
-        self._core.journal.say(
-            'peers: nothing fetched',
-            peer=peer.last_status.host,
-            path=path,
-            why=_reason_of(answer),
-        )
-        return None
-
-
-def _reason_of(
-    answer: Response | ChannelBroken | ReadTimeout | ConnectFailure,
-) -> str:
-    """
-    Return why an answer can't be used.
-    """
-    match answer:
-        case Response(head):
-            return str(head.status)
-        case ReadTimeout():
-            return 'silent'
-    return answer.reason
-
-
-def _version(peer: Peer) -> int:
-    return peer.last_status.desired_version
-
 
 def _make_snapshot(fleet: Fleet, position: LogPosition) -> EntriesSnapshot:
     now = monotonic_s()
