Give large answers of the store the time that they take

What callers saw: with a state that takes over a second to read, a gateway that starts never gets ready, and one that must read the newest page never has the change.

Cause: 1 s had to do for a whole answer of the store or of a neighbour, whatever its size; what had come in was thrown away, and the read began again. Class: one time limit for latency and for throughput.

Now 1 s is for the head; then 4 s more are given, as long as no pause exceeds 1 s.

--- a/mallowcrank/gateway/peer_fetch.py
+++ b/mallowcrank/gateway/peer_fetch.py
@@ -19,7 +19,8 @@
     Response,
 )
 
-FETCH_TIMEOUT_S = 1.0
+FETCH_TIMEOUT_S = 1.0  # for the head of an answer
+TRANSFER_TIMEOUT_S = 4.0
 MAX_SOURCES = 8  # of one fetch
 MAX_PARALLEL = 3
 # A gateway that failed is asked after the others for so long.
@@ -88,7 +89,10 @@
         answer = ReadTimeout()
         try:
             answer = await self._core.pool.fetch(
-                peer.last_status.peers, HttpCall('GET', path), FETCH_TIMEOUT_S
+                peer.last_status.peers,
+                HttpCall('GET', path),
+                FETCH_TIMEOUT_S,
+                TRANSFER_TIMEOUT_S,
             )
         finally:
             if _is_success(answer):
--- a/mallowcrank/gateway/store_client.py
+++ b/mallowcrank/gateway/store_client.py
@@ -28,6 +28,7 @@
 
 # A response takes a few ms; that of a slow store takes 60 times as long.
 CALL_TIMEOUT_S = 1.0
+TRANSFER_TIMEOUT_S = 4.0  # for a megabyte over a busy link
 OUTDATED = 'outdated'
 
 
@@ -163,7 +164,9 @@
         sent_at = monotonic_s()
         channel.send(data)
         try:
-            response = await channel.read_response(timeout_s)
+            response = await channel.read_response(
+                timeout_s, TRANSFER_TIMEOUT_S
+            )
         finally:
             self._pool.release(channel)
         match response:
--- a/mallowcrank/gateway/target_channel.py
+++ b/mallowcrank/gateway/target_channel.py
@@ -9,6 +9,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 from http import HTTPStatus
+from math import inf
 
 import httptools
 
@@ -23,6 +24,7 @@
 # Unread events of a response at which reading pauses, and goes on again.
 HIGH_WATER_EVENTS = 64
 LOW_WATER_EVENTS = 16
+MAX_STALL_S = 1  # within the transfer of a large response
 MAX_IDLE = 32  # channels to one target
 MAX_HEAD_BYTES = 65_536  # of a response
 MAX_BODY_BYTES = 33_554_432  # of a response that is read as a whole
@@ -253,22 +255,29 @@
         return event
 
     async def read_response(
-        self, timeout_s: float
+        self, timeout_s: float, transfer_s: float = 0
     ) -> Response | ChannelBroken | ReadTimeout:
         """
         Read a complete response; close the channel if that fails.
 
         :param timeout_s: for the complete response.
+        :param transfer_s: further seconds once the head has come, as long as
+            no pause takes more than `MAX_STALL_S`.
         """
         deadline_at = monotonic_s() + timeout_s
+        max_pause_s = inf
         head = ResponseHead(0, ())
         chunks = []
         body_bytes = 0
         while True:
-            event = await self.next_event(deadline_at - monotonic_s())
+            remaining_s = deadline_at - monotonic_s()
+            event = await self.next_event(min(max_pause_s, remaining_s))
             match event:
                 case ResponseHead():
                     head = event
+                    if transfer_s:
+                        deadline_at += transfer_s
+                        max_pause_s = MAX_STALL_S
                 case BodyChunk():
                     chunks.append(event.data)
                     body_bytes += len(event.data)
@@ -431,18 +440,23 @@
         return channel
 
     async def fetch(
-        self, address: Address, call: HttpCall, timeout_s: float
+        self,
+        address: Address,
+        call: HttpCall,
+        timeout_s: float,
+        transfer_s: float = 0,
     ) -> Response | ChannelBroken | ReadTimeout | ConnectFailure:
         """
         Make one call over a new channel and close the channel.
 
         :param timeout_s: for the complete response, without connecting.
+        :param transfer_s: further seconds once its head has come.
         """
         opened = await self.connect(address)
         if isinstance(opened, ConnectFailure):
             return opened
         try:
-            return await fetch_over(opened, call, timeout_s)
+            return await fetch_over(opened, call, timeout_s, transfer_s)
         finally:
             opened.close()
 
@@ -480,19 +494,23 @@
 
 
 async def fetch_over(
-    channel: TargetChannel, call: HttpCall, timeout_s: float
+    channel: TargetChannel,
+    call: HttpCall,
+    timeout_s: float,
+    transfer_s: float = 0,
 ) -> Response | ChannelBroken | ReadTimeout:
     """
     Make one call over a channel.
 
     :param timeout_s: for the complete response.
+    :param transfer_s: further seconds once its head has come.
     """
     host = (b'Host', str(channel.address).encode())
     headers = (host, *call.headers)
     channel.send(
         encode_request(call.method, call.path.encode(), headers, call.body)
     )
-    return await channel.read_response(timeout_s)
+    return await channel.read_response(timeout_s, transfer_s)
 
 
 def encode_request(
--- a/tests/test_gateway_beliefs.py
+++ b/tests/test_gateway_beliefs.py
@@ -556,7 +556,7 @@
         Make a call whose answer has these eras.
         """
 
-        async def read_response(timeout_s):
+        async def read_response(timeout_s, transfer_s):
             await asyncio.sleep(delay_s)
             headers = tuple((b'Store-Era', era) for era in eras)
             return Response(ResponseHead(200, headers), b'')
