Skip the versions that came in between, instead of reading one by one

What callers saw: after an outage in which many large versions were written, the last one came late: each read brings a megabyte, older versions first, and a pause of 0.4 s follows each.

Cause: the log was read in order to its end, although only the newest version counts.

A read that doesn't reach the end is followed at once by one of the newest record of the key. Entries of targets, of which each record counts, are read on without a pause.

The unit test failed before (version 8, not 30).

--- a/mallowcrank/gateway/followers.py
+++ b/mallowcrank/gateway/followers.py
@@ -165,6 +165,8 @@
         self._position = LogPosition(answer.era, read_up_to)
         if read_up_to >= page.end:
             self._handle_end()
+        else:
+            self._handle_rest()
         return True
 
     def _handle_end(self) -> None:
@@ -172,6 +174,12 @@
         Record that the topic was read up to its end.
         """
 
+    def _handle_rest(self) -> None:
+        """
+        Read further records without a pause.
+        """
+        self.wake()
+
     def _begin_anew(self, era: int) -> None:
         self._journal.say(
             'store: topic read anew',
@@ -262,6 +270,11 @@
     def _handle_end(self) -> None:
         self._known.confirm_read()
 
+    def _handle_rest(self) -> None:
+        # The newest version is a page; those in between may be megabytes.
+        self._position = None
+        self.wake()
+
     def _restart(self) -> None:
         """
         Begin the read anew that waits for a change.
--- a/tests/test_gateway_beliefs.py
+++ b/tests/test_gateway_beliefs.py
@@ -524,6 +524,21 @@
         await follower.step()
         self.assertIn('source=12', link.calls[2])
 
+    async def test_versions_between_are_skipped_by_a_read_of_the_newest(self):
+        known = LatestDesired(VOCABULARY, quiet_journal())
+        link = FakeLink(
+            StoreResponse(200, newest_page(10, {'config': raw_desired(7)})),
+            StoreResponse(200, read_page(40, ('config', raw_desired(8)))),
+            StoreResponse(200, newest_page(40, {'config': raw_desired(30)})),
+        )
+        follower = DesiredFollower(
+            known, link, VOCABULARY, Random(1), quiet_journal()
+        )
+        for _ in range(2):
+            await follower.step()
+        self.assertEqual(known.version, 30)
+        self.assertEqual(follower.position, (0, 40))
+
 
 def make_status(host='h1', zone='a', **changes):
     fields = {
