Take the version before a record that can't be read

What callers saw: a confirmed change, followed by bytes that can't be read under the same key, was in force nowhere; a gateway that started then never got ready.

Cause: only the newest record of a read was looked at, and the position moved on. The newest page of the key hides the records before it. Class: an input that is refused hides the last good one.

The records of a read are tried from the newest on; behind an unreadable newest page the log is searched back over 1, 8 and 64 records. A log line names the source, too.

--- a/mallowcrank/gateway/followers.py
+++ b/mallowcrank/gateway/followers.py
@@ -27,6 +27,8 @@
 )
 
 DESIRED_WAIT_S = 10  # of a long poll for a newer desired state
+MAX_SEARCH_RECORDS = 64  # before one that can't be read
+SEARCH_FACTOR = 8
 DESIRED_PAUSE_S = 0.4  # between reads, when versions come in quick succession
 TARGETS_INTERVAL_S = 1.0  # the bound for a leaving target is 2 s
 LATE_READ_S = 2 * TARGETS_INTERVAL_S
@@ -124,7 +126,12 @@
     async def _read_newest(self) -> bool:
         raise NotImplementedError
 
-    def _apply(self, records: tuple[StoreRecord, ...], era: int) -> None:
+    def _apply(self, records: tuple[StoreRecord, ...], era: int) -> bool:
+        """
+        Apply records.
+
+        :returns: whether what they say could be read.
+        """
         raise NotImplementedError
 
     async def _pause(self, seconds: float) -> None:
@@ -288,11 +295,45 @@
         if found is None:
             return False
         page, era = found
-        self._apply(page.records, era)
+        if not self._apply(page.records, era):
+            await self._search_back(page.records, era)
         self._position = LogPosition(era, page.end)
         self._known.confirm_read()
         return True
 
+    async def _search_back(
+        self, newest: tuple[StoreRecord, ...], era: int
+    ) -> None:
+        """
+        Look for the last version before one that can't be read.
+        """
+        offsets = (
+            record.offset
+            for record in newest
+            if record.key == self._store_calls.desired_key
+        )
+        end = next(offsets, 0)
+        distance = 1
+        while distance <= MAX_SEARCH_RECORDS:
+            if await self._apply_from(max(0, end - distance), era):
+                return
+            distance *= SEARCH_FACTOR
+
+    async def _apply_from(self, offset: int, era: int) -> bool:
+        """
+        Apply the newest version after an offset.
+
+        :returns: whether there is one, or the search has failed.
+        """
+        call = self._store_calls.read(self._topic, offset, 0)
+        answer = await self._link.call('desired-search', call)
+        if not isinstance(answer, StoreResponse) or answer.era != era:
+            return True
+        page = self._store_calls.decode_slice(answer.body, offset)
+        if answer.status != HTTPStatus.OK or isinstance(page, DecodeFailure):
+            return True
+        return self._apply(page.records, era)
+
     async def _read(self, position: LogPosition) -> bool:
         call = self._store_calls.read(
             self._topic, position.offset, DESIRED_WAIT_S * 1000
@@ -308,12 +349,20 @@
             )
         return has_succeeded
 
-    def _apply(self, records: tuple[StoreRecord, ...], era: int) -> None:
-        # Only the newest version matters; those in between are skipped.
-        for record in reversed(records):
-            if record.key == self._store_calls.desired_key and record.content:
-                self._known.update(record.content, 'store', era)
-                return
+    def _apply(self, records: tuple[StoreRecord, ...], era: int) -> bool:
+        """
+        Apply the newest version that can be read.
+
+        :returns: whether there is one, or none that can't be read.
+        """
+        versions = [
+            record.content
+            for record in reversed(records)
+            if record.key == self._store_calls.desired_key and record.content
+        ]
+        return not versions or any(
+            self._known.update(raw, 'store', era) for raw in versions
+        )
 
 
 class TargetsFollower(_TopicFollower):
@@ -444,7 +493,7 @@
         answer = await self._link.call('targets-read', call)
         return self._apply_answer(answer, position)
 
-    def _apply(self, records: tuple[StoreRecord, ...], era: int) -> None:
+    def _apply(self, records: tuple[StoreRecord, ...], era: int) -> bool:
         newest = {record.key: record for record in records}
         for record in newest.values():
             if record.content is None:
@@ -455,6 +504,7 @@
                 )
             else:
                 self.apply_raw(record.key, record.content)
+        return True
 
     def _record_read(self, has_succeeded: bool) -> None:
         if not has_succeeded:
--- a/mallowcrank/gateway/latest_desired.py
+++ b/mallowcrank/gateway/latest_desired.py
@@ -86,7 +86,7 @@
         elif status.desired and status.desired_version == self.version:
             self._confirm(monotonic_s() - status.desired.age_s, status.host)
 
-    def update(self, raw: bytes, source: str, era: int = -1) -> None:
+    def update(self, raw: bytes, source: str, era: int = -1) -> bool:
         """
         Replace the desired state, unless the version isn't newer.
 
@@ -96,16 +96,19 @@
         :param raw: the encoded version.
         :param source: where it comes from, for the log.
         :param era: of the store; lower than any for other sources.
+        :returns: whether it can be read.
         """
         if raw == self.raw:
             self._era = max(self._era, era)
-            return
+            return True
         read = self._vocabulary.read_desired(raw)
         if isinstance(read, DecodeFailure):
-            self._journal.say('desired: unreadable', why=read.reason)
-            return
+            self._journal.say(
+                'desired: unreadable', why=read.reason, source=source
+            )
+            return False
         if (read.version, era) <= (self.version, self._era):
-            return
+            return True
         age_s = monotonic_s() - self._confirmed_at
         self._era = era
         self._newest = read
@@ -117,6 +120,7 @@
             # The version can't have been confirmed longer ago.
             age_s=round(age_s, 3) if isfinite(age_s) else None,
         )
+        return True
 
     def _confirm(self, at: float, source: str) -> None:
         """
