Pass on which era of the store a version was read in

What callers saw: after the store came back from an older copy and the operator wrote the same version number with other content, gateways that the store turned away answered 404 on the new route for as long as they were.

Cause: gateways compared version numbers only, so that nobody looked ahead of another, and a version from a neighbour had no era, which lost against any. Class: a number that names content only together with the history it belongs to.

A status carries version and era; they are compared together, and a version that is fetched keeps the era of its source. A gateway of an earlier build sends none and is never ahead of the same number.

--- a/mallowcrank/gateway/datagrams.py
+++ b/mallowcrank/gateway/datagrams.py
@@ -13,6 +13,7 @@
 import msgpack
 
 from mallowcrank.gateway.desired_status import (
+    DesiredMark,
     DesiredStatus,
     decode_desired,
     encode_desired,
@@ -91,6 +92,14 @@
     leaving: tuple[Lifetime, ...] = ()
     desired: DesiredStatus | None = None
 
+    @property
+    def desired_mark(self) -> DesiredMark:
+        """
+        Return which content of the desired state it has.
+        """
+        era = self.desired.era if self.desired else -1
+        return DesiredMark(self.desired_version, era)
+
 
 def pack_status(status: GatewayStatus) -> bytes:
     """
--- a/mallowcrank/gateway/desired_status.py
+++ b/mallowcrank/gateway/desired_status.py
@@ -5,11 +5,25 @@
 from collections.abc import Sequence
 from dataclasses import dataclass
 from math import inf, isfinite
-from typing import Any
+from typing import Any, NamedTuple
 
 MS_PER_S = 1000
 
 
+class DesiredMark(NamedTuple):
+    """
+    Which content of the desired state it is; marks compare by their order.
+
+    A store that came back from an older copy may have been given other content
+    under the same number.
+
+    :param era: of the store, in which it was read; -1 if that is not known.
+    """
+
+    version: int
+    era: int
+
+
 @dataclass(frozen=True, slots=True)
 class DesiredStatus:
     """
--- a/mallowcrank/gateway/latest_desired.py
+++ b/mallowcrank/gateway/latest_desired.py
@@ -9,7 +9,7 @@
 from mallowcrank.gateway.clock import monotonic_s
 from mallowcrank.gateway.datagrams import GatewayStatus
 from mallowcrank.gateway.desired import Desired
-from mallowcrank.gateway.desired_status import DesiredStatus
+from mallowcrank.gateway.desired_status import DesiredMark, DesiredStatus
 from mallowcrank.gateway.journal import Journal
 from mallowcrank.gateway.ports import DecodeFailure, Vocabulary
 
@@ -45,6 +45,13 @@
         """
         return self._newest.version if self._newest else -1
 
+    @property
+    def mark(self) -> DesiredMark:
+        """
+        Return which content is known.
+        """
+        return DesiredMark(self.version, self._era)
+
     @property
     def confirmed_at(self) -> float:
         """
@@ -81,9 +88,9 @@
         Notice a newer version of another gateway, or record how old its
         knowledge is of the same one.
         """
-        if status.desired_version > self.version:
+        if status.desired_mark > self.mark:
             self._on_newer()
-        elif status.desired and status.desired_version == self.version:
+        elif status.desired and status.desired_mark == self.mark:
             self._confirm(monotonic_s() - status.desired.age_s, status.host)
 
     def update(self, raw: bytes, source: str, era: int = -1) -> bool:
@@ -107,7 +114,7 @@
                 'desired: unreadable', why=read.reason, source=source
             )
             return False
-        if (read.version, era) <= (self.version, self._era):
+        if DesiredMark(read.version, era) <= self.mark:
             return True
         age_s = monotonic_s() - self._confirmed_at
         self._era = era
--- a/mallowcrank/gateway/peer_sync.py
+++ b/mallowcrank/gateway/peer_sync.py
@@ -94,12 +94,14 @@
         ahead = [
             peer
             for peer in self._shuffled_peers()
-            if peer.last_status.desired_version > self._known.version
+            if peer.last_status.desired_mark > self._known.mark
         ]
         fetched = await self._fetcher.fetch(ahead, DESIRED_PATH)
         if fetched:
-            host = fetched.peer.last_status.host
-            self._known.update(fetched.body, host)
+            status = fetched.peer.last_status
+            self._known.update(
+                fetched.body, status.host, status.desired_mark.era
+            )
 
     async def _follow_entries(self) -> None:
         behind_since: float | None = None
