Keep the version before one that can be read, but can't work

What callers would see: a version of the right types whose route leads to no service, or that has no weight above 0, replaced a good one, and its requests failed.

Cause: what decoded was taken. Class: syntax checked, meaning not.

The log says why a version isn't used.

--- a/mallowcrank/gateway/latest_desired.py
+++ b/mallowcrank/gateway/latest_desired.py
@@ -10,6 +10,7 @@
 from mallowcrank.gateway.datagrams import GatewayStatus
 from mallowcrank.gateway.desired import Desired
 from mallowcrank.gateway.desired_status import DesiredMark, DesiredStatus
+from mallowcrank.gateway.desired_validation import find_problem
 from mallowcrank.gateway.journal import Journal
 from mallowcrank.gateway.ports import DecodeFailure, Vocabulary
 
@@ -103,15 +104,15 @@
         :param raw: the encoded version.
         :param source: where it comes from, for the log.
         :param era: of the store; lower than any for other sources.
-        :returns: whether it can be read.
+        :returns: whether it can be read and used.
         """
         if raw == self.raw:
             self._era = max(self._era, era)
             return True
-        read = self._vocabulary.read_desired(raw)
+        read = self._read(raw)
         if isinstance(read, DecodeFailure):
             self._journal.say(
-                'desired: unreadable', why=read.reason, source=source
+                'desired: unusable', why=read.reason, source=source
             )
             return False
         if DesiredMark(read.version, era) <= self.mark:
@@ -129,6 +130,13 @@
         )
         return True
 
+    def _read(self, raw: bytes) -> Desired | DecodeFailure:
+        read = self._vocabulary.read_desired(raw)
+        if isinstance(read, DecodeFailure):
+            return read
+        problem = find_problem(read)
+        return DecodeFailure(problem) if problem else read
+
     def _confirm(self, at: float, source: str) -> None:
         """
         Record that the newest version was the store's newest, too.
--- a/tests/test_gateway_beliefs.py
+++ b/tests/test_gateway_beliefs.py
@@ -53,7 +53,11 @@
 )
 from mallowcrank.gateway.targets import HeldLayers, Lifetime
 from mallowcrank.platform.entries import read_entry
-from mallowcrank.platform.standins.bodies import desired_body, entry_body
+from mallowcrank.platform.standins.bodies import (
+    desired_body,
+    entry_body,
+    route_row,
+)
 from mallowcrank.platform.vocabulary import platform_vocabulary
 from tests.utils.platform_pages import newest_page, read_page
 
@@ -270,6 +274,21 @@
         known.update(b'{"version": 9', 'test')
         self.assertEqual(known.version, 5)
 
+    def test_state_that_cannot_work_is_ignored(self):
+        known = LatestDesired(VOCABULARY, quiet_journal())
+        known.update(raw_desired(5), 'test')
+        without_weight = [{'service': 'stock', 'weight': 0}]
+        for routes in (
+            [route_row('a', service='gone')],
+            [route_row('a', traffic_split=without_weight)],
+            [route_row('a'), route_row('a', hostname='else.example')],
+            [route_row('a'), route_row('b', path_prefix='/a/')],
+        ):
+            with self.subTest(routes=routes):
+                body = desired_body(version=9, routes=routes)
+                self.assertFalse(known.update(json.dumps(body).encode(), 'x'))
+                self.assertEqual(known.version, 5)
+
 
 class FakeLink:
     """
