Spare checks that the waiting read makes needless

A status with a newer version arrives a moment before the read that waits brings that version, too.

A search of the log that fails is tried again instead of counting as a read.

--- a/mallowcrank/gateway/followers.py
+++ b/mallowcrank/gateway/followers.py
@@ -266,6 +266,9 @@
             return False
         call = self._store_calls.read(self._topic, position.offset, 0)
         answer = await self._link.call('desired-check', call, is_fresh=True)
+        if self._position != position:
+            # The read that waits was answered meanwhile.
+            return True
         if not self._apply_answer(answer, position):
             return False
         has_moved = self._position != position
@@ -295,17 +298,20 @@
         if found is None:
             return False
         page, era = found
-        if not self._apply(page.records, era):
-            await self._search_back(page.records, era)
+        is_usable = self._apply(page.records, era)
+        if not is_usable and not await self._search_back(page.records, era):
+            return False
         self._position = LogPosition(era, page.end)
         self._known.confirm_read()
         return True
 
     async def _search_back(
         self, newest: tuple[StoreRecord, ...], era: int
-    ) -> None:
+    ) -> bool:
         """
-        Look for the last version before one that can't be read.
+        Look in the log for the last version before one that can't be used.
+
+        :returns: whether the log was read, as far as it goes back.
         """
         offsets = (
             record.offset
@@ -315,24 +321,21 @@
         end = next(offsets, 0)
         distance = 1
         while distance <= MAX_SEARCH_RECORDS:
-            if await self._apply_from(max(0, end - distance), era):
-                return
+            start = max(0, end - distance)
+            answer = await self._link.call(
+                'desired-search', self._store_calls.read(self._topic, start, 0)
+            )
+            if not isinstance(answer, StoreResponse) or answer.era != era:
+                return False
+            page = self._store_calls.decode_slice(answer.body, start)
+            if answer.status != HTTPStatus.OK or isinstance(
+                page, DecodeFailure
+            ):
+                return answer.status == HTTPStatus.GONE
+            if self._apply(page.records, era):
+                return True
             distance *= SEARCH_FACTOR
-
-    async def _apply_from(self, offset: int, era: int) -> bool:
-        """
-        Apply the newest version after an offset.
-
-        :returns: whether there is one, or the search has failed.
-        """
-        call = self._store_calls.read(self._topic, offset, 0)
-        answer = await self._link.call('desired-search', call)
-        if not isinstance(answer, StoreResponse) or answer.era != era:
-            return True
-        page = self._store_calls.decode_slice(answer.body, offset)
-        if answer.status != HTTPStatus.OK or isinstance(page, DecodeFailure):
-            return True
-        return self._apply(page.records, era)
+        return True
 
     async def _read(self, position: LogPosition) -> bool:
         call = self._store_calls.read(
--- a/mallowcrank/gateway/latest_desired.py
+++ b/mallowcrank/gateway/latest_desired.py
@@ -14,7 +14,7 @@
 from mallowcrank.gateway.journal import Journal
 from mallowcrank.gateway.ports import DecodeFailure, Vocabulary
 
-LATE_CONFIRMATION_S = 2  # after which a confirmation is logged
+LATE_CONFIRMATION_S = 5  # after which a confirmation is logged
 
 
 class LatestDesired:
--- a/mallowcrank/gateway/peer_sync.py
+++ b/mallowcrank/gateway/peer_sync.py
@@ -30,7 +30,8 @@
 CHECK_INTERVAL_S = 0.2
 ENTRIES_DELAY_S = 0.4  # the store is read first
 # Shares of the bound on late changes.
-STORE_SHARE = 0.15  # for a read of the store, before others are asked
+OWN_READ_SHARE = 0.05  # for the read that waits for a newer version
+CHECK_SHARE = 0.1  # for a check, before others are asked
 HEDGE_SHARE = 0.15  # for one gateway, before the next one is asked, too
 
 
@@ -51,7 +52,8 @@
         self._checks = checks
         self._targets = targets
         bound_s = core.settings.bounds.config_s
-        self._store_delay_s = STORE_SHARE * bound_s
+        self._own_read_s = OWN_READ_SHARE * bound_s
+        self._check_s = CHECK_SHARE * bound_s
         self._fetcher = PeerFetcher(core, HEDGE_SHARE * bound_s)
         self._heard_newer = asyncio.Event()
         known.listen(self._heard_newer.set)
@@ -85,18 +87,25 @@
         while True:
             await self._heard_newer.wait()
             if self._checks.is_store_available:
-                self._checks.request()
-                await asyncio.sleep(self._store_delay_s)
+                await asyncio.sleep(self._own_read_s)
+                if self._find_ahead():
+                    self._checks.request()
+                    await asyncio.sleep(self._check_s)
             await self._fetch_desired()
             self._heard_newer.clear()
 
-    async def _fetch_desired(self) -> None:
-        ahead = [
+    def _find_ahead(self) -> list[Peer]:
+        """
+        Return the gateways that have a newer version of the desired state.
+        """
+        return [
             peer
             for peer in self._shuffled_peers()
             if peer.last_status.desired_mark > self._known.mark
         ]
-        fetched = await self._fetcher.fetch(ahead, DESIRED_PATH)
+
+    async def _fetch_desired(self) -> None:
+        fetched = await self._fetcher.fetch(self._find_ahead(), DESIRED_PATH)
         if fetched:
             status = fetched.peer.last_status
             self._known.update(
--- a/tests/test_gateway_desired_state.py
+++ b/tests/test_gateway_desired_state.py
@@ -12,10 +12,12 @@
     CONFIG_S,
     DESIRED,
     ROUTES,
+    TARGETS,
     StoreViewTest,
     version_with,
 )
 
+DRAIN_S = 2  # after which a target that left gets nothing more
 POLL_S = 0.02
 LARGE_ROUTES = 1600
 SLOW_BYTES_PER_S = 300_000  # what a busy link leaves
@@ -160,6 +162,21 @@
     async def test_change_is_in_force_though_two_neighbours_hang(self):
         await self.change_with_hanging(2)
 
+    async def test_removed_target_is_not_used_though_two_neighbours_hang(self):
+        self.silence_for_a_third()
+        await asyncio.sleep(3)
+        for gateway in self.readers[:2]:
+            self.hang(gateway)
+        self.world.store.put(TARGETS, 'stock-0', None)
+        await asyncio.sleep(DRAIN_S)
+        turned_away = [
+            gateway
+            for gateway in self.world.gateways
+            if gateway not in self.readers
+        ]
+        arrivals = await self.request(turned_away)
+        self.assertEqual(arrivals['stock-0'], 0)
+
     async def test_large_change_is_in_force_over_slow_links(self):
         self.silence_for_a_third()
         await asyncio.sleep(3)
