Pause between fetches of a state that can't be used

Found in reading: since a status with a newer version starts a fetch at once, a gateway that can't use what others have (bytes that it can't read, a version that can't work here) fetched it with each status that arrived: 62 and 816 times in 2 s, at 2 of 6 and 8 of 24 gateways.

--- a/mallowcrank/gateway/peer_sync.py
+++ b/mallowcrank/gateway/peer_sync.py
@@ -93,6 +93,9 @@
                     await asyncio.sleep(self._check_s)
             await self._fetch_desired()
             self._heard_newer.clear()
+            if self._find_ahead():
+                # What others have can't be fetched, or not be used.
+                await asyncio.sleep(CHECK_INTERVAL_S)
 
     def _find_ahead(self) -> list[Peer]:
         """
--- a/tests/test_gateway_desired_state.py
+++ b/tests/test_gateway_desired_state.py
@@ -6,6 +6,7 @@
 import json
 
 from mallowcrank.gateway.clock import monotonic_s
+from mallowcrank.gateway.peer_sync import CHECK_INTERVAL_S, DESIRED_PATH
 from mallowcrank.platform.standins.bodies import desired_body, route_row
 from mallowcrank.platform.standins.store_entrance import FOREVER_S, send_slowly
 from tests.utils.store_view import (
@@ -177,6 +178,25 @@
         arrivals = await self.request(turned_away)
         self.assertEqual(arrivals['stock-0'], 0)
 
+    async def test_state_that_cannot_be_used_is_not_fetched_in_a_hot_loop(
+        self,
+    ):
+        self.silence_for_a_third()
+        await asyncio.sleep(3)
+        asked = []
+
+        async def serve(request, answer):
+            asked.append(request.path)
+            answer.send(200, (), b'no state')
+
+        for gateway in self.readers:
+            gateway.parts.handover.serve = serve
+        self.confirm(version_with(8, *ROUTES))
+        await asyncio.sleep(2)
+        turned_away = len(self.world.gateways) - len(self.readers)
+        rounds = 2 / CHECK_INTERVAL_S
+        self.assertLessEqual(asked.count(DESIRED_PATH), rounds * turned_away)
+
     async def test_large_change_is_in_force_over_slow_links(self):
         self.silence_for_a_third()
         await asyncio.sleep(3)
