Check over kept channels; let the stand-in store answer waits in time

Found in a run of 24 gateways in one process beside a load of 16 to 20 on 8 cores: a check opened a channel of its own, which took over 0.25 s there, so that 240 checks counted as "store: lost"; idle channels were closed then, and others had to connect, too. A lost SYN would do the same on a lossy link, and put off the removal of targets. A check goes over a kept channel now, like any other read. If that one is dead, the check finds out after 1 s, all idle ones are closed, and the next check is right.

The stand-in store counted its waits in steps of 10 ms that take longer, so that each wait of 10 s took over 11 s and looked like a loss. It goes by the clock now.

--- a/mallowcrank/gateway/followers.py
+++ b/mallowcrank/gateway/followers.py
@@ -265,7 +265,7 @@
             self.wake()
             return False
         call = self._store_calls.read(self._topic, position.offset, 0)
-        answer = await self._link.call('desired-check', call, is_fresh=True)
+        answer = await self._link.call('desired-check', call)
         if self._position != position:
             # The read that waits was answered meanwhile.
             return True
--- a/mallowcrank/gateway/store_client.py
+++ b/mallowcrank/gateway/store_client.py
@@ -126,32 +126,24 @@
         self._on_recovery = on_recovery or _ignore
 
     async def call(
-        self,
-        name: str,
-        call: HttpCall,
-        wait_s: float = 0,
-        is_fresh: bool = False,
+        self, name: str, call: HttpCall, wait_s: float = 0
     ) -> StoreResponse | StoreFailure:
         """
         Make one call.
 
         :param name: name of the call in metrics and logs.
         :param wait_s: seconds that the store may wait before it responds.
-        :param is_fresh: whether to open a channel for it, as an idle one may
-            be dead.
         """
-        response = await self._exchange(
-            name, call, wait_s + CALL_TIMEOUT_S, is_fresh
-        )
+        response = await self._exchange(name, call, wait_s + CALL_TIMEOUT_S)
         failure = _failure_of(response)
         self._meters.store_calls.labels(name, failure or 'ok').inc()
         self._track_availability(name, failure)
         return response
 
     async def _exchange(
-        self, name: str, call: HttpCall, timeout_s: float, is_fresh: bool
+        self, name: str, call: HttpCall, timeout_s: float
     ) -> StoreResponse | StoreFailure:
-        idle = None if is_fresh else self._pool.take_idle(self._address)
+        idle = self._pool.take_idle(self._address)
         channel = idle or await self._pool.connect(self._address)
         if isinstance(channel, ConnectFailure):
             return StoreFailure('unreached')
--- a/mallowcrank/platform/standins/store.py
+++ b/mallowcrank/platform/standins/store.py
@@ -11,6 +11,7 @@
 
 import orjson
 
+from mallowcrank.gateway.clock import monotonic_s
 from mallowcrank.gateway.ports import Headers
 from mallowcrank.gateway.settings import Address
 from mallowcrank.platform.standins.server import StandinServer
@@ -78,10 +79,10 @@
         if not topic.first <= offset <= topic.end:
             oldest = orjson.dumps({'first_offset': topic.first})
             return HTTPStatus.GONE, oldest
-        remaining_s = int(query.get('wait_ms', 0)) / 1000
-        while topic.end <= offset and remaining_s > 0:
+        wait_s = int(query.get('wait_ms', 0)) / 1000
+        deadline_at = monotonic_s() + wait_s
+        while topic.end <= offset and monotonic_s() < deadline_at:
             await asyncio.sleep(POLL_INTERVAL_S)
-            remaining_s -= POLL_INTERVAL_S
         end_bytes = topic.end.to_bytes(OFFSET_BYTES, 'big')
         first_bytes = topic.first.to_bytes(OFFSET_BYTES, 'big')
         framed = _first_records(
