--- a/tests/test_gateway_desired_state.py
+++ b/tests/test_gateway_desired_state.py
@@ -119,6 +119,30 @@
         self.confirm(version_with(8, *ROUTES))
         await self.assert_in_force(8)
 
+    async def test_removed_route_and_key_are_refused_after_a_silence(self):
+        def version(number, keys, *routes):
+            return json.dumps(
+                desired_body(
+                    version=number,
+                    routes=[route_row(name) for name in routes],
+                    tenants=[{'name': 'shop', 'api_keys': keys}],
+                )
+            ).encode()
+
+        self.confirm(version(8, ['first', 'second'], 'lookup', 'removed'))
+        await self.assert_in_force(8)
+        await self.silence(4)
+        self.confirm(version(9, ['first'], 'lookup'))
+        await asyncio.sleep(CONFIG_S)
+        for path, key, status in (
+            ('/lookup/x', 'first', 200),
+            ('/lookup/x', 'second', 401),
+            ('/removed/x', 'first', 404),
+        ):
+            for gateway in self.world.gateways:
+                response = await self.world.fetch(gateway, path, X_Api_Key=key)
+                self.assertEqual(response.status, status, (path, key))
+
 
 class TestSilentStoreBeforeManyGateways(TestSilentStore):
     gateway_count = 24
@@ -213,6 +237,14 @@
             await asyncio.sleep(0.33)
         await self.assert_in_force(19, CONFIG_S - 0.33)
 
+    async def test_gateway_that_starts_meanwhile_has_the_newest_version(self):
+        self.silence_for_a_third()
+        self.hang(self.readers[0])
+        self.confirm(version_with(8, *ROUTES))
+        await asyncio.sleep(CONFIG_S)
+        await self.world.start_gateway(seeds=self.seeds, entrance=self.entrance)
+        await self.assert_in_force(8)
+
     async def test_version_that_is_written_again_is_in_force(self):
         self.confirm(version_with(9, *ROUTES, 'first'))
         await asyncio.sleep(1)
