Count the sends of a gateway that a request was passed on to

In the trace a stream is cut at its first engine, passed on to a gateway that reaches targets, cut there and sent again by that gateway.

Cause: a gateway that a request is passed on to began to count anew, so that two attempts at each end made up to four. Class: a limit for all that each keeps for itself.

The gateway that passes a request on counts that as one send; the other one sends it to one target only, and whoever passed it on has the remaining attempts, at a further one.

--- a/mallowcrank/gateway/call.py
+++ b/mallowcrank/gateway/call.py
@@ -83,6 +83,16 @@
         is_resumed = self.is_proxied and bool(self.fields.last_event)
         return self.response.has_begun or is_resumed
 
+    @property
+    def max_sends(self) -> int:
+        """
+        Return how many targets it may be sent to.
+
+        The gateway that passed it on counts that as one send, and has the
+        others left.
+        """
+        return 1 if self.is_proxied else self.route.max_sends
+
     def traits(self) -> tuple[Trait, ...]:
         """
         Return what it has in common with other requests.
@@ -121,7 +131,7 @@
             return False
         if self.sends and self.route.repeat is Repeat.ONCE:
             return False
-        return self.sends < self.route.max_sends
+        return self.sends < self.max_sends
 
     def record_send(self, now: float) -> None:
         """
--- a/mallowcrank/gateway/plain_calls.py
+++ b/mallowcrank/gateway/plain_calls.py
@@ -222,7 +222,7 @@
 
     def _has_other_target(self, call: Call) -> bool:
         return (
-            call.sends < call.route.max_sends
+            call.sends < call.max_sends
             and len(self._core.fleet.accepting_targets(call.service.name)) > 1
         )
 
--- a/tests/test_gateway_partition.py
+++ b/tests/test_gateway_partition.py
@@ -15,6 +15,7 @@
 # with the others.
 SERVED_RATIO = 2 / 3
 SLACK = 10
+MAX_ATTEMPTS = 2  # of the route
 
 
 class TestCutOffGateways(IsolatedAsyncioTestCase):
@@ -109,6 +110,21 @@
         served = site.statuses(started_at + 3, is_cut_off=True)
         self.assertGreater(served[200], 0.95 * served.total(), served)
 
+    async def test_stream_that_is_passed_on_keeps_to_the_attempts_of_its_route(
+        self,
+    ):
+        site = await self.start(6)
+        gateway = site.gateways[0]
+        site.cut([gateway], Cut.HANG)
+        await site.world.wait_for(
+            lambda: gateway.core.proxies.reachability.is_cut_off
+        )
+        for engine in site.engines:
+            engine.faults.stalls = EVENT_COUNT
+        await site.send(gateway, 'draft')
+        runs = sum(len(engine.stalled_streams) for engine in site.engines)
+        self.assertLessEqual(runs, MAX_ATTEMPTS)
+
     async def test_request_is_passed_on_once_at_most(self):
         site = await self.start(6)
         site.cut(site.gateways, Cut.RESET)
