Refuse addresses and numbers that no socket or model takes

Addresses of entries, settings, group members and neighbours' messages are now checked where they are decoded, and numbers are bounded.

--- a/mallowcrank/gateway/datagrams.py
+++ b/mallowcrank/gateway/datagrams.py
@@ -6,12 +6,14 @@
 
 from collections.abc import Callable, Iterable, Mapping, Sequence
 from dataclasses import dataclass, field
-from ipaddress import ip_address
+from functools import lru_cache
+from ipaddress import IPv4Address
 from math import isfinite
 from typing import Any, TypeVar
 
 import msgpack
 
+from mallowcrank.gateway.addresses import checked_port
 from mallowcrank.gateway.desired_status import (
     DesiredMark,
     DesiredStatus,
@@ -32,7 +34,7 @@
 
 STATUS_FORMAT = 1
 ADDRESSES_FORMAT = 2
-MAX_PORT = 65_535
+MAX_KNOWN_ADDRESSES = 4096  # whose checks aren't repeated
 MS_PER_S = 1000
 Decoded = TypeVar('Decoded')
 DECODE_ERRORS = (
@@ -200,16 +202,17 @@
 def _decode(fields: list[Any]) -> GatewayStatus | None:
     if fields[0] != STATUS_FORMAT:
         return None
-    ip = str(fields[4])
     reported_layers = fields[12].items()
-    front, gossip, peers = (int(port) for port in fields[5])
+    front, gossip, peers = (
+        _decode_address(fields[4], port) for port in fields[5]
+    )
     return GatewayStatus(
         host=str(fields[1]),
         incarnation=str(fields[2]),
         zone=str(fields[3]),
-        front=Address(ip, front),
-        gossip=Address(ip, gossip),
-        peers=Address(ip, peers),
+        front=front,
+        gossip=gossip,
+        peers=peers,
         accepts_callers=bool(fields[6]),
         desired_version=int(fields[7]),
         leader_generation=int(fields[8]),
@@ -271,7 +274,6 @@
     )
 
 
+@lru_cache(MAX_KNOWN_ADDRESSES)
 def _decode_address(ip: Any, port: Any) -> Address:
-    if not 0 < int(port) <= MAX_PORT:
-        raise ValueError('no port')
-    return Address(str(ip_address(str(ip))), int(port))
+    return Address(str(IPv4Address(str(ip))), checked_port(int(port)))
--- a/mallowcrank/gateway/leadership.py
+++ b/mallowcrank/gateway/leadership.py
@@ -12,6 +12,7 @@
 from http import HTTPStatus
 from random import Random
 
+from mallowcrank.gateway.addresses import parse_address
 from mallowcrank.gateway.clock import monotonic_s
 from mallowcrank.gateway.datagrams import GatewayStatus
 from mallowcrank.gateway.followers import Backoff
@@ -219,5 +220,7 @@
 
 
 def _address(member: str) -> Address | None:
-    ip, _, port = member.rpartition(SEPARATOR)[2].rpartition(':')
-    return Address(ip, int(port)) if ip and port.isdigit() else None
+    try:
+        return parse_address(member.rpartition(SEPARATOR)[2])
+    except ValueError:
+        return None
--- a/mallowcrank/platform/entries.py
+++ b/mallowcrank/platform/entries.py
@@ -5,6 +5,7 @@
 from collections.abc import Mapping
 from typing import Any
 
+from mallowcrank.gateway.addresses import parse_address
 from mallowcrank.gateway.ports import DecodeFailure, HttpCall
 from mallowcrank.gateway.targets import (
     HeldLayers,
@@ -22,10 +23,11 @@
     text_field,
 )
 from mallowcrank.platform.forwarding import instance_headers
-from mallowcrank.platform.node_settings import read_address
 
 READY = 'ready'
 DRAINING = 'draining'
+MAX_LAYERS = 10_000  # of a model
+SHOWN_CHARACTERS = 80  # of an unknown state
 
 
 def read_entry(identity: str, content: bytes) -> Target | DecodeFailure:
@@ -63,11 +65,11 @@
 def _decode_target(identity: str, body: Mapping[str, Any]) -> Target:
     state = text_field(body, 'state')
     if state not in {READY, DRAINING}:
-        raise MalformedError(f'unknown state {state!r}')
+        raise MalformedError(f'unknown state {state[:SHOWN_CHARACTERS]!r}')
     return Target(
         lifetime=_decode_lifetime(identity, body),
         service=text_field(body, 'service'),
-        address=read_address(text_field(body, 'address')),
+        address=parse_address(text_field(body, 'address')),
         zone=text_field(body, 'zone'),
         slots=integer_field(body, 'slots'),
         leaving=state == DRAINING,
@@ -117,4 +119,6 @@
     end = integer_field(layers, 'to')
     if end <= first:
         return None
+    if end > MAX_LAYERS:
+        raise MalformedError(f'no model has {end} layers')
     return HeldLayers(first, end, integer_field(layers, 'version', 0))
--- a/mallowcrank/platform/fields.py
+++ b/mallowcrank/platform/fields.py
@@ -7,6 +7,9 @@
 
 import orjson
 
+# Larger integers are not exact in all JSON implementations (RFC 8259, 6).
+MAX_NUMBER = 2**53
+
 
 class MalformedError(ValueError):
     """
@@ -69,14 +72,16 @@
     fields: Mapping[str, Any], name: str, default: float | None = None
 ) -> float:
     """
-    Return a field that must be a number of 0 or more.
+    Return a field that must be a number from 0 to `MAX_NUMBER`.
 
     :param default: for an absent field; without it the field is required.
     :raises MalformedError: if it is not.
     """
     raw = fields.get(name, default)
-    if isinstance(raw, bool) or not isinstance(raw, int | float) or raw < 0:
+    if isinstance(raw, bool) or not isinstance(raw, int | float):
         raise MalformedError(f'{name} is not a number of 0 or more')
+    if not 0 <= raw <= MAX_NUMBER:
+        raise MalformedError(f'{name} is not a number from 0 to {MAX_NUMBER}')
     return raw
 
 
--- a/mallowcrank/platform/node_settings.py
+++ b/mallowcrank/platform/node_settings.py
@@ -6,6 +6,7 @@
 from typing import Any
 
 from mallowcrank.findings import Finding
+from mallowcrank.gateway.addresses import parse_address, parse_port
 from mallowcrank.gateway.settings import (
     Address,
     Bounds,
@@ -30,14 +31,14 @@
         region=reader.read('region', str),
         regions=reader.regions(),
         listening=ListenAddresses(
-            front=reader.read('listen.front', read_address),
-            ready=reader.read('listen.ready', read_address),
-            peers=reader.read('listen.control', read_address),
-            directory=reader.read('listen.directory', read_address),
+            front=reader.read('listen.front', parse_address),
+            ready=reader.read('listen.ready', parse_address),
+            peers=reader.read('listen.control', parse_address),
+            directory=reader.read('listen.directory', parse_address),
         ),
         internal_ports=reader.read('internal_ports', _parse_ports),
         seeds=reader.read('seeds', _parse_addresses, ''),
-        store=reader.read('platform.address', read_address),
+        store=reader.read('platform.address', parse_address),
         min_lease_s=reader.read('platform.ttl_min_ms', _parse_ms_as_s, '1000'),
         bounds=Bounds(
             grace_s=reader.read('bounds.grace_s', float),
@@ -53,18 +54,6 @@
     return reader.findings or settings
 
 
-def read_address(text: str) -> Address:
-    """
-    Parse `IP:PORT`.
-
-    :raises ValueError: if the text has another form.
-    """
-    ip, colon, port = text.rpartition(':')
-    if not colon or not ip:
-        raise ValueError(f'{text!r} is not IP:PORT')
-    return Address(ip, int(port))
-
-
 class _FieldReader:
     """
     Converts fields one by one and collects a finding for each bad one.
@@ -119,8 +108,8 @@
 
 def _parse_ports(text: str) -> tuple[int, int]:
     first, _, last = text.partition(',')
-    return int(first), int(last)
+    return parse_port(first), parse_port(last)
 
 
 def _parse_addresses(text: str) -> tuple[Address, ...]:
-    return tuple(read_address(each) for each in text.split(',') if each)
+    return tuple(parse_address(each) for each in text.split(',') if each)
