Don't take a repeated refusal for the answer to another send

A refusal without a request id matched whatever request was on the channel: a caller was told 'not run' for a request that ran (503 instead of 200). And a stream that went to the same first engine again over the same channel took the repeated refusal of its first try for the answer to the second one (503, the request ran). Such a refusal now counts only as the first answer of a channel, and no call goes twice over one channel.

--- a/mallowcrank/gateway/call.py
+++ b/mallowcrank/gateway/call.py
@@ -1,7 +1,8 @@
 """
-The state of one call.
+The state of one call, and which answers are to it.
 """
 
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from hashlib import blake2b
 
@@ -9,7 +10,8 @@
 from mallowcrank.gateway.caller_channel import CallerRequest, ResponseWriter
 from mallowcrank.gateway.clock import monotonic_s
 from mallowcrank.gateway.desired import Repeat, RouteRule, ServiceRule
-from mallowcrank.gateway.ports import CallerFields
+from mallowcrank.gateway.ports import CallerFields, Headers, Vocabulary
+from mallowcrank.gateway.target_channel import TargetChannel
 from mallowcrank.gateway.targets import Lifetime
 
 DIGEST_BYTES = 12
@@ -29,6 +31,7 @@
     :param refusals: number of sends that a target states it did not run.
     :param waited_s: seconds spent waiting for a path.
     :param avoided: lifetimes of targets that must not get the request again.
+    :param channels: to targets that have carried it.
     :param proxies: hosts of gateways that it was passed on to.
     :param is_proxied: whether another gateway has passed it on to this one.
     """
@@ -48,6 +51,7 @@
     refusals: int = 0
     waited_s: float = 0
     avoided: set[Lifetime] = field(default_factory=set)
+    channels: set[TargetChannel] = field(default_factory=set)
     proxies: set[str] = field(default_factory=set)
     is_proxied: bool = False
     _digest: str = ''
@@ -161,3 +165,26 @@
         Return the seconds since the first byte of the request was received.
         """
         return monotonic_s() - self.request.received_at
+
+
+def answer_matcher(
+    vocabulary: Vocabulary, call: Call, channel: TargetChannel
+) -> Callable[[Headers], bool]:
+    """
+    Return a predicate on the headers of an answer: does it answer this call?
+
+    An answer without a request id matches if it states that the request did
+    not run, and answers the first request of its channel. Later, it may be a
+    repeated answer to an earlier one.
+
+    :param channel: over which the call is about to be sent.
+    """
+    is_first = channel.request_count == 0
+
+    def matches(headers: Headers) -> bool:
+        fields = vocabulary.response_fields(headers)
+        if not fields.request_id:
+            return is_first and fields.did_not_run
+        return fields.request_id == call.fields.request_id
+
+    return matches
--- a/mallowcrank/gateway/core.py
+++ b/mallowcrank/gateway/core.py
@@ -2,7 +2,6 @@
 The services that all parts of a gateway share.
 """
 
-from collections.abc import Callable
 from dataclasses import dataclass, field
 from http import HTTPStatus
 from random import Random
@@ -20,7 +19,7 @@
 from mallowcrank.gateway.meters import Meters
 from mallowcrank.gateway.peers import Peers
 from mallowcrank.gateway.permits import Permits
-from mallowcrank.gateway.ports import Headers, Vocabulary
+from mallowcrank.gateway.ports import Vocabulary
 from mallowcrank.gateway.prober import Prober
 from mallowcrank.gateway.proxies import Proxies
 from mallowcrank.gateway.settings import GatewaySettings
@@ -33,6 +32,7 @@
 )
 from mallowcrank.gateway.target_limits import TargetLimits
 from mallowcrank.gateway.targets import Lifetime, Target
+from mallowcrank.gateway.unexpected_errors import UnexpectedErrors
 from mallowcrank.overload.retry_after import RetryAfterSchedule
 
 
@@ -58,6 +58,7 @@
     permits: Permits
     suspects: Suspects
     proxies: Proxies
+    errors: UnexpectedErrors
     retry_after: RetryAfterSchedule = field(default_factory=RetryAfterSchedule)
 
     @property
@@ -75,23 +76,26 @@
         self.retry_windows.update_bounds(settings.bounds)
 
     async def acquire_channel(
-        self, target: Target, may_reuse: bool = True
+        self, target: Target, call: Call, may_reuse: bool = True
     ) -> TargetChannel | ConnectFailure:
         """
         Return a channel to a target: an idle one of the pool, or a new one.
 
+        A channel that has carried the call isn't used for it again. A faulty
+        target may repeat its refusal there, which would be taken for the
+        answer to the next send.
+
         :param may_reuse: whether an idle channel will do.
         """
-        idle = self.pool.take_idle(target.address) if may_reuse else None
-        if idle:
-            return idle
-        opened = await self.pool.connect(target.address)
-        if isinstance(opened, ConnectFailure):
-            self.meters.target_channels.labels('failed').inc()
-            self.prober.handle_unreached(target.lifetime, opened)
-        else:
-            self.meters.target_channels.labels('opened').inc()
-        return opened
+        idle = (
+            self.pool.take_idle(target.address, call.channels)
+            if may_reuse
+            else None
+        )
+        channel = idle or await self._open_channel(target)
+        if not isinstance(channel, ConnectFailure):
+            call.channels.add(channel)
+        return channel
 
     def retry_usage(self, service: str) -> RetryUsage:
         """
@@ -204,18 +208,13 @@
         is_misdirected = head.status == HTTPStatus.MISDIRECTED_REQUEST
         return fields.did_not_run or is_misdirected
 
-    def response_matcher(self, call: Call) -> Callable[[Headers], bool]:
-        """
-        Return a predicate on response headers: do they response this call?
-
-        A response without a request id matches if it states that the request
-        did not run.
-        """
-
-        def matches(headers: Headers) -> bool:
-            fields = self.vocabulary.response_fields(headers)
-            if not fields.request_id:
-                return fields.did_not_run
-            return fields.request_id == call.fields.request_id
-
-        return matches
+    async def _open_channel(
+        self, target: Target
+    ) -> TargetChannel | ConnectFailure:
+        opened = await self.pool.connect(target.address)
+        if isinstance(opened, ConnectFailure):
+            self.meters.target_channels.labels('failed').inc()
+            self.prober.handle_unreached(target.lifetime, opened)
+        else:
+            self.meters.target_channels.labels('opened').inc()
+        return opened
--- a/mallowcrank/gateway/plain_calls.py
+++ b/mallowcrank/gateway/plain_calls.py
@@ -10,7 +10,7 @@
 
 from mallowcrank.chains.budget import SentRequest
 from mallowcrank.chains.replicas import ReplicaRecords
-from mallowcrank.gateway.call import Call
+from mallowcrank.gateway.call import Call, answer_matcher
 from mallowcrank.gateway.call_log import log_broken_channel
 from mallowcrank.gateway.clock import monotonic_s
 from mallowcrank.gateway.core import Core
@@ -157,7 +157,7 @@
     ) -> Response | NoResponse:
         target = claimed.target
         channel = await self._core.acquire_channel(
-            target, may_reuse=call.route.repeat is not Repeat.ONCE
+            target, call, may_reuse=call.route.repeat is not Repeat.ONCE
         )
         if isinstance(channel, ConnectFailure):
             call.refusals += 1
@@ -196,7 +196,7 @@
             encode_request(
                 request.method, request.target, headers, request.body
             ),
-            self._core.response_matcher(call),
+            answer_matcher(self._core.vocabulary, call, channel),
             request.method == 'HEAD',
         )
 
--- a/mallowcrank/gateway/streams.py
+++ b/mallowcrank/gateway/streams.py
@@ -12,7 +12,7 @@
 
 from mallowcrank.chains.budget import SentRequest
 from mallowcrank.chains.paths import ChainPath, NoPath
-from mallowcrank.gateway.call import Call
+from mallowcrank.gateway.call import Call, answer_matcher
 from mallowcrank.gateway.call_log import log_broken_channel, record_outcome
 from mallowcrank.gateway.caller_channel import end_to_end_headers
 from mallowcrank.gateway.clock import monotonic_s
@@ -325,7 +325,7 @@
         hops = self._finder.hops(path)
         if entry is None or not hops:
             return Rejected('the fleet has changed')
-        channel = await self._core.acquire_channel(entry)
+        channel = await self._core.acquire_channel(entry, self._call)
         if isinstance(channel, ConnectFailure):
             self._call.avoided.add(entry.lifetime)
             return Rejected(f'unreached: {channel.reason}')
@@ -368,7 +368,7 @@
             encode_request(
                 request.method, request.target, headers, request.body
             ),
-            matches=self._core.response_matcher(call),
+            matches=answer_matcher(self._core.vocabulary, call, channel),
         )
 
     async def _relay(self, channel: TargetChannel) -> Outcome:
--- a/mallowcrank/gateway/target_channel.py
+++ b/mallowcrank/gateway/target_channel.py
@@ -6,7 +6,7 @@
 
 import asyncio
 from collections import deque
-from collections.abc import Callable
+from collections.abc import Callable, Container
 from dataclasses import dataclass
 from http import HTTPStatus
 from math import inf
@@ -118,11 +118,14 @@
 class TargetChannel(asyncio.Protocol):
     """
     One connection to a target or to the store.
+
+    :ivar request_count: number of requests that it has carried.
     """
 
     def __init__(self, address: Address) -> None:
         self.address = address
         self.last_used_at = monotonic_s()
+        self.request_count = 0
         self._transport: asyncio.Transport | None = None
         self._events: deque[ResponseEvent] = deque()
         self._waiter: asyncio.Future[None] | None = None
@@ -201,6 +204,7 @@
         :param head_only: whether the response has no body (HEAD).
         """
         self.last_used_at = monotonic_s()
+        self.request_count += 1
         self._is_pending = True
         self._matches = matches or _match_any
         self._head_only = head_only
@@ -409,14 +413,20 @@
     def __init__(self) -> None:
         self._idle: dict[Address, list[TargetChannel]] = {}
 
-    def take_idle(self, address: Address) -> TargetChannel | None:
+    def take_idle(
+        self, address: Address, excluded: Container[TargetChannel] = ()
+    ) -> TargetChannel | None:
         """
         Remove and return an idle channel that is still usable, if any.
+
+        :param excluded: channels that stay where they are.
         """
         now = monotonic_s()
         idle = self._idle.get(address, [])
-        while idle:
-            channel = idle.pop()
+        for channel in reversed(idle.copy()):
+            if channel in excluded:
+                continue
+            idle.remove(channel)
             if channel.is_usable(now):
                 return channel
             channel.close()
@@ -434,7 +444,8 @@
                 )
         except TimeoutError:
             return ConnectFailure(f'no answer in {CONNECT_TIMEOUT_S} s')
-        except OSError as error:
+        except (OSError, ValueError, OverflowError) as error:
+            # The last two are of an address that no socket takes.
             refused = isinstance(error, ConnectionRefusedError)
             return ConnectFailure(str(error), refused)
         return channel
--- a/tests/test_gateway_retries.py
+++ b/tests/test_gateway_retries.py
@@ -43,6 +43,8 @@
     A channel that breaks after each request.
     """
 
+    request_count = 0
+
     def __init__(self, sent):
         self._sent = sent
 
--- /dev/null
+++ b/tests/utils/raw_replica.py
@@ -0,0 +1,121 @@
+"""
+A replica that writes scripted bytes, for answers that no server library sends.
+"""
+
+import asyncio
+import json
+from contextlib import suppress
+
+from mallowcrank.gateway.settings import Address
+from mallowcrank.platform.standins.bodies import entry_body
+
+
+class RawReplica:
+    """
+    A replica that answers each request with the bytes that a script yields.
+
+    :param script: takes the number of a request on its channel, from 1, and
+        its headers by name; returns the pieces of the answer. A piece of None
+        closes the channel; a number is a pause in seconds.
+    """
+
+    def __init__(self, identity, service, script, **fields):
+        self.identity = identity
+        self.requests = []
+        self.address = None
+        self._service = service
+        self._script = script
+        self._fields = fields
+        self._server = None
+        self._writers = []
+
+    async def start(self, world):
+        """
+        Listen, and write an entry to the store.
+        """
+        self._server = await asyncio.start_server(
+            self._serve, '127.0.0.1', 0, limit=2**20
+        )
+        self.address = Address(*self._server.sockets[0].getsockname()[:2])
+        entry = entry_body(
+            service=self._service, address=str(self.address), **self._fields
+        )
+        world.store.put(
+            'keyed.servers', self.identity, json.dumps(entry).encode()
+        )
+
+    def stop(self):
+        """
+        Stop listening, and reset all channels.
+        """
+        self._server.close()
+        for writer in self._writers:
+            writer.transport.abort()
+
+    async def _serve(self, reader, writer):
+        self._writers.append(writer)
+        count = 0
+        with suppress(ConnectionError, asyncio.IncompleteReadError):
+            while True:
+                head = await reader.readuntil(b'\r\n\r\n')
+                method, path, fields = _parse(head)
+                await reader.readexactly(int(fields.get('content-length', 0)))
+                if path == '/report':
+                    writer.write(_report(self._fields))
+                    continue
+                count += 1
+                self.requests.append((method, path, fields))
+                for piece in self._script(count, fields):
+                    if piece is None:
+                        writer.close()
+                        return
+                    if isinstance(piece, bytes):
+                        writer.write(piece)
+                    else:
+                        await writer.drain()
+                        await asyncio.sleep(piece)
+        writer.close()
+
+
+def answer(fields, status='200 OK', body=b'', extra=(), seal=True):
+    """
+    Return a complete answer to a request.
+
+    :param fields: headers of the request by name.
+    """
+    lines = [f'HTTP/1.1 {status}', f'Content-Length: {len(body)}', *extra]
+    request = fields.get('mallowcrank-request-id')
+    if request:
+        lines.append(f'Mallowcrank-Request-Id: {request}')
+    if seal:
+        lines.append(f'Mallowcrank-Response-Seal: seal.{request}')
+    return '\r\n'.join((*lines, '', '')).encode() + body
+
+
+def refusal(fields, at_fault=''):
+    """
+    Return a refusal of a request, which was not run.
+
+    :param at_fault: address of the replica for which it is refused.
+    """
+    extra = ['Mallowcrank-Not-Executed: 1']
+    if at_fault:
+        extra.append(f'At-Server: {at_fault}')
+    return answer(fields, '503 Service Unavailable', extra=extra, seal=False)
+
+
+def _parse(head):
+    first, *rest = head.decode('latin-1').split('\r\n')
+    method, path, _ = first.split(' ')
+    pairs = (line.partition(': ') for line in rest if line)
+    return method, path, {name.lower(): value for name, _, value in pairs}
+
+
+def _report(fields):
+    body = json.dumps(
+        {'sequence': 0, 'pace': 1, 'layers': fields.get('layers')}
+    ).encode()
+    return b'HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%b' % (
+        len(body),
+        body,
+    )
