Answer, log and count errors that no code handles

An exception in a request's task closed the caller's channel without an answer or a line, and one while an entry, a version of the desired state or a neighbour's datagram was applied ended the process, again after each restart (the tests ended with the process before). A caller now gets 503 if the request was not sent, 502 if it may have run, or a broken-off stream; readers pass over what fails; the event loop's and probes' errors have lines and a counter, unexpected_errors_total.

--- a/mallowcrank/gateway/assembly.py
+++ b/mallowcrank/gateway/assembly.py
@@ -51,13 +51,11 @@
     store_client = StoreClient(
         settings.store, vocabulary.store, journal, core.meters
     )
-    known = LatestDesired(vocabulary, journal)
+    known = LatestDesired(vocabulary, journal, core.errors)
     desired = DesiredFollower(
         known, store_client, vocabulary, core.random, journal
     )
-    targets = TargetsFollower(
-        core.fleet, store_client, vocabulary, core.random, journal, core.peers
-    )
+    targets = TargetsFollower(core, store_client)
     checks = DesiredChecks(
         settings.bounds.config_s, known, desired, store_client, core.peers
     )
@@ -75,7 +73,9 @@
     )
     gossip = Gossip(core, known, targets, duty, incarnation)
     core.peers.listen(
-        gossip.own_status, gossip.handle_status, core.permits.handle_datagram
+        gossip.own_status,
+        core.errors.guard('datagram', gossip.handle_status),
+        core.errors.guard('datagram', core.permits.handle_datagram),
     )
     return Parts(
         core=core,
--- a/mallowcrank/gateway/caller_channel.py
+++ b/mallowcrank/gateway/caller_channel.py
@@ -98,6 +98,7 @@
 
 
 RequestHandler = Callable[[CallerRequest, 'ResponseWriter'], Awaitable[None]]
+ErrorHandler = Callable[[CallerRequest, Exception], None]
 
 
 class ResponseWriter:
@@ -224,14 +225,20 @@
 
     :param serve: handles one request.
     :param limits: returns the limits in force.
+    :param on_error: is called with a request and the error that its handler
+        has raised.
     :ivar is_draining: whether responses ask callers to close the connection.
     """
 
     def __init__(
-        self, serve: RequestHandler, limits: Callable[[], Limits]
+        self,
+        serve: RequestHandler,
+        limits: Callable[[], Limits],
+        on_error: ErrorHandler | None = None,
     ) -> None:
-        self.serve = serve
         self.limits = limits
+        self._handle = serve
+        self._on_error = on_error or _ignore
         self.open: set[CallerChannel] = set()
         self.is_draining = False
 
@@ -248,6 +255,21 @@
         """
         return CallerChannel(self)
 
+    async def serve(
+        self, request: CallerRequest, response: ResponseWriter
+    ) -> None:
+        """
+        Serve a request; answer it also if its handler raises an error.
+        """
+        try:
+            await self._handle(request, response)
+        except Exception as error:
+            self._on_error(request, error)
+            if response.has_begun:
+                response.abort()
+            else:
+                response.send(HTTPStatus.INTERNAL_SERVER_ERROR, (), b'')
+
     def sweep(self) -> None:
         """
         Close channels that exceed their idle or read timeout.
@@ -440,13 +462,18 @@
     def _on_served(self, task: asyncio.Task[None]) -> None:
         self._serve_task = None
         self._idle_since = monotonic_s()
-        failed = not task.cancelled() and task.exception() is not None
-        if failed or self._is_closing:
+        if self._is_closing:
             self.close_after_answer()
         elif self._pending:
             self._serve_next()
 
 
+def _ignore(request: CallerRequest, error: Exception) -> None:
+    """
+    Do nothing; the default handler of errors.
+    """
+
+
 class _RequestReader:
     """
     Assembles requests from the callbacks of the httptools parser.
--- a/mallowcrank/gateway/core_assembly.py
+++ b/mallowcrank/gateway/core_assembly.py
@@ -20,6 +20,7 @@
 from mallowcrank.gateway.settings import GatewaySettings
 from mallowcrank.gateway.suspects import Suspects
 from mallowcrank.gateway.target_channel import ChannelPool
+from mallowcrank.gateway.unexpected_errors import UnexpectedErrors
 
 
 def build_core(
@@ -29,16 +30,16 @@
     Build the services that all parts share.
     """
     meters = Meters()
+    errors = UnexpectedErrors(journal, meters)
     fleet = Fleet(journal)
     pool = ChannelPool()
     peers = Peers(settings, journal)
     permits = Permits(settings, peers, journal, meters)
-    prober = Prober(fleet, pool, vocabulary, meters, permits.limits)
+    prober = Prober(fleet, pool, vocabulary, meters, permits.limits, errors)
     suspects = Suspects(journal, meters)
     reachability = Reachability(
         fleet, peers, prober, journal, meters, suspects.drop_recent
     )
-    earlier_run_ended_s = None if settings.is_first_start else monotonic_s()
     return Core(
         settings=settings,
         vocabulary=vocabulary,
@@ -47,11 +48,17 @@
         random=Random(),
         fleet=fleet,
         ledger=MemoryLedger(),
-        retry_windows=RetryWindows(settings.bounds, earlier_run_ended_s),
+        retry_windows=_retry_windows(settings),
         pool=pool,
         prober=prober,
         peers=peers,
         permits=permits,
         suspects=suspects,
         proxies=Proxies(reachability, pool, vocabulary, Random()),
+        errors=errors,
     )
+
+
+def _retry_windows(settings: GatewaySettings) -> RetryWindows:
+    earlier_run_ended_s = None if settings.is_first_start else monotonic_s()
+    return RetryWindows(settings.bounds, earlier_run_ended_s)
--- a/mallowcrank/gateway/followers.py
+++ b/mallowcrank/gateway/followers.py
@@ -8,10 +8,10 @@
 from random import Random
 
 from mallowcrank.gateway.clock import monotonic_s
-from mallowcrank.gateway.fleet import Fleet
+from mallowcrank.gateway.core import Core
+from mallowcrank.gateway.entry_reading import EntryReader
 from mallowcrank.gateway.journal import Journal
 from mallowcrank.gateway.latest_desired import LatestDesired
-from mallowcrank.gateway.peers import Peers
 from mallowcrank.gateway.ports import (
     DecodeFailure,
     LogPosition,
@@ -373,21 +373,13 @@
     Reads the targets' entries as they change.
     """
 
-    def __init__(
-        self,
-        fleet: Fleet,
-        link: StoreClient,
-        vocabulary: Vocabulary,
-        random: Random,
-        journal: Journal,
-        peers: Peers,
-    ) -> None:
-        super().__init__(link, vocabulary, random, journal)
+    def __init__(self, core: Core, link: StoreClient) -> None:
+        super().__init__(link, core.vocabulary, core.random, core.journal)
         self._topic = self._store_calls.targets_topic
-        self._fleet = fleet
-        self._peers = peers
-        self._vocabulary = vocabulary
-        self._random = random
+        self._fleet = core.fleet
+        self._peers = core.peers
+        self._entries = EntryReader(core)
+        self._random = core.random
         self._last_read_at = -inf
         self._settled_at = -inf
         self._reading_since: float | None = None
@@ -442,9 +434,9 @@
         """
         if self._position and snapshot.position <= self._position:
             return
-        for identity, raw in snapshot.entries.items():
-            self.apply_raw(identity, raw)
         now = monotonic_s()
+        for identity, raw in snapshot.entries.items():
+            self._apply_raw(identity, raw)
         for identity, lapsed_for_s in snapshot.lapsed.items():
             self._fleet.apply_removal(
                 identity, now - lapsed_for_s, is_confirmed=False
@@ -453,16 +445,6 @@
         self._position = snapshot.position
         self._record_view('targets: taken from another gateway')
 
-    def apply_raw(self, identity: str, raw: bytes) -> None:
-        """
-        Apply an entry as encoded in the store.
-        """
-        read = self._vocabulary.read_entry(identity, raw)
-        if not isinstance(read, DecodeFailure):
-            now = monotonic_s()
-            is_restored = now - self._link.era_changed_at < RESTORED_S
-            self._fleet.apply_entry(read, raw, now, is_restored)
-
     async def _read_newest(self) -> bool:
         records: list[StoreRecord] = []
         after = ''
@@ -500,15 +482,20 @@
         newest = {record.key: record for record in records}
         for record in newest.values():
             if record.content is None:
+                self._entries.forget(record.key)
                 self._fleet.apply_removal(
                     record.key,
                     self._gone_since(),
                     self._is_removal_confirmed(),
                 )
             else:
-                self.apply_raw(record.key, record.content)
+                self._apply_raw(record.key, record.content)
         return True
 
+    def _apply_raw(self, identity: str, raw: bytes) -> None:
+        era_age_s = monotonic_s() - self._link.era_changed_at
+        self._entries.apply(identity, raw, is_restored=era_age_s < RESTORED_S)
+
     def _record_read(self, has_succeeded: bool) -> None:
         if not has_succeeded:
             self._reading_since = None
--- a/mallowcrank/gateway/frontend.py
+++ b/mallowcrank/gateway/frontend.py
@@ -2,6 +2,7 @@
 The frontend: authenticates and routes callers' requests, then serves them.
 """
 
+from collections.abc import Callable
 from dataclasses import replace
 from http import HTTPStatus
 
@@ -15,6 +16,7 @@
     find_route,
     pick_service,
 )
+from mallowcrank.gateway.endings import RetryAfter, give_up
 from mallowcrank.gateway.error_responses import send_error
 from mallowcrank.gateway.latest_desired import LatestDesired
 from mallowcrank.gateway.plain_calls import PlainCalls
@@ -28,6 +30,8 @@
 # The desired state is read within a second of the start.
 UNAVAILABLE_RETRY_AFTER_S = 0.5
 LOWEST_PRIORITY = 9
+UNEXPECTED = 'an unexpected error of the gateway'
+UNEXPECTED_RETRY = RetryAfter(min_s=UNAVAILABLE_RETRY_AFTER_S, rate_per_s=50)
 ANONYMOUS = Workspace('', None)
 
 
@@ -48,11 +52,7 @@
         """
         Serve one request and count it as in flight meanwhile.
         """
-        self._core.meters.in_flight.inc()
-        try:
-            await self._serve(request, response)
-        finally:
-            self._core.meters.in_flight.dec()
+        await self._run(self._accept, request, response)
 
     async def serve_proxied(
         self, request: CallerRequest, response: ResponseWriter
@@ -60,15 +60,61 @@
         """
         Serve a request that another gateway has passed on.
         """
+        await self._run(self._accept_proxied, request, response)
+
+    async def _run(
+        self,
+        accept: Callable[[CallerRequest, ResponseWriter], Call | None],
+        request: CallerRequest,
+        response: ResponseWriter,
+    ) -> None:
+        """
+        Serve a request, and answer it whatever error there is.
+
+        :param accept: returns the call; none if it has rejected the request.
+        """
+        call: Call | None = None
         self._core.meters.in_flight.inc()
         try:
-            await self._serve_proxied(request, response)
+            call = accept(request, response)
+            if call:
+                await self._serve_call(call)
+        except Exception as error:
+            self._end_unexpectedly(request, response, call, error)
         finally:
             self._core.meters.in_flight.dec()
 
-    async def _serve(
-        self, request: CallerRequest, response: ResponseWriter
+    def _end_unexpectedly(
+        self,
+        request: CallerRequest,
+        response: ResponseWriter,
+        call: Call | None,
+        error: Exception,
     ) -> None:
+        """
+        End a request that met an error which no code foresees.
+        """
+        request_id = call.fields.request_id if call else ''
+        self._core.errors.record(
+            'request',
+            error,
+            request=request_id,
+            path=request.path,
+            sends=call.sends if call else 0,
+        )
+        if call:
+            give_up(self._core, call, UNEXPECTED, UNEXPECTED_RETRY)
+        else:
+            send_error(
+                response,
+                HTTPStatus.SERVICE_UNAVAILABLE,
+                UNEXPECTED,
+                UNAVAILABLE_RETRY_AFTER_S,
+            )
+
+    def _accept(
+        self, request: CallerRequest, response: ResponseWriter
+    ) -> Call | None:
         fields = self._core.vocabulary.caller_fields(request.headers)
         desired = self._known.newest
         if desired is None:
@@ -78,25 +124,22 @@
                 HTTPStatus.SERVICE_UNAVAILABLE,
                 'no desired state is known yet',
             )
-            return
-        call = self._route(desired, request, fields, response)
-        if call:
-            await self._serve_call(call)
+            return None
+        return self._route(desired, request, fields, response)
 
-    async def _serve_proxied(
+    def _accept_proxied(
         self, request: CallerRequest, response: ResponseWriter
-    ) -> None:
+    ) -> Call | None:
         fields = self._core.vocabulary.caller_fields(request.headers)
         call = self._build_proxied(request, fields, response)
-        if call:
-            await self._serve_call(call)
-        else:
+        if call is None:
             self._reject(
                 response,
                 fields,
                 HTTPStatus.SERVICE_UNAVAILABLE,
                 'the route or service of another gateway is unknown',
             )
+        return call
 
     def _build_proxied(
         self,
--- a/mallowcrank/gateway/latest_desired.py
+++ b/mallowcrank/gateway/latest_desired.py
@@ -13,6 +13,7 @@
 from mallowcrank.gateway.desired_validation import find_problem
 from mallowcrank.gateway.journal import Journal
 from mallowcrank.gateway.ports import DecodeFailure, Vocabulary
+from mallowcrank.gateway.unexpected_errors import UnexpectedErrors
 
 LATE_CONFIRMATION_S = 5  # after which a confirmation is logged
 
@@ -22,8 +23,14 @@
     The newest version of the desired state; its version never decreases.
     """
 
-    def __init__(self, vocabulary: Vocabulary, journal: Journal) -> None:
+    def __init__(
+        self,
+        vocabulary: Vocabulary,
+        journal: Journal,
+        errors: UnexpectedErrors,
+    ) -> None:
         self._vocabulary = vocabulary
+        self._errors = errors
         self._journal = journal
         self._newest: Desired | None = None
         self._era = -1
@@ -109,7 +116,7 @@
         if raw == self.raw:
             self._era = max(self._era, era)
             return True
-        read = self._read(raw)
+        read = self._read_safely(raw)
         if isinstance(read, DecodeFailure):
             self._journal.say(
                 'desired: unusable', why=read.reason, source=source
@@ -130,6 +137,17 @@
         )
         return True
 
+    def _read_safely(self, raw: bytes) -> Desired | DecodeFailure:
+        """
+        Decode and check a version; an error that no code foresees makes it
+        unusable, and doesn't end the task that reads.
+        """
+        try:
+            return self._read(raw)
+        except Exception as error:
+            self._errors.record('desired state', error)
+            return DecodeFailure(f'unexpected error: {type(error).__name__}')
+
     def _read(self, raw: bytes) -> Desired | DecodeFailure:
         read = self._vocabulary.read_desired(raw)
         if isinstance(read, DecodeFailure):
--- a/mallowcrank/gateway/meters.py
+++ b/mallowcrank/gateway/meters.py
@@ -63,6 +63,9 @@
         self.orders = self._counter(
             'orders', 'Orders to engines.', ('outcome',)
         )
+        self.unexpected_errors = self._counter(
+            'unexpected_errors', 'Errors that no code handles.', ('place',)
+        )
         self.first_event_s = Histogram(
             'mallowcrank_first_event_seconds',
             'From a request to its first event or its answer.',
--- a/mallowcrank/gateway/prober.py
+++ b/mallowcrank/gateway/prober.py
@@ -24,6 +24,7 @@
 )
 from mallowcrank.gateway.target_limits import TargetLimits
 from mallowcrank.gateway.targets import Lifetime, Target, TargetReport
+from mallowcrank.gateway.unexpected_errors import UnexpectedErrors
 
 REPORT_TIMEOUT_S = 0.06  # a report takes some milliseconds, more when slow
 LATE_ANSWER_GRACE_S = 0.01  # for answers that arrived during a freeze
@@ -55,12 +56,14 @@
         vocabulary: Vocabulary,
         meters: Meters,
         limits: TargetLimits,
+        errors: UnexpectedErrors,
     ) -> None:
         self._fleet = fleet
         self._pool = pool
         self._vocabulary = vocabulary
         self._meters = meters
         self._limits = limits
+        self._errors = errors
         self._probed_at: dict[Lifetime, float] = {}
         self._verifying: dict[Lifetime, asyncio.Task[None]] = {}
         self._tasks: set[asyncio.Task[None]] = set()
@@ -226,6 +229,7 @@
             self._probe_target(target)
         )
         self._tasks.add(task)
+        self._errors.watch(task, 'probe')
         task.add_done_callback(self._tasks.discard)
 
     async def _probe_target(self, target: Target) -> None:
--- a/mallowcrank/gateway/program.py
+++ b/mallowcrank/gateway/program.py
@@ -59,9 +59,11 @@
         self._stop_requested = asyncio.Event()
         frontend = Frontend(self._core, self._parts.known)
         self._frontend = frontend
-        self._front_channels = CallerChannels(frontend.serve, self._limits)
+        self._front_channels = CallerChannels(
+            frontend.serve, self._limits, self._record_error
+        )
         self._peer_channels = CallerChannels(
-            self._serve_peer, self._peer_limits
+            self._serve_peer, self._peer_limits, self._record_error
         )
         self._internal_channels: list[CallerChannels] = []
         self._servers: list[asyncio.Server] = []
@@ -108,6 +110,7 @@
             self._apply_settings,
         )
         loop = asyncio.get_running_loop()
+        loop.set_exception_handler(self._core.errors.handle_loop_error)
         for signal_number in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(signal_number, self._stop_requested.set)
         loop.add_signal_handler(signal.SIGHUP, watcher.check_soon)
@@ -206,7 +209,7 @@
         )
 
     def _add_internal_channels(self, serve: RequestHandler) -> CallerChannels:
-        channels = CallerChannels(serve, self._limits)
+        channels = CallerChannels(serve, self._limits, self._record_error)
         self._internal_channels.append(channels)
         return channels
 
@@ -265,10 +268,14 @@
         """
         if task.cancelled() or task.exception() is None:
             return
+        self._core.errors.record('task', task.exception())
         self._journal.say('gateway: a part failed', why=repr(task.exception()))
         self._journal.flush()
         os._exit(ExitStatus.ERROR)
 
+    def _record_error(self, request: CallerRequest, error: Exception) -> None:
+        self._core.errors.record('endpoint', error, path=request.path)
+
     def _placing_generation(self) -> int:
         return self._parts.gossip.leader_generation
 
--- a/tests/test_gateway_beliefs.py
+++ b/tests/test_gateway_beliefs.py
@@ -263,19 +263,19 @@
 
 class TestLatestDesired(TestCase):
     def test_version_never_decreases(self):
-        known = LatestDesired(VOCABULARY, quiet_journal())
+        known = LatestDesired(VOCABULARY, quiet_journal(), Mock())
         for version, in_force in ((5, 5), (9, 9), (7, 9), (12, 12), (1, 12)):
             known.update(raw_desired(version), 'test')
             self.assertEqual(known.version, in_force)
 
     def test_unreadable_state_is_ignored(self):
-        known = LatestDesired(VOCABULARY, quiet_journal())
+        known = LatestDesired(VOCABULARY, quiet_journal(), Mock())
         known.update(raw_desired(5), 'test')
         known.update(b'{"version": 9', 'test')
         self.assertEqual(known.version, 5)
 
     def test_state_that_cannot_work_is_ignored(self):
-        known = LatestDesired(VOCABULARY, quiet_journal())
+        known = LatestDesired(VOCABULARY, quiet_journal(), Mock())
         known.update(raw_desired(5), 'test')
         without_weight = [{'service': 'stock', 'weight': 0}]
         for routes in (
@@ -316,14 +316,14 @@
         self.link = FakeLink(*answers)
         self.peers = Mock()
         self.peers.live.return_value = []
-        return TargetsFollower(
-            self.fleet,
-            self.link,
-            VOCABULARY,
-            Random(1),
-            quiet_journal(),
-            self.peers,
+        core = Mock(
+            fleet=self.fleet,
+            vocabulary=VOCABULARY,
+            random=Random(1),
+            journal=quiet_journal(),
+            peers=self.peers,
         )
+        return TargetsFollower(core, self.link)
 
     def make_follower_of_a_removal(self):
         return self.make_follower(
@@ -512,7 +512,7 @@
     async def test_version_of_a_later_era_replaces_one_of_the_same_number(
         self,
     ):
-        known = LatestDesired(VOCABULARY, quiet_journal())
+        known = LatestDesired(VOCABULARY, quiet_journal(), Mock())
         changed = json.dumps(desired_body(version=7, routes=[])).encode()
         known.update(raw_desired(7), 'store', era=1)
         known.update(changed, 'another gateway')
@@ -524,7 +524,7 @@
         self.assertEqual(known.version, 7)
 
     async def test_only_the_newest_of_several_versions_applies(self):
-        known = LatestDesired(VOCABULARY, quiet_journal())
+        known = LatestDesired(VOCABULARY, quiet_journal(), Mock())
         pages = read_page(
             12, ('config', raw_desired(8)), ('config', raw_desired(9))
         )
@@ -544,7 +544,7 @@
         self.assertIn('source=12', link.calls[2])
 
     async def test_versions_between_are_skipped_by_a_read_of_the_newest(self):
-        known = LatestDesired(VOCABULARY, quiet_journal())
+        known = LatestDesired(VOCABULARY, quiet_journal(), Mock())
         link = FakeLink(
             StoreResponse(200, newest_page(10, {'config': raw_desired(7)})),
             StoreResponse(200, read_page(40, ('config', raw_desired(8)))),
--- a/tests/test_gateway_peers.py
+++ b/tests/test_gateway_peers.py
@@ -189,7 +189,7 @@
         fleet = Fleet(Mock())
         raw = json.dumps(entry_body(kind='l4')).encode()
         fleet.apply_entry(read_entry('i-1', raw), raw, 0)
-        prober = Prober(fleet, Mock(), Mock(), Mock(), Mock())
+        prober = Prober(fleet, Mock(), Mock(), Mock(), Mock(), Mock())
         remaining = iter(answers)
 
         async def fetch_report(target, may_reuse=True):
--- a/tests/test_gateway_reachability.py
+++ b/tests/test_gateway_reachability.py
@@ -197,7 +197,9 @@
     def setUp(self):
         self.view = FakeGateway(0)
         self.pool = Mock()
-        self.prober = Prober(self.view.fleet, self.pool, Mock(), Mock(), Mock())
+        self.prober = Prober(
+            self.view.fleet, self.pool, Mock(), Mock(), Mock(), Mock()
+        )
         self.view.lose(range(TARGETS))
 
     def select(self):
