Share reads of the targets' entries among gateways

Who knows later entries is asked for them.

A stream that waits for its next event is woken after the shortest silence that counts, not each 15 ms.

--- a/mallowcrank/gateway/assembly.py
+++ b/mallowcrank/gateway/assembly.py
@@ -9,7 +9,7 @@
 from mallowcrank.gateway.core import Core
 from mallowcrank.gateway.core_assembly import build_core
 from mallowcrank.gateway.desired_checks import DesiredChecks
-from mallowcrank.gateway.followers import DesiredFollower, TargetsFollower
+from mallowcrank.gateway.followers import DesiredFollower
 from mallowcrank.gateway.gossip import Gossip
 from mallowcrank.gateway.journal import Journal
 from mallowcrank.gateway.latest_desired import LatestDesired
@@ -19,6 +19,7 @@
 from mallowcrank.gateway.ports import Vocabulary
 from mallowcrank.gateway.settings import GatewaySettings
 from mallowcrank.gateway.store_client import StoreClient
+from mallowcrank.gateway.targets_follower import TargetsFollower
 
 INCARNATION_BYTES = 4
 
--- a/mallowcrank/gateway/datagrams.py
+++ b/mallowcrank/gateway/datagrams.py
@@ -20,13 +20,18 @@
     decode_desired,
     encode_desired,
 )
+from mallowcrank.gateway.entries_status import (
+    EntriesStatus,
+    EntriesView,
+    decode_entries,
+    decode_view,
+    encode_entries,
+    encode_view,
+)
 from mallowcrank.gateway.settings import Address
 from mallowcrank.gateway.status_parts import (
-    EntriesStatus,
     SuspectsReport,
-    decode_entries,
     decode_suspects,
-    encode_entries,
     encode_suspects,
 )
 from mallowcrank.gateway.targets import HeldLayers, Lifetime
@@ -71,6 +76,8 @@
     :param leaving: targets that have said in answers that they leave.
     :param desired: how sure it is of its version of the desired state; none if
         it has none, or is of an earlier build.
+    :param view: what it has read of the targets' entries; none if it has read
+        nothing lately, or is of an earlier build.
     :param suspects: requests that may crash targets; none if there are none.
     """
 
@@ -93,6 +100,7 @@
     is_cut_off: bool = False
     leaving: tuple[Lifetime, ...] = ()
     desired: DesiredStatus | None = None
+    view: EntriesView | None = None
 
     @property
     def desired_mark(self) -> DesiredMark:
@@ -226,6 +234,7 @@
         is_cut_off=bool(_decode_optional(fields, 17, bool)),
         leaving=_decode_optional(fields, 18, _decode_lifetimes) or (),
         desired=_decode_optional(fields, 19, decode_desired),
+        view=_decode_optional(fields, 20, decode_view),
     )
 
 
@@ -242,6 +251,7 @@
         status.is_cut_off or None,
         [list(lifetime) for lifetime in status.leaving] or None,
         status.desired and encode_desired(status.desired),
+        status.view and encode_view(status.view),
     ]
     while encoded and encoded[-1] is None:
         encoded.pop()
--- a/mallowcrank/gateway/desired_checks.py
+++ b/mallowcrank/gateway/desired_checks.py
@@ -8,9 +8,9 @@
 """
 
 import asyncio
-from math import log
 from random import Random
 
+from mallowcrank.gateway.check_schedule import CheckAges, CheckSchedule
 from mallowcrank.gateway.clock import monotonic_s
 from mallowcrank.gateway.followers import DesiredFollower
 from mallowcrank.gateway.latest_desired import LatestDesired
@@ -23,37 +23,6 @@
 RETRY_SHARE = 0.2  # pause after a check that failed
 
 
-class CheckSchedule:
-    """
-    The age of knowledge at which this gateway's next check is due.
-
-    It is random, and distributed so that in a group of any size only a few are
-    due early: these tell the others before their checks are due.
-
-    :param bound_s: seconds after which a confirmed change must be in force.
-    """
-
-    def __init__(self, bound_s: float, random: Random) -> None:
-        self._bound_s = bound_s
-        self._random = random
-        self._confirmed_at: float | None = None
-        self._fraction: float = 1
-
-    def due_at(self, confirmed_at: float, group_size: int) -> float:
-        """
-        Return the monotonic time at which a check is due, in seconds.
-
-        :param confirmed_at: when the knowledge was last confirmed.
-        :param group_size: number of gateways that check.
-        """
-        if confirmed_at != self._confirmed_at:
-            self._confirmed_at = confirmed_at
-            self._fraction = 1 - self._random.random()
-        spread = max(0, 1 + log(self._fraction) / log(1 + group_size))
-        age = MIN_AGE_SHARE + SPREAD_SHARE * spread
-        return confirmed_at + age * self._bound_s
-
-
 class DesiredChecks:
     """
     Asks the store when a check is due, or when there is a sign of a change.
@@ -72,7 +41,10 @@
         self._link = link
         self._peers = peers
         self._random = Random()
-        self._schedule = CheckSchedule(bound_s, self._random)
+        self._schedule = CheckSchedule(
+            CheckAges(MIN_AGE_SHARE * bound_s, SPREAD_SHARE * bound_s),
+            self._random,
+        )
         self._retry_s = RETRY_SHARE * bound_s
         self._requested = asyncio.Event()
 
@@ -96,7 +68,10 @@
         while True:
             await self._wait_until_due()
             has_succeeded = await self._follower.check()
-            if not has_succeeded:
+            if has_succeeded:
+                # Word of a check spares the others theirs.
+                self._peers.broadcast()
+            else:
                 await self._wait(self._retry_s * (0.5 + self._random.random()))
 
     async def _wait_until_due(self) -> None:
--- a/mallowcrank/gateway/followers.py
+++ b/mallowcrank/gateway/followers.py
@@ -1,15 +1,13 @@
 """
-Followers of the desired state and of the targets' entries in the store.
+Followers of topics in the store, and that of the desired state.
 """
 
 import asyncio
 from http import HTTPStatus
-from math import inf, isfinite
+from math import inf
 from random import Random
 
 from mallowcrank.gateway.clock import monotonic_s
-from mallowcrank.gateway.core import Core
-from mallowcrank.gateway.entry_reading import EntryReader
 from mallowcrank.gateway.journal import Journal
 from mallowcrank.gateway.latest_desired import LatestDesired
 from mallowcrank.gateway.ports import (
@@ -19,27 +17,18 @@
     StoreRecord,
     Vocabulary,
 )
-from mallowcrank.gateway.status_parts import EntriesSnapshot, EntriesStatus
 from mallowcrank.gateway.store_client import (
     StoreClient,
     StoreFailure,
     StoreResponse,
 )
 
-DESIRED_WAIT_S = 10  # of a long poll for a newer desired state
+DESIRED_WAIT_S = 28  # of a long poll for a newer desired state
 MAX_SEARCH_RECORDS = 64  # before one that can't be read
 SEARCH_FACTOR = 8
 DESIRED_PAUSE_S = 0.4  # between reads, when versions come in quick succession
-TARGETS_INTERVAL_S = 1.0  # the bound for a leaving target is 2 s
-LATE_READ_S = 2 * TARGETS_INTERVAL_S
 MIN_BACKOFF_S = 0.2  # doubles with each failed call
 MAX_BACKOFF_S = 1.5
-# After a store outage, entries that expired during it may return. An entry
-# that is removed later is gone.
-UNCONFIRMED_S = 1.5
-# After the store comes back from an older copy, outdated entries are replaced
-# when their targets write them again, or expire.
-RESTORED_S = 10
 
 
 class Backoff:
@@ -73,7 +62,7 @@
         await asyncio.sleep(self.next_pause_s())
 
 
-class _TopicFollower:
+class TopicFollower:
     """
     Follows the records of a topic, starting with the newest of each key.
     """
@@ -134,17 +123,20 @@
         """
         raise NotImplementedError
 
-    async def _pause(self, seconds: float) -> None:
+    async def _pause(self, seconds: float) -> bool:
         """
         Wait for a time, or until woken.
+
+        :returns: whether it was woken.
         """
         try:
             async with asyncio.timeout(seconds):
                 await self._woken.wait()
         except TimeoutError:
-            return
+            return False
         finally:
             self._woken.clear()
+        return True
 
     def _apply_answer(
         self, answer: StoreResponse | StoreFailure, position: LogPosition
@@ -213,7 +205,7 @@
         return page, answer.era
 
 
-class DesiredFollower(_TopicFollower):
+class DesiredFollower(TopicFollower):
     """
     Reads the desired state as it changes.
     """
@@ -368,185 +360,6 @@
         )
 
 
-class TargetsFollower(_TopicFollower):
-    """
-    Reads the targets' entries as they change.
-    """
-
-    def __init__(self, core: Core, link: StoreClient) -> None:
-        super().__init__(link, core.vocabulary, core.random, core.journal)
-        self._topic = self._store_calls.targets_topic
-        self._fleet = core.fleet
-        self._peers = core.peers
-        self._entries = EntryReader(core)
-        self._random = core.random
-        self._last_read_at = -inf
-        self._settled_at = -inf
-        self._reading_since: float | None = None
-
-    def status(self) -> EntriesStatus | None:
-        """
-        Return how far the entries are known, if they are known at all.
-        """
-        if self._position is None:
-            return None
-        return EntriesStatus(self._position, self.read_for_s())
-
-    def read_for_s(self) -> float:
-        """
-        Return the seconds for which reads have succeeded, or 0.
-        """
-        now = monotonic_s()
-        is_late = now - self._last_read_at > LATE_READ_S
-        if self._reading_since is None or is_late:
-            return 0
-        return now - self._reading_since
-
-    async def step(self) -> bool:
-        """
-        Read once; begin anew some time after a change of the era, for entries
-        that were ignored as outdated.
-        """
-        now = monotonic_s()
-        settled_at = self._link.era_changed_at + RESTORED_S
-        if self._position and self._settled_at < settled_at < now:
-            self._settled_at = now
-            self._begin_anew(self._link.era)
-        return await super().step()
-
-    async def run(self) -> None:
-        """
-        Follow the topic until cancelled.
-        """
-        while True:
-            has_succeeded = await self.step()
-            self._record_read(has_succeeded)
-            if has_succeeded:
-                self._backoff.reset()
-                jitter = 0.9 + 0.2 * self._random.random()
-                await self._pause(TARGETS_INTERVAL_S * jitter)
-            else:
-                await self._pause(self._backoff.next_pause_s())
-
-    def adopt(self, snapshot: EntriesSnapshot) -> None:
-        """
-        Take over the entries that another gateway has read further on.
-        """
-        if self._position and snapshot.position <= self._position:
-            return
-        now = monotonic_s()
-        for identity, raw in snapshot.entries.items():
-            self._apply_raw(identity, raw)
-        for identity, lapsed_for_s in snapshot.lapsed.items():
-            self._fleet.apply_removal(
-                identity, now - lapsed_for_s, is_confirmed=False
-            )
-        self._fleet.apply_missing(snapshot.entries, now, is_confirmed=True)
-        self._position = snapshot.position
-        self._record_view('targets: taken from another gateway')
-
-    async def _read_newest(self) -> bool:
-        records: list[StoreRecord] = []
-        after = ''
-        position: LogPosition | None = None
-        while True:
-            found = await self._newest_page('targets-newest', after)
-            if found is None:
-                return False
-            page, era = found
-            # Records that are written between two pages are read after them.
-            position = position or LogPosition(era, page.end)
-            if era != position.era:
-                return False
-            records.extend(page.records)
-            if not page.has_more or not page.records:
-                break
-            after = page.records[-1].key
-        if self._position:
-            # Another gateway's view was adopted meanwhile.
-            return True
-        self._apply(tuple(records), era)
-        identities = [each.key for each in records]
-        self._fleet.apply_missing(
-            identities, self._gone_since(), self._is_removal_confirmed()
-        )
-        self._position = position
-        return True
-
-    async def _read(self, position: LogPosition) -> bool:
-        call = self._store_calls.read(self._topic, position.offset, 0)
-        answer = await self._link.call('targets-read', call)
-        return self._apply_answer(answer, position)
-
-    def _apply(self, records: tuple[StoreRecord, ...], era: int) -> bool:
-        newest = {record.key: record for record in records}
-        for record in newest.values():
-            if record.content is None:
-                self._entries.forget(record.key)
-                self._fleet.apply_removal(
-                    record.key,
-                    self._gone_since(),
-                    self._is_removal_confirmed(),
-                )
-            else:
-                self._apply_raw(record.key, record.content)
-        return True
-
-    def _apply_raw(self, identity: str, raw: bytes) -> None:
-        era_age_s = monotonic_s() - self._link.era_changed_at
-        self._entries.apply(identity, raw, is_restored=era_age_s < RESTORED_S)
-
-    def _record_read(self, has_succeeded: bool) -> None:
-        if not has_succeeded:
-            self._reading_since = None
-            return
-        now = monotonic_s()
-        if not self.read_for_s():
-            self._reading_since = now
-        self._last_read_at = now
-        self._record_view('targets: read after a pause')
-
-    def _record_view(self, sentence: str) -> None:
-        """
-        Record that the entries are up to date; log it after a pause.
-        """
-        now = monotonic_s()
-        age_s = now - self._fleet.entries_read_at
-        self._fleet.entries_read_at = now
-        if age_s > LATE_READ_S:
-            era, offset = self._position or (None, None)
-            self._journal.say(
-                sentence,
-                age_s=round(age_s, 3) if isfinite(age_s) else None,
-                offset=offset,
-                era=era,
-            )
-
-    def _gone_since(self) -> float:
-        """
-        Return the steady time since which a removed entry may be missing, in
-        seconds: after an outage, when the store was reached again.
-        """
-        if self._is_removal_confirmed():
-            return monotonic_s()
-        return max(self._link.recovered_at, self._link.era_changed_at)
-
-    def _is_removal_confirmed(self) -> bool:
-        """
-        Return whether a gateway has reached the store long enough, so that
-        entries that expired in an outage would have returned.
-        """
-        now = monotonic_s()
-        if now - self._link.era_changed_at <= UNCONFIRMED_S:
-            return False
-        if now - self._link.recovered_at > UNCONFIRMED_S:
-            return True
-        statuses = [peer.last_status.entries for peer in self._peers.live()]
-        return any(
-            status and status.read_for_s > UNCONFIRMED_S for status in statuses
-        )
-
-
 def _reason_of(answer: StoreResponse | StoreFailure) -> str:
     """
     Return why an answer can't be used.
--- a/mallowcrank/gateway/gossip.py
+++ b/mallowcrank/gateway/gossip.py
@@ -6,11 +6,11 @@
 from mallowcrank.gateway.clock import monotonic_s
 from mallowcrank.gateway.core import Core
 from mallowcrank.gateway.datagrams import GatewayStatus
-from mallowcrank.gateway.followers import TargetsFollower
 from mallowcrank.gateway.latest_desired import LatestDesired
 from mallowcrank.gateway.leadership import Leadership, should_take_over
 from mallowcrank.gateway.peers import is_isolated
 from mallowcrank.gateway.targets import Target
+from mallowcrank.gateway.targets_follower import TargetsFollower
 
 
 class Gossip:
@@ -124,6 +124,7 @@
             is_cut_off=is_cut_off,
             leaving=tuple(self._core.fleet.said_leaving),
             desired=self._desired.status(),
+            view=self._targets.knowledge.view(),
         )
 
     def handle_status(self, status: GatewayStatus) -> None:
@@ -132,6 +133,7 @@
         """
         now = monotonic_s()
         self._desired.hear(status)
+        self._targets.knowledge.hear(status)
         fleet = self._core.fleet
         repeated_within_s = self._core.peers.liveness_timeout_s
         self._core.ledger.update_peer(
--- a/mallowcrank/gateway/peer_sync.py
+++ b/mallowcrank/gateway/peer_sync.py
@@ -11,24 +11,25 @@
 from mallowcrank.gateway.caller_channel import CallerRequest, ResponseWriter
 from mallowcrank.gateway.clock import monotonic_s
 from mallowcrank.gateway.core import Core
-from mallowcrank.gateway.datagrams import DECODE_ERRORS
+from mallowcrank.gateway.datagrams import DECODE_ERRORS, GatewayStatus
 from mallowcrank.gateway.desired_checks import DesiredChecks
+from mallowcrank.gateway.entries_status import (
+    EntriesSnapshot,
+    pack_snapshot,
+    read_snapshot,
+)
 from mallowcrank.gateway.fleet import Fleet
-from mallowcrank.gateway.followers import TargetsFollower
 from mallowcrank.gateway.latest_desired import LatestDesired
 from mallowcrank.gateway.peer_fetch import PeerFetcher
 from mallowcrank.gateway.peer_table import Peer
 from mallowcrank.gateway.ports import LogPosition
-from mallowcrank.gateway.status_parts import (
-    EntriesSnapshot,
-    pack_snapshot,
-    read_snapshot,
-)
+from mallowcrank.gateway.targets_follower import TargetsFollower
 
 DESIRED_PATH = '/desired'
 ENTRIES_PATH = '/entries'
 CHECK_INTERVAL_S = 0.2
 ENTRIES_DELAY_S = 0.4  # the store is read first
+SPREAD_S = 0.3  # of fetches after a change that all hear of
 # Shares of the bound on late changes.
 OWN_READ_SHARE = 0.05  # for the read that waits for a newer version
 CHECK_SHARE = 0.1  # for a check, before others are asked
@@ -57,6 +58,8 @@
         self._fetcher = PeerFetcher(core, HEDGE_SHARE * bound_s)
         self._heard_newer = asyncio.Event()
         known.listen(self._heard_newer.set)
+        self._heard_entries = asyncio.Event()
+        targets.knowledge.listen(self._heard_entries.set)
 
     async def serve(
         self, request: CallerRequest, answer: ResponseWriter
@@ -116,35 +119,64 @@
             )
 
     async def _follow_entries(self) -> None:
-        behind_since: float | None = None
         while True:
-            await asyncio.sleep(CHECK_INTERVAL_S)
-            sources = self._find_readers()
-            now = monotonic_s()
-            if not sources:
-                behind_since = None
-            elif behind_since is None:
-                behind_since = now
-            elif now - behind_since > ENTRIES_DELAY_S:
+            has_heard = await self._wait_for_entries()
+            if not self._find_sources():
+                continue
+            await asyncio.sleep(self._entries_delay_s(has_heard))
+            sources = self._find_sources()
+            if sources:
                 await self._fetch_entries(sources)
-                behind_since = None
 
-    def _find_readers(self) -> list[Peer]:
+    async def _wait_for_entries(self) -> bool:
+        """
+        Wait for another gateway that knows later entries, at most until the
+        next check.
+
+        :returns: whether there is one.
+        """
+        self._heard_entries.clear()
+        try:
+            async with asyncio.timeout(CHECK_INTERVAL_S):
+                await self._heard_entries.wait()
+        except TimeoutError:
+            return False
+        return True
+
+    def _entries_delay_s(self, has_heard: bool) -> float:
+        """
+        Return how many seconds to wait before entries are fetched.
+
+        :param has_heard: whether another gateway said that it knows others.
+        """
+        if not has_heard:
+            return ENTRIES_DELAY_S
+        if not self._targets.is_reading:
+            return 0
+        # All hear of a change at the same moment.
+        return SPREAD_S * self._core.random.random()
+
+    def _find_sources(self) -> list[Peer]:
         """
-        Return gateways that have read later entries of targets, if this one
-        can't read them; those of its own zone first.
+        Return gateways that know later entries; those of its own zone first.
         """
-        peers = self._shuffled_peers()
-        if not self._targets.position and not len(self._core.fleet):
-            return peers
-        if self._targets.read_for_s():
-            return []
         zone = self._core.settings.zone
         return sorted(
-            (peer for peer in peers if self._has_later_entries(peer)),
+            (
+                peer
+                for peer in self._shuffled_peers()
+                if self._is_source(peer.last_status)
+            ),
             key=lambda peer: peer.last_status.zone != zone,
         )
 
+    def _is_source(self, status: GatewayStatus) -> bool:
+        if self._targets.position is None and not len(self._core.fleet):
+            return True
+        if self._targets.is_reading and not status.view:
+            return False
+        return self._targets.knowledge.is_behind(status)
+
     def _shuffled_peers(self) -> list[Peer]:
         """
         Return the live gateways in random order, so that not all ask one.
@@ -152,13 +184,6 @@
         live = self._core.peers.live()
         return self._core.random.sample(live, len(live))
 
-    def _has_later_entries(self, peer: Peer) -> bool:
-        entries = peer.last_status.entries
-        if entries is None or not entries.read_for_s:
-            return False
-        mine = self._targets.position
-        return mine is None or entries.position > mine
-
     async def _fetch_entries(self, sources: list[Peer]) -> None:
         fetched = await self._fetcher.fetch(sources, ENTRIES_PATH)
         if fetched is None:
@@ -173,6 +198,15 @@
             )
         else:
             self._targets.adopt(snapshot)
+            self._check_adopted(fetched.peer.last_status)
+
+    def _check_adopted(self, source: GatewayStatus) -> None:
+        """
+        Check that entries that were fetched lead to the view of their source.
+        """
+        if source.view and self._targets.knowledge.is_behind(source):
+            self._targets.knowledge.ignore(source.view)
+            self._targets.wake()
 
 
 def _make_snapshot(fleet: Fleet, position: LogPosition) -> EntriesSnapshot:
--- a/mallowcrank/gateway/status_parts.py
+++ b/mallowcrank/gateway/status_parts.py
@@ -1,35 +1,17 @@
 """
-Parts of a gateway's status: how far it has followed the targets' entries, and
-what it knows of requests that may crash targets.
+Part of a gateway's status: what it knows of requests that may crash targets.
 """
 
-from collections.abc import Mapping, Sequence
+from collections.abc import Sequence
 from dataclasses import dataclass
 from typing import Any
 
-import msgpack
-
 from mallowcrank.chains.crash_evidence import Trait
-from mallowcrank.gateway.ports import LogPosition
 from mallowcrank.gateway.targets import Lifetime
 
 MS_PER_S = 1000
 
 
-@dataclass(frozen=True, slots=True)
-class EntriesStatus:
-    """
-    How far a gateway has followed the targets' entries.
-
-    :param position: of the next record; records before it are applied.
-    :param read_for_s: seconds for which its reads have succeeded; 0 if they
-        fail.
-    """
-
-    position: LogPosition
-    read_for_s: float
-
-
 @dataclass(frozen=True, slots=True)
 class LostReport:
     """
@@ -74,66 +56,6 @@
     confirmed: tuple[Trait, ...]
 
 
-@dataclass(frozen=True, slots=True)
-class EntriesSnapshot:
-    """
-    All entries of targets, as one gateway knows them.
-
-    :param position: up to which it has read.
-    :param entries: by identity, encoded as in the store.
-    :param lapsed: seconds for which entries have been missing that may return,
-        by identity.
-    """
-
-    position: LogPosition
-    entries: Mapping[str, bytes]
-    lapsed: Mapping[str, float]
-
-
-def pack_snapshot(snapshot: EntriesSnapshot) -> bytes:
-    """
-    Encode a snapshot.
-    """
-    return msgpack.packb(
-        [list(snapshot.position), snapshot.entries, snapshot.lapsed]
-    )
-
-
-def read_snapshot(raw: bytes) -> EntriesSnapshot:
-    """
-    Decode a snapshot.
-
-    :raises ValueError: if it is malformed; other errors of decoding, too.
-    """
-    (era, offset), entries, lapsed = msgpack.unpackb(raw)
-    return EntriesSnapshot(
-        LogPosition(int(era), int(offset)),
-        {str(key): bytes(entry) for key, entry in entries.items()},
-        {str(key): max(0, float(age_s)) for key, age_s in lapsed.items()},
-    )
-
-
-def encode_entries(entries: EntriesStatus) -> list[int]:
-    """
-    Encode how far entries were followed as a part of a datagram.
-    """
-    return [*entries.position, round(entries.read_for_s * MS_PER_S)]
-
-
-def decode_entries(fields: Sequence[Any]) -> EntriesStatus:
-    """
-    Decode how far entries were followed.
-
-    :raises ValueError: if a number is negative or none.
-    """
-    era, offset, read_for_ms = fields
-    if min(era, offset, read_for_ms) < 0:
-        raise ValueError('no position')
-    return EntriesStatus(
-        LogPosition(int(era), int(offset)), int(read_for_ms) / MS_PER_S
-    )
-
-
 def encode_suspects(report: SuspectsReport) -> list[Any]:
     """
     Encode a report of suspects as a part of a datagram.
@@ -167,7 +89,7 @@
     return SuspectsReport(
         tuple(_decode_lost(*row) for row in lost),
         tuple(
-            AnsweredTrait(_decode_trait(*trait), _decode_age_s(age_ms))
+            AnsweredTrait(_decode_trait(*trait), decode_age_s(age_ms))
             for trait, age_ms in answered
         ),
         tuple(_decode_trait(*trait) for trait in confirmed),
@@ -185,8 +107,8 @@
     return LostReport(
         str(request),
         Lifetime(str(identity), int(born_ms)),
-        _decode_age_s(age_ms),
-        _decode_age_s(lasted_ms),
+        decode_age_s(age_ms),
+        decode_age_s(lasted_ms),
         tuple(_decode_trait(*trait) for trait in traits),
     )
 
@@ -195,7 +117,12 @@
     return Trait(str(service), str(name), bool(is_whole))
 
 
-def _decode_age_s(age_ms: Any) -> float:
+def decode_age_s(age_ms: Any) -> float:
+    """
+    Decode an age in milliseconds.
+
+    :raises ValueError: if it is negative or not a number.
+    """
     if int(age_ms) < 0:
         raise ValueError('no age')
     return int(age_ms) / MS_PER_S
--- a/mallowcrank/gateway/streams.py
+++ b/mallowcrank/gateway/streams.py
@@ -422,7 +422,10 @@
             left_s = self._call.remaining_s()
             if left_s <= 0:
                 return TimedOut()
-            event = await channel.next_event(min(CHECK_INTERVAL_S, left_s))
+            silence_s = monotonic_s() - started_at
+            # Nothing is decided before the shortest silence that counts.
+            pause_s = max(CHECK_INTERVAL_S, EVENT_SILENCE_S - silence_s)
+            event = await channel.next_event(min(pause_s, left_s))
             if not isinstance(event, ReadTimeout):
                 return self._check(event)
             if await self._detour(monotonic_s() - started_at):
--- a/tests/test_gateway_beliefs.py
+++ b/tests/test_gateway_beliefs.py
@@ -24,8 +24,14 @@
 )
 from mallowcrank.gateway.desired_status import DesiredStatus
 from mallowcrank.gateway.directory import fronts_for
+from mallowcrank.gateway.entries_status import (
+    EntriesSnapshot,
+    EntriesStatus,
+    pack_snapshot,
+    read_snapshot,
+)
 from mallowcrank.gateway.fleet import LAPSED_ENTRY_GRACE_S, Fleet
-from mallowcrank.gateway.followers import DesiredFollower, TargetsFollower
+from mallowcrank.gateway.followers import DesiredFollower
 from mallowcrank.gateway.gossip import Gossip
 from mallowcrank.gateway.journal import Importance, Journal
 from mallowcrank.gateway.latest_desired import LatestDesired
@@ -34,12 +40,8 @@
 from mallowcrank.gateway.settings import Address
 from mallowcrank.gateway.status_parts import (
     AnsweredTrait,
-    EntriesSnapshot,
-    EntriesStatus,
     LostReport,
     SuspectsReport,
-    pack_snapshot,
-    read_snapshot,
 )
 from mallowcrank.gateway.store_client import (
     StoreClient,
@@ -52,6 +54,7 @@
     ResponseHead,
 )
 from mallowcrank.gateway.targets import HeldLayers, Lifetime
+from mallowcrank.gateway.targets_follower import TargetsFollower
 from mallowcrank.platform.entries import read_entry
 from mallowcrank.platform.standins.bodies import (
     desired_body,
@@ -322,6 +325,7 @@
             random=Random(1),
             journal=quiet_journal(),
             peers=self.peers,
+            settings=Mock(bounds=Mock(drain_s=2)),
         )
         return TargetsFollower(core, self.link)
 
