--- a/mallowcrank/gateway/leadership.py
+++ b/mallowcrank/gateway/leadership.py
@@ -10,6 +10,7 @@
 import asyncio
 from collections.abc import Sequence
 from http import HTTPStatus
+from math import inf
 from random import Random
 
 from mallowcrank.gateway.addresses import parse_address
@@ -17,7 +18,7 @@
 from mallowcrank.gateway.datagrams import GatewayStatus
 from mallowcrank.gateway.followers import Backoff
 from mallowcrank.gateway.journal import Journal
-from mallowcrank.gateway.peers import Peers
+from mallowcrank.gateway.peers import Peers, is_isolated
 from mallowcrank.gateway.ports import DecodeFailure, Vocabulary
 from mallowcrank.gateway.settings import Address, GatewaySettings
 from mallowcrank.gateway.store_client import StoreClient, StoreResponse
@@ -26,6 +27,7 @@
 RENEWAL_INTERVAL_S = 1.0
 LEASE_S = 3.0  # three renewals
 MIN_TAKEOVER_DELAY_S = 1.2
+MEMBERS_INTERVAL_S = 10  # between reads of the members, unless isolated
 OUTAGE_LEASE_S = 20  # the last leader goes on during a store outage
 LEADER_PARTITION = 0
 SEPARATOR = '/'
@@ -97,6 +99,7 @@
         self._renewal_lock = asyncio.Lock()
         self._renewed_at = -OUTAGE_LEASE_S
         self._known_generation = -1
+        self._members_read_at = -inf
         self._lease_s = max(LEASE_S, settings.min_lease_s)
 
     @property
@@ -182,7 +185,7 @@
             await self._become_leader()
         elif self._is_leader and not owns_leadership:
             self._step_down('the store named another leader')
-        if joined.generation != self._known_generation:
+        if self._should_read_members(joined.generation):
             await self._read_members(joined.generation)
         return True
 
@@ -204,6 +207,17 @@
             'duty: lost', why=reason, generation=self._generation, **fields
         )
 
+    def _should_read_members(self, generation: int) -> bool:
+        """
+        Return whether members may have come that this gateway doesn't know.
+
+        Gateways that hear each other pass on the addresses of new ones.
+        """
+        if generation == self._known_generation:
+            return False
+        read_ago_s = monotonic_s() - self._members_read_at
+        return read_ago_s > MEMBERS_INTERVAL_S or is_isolated(self._peers)
+
     async def _read_members(self, generation: int) -> None:
         answer = await self._link.call(
             'owners', self._store_calls.owners(GROUP)
@@ -214,6 +228,7 @@
         if answer.status != HTTPStatus.OK or isinstance(members, DecodeFailure):
             return
         self._known_generation = generation
+        self._members_read_at = monotonic_s()
         self._peers.add_candidates(
             address for address in map(_address, members) if address
         )
--- a/tests/test_gateway_beliefs.py
+++ b/tests/test_gateway_beliefs.py
@@ -853,19 +853,41 @@
         return StoreResponse(200, self.body, self.era)
 
 
+def membership_body(generation):
+    return (
+        b'{"generation": %d, "ttl_ms": 3000, "parts": [["t", 0, 0]]}'
+        % generation
+    )
+
+
 class TestLeadership(IsolatedAsyncioTestCase):
     def setUp(self):
-        body = b'{"generation": 4, "ttl_ms": 3000, "parts": [["t", 0, 0]]}'
-        self.link = SteadyLink(body)
+        self.link = SteadyLink(membership_body(4))
+        self.peers = Mock(count=Mock(return_value=3))
+        self.peers.live.return_value = [Mock(), Mock()]
         self.leadership = Leadership(
             settings=Mock(min_lease_s=3),
             member='h1/abcd/10.0.0.1:1',
             link=self.link,
             vocabulary=VOCABULARY,
-            peers=Mock(),
+            peers=self.peers,
             journal=quiet_journal(),
         )
 
+    async def test_members_are_not_read_with_each_change_of_the_group(self):
+        await self.renew_in_generations(range(4, 9))
+        self.assertEqual(self.link.names.count('owners'), 1)
+
+    async def test_isolated_gateway_reads_the_members_of_each_generation(self):
+        self.peers.live.return_value = []
+        await self.renew_in_generations(range(4, 9))
+        self.assertEqual(self.link.names.count('owners'), 5)
+
+    async def renew_in_generations(self, generations):
+        for generation in generations:
+            self.link.body = membership_body(generation)
+            await self.leadership.renew()
+
     async def test_owner_of_the_first_partition_leads(self):
         running = asyncio.create_task(self.leadership.run())
         while not self.leadership.leader_generation:
@@ -880,7 +902,7 @@
             member='h1/abcd/10.0.0.1:1',
             link=self.link,
             vocabulary=VOCABULARY,
-            peers=Mock(),
+            peers=self.peers,
             journal=quiet_journal(),
         )
         await self.leadership.renew()
