--- a/tests/test_gateway_partition.py
+++ b/tests/test_gateway_partition.py
@@ -99,6 +99,29 @@
         self.assertEqual(response.events, tuple(range(1, EVENT_COUNT + 1)))
         self.assertTrue(response.is_complete)
 
+    async def test_stream_goes_on_though_a_kept_channel_leads_into_the_cut(
+        self,
+    ):
+        """
+        Both sends that the route allows are lost: one to the engine that
+        stalls, the other over a kept channel to an engine behind the cut.
+        """
+        site = await self.start(6)
+        gateway = site.gateways[0]
+        await asyncio.gather(*(site.send(gateway, 'draft') for _ in range(24)))
+        for engine in site.engines:
+            engine.faults.stalls = 1
+        answer = asyncio.create_task(site.send(gateway, 'draft'))
+        await site.world.wait_for(
+            lambda: any(engine.stalled_streams for engine in site.engines)
+        )
+        for engine in site.engines:
+            engine.faults.stalls = 0
+        site.cut([gateway], Cut.HANG)
+        response = await answer
+        self.assertEqual(response.events, tuple(range(1, EVENT_COUNT + 1)))
+        self.assertTrue(response.is_complete)
+
     async def test_lost_proxy_is_replaced(self):
         site = await self.start(6)
         started_at = monotonic_s()
