--- a/tests/test_platform_fuzz.py
+++ b/tests/test_platform_fuzz.py
@@ -13,6 +13,7 @@
 from hypothesis import strategies as st
 
 from mallowcrank.findings import Finding
+from mallowcrank.gateway.addresses import parse_address
 from mallowcrank.gateway.caller_channel import CallerChannels
 from mallowcrank.gateway.datagrams import (
     GatewayStatus,
@@ -111,6 +112,31 @@
         found = VOCABULARY.read_desired(raw)
         self.assertIsInstance(found, Desired | DecodeFailure)
 
+    @FIXED
+    @given(
+        st.one_of(
+            st.text(max_size=40),
+            st.builds(
+                '{0}:{1}'.format,
+                st.text(max_size=12),
+                st.one_of(st.integers(), st.text(max_size=6)),
+            ),
+        )
+    )
+    @example('10.0.0.1:80')
+    @example('10.0.0.1:65536')
+    @example('a.example:1')
+    def test_an_address_is_one_or_refused(self, text):
+        try:
+            address = parse_address(text)
+        except ValueError as error:
+            self.assertLess(len(str(error)), 200)
+            return
+        host, _, port = text.rpartition(':')
+        self.assertEqual((address.ip, address.port), (host, int(port)))
+        self.assertTrue(address.ip.isascii())
+        self.assertIn(address.port, range(1, 65_536))
+
     @FIXED
     @given(st.text(max_size=200))
     @example('node_name=x\nnode_name=y')
--- a/tests/test_repeated_refusals.py
+++ b/tests/test_repeated_refusals.py
@@ -76,30 +76,35 @@
     async def test_refusal_of_an_earlier_request_is_not_taken_for_another(
         self,
     ):
-        for named in (True, False):
-            with self.subTest(named=named):
-                await self.check_earlier_refusal(named)
+        for method in ('GET', 'HEAD'):
+            for named in (True, False):
+                for form, write in REFUSALS.items():
+                    with self.subTest(method=method, named=named, form=form):
+                        await self.check_earlier_refusal(method, named, write)
 
-    async def check_earlier_refusal(self, named):
+    async def check_earlier_refusal(self, method, named, write):
         """
         Check that a request runs, and is answered, though the refusal of an
         earlier one comes in its place.
 
         :param named: whether the refusal names the earlier request.
+        :param write: returns the refusal of a request with some headers.
         """
         refused = []
         runs = []
 
         def script(count, fields):
-            if count == 1:
-                refused.append(refusal(fields if named else {}))
-                return [refused[0]]
+            if not refused:
+                refused.append(write(fields if named else {}))
+                head, end, _ = refused[0].partition(b'\r\n\r\n')
+                return [head + end if method == 'HEAD' else refused[0]]
             runs.append(fields['mallowcrank-request-id'])
-            return [refused[0], RUN_S, answer(fields, body=b'done')]
+            repeated = [refused[0], RUN_S] if count > 1 else []
+            return [*repeated, answer(fields, body=b'done')]
 
         await self.asyncSetUp()
         await self.start(RawReplica('raw', 'stock', script))
-        first = await self.world.fetch(self.gateway, '/lookup/x')
+        first = await self.world.fetch(self.gateway, '/lookup/x', method)
         self.assertEqual(first.status, 503)
         second = await self.world.fetch(self.gateway, '/lookup/x')
         self.assertEqual(len(runs), 1)
@@ -184,6 +189,29 @@
                     await self.check(error)
 
 
+def refusal_with_a_body(fields):
+    return (
+        refusal(fields).replace(b'Content-Length: 0', b'Content-Length: 4')
+        + b'full'
+    )
+
+
+def chunked_refusal(fields):
+    head = refusal(fields).replace(
+        b'Content-Length: 0', b'Transfer-Encoding: chunked'
+    )
+    return head + chunk(b'full') + LAST_CHUNK
+
+
+REFUSALS = MappingProxyType(
+    {
+        'without a body': refusal,
+        'with a body': refusal_with_a_body,
+        'chunked': chunked_refusal,
+    }
+)
+
+
 def chunked_error(fields):
     head = answer(fields, '500 Internal Server Error').replace(
         b'Content-Length: 0', b'Transfer-Encoding: chunked'
