--- a/tests/test_recorded_formats.py
+++ b/tests/test_recorded_formats.py
@@ -6,13 +6,18 @@
 and a new build would lose what an old one stored.
 """
 
+from dataclasses import replace
 from types import MappingProxyType
 from unittest import TestCase
 
+import msgpack
+
 from mallowcrank.config.outcomes import Outcome, Verdict
 from mallowcrank.config.snapshots import digest_of, pack_tree, unpack_tree
 from mallowcrank.config.tree import Entry, Tree
 from mallowcrank.gateway.datagrams import pack_status, read_status
+from mallowcrank.gateway.entries_status import EntriesView
+from mallowcrank.gateway.ports import LogPosition
 from mallowcrank.leases.records import decode_record, encode_record
 from mallowcrank.membership.messages import from_body, to_body
 
@@ -20,6 +25,12 @@
     '9d01a6656467652d31a26939a161a831302e302e302e3193cd2023cd1caccd2025c30703'
     '81a265312891a2653281a26533cb3ff800000000000081a2653493002802'
 )
+# With what the gateway knows of the entries, which earlier builds leave out.
+STATUS_WITH_VIEW = bytes.fromhex(
+    'dc001501a6656467652d32a26939a161a831302e302e302e3193cd2023cd1caccd2025c3'
+    '070381a265312890808090930246cd05dcc0c0c0c09202ccfa940246cf80000000000000'
+    '05cd01f4'
+)
 TREE = bytes.fromhex(
     '970405060181ac6f7267616e69736174696f6e81a974696d656f75745f73931404a27234'
     '81b16f7267616e69736174696f6e2e6e6f746593c003a272339189a67265636f7264a272'
@@ -70,6 +81,18 @@
         self.assertEqual(status.reserved, {'e1': 40.0})
         self.assertEqual(pack_status(status), STATUS)
 
+    def test_datagram_with_a_view_of_the_entries(self):
+        status = read_status(STATUS_WITH_VIEW)
+        self.assertEqual(
+            status.view, EntriesView(LogPosition(2, 70), 2**63 + 5, 0.5)
+        )
+        self.assertEqual(pack_status(status), STATUS_WITH_VIEW)
+        fields = msgpack.unpackb(STATUS_WITH_VIEW)
+        earlier = read_status(msgpack.packb(fields[:-1]))
+        self.assertEqual(earlier, replace(status, view=None))
+        # A later build may add fields at the end.
+        self.assertEqual(read_status(msgpack.packb([*fields, 7])), status)
+
     def test_messages_between_agents(self):
         for body in MESSAGES:
             with self.subTest(body['type']):
