--- a/tests/utils/limited_site.py
+++ b/tests/utils/limited_site.py
@@ -4,6 +4,7 @@
 
 import asyncio
 from collections import Counter
+from contextlib import ExitStack
 from random import Random
 from types import MappingProxyType
 from unittest.mock import patch
@@ -19,6 +20,11 @@
 # One process can't carry the usual gossip of more gateways.
 MAX_FAST_GOSSIP = 40
 SLOW_GOSSIP_S = 3
+# Timeouts follow the interval at which statuses are sent.
+PACED_MODULES = (
+    'mallowcrank.gateway.peers',
+    'mallowcrank.gateway.status_rounds',
+)
 START_POLL_S = 0.2
 START_TIMEOUT_S = 120  # beside other work
 TOKENS = MappingProxyType(
@@ -62,9 +68,7 @@
         self._size = gateways
         self._random = Random(random_seed)
         self._calls = set()
-        self._gossip = patch(
-            'mallowcrank.gateway.peers.BROADCAST_INTERVAL_S', SLOW_GOSSIP_S
-        )
+        self._gossip = ExitStack()
 
     async def start(self):
         """
@@ -72,7 +76,10 @@
         callers.
         """
         if self._size > MAX_FAST_GOSSIP:
-            self._gossip.start()
+            for name in PACED_MODULES:
+                self._gossip.enter_context(
+                    patch(f'{name}.BROADCAST_INTERVAL_S', SLOW_GOSSIP_S)
+                )
         # The debug mode of tests slows so many connections down.
         asyncio.get_running_loop().set_debug(enabled=False)
         first = await self.world.start_gateway()
@@ -90,7 +97,7 @@
 
     async def close(self):
         await self.world.close()
-        patch.stopall()
+        self._gossip.close()
 
     async def load(self, seconds, path='/lookup/x', gateways=None, **fields):
         """
