--- a/mallowcrank/gateway/call.py
+++ b/mallowcrank/gateway/call.py
@@ -28,8 +28,6 @@
     :param sends: number of sends after which the request may have run.
     :param arrivals: number of sends, also of those that were refused.
     :param sent_at: steady time of the last send, in seconds.
-    :param lost_sends: number of sends to targets from which this gateway was
-        cut off meanwhile.
     :param refusals: number of sends that a target states it did not run.
     :param waited_s: seconds spent waiting for a path.
     :param avoided: lifetimes of targets that must not get the request again.
@@ -51,7 +49,6 @@
     arrivals: int = 0
     sent_at: float = 0
     refusals: int = 0
-    lost_sends: int = 0
     waited_s: float = 0
     avoided: set[Lifetime] = field(default_factory=set)
     channels: set[TargetChannel] = field(default_factory=set)
@@ -138,7 +135,7 @@
             return False
         if self.sends and self.route.repeat is Repeat.ONCE:
             return False
-        return self.sends - self.lost_sends < self.max_sends
+        return self.sends < self.max_sends
 
     def record_send(self, now: float) -> None:
         """
@@ -157,12 +154,6 @@
         self.sends -= 1
         self.refusals += 1
 
-    def record_cut(self) -> None:
-        """
-        Record that this gateway was cut off from the target of the last send.
-        """
-        self.lost_sends += 1
-
     def remaining_s(self) -> float:
         """
         Return the seconds until the final response is due.
--- a/mallowcrank/gateway/streams.py
+++ b/mallowcrank/gateway/streams.py
@@ -115,7 +115,6 @@
         self._detours = 0
         self._is_accepted = False
         self._may_crash = False
-        self._is_cut_recorded = False
         self._begun_at = monotonic_s()
         self._has_survived = False
         self._path = NO_PATH
@@ -498,7 +497,6 @@
         target_health = self._core.fleet.health
         idle = target_health.idle_since(lifetimes, monotonic_s() - allowed_s)
         self._core.prober.probe(idle)
-        self._record_cut()
         lost = self._lost_engines()
         if lost and self._is_useless_proxy():
             return Interrupted('cut off from all targets')
@@ -510,17 +508,6 @@
             return Interrupted(f'silent for {silence_s:.3f} s')
         return None
 
-    def _record_cut(self) -> None:
-        """
-        Leave a send out of the count if this gateway is cut off from targets:
-        it may have been the last one, and other gateways reach the targets.
-        """
-        is_cut_off = self._core.proxies.reachability.is_cut_off
-        is_recorded = self._is_cut_recorded or self._call.is_proxied
-        if is_cut_off and not is_recorded:
-            self._is_cut_recorded = True
-            self._call.record_cut()
-
     def _is_useless_proxy(self) -> bool:
         """
         Return whether another gateway waits for this one, which reaches no
