--- a/review/standins/deployment.py
+++ b/review/standins/deployment.py
@@ -66,7 +66,7 @@
 discovery=platform
 entry=directory
 heartbeat_ms=1200
-contracts=base,drain,config,cost,retry,recover,stream,tenants,platform
+contracts=base,drain,config,cost,retry,recover,engine,stream,tenants,platform,layers
 fault_tolerance.machines=1
 fault_tolerance.zones=0
 fault_tolerance.regions=0
@@ -103,6 +103,18 @@
     raise RuntimeError('no free ports')
 
 
+def _entry(service, address, zone, slots):
+    return {
+        'service': service,
+        'address': address,
+        'zone': zone,
+        'version': 'v1',
+        'slots': slots,
+        'state': 'ready',
+        'cold_remaining_ms': 0,
+    }
+
+
 class Deployment:
     """
     Gateways, replicas and a store. All processes end with it.
@@ -213,30 +225,59 @@
             )
         )
         self.replicas[identity] = process
-        fields = {
-            'service': service,
-            'address': address,
-            'zone': zone,
-            'version': 'v1',
-            'slots': 6,
-            'state': 'ready',
-            'cold_remaining_ms': 0,
-        }
+        fields = _entry(service, address, zone, slots=6)
+        self._follow(identity, process, fields)
+
+    def start_engine(self, identity, service, zone, kind, ip, port):
+        """
+        Start a model engine, which holds no layers at first.
+        """
+        address = f'{ip}:{port}'
+        program = Path(__file__).parent / 'engine.py'
+        process = subprocess.Popen(
+            (
+                sys.executable,
+                str(program),
+                f'--address={address}',
+                f'--identity={identity}',
+                f'--kind={kind}',
+                f'--layers={self._layers_file(identity)}',
+                f'--log={self.folder / "runs.log"}',
+            )
+        )
+        self.replicas[identity] = process
+        fields = _entry(service, address, zone, slots=96)
+        models = [{'name': 'm0', 'version': 1, 'adapters': []}]
+        more = {'kind': kind, 'stage': 'both', 'models': models}
+        self._follow(identity, process, {**fields, **more})
+
+    def _follow(self, identity, process, fields):
         task = asyncio.ensure_future(self._beat(identity, process, fields))
         self._tasks.append(task)
 
+    def _layers_file(self, identity):
+        return self.folder / f'{identity}.layers'
+
     async def _beat(self, identity, process, fields):
         """
-        Write the entry of a replica; remove it after three silent intervals.
+        Write the entry of a replica, at each interval and when its layers
+        change; remove it after three silent intervals.
         """
         await self._wait_for_listener(process, fields['address'])
         sequence = 0
+        written_at, written = 0, None
+        path = self._layers_file(identity)
         while process.poll() is None:
-            sequence += 1
-            self.store.put(
-                'keyed.servers', identity, {**fields, 'sequence': sequence}
-            )
-            await asyncio.sleep(HEARTBEAT_S)
+            text = path.read_text() if path.exists() else ''
+            layers = json.loads(text) if text else None
+            if layers != written or time.monotonic() - written_at > HEARTBEAT_S:
+                sequence += 1
+                written_at, written = time.monotonic(), layers
+                more = {'sequence': sequence}
+                if layers:
+                    more['layers'] = layers
+                self.store.put('keyed.servers', identity, {**fields, **more})
+            await asyncio.sleep(0.05)
         await asyncio.sleep(ENTRY_TTL_S - HEARTBEAT_S)
         self.store.put('keyed.servers', identity, None)
 
