Bound what all peers together may make a gateway keep, and do before its next turn

A replica that sent trailers without end, or bodies without a length to each call, made the gateway take over 260 MB in a second, and its host ended it with all other callers' requests; so did callers with one header. Chunks of one byte kept the event loop from others for up to 2.9 s.

Cause: bounds were checked for each part that the parser reports, on its own connection. What isn't complete, and trailers, were counted nowhere; the sum over the connections wasn't bounded; and all that had come at once was parsed in one turn, each small piece as an event of its own.

All connections now count what they received and didn't pass on against one budget, and the peer that holds the most is broken off first. They are read in slices, and take turns. A head with its interim answers, and trailers, are bounded with what isn't complete of them. A log line and two metrics show it. An answer that is read as a whole ends at 16 MB instead of 32 MB.

--- a/mallowcrank/gateway/assembly.py
+++ b/mallowcrank/gateway/assembly.py
@@ -50,7 +50,7 @@
     core = build_core(settings, vocabulary, journal)
     incarnation = secrets.token_hex(INCARNATION_BYTES)
     store_client = StoreClient(
-        settings.store, vocabulary.store, journal, core.meters
+        settings.store, vocabulary.store, journal, core.meters, core.pool.budget
     )
     known = LatestDesired(vocabulary, journal, core.errors)
     desired = DesiredFollower(
--- a/mallowcrank/gateway/call_log.py
+++ b/mallowcrank/gateway/call_log.py
@@ -6,11 +6,13 @@
 from mallowcrank.gateway.clock import monotonic_s
 from mallowcrank.gateway.core import Core
 from mallowcrank.gateway.journal import Importance
+from mallowcrank.gateway.receiving import Excess
+from mallowcrank.gateway.target_channel import ChannelBroken
 from mallowcrank.gateway.targets import Lifetime
 
 
 def log_broken_channel(
-    core: Core, call: Call, lifetime: Lifetime, reason: str
+    core: Core, call: Call, lifetime: Lifetime, broken: ChannelBroken
 ) -> None:
     """
     Log that a target's channel broke before the answer was complete.
@@ -24,10 +26,17 @@
         born_ms=lifetime.born_ms,
         has_begun=call.response.has_begun,
         lasted_s=round(monotonic_s() - call.sent_at, 4),
-        why=reason,
+        why=broken.reason,
+        **_excess_fields(broken.excess),
     )
 
 
+def _excess_fields(excess: Excess | None) -> dict[str, object]:
+    if excess is None:
+        return {}
+    return {'part': excess.part.value, 'held_bytes': excess.held_bytes}
+
+
 def record_outcome(
     core: Core, call: Call, outcome: str, **details: object
 ) -> None:
--- a/mallowcrank/gateway/caller_channel.py
+++ b/mallowcrank/gateway/caller_channel.py
@@ -20,10 +20,17 @@
 from mallowcrank.gateway.clock import monotonic_s
 from mallowcrank.gateway.desired import Limits
 from mallowcrank.gateway.ports import Headers
+from mallowcrank.gateway.receiving import (
+    HEADER_OVERHEAD_BYTES,
+    Part,
+    ReceiveBudget,
+    SlicedProtocol,
+)
 
 MAX_PIPELINED = 16  # requests read ahead on one channel
 BODY_TIMEOUT_S = 10
 HIGH_WATER_BYTES = 262_144  # unsent bytes at which relaying pauses
+MAX_JOINED_BYTES = 65_536  # of a body that is written with its head at once
 
 # Values of SO_LINGER: what closing a connection sends.
 RESET_ON_CLOSE = struct.pack('ii', 1, 0)
@@ -149,7 +156,12 @@
         length = (b'Content-Length', b'%d' % len(body))
         self._has_begun = True
         head = self._head(status, (*headers, length))
-        self._write(head + self._allowed_body(body))
+        body = self._allowed_body(body)
+        if len(body) > MAX_JOINED_BYTES:
+            self._write(head)
+            self._write(body)
+        else:
+            self._write(head + body)
         self._end()
 
     def begin(self, status: int, headers: Headers) -> None:
@@ -252,6 +264,7 @@
     :param limits: returns the limits in force.
     :param on_error: is called with a request and the error that its handler
         has raised.
+    :param budget: for what the channels may hold; one of their own by default.
     :ivar is_draining: whether responses ask callers to close the connection.
     """
 
@@ -260,8 +273,10 @@
         serve: RequestHandler,
         limits: Callable[[], Limits],
         on_error: ErrorHandler | None = None,
+        budget: ReceiveBudget | None = None,
     ) -> None:
         self.limits = limits
+        self.budget = budget or ReceiveBudget()
         self._handle = serve
         self._on_error = on_error or _ignore
         self.open: set[CallerChannel] = set()
@@ -326,7 +341,7 @@
             channel.close_if_idle()
 
 
-class CallerChannel(asyncio.Protocol):
+class CallerChannel(SlicedProtocol):
     """
     One caller's connection.
 
@@ -335,8 +350,9 @@
     """
 
     def __init__(self, shared: CallerChannels) -> None:
+        super().__init__(shared.budget)
         self._shared = shared
-        self._transport: asyncio.Transport | None = None
+        self._holding = self._budget.open(self.break_off)
         self._reader = _RequestReader(self)
         self._pending: deque[CallerRequest] = deque()
         self._serve_task: asyncio.Task[None] | None = None
@@ -375,6 +391,8 @@
         Register the new connection.
         """
         self._transport = transport
+        peer = transport.get_extra_info('peername')
+        self._holding.peer = peer[0] if peer else ''
         transport.set_write_buffer_limits(high=HIGH_WATER_BYTES)
         self._shared.open.add(self)
 
@@ -386,6 +404,7 @@
         self._shared.open.discard(self)
         self._pending.clear()
         self.resume_writing()
+        self._holding.resize(0)
         self.cancel()
 
     def eof_received(self) -> bool:
@@ -407,6 +426,7 @@
         if self._writable and not self._writable.done():
             self._writable.set_result(None)
         self._writable = None
+        self._count_held()
 
     async def drain(self) -> None:
         """
@@ -415,7 +435,7 @@
         if self._writable:
             await self._writable
 
-    def data_received(self, data: bytes) -> None:
+    def data_received(self, data: bytes | memoryview) -> None:
         """
         Parse received bytes.
         """
@@ -424,6 +444,20 @@
         status = self._reader.feed(data)
         if status:
             self._send_error(status)
+        self._count_held()
+
+    def break_off(self, part: Part) -> None:
+        """
+        Close the connection, as its caller holds too much; refuse the request
+        that is being read.
+        """
+        self._holding.break_off(part)
+        if self._serve_task or not self._reader.has_begun:
+            self.abort()
+        elif self._reader.has_head:
+            self._send_error(HTTPStatus.REQUEST_ENTITY_TOO_LARGE)
+        else:
+            self._send_error(HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE)
 
     def accept(self, request: CallerRequest) -> None:
         """
@@ -441,6 +475,8 @@
         """
         if self._transport and not self.is_lost:
             self._transport.write(data)
+            if self._writable:
+                self._count_held()
 
     def close_after_answer(self) -> None:
         """
@@ -502,7 +538,21 @@
         if now - self._reader.began_at > timeout_s:
             self._send_error(HTTPStatus.REQUEST_TIMEOUT)
 
+    def _count_held(self) -> None:
+        """
+        Count what the caller has sent and isn't served yet, and what it has
+        not taken of the answers.
+        """
+        if self.is_lost or self._transport is None:
+            return
+        held_bytes = self._reader.held_bytes
+        held_bytes += sum(len(each.body) for each in self._pending)
+        if self._writable:
+            held_bytes += self._transport.get_write_buffer_size()
+        self._holding.resize(held_bytes)
+
     def _send_error(self, status: int) -> None:
+        self._reader.discard()
         if self._serve_task:
             # The requests that were read before are answered first.
             self._error_status = status
@@ -550,7 +600,16 @@
         self.began_at = monotonic_s()
         self._reset()
 
-    def feed(self, data: bytes) -> int:
+    @property
+    def held_bytes(self) -> int:
+        """
+        Return the size of what was read of the present request.
+        """
+        headers = len(self._headers) * HEADER_OVERHEAD_BYTES
+        partial = self._head_bytes + self._unparsed_bytes
+        return partial + headers + len(self._body)
+
+    def feed(self, data: bytes | memoryview) -> int:
         """
         Parse bytes.
 
@@ -560,14 +619,25 @@
             self.began_at = monotonic_s()
             self._limits = self._channel.limits
             self.has_begun = True
+        self._unparsed_bytes += len(data)
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserError:
             return self._status or HTTPStatus.BAD_REQUEST
         except httptools.HttpParserUpgrade:
             return HTTPStatus.BAD_REQUEST
+        self._check_head_size()
         return self._status
 
+    def discard(self) -> None:
+        """
+        Release what was read of the present request.
+        """
+        self._headers.clear()
+        self._body.clear()
+        self._head_bytes = 0
+        self._unparsed_bytes = 0
+
     def on_message_begin(self) -> None:
         """
         Start a request.
@@ -594,6 +664,7 @@
         Check the head, and ask for the body if the caller expects that.
         """
         self.has_head = True
+        self._unparsed_bytes = 0
         names = [name.lower() for name, _ in self._headers]
         version = self._parser.get_http_version()
         if names.count(b'host') != 1 or version not in HTTP_VERSIONS:
@@ -605,11 +676,11 @@
         """
         Add a part of the body.
         """
-        self._body_bytes += len(data)
-        if self._body_bytes > self._limits.body_bytes:
+        self._unparsed_bytes = 0
+        if len(self._body) + len(data) > self._limits.body_bytes:
             self._status = HTTPStatus.REQUEST_ENTITY_TOO_LARGE
         else:
-            self._body.append(data)
+            self._body += data
 
     def on_message_complete(self) -> None:
         """
@@ -631,7 +702,7 @@
             target=self._target,
             host=host.decode('latin-1').lower(),
             headers=end_to_end_headers(headers),
-            body=b''.join(self._body),
+            body=bytes(self._body),
             received_at=self.began_at,
             keep_alive=self._parser.should_keep_alive(),
             accepts_chunked=self._parser.get_http_version() == '1.1',
@@ -639,7 +710,14 @@
 
     def _count_head_bytes(self, added: int) -> None:
         self._head_bytes += added
-        if self._head_bytes > self._limits.header_bytes:
+        self._unparsed_bytes = 0
+        self._check_head_size()
+
+    def _check_head_size(self) -> None:
+        """
+        Check the head or the trailers, with what isn't complete of them.
+        """
+        if self._head_bytes + self._unparsed_bytes > self._limits.header_bytes:
             self._status = HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE
 
     def _reset(self) -> None:
@@ -648,6 +726,6 @@
         self._status = 0
         self._target = b''
         self._headers: list[tuple[bytes, bytes]] = []
-        self._body: list[bytes] = []
+        self._body = bytearray()
         self._head_bytes = 0
-        self._body_bytes = 0
+        self._unparsed_bytes = 0
--- a/mallowcrank/gateway/core.py
+++ b/mallowcrank/gateway/core.py
@@ -74,6 +74,7 @@
         """
         self.settings = settings
         self.retry_windows.update_bounds(settings.bounds)
+        self.pool.budget.limit(settings.memory_bytes)
 
     async def acquire_channel(
         self, target: Target, call: Call, may_reuse: bool = True
--- a/mallowcrank/gateway/core_assembly.py
+++ b/mallowcrank/gateway/core_assembly.py
@@ -2,6 +2,7 @@
 Builds the services that all parts of a gateway share.
 """
 
+from functools import partial
 from random import Random
 
 from mallowcrank.chains.budget import RetryWindows
@@ -9,7 +10,7 @@
 from mallowcrank.gateway.clock import monotonic_s
 from mallowcrank.gateway.core import Core
 from mallowcrank.gateway.fleet import Fleet
-from mallowcrank.gateway.journal import Journal
+from mallowcrank.gateway.journal import Importance, Journal
 from mallowcrank.gateway.meters import Meters
 from mallowcrank.gateway.peers import Peers
 from mallowcrank.gateway.permits import Permits
@@ -17,6 +18,7 @@
 from mallowcrank.gateway.prober import Prober
 from mallowcrank.gateway.proxies import Proxies
 from mallowcrank.gateway.reachability import Reachability
+from mallowcrank.gateway.receiving import Excess, ReceiveBudget
 from mallowcrank.gateway.settings import GatewaySettings
 from mallowcrank.gateway.suspects import Suspects
 from mallowcrank.gateway.target_channel import ChannelPool
@@ -32,7 +34,7 @@
     meters = Meters()
     errors = UnexpectedErrors(journal, meters)
     fleet = Fleet(journal)
-    pool = ChannelPool()
+    pool = ChannelPool(_build_budget(settings, journal, meters))
     peers = Peers(settings, journal)
     permits = Permits(settings, peers, journal, meters)
     prober = Prober(fleet, pool, vocabulary, meters, permits.limits, errors)
@@ -62,3 +64,25 @@
 def _retry_windows(settings: GatewaySettings) -> RetryWindows:
     earlier_run_ended_s = None if settings.is_first_start else monotonic_s()
     return RetryWindows(settings.bounds, earlier_run_ended_s)
+
+
+def _build_budget(
+    settings: GatewaySettings, journal: Journal, meters: Meters
+) -> ReceiveBudget:
+    budget = ReceiveBudget(settings.memory_bytes)
+    budget.report = partial(_record_excess, journal, meters)
+    return budget
+
+
+def _record_excess(journal: Journal, meters: Meters, excess: Excess) -> None:
+    """
+    Log and count a connection that was broken off for what its peer has sent.
+    """
+    meters.broken_off.labels(excess.part.value).inc()
+    journal.say(
+        'channel: broken off',
+        Importance.FAILURE,
+        peer=excess.peer,
+        part=excess.part.value,
+        held_bytes=excess.held_bytes,
+    )
--- a/mallowcrank/gateway/meters.py
+++ b/mallowcrank/gateway/meters.py
@@ -71,6 +71,16 @@
         self.unexpected_errors = self._counter(
             'unexpected_errors', 'Errors that no code handles.', ('place',)
         )
+        self.broken_off = self._counter(
+            'broken_off',
+            'Connections broken off for what their peers have sent.',
+            ('part',),
+        )
+        self.held_bytes = Gauge(
+            'mallowcrank_held_bytes',
+            'Bytes received on all connections and not passed on yet.',
+            registry=self._registry,
+        )
         self.first_event_s = Histogram(
             'mallowcrank_first_event_seconds',
             'From a request to its first event or its answer.',
--- a/mallowcrank/gateway/plain_attempts.py
+++ b/mallowcrank/gateway/plain_attempts.py
@@ -153,9 +153,7 @@
             case Response():
                 return response
             case ChannelBroken():
-                log_broken_channel(
-                    self._core, call, target.lifetime, response.reason
-                )
+                log_broken_channel(self._core, call, target.lifetime, response)
                 return NoResponse(
                     response.reason, may_have_run=True, is_broken=True
                 )
--- a/mallowcrank/gateway/program.py
+++ b/mallowcrank/gateway/program.py
@@ -62,10 +62,16 @@
         frontend = Frontend(self._core, self._parts.known)
         self._frontend = frontend
         self._front_channels = CallerChannels(
-            frontend.serve, self._limits, self._record_error
+            frontend.serve,
+            self._limits,
+            self._record_error,
+            self._core.pool.budget,
         )
         self._peer_channels = CallerChannels(
-            self._serve_peer, self._peer_limits, self._record_error
+            self._serve_peer,
+            self._peer_limits,
+            self._record_error,
+            self._core.pool.budget,
         )
         self._internal_channels: list[CallerChannels] = []
         self._servers: list[asyncio.Server] = []
@@ -229,7 +235,9 @@
         )
 
     def _add_internal_channels(self, serve: RequestHandler) -> CallerChannels:
-        channels = CallerChannels(serve, self._limits, self._record_error)
+        channels = CallerChannels(
+            serve, self._limits, self._record_error, self._core.pool.budget
+        )
         self._internal_channels.append(channels)
         return channels
 
@@ -328,6 +336,7 @@
         meters = self._core.meters
         known = self._parts.known
         meters.entries_age_s.set(now - self._core.fleet.entries_read_at)
+        meters.held_bytes.set(self._core.pool.budget.held_bytes)
         meters.desired_version.set(known.version)
         meters.desired_age_s.set(now - known.confirmed_at)
 
--- a/mallowcrank/gateway/settings.py
+++ b/mallowcrank/gateway/settings.py
@@ -72,6 +72,7 @@
     :param store: address of the platform's store.
     :param min_lease_s: shortest lease that the store grants, in seconds.
     :param is_first_start: whether the whole system starts for the first time.
+    :param memory_bytes: that a process may use; 0 if that isn't known.
     """
 
     host: str
@@ -85,6 +86,7 @@
     min_lease_s: float
     bounds: Bounds
     is_first_start: bool
+    memory_bytes: int = 0
 
     @property
     def gossip(self) -> Address:
--- a/mallowcrank/gateway/store_client.py
+++ b/mallowcrank/gateway/store_client.py
@@ -16,6 +16,7 @@
     HttpCall,
     StoreCalls,
 )
+from mallowcrank.gateway.receiving import ReceiveBudget
 from mallowcrank.gateway.settings import Address
 from mallowcrank.gateway.target_channel import (
     ChannelBroken,
@@ -60,6 +61,8 @@
 class StoreClient:
     """
     A client of the store.
+
+    :param budget: for what its channels may hold; one of their own by default.
     """
 
     def __init__(
@@ -68,12 +71,13 @@
         store_calls: StoreCalls,
         journal: Journal,
         meters: Meters,
+        budget: ReceiveBudget | None = None,
     ) -> None:
         self._address = address
         self._store_calls = store_calls
         self._journal = journal
         self._meters = meters
-        self._pool = ChannelPool()
+        self._pool = ChannelPool(budget)
         self._unavailable_since: float | None = None
         self._recovered_at = -inf
         self._era: int | None = None
--- a/mallowcrank/gateway/streams.py
+++ b/mallowcrank/gateway/streams.py
@@ -458,7 +458,7 @@
 
     async def _relay(self, run: StreamRun, channel: TargetChannel) -> Outcome:
         self._pieces.restore_remainder(run.remainder)
-        unread_bytes = 0
+        kept_bytes = 0
         while True:
             event = await self._next(channel)
             match event:
@@ -466,10 +466,10 @@
                     run.head = event
                 case BodyChunk() if run.head and run.is_success:
                     await self._forward_events(run.head, event.data)
-                    unread_bytes = self._pieces.remainder_bytes
+                    kept_bytes = self._pieces.remainder_bytes
                 case BodyChunk():
                     run.body.append(event.data)
-                    unread_bytes += len(event.data)
+                    kept_bytes += len(event.data)
                 case ResponseEnd() if run.head and run.is_success:
                     if self._pieces.remainder_bytes:
                         return Interrupted('the last event is cut')
@@ -480,16 +480,17 @@
                 case TimedOut() | Interrupted() | Overtaken():
                     return event
                 case ChannelBroken():
-                    self._log_broken(event.reason)
+                    self._log_broken(event)
                     return Interrupted(event.reason, is_broken=True)
-            if unread_bytes > MAX_EVENT_BYTES:
+            channel.keep(kept_bytes)
+            if kept_bytes > MAX_EVENT_BYTES:
                 self._call.avoided.update(self._run.path.lifetimes[:1])
-                return Interrupted('an event or error is too long')
+                channel.break_off_event()
 
-    def _log_broken(self, reason: str) -> None:
+    def _log_broken(self, broken: ChannelBroken) -> None:
         if not self._run.proxy:
             first = self._run.path.segments[0].lifetime
-            log_broken_channel(self._core, self._call, first, reason)
+            log_broken_channel(self._core, self._call, first, broken)
 
     async def _next(
         self, channel: TargetChannel
--- a/mallowcrank/gateway/target_channel.py
+++ b/mallowcrank/gateway/target_channel.py
@@ -10,24 +10,34 @@
 from dataclasses import dataclass
 from http import HTTPStatus
 from math import inf
+from types import MappingProxyType
 
 import httptools
 
 from mallowcrank.gateway.clock import monotonic_s
 from mallowcrank.gateway.ports import Headers, HttpCall
+from mallowcrank.gateway.receiving import (
+    HEADER_OVERHEAD_BYTES,
+    Excess,
+    Part,
+    ReceiveBudget,
+    SlicedProtocol,
+)
 from mallowcrank.gateway.settings import Address
 
 # A round trip takes a few ms; retransmission of a lost SYN takes 1 s.
 CONNECT_TIMEOUT_S = 0.25
 IDLE_TIMEOUT_S = 3  # if the target's `Keep-Alive` names no timeout
 IDLE_MARGIN_S = 1  # channels are closed so long before the target's timeout
-# Unread events of a response at which reading pauses, and goes on again.
+# What is unread of a response when reading pauses, and goes on again.
 HIGH_WATER_EVENTS = 64
 LOW_WATER_EVENTS = 16
+HIGH_WATER_BYTES = 65_536
+LOW_WATER_BYTES = 16_384
 MAX_STALL_S = 1  # within the transfer of a large response
 MAX_IDLE = 32  # channels to one target
-MAX_HEAD_BYTES = 65_536  # of a response
-MAX_BODY_BYTES = 33_554_432  # of a response that is read as a whole
+MAX_HEAD_BYTES = 65_536  # of a response, and of its trailers
+MAX_BODY_BYTES = 16_777_216  # of a response that is read as a whole
 
 
 @dataclass(frozen=True, slots=True)
@@ -62,9 +72,11 @@
     The channel closed or failed before the response was complete.
 
     :param reason: why.
+    :param excess: what the peer has sent, if it was too much.
     """
 
     reason: str
+    excess: Excess | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -108,6 +120,16 @@
     is_refused: bool = False
 
 
+TOO_LONG = MappingProxyType(
+    {
+        Part.HEAD: 'the head of the answer is too long',
+        Part.TRAILERS: 'the trailers of the answer are too long',
+        Part.BODY: 'the answer is too long',
+        Part.EVENT: 'an event or error is too long',
+        Part.SHARE: 'its target holds the most of the memory for answers',
+    }
+)
+
 ResponseMatcher = Callable[[Headers], bool]
 
 
@@ -115,31 +137,38 @@
     return True
 
 
-class TargetChannel(asyncio.Protocol):
+class TargetChannel(SlicedProtocol):
     """
     One connection to a target or to the store.
 
+    :param budget: for what it may hold; one of its own by default.
     :ivar request_count: number of requests that it has carried.
     """
 
-    def __init__(self, address: Address) -> None:
+    def __init__(
+        self, address: Address, budget: ReceiveBudget | None = None
+    ) -> None:
+        super().__init__(budget or ReceiveBudget())
         self.address = address
         self.last_used_at = monotonic_s()
         self.request_count = 0
-        self._transport: asyncio.Transport | None = None
+        self._holding = self._budget.open(self.break_off)
+        self._holding.peer = str(address)
         self._events: deque[ResponseEvent] = deque()
+        self._body_parts: list[bytes] = []
+        self._unread_bytes = 0
+        self._kept_bytes = 0
         self._waiter: asyncio.Future[None] | None = None
         self._parser = httptools.HttpResponseParser(self)
         self._headers: list[tuple[bytes, bytes]] = []
         self._is_open = True
-        self._is_paused = False
         self._is_pending = False
         self._head_only = False
         self._until_close = False
         self._matches: ResponseMatcher = _match_any
         self._is_skipped = False
         self._is_in_head = False
-        self._head_bytes = 0
+        self._unframed_bytes = 0
         self._keep_alive = False
         self._idle_timeout_s: float = IDLE_TIMEOUT_S
 
@@ -216,13 +245,14 @@
         self._matches = matches or _match_any
         self._head_only = head_only
         self._until_close = False
+        self._unframed_bytes = 0
         self._begin_head()
         if self._transport and self._is_open:
             self._transport.write(data)
         else:
             self._emit(ChannelBroken('closed before the request'))
 
-    def data_received(self, data: bytes) -> None:
+    def data_received(self, data: bytes | memoryview) -> None:
         """
         Parse received bytes.
         """
@@ -232,18 +262,48 @@
             # Unsolicited bytes belong to no request.
             self.close()
             return
+        self._unframed_bytes += len(data)
         try:
             self._parser.feed_data(data)
         except (
             httptools.HttpParserError,
             httptools.HttpParserUpgrade,
         ) as error:
-            self._break_off(f'no HTTP answer: {error}')
+            self._emit_body()
+            self._fail(f'no HTTP answer: {error}')
             return
-        if self._is_in_head:
-            self._head_bytes += len(data)
-            if self._head_bytes > MAX_HEAD_BYTES:
-                self._break_off('the head of the answer is too long')
+        self._emit_body()
+        self._count_held()
+        if self._unframed_bytes > MAX_HEAD_BYTES:
+            self.break_off(Part.HEAD if self._is_in_head else Part.TRAILERS)
+
+    def keep(self, taken_bytes: int) -> None:
+        """
+        Count bytes of the response that were taken as events, and are kept by
+        their reader.
+        """
+        self._kept_bytes = taken_bytes
+        self._count_held()
+
+    def break_off_event(self) -> None:
+        """
+        Close the channel, as an event or error is too long for its reader.
+        """
+        self.break_off(Part.EVENT)
+
+    def break_off(self, part: Part) -> None:
+        """
+        Close the channel, as its peer has sent too much.
+
+        :param part: of the response, of which it was.
+        """
+        if not self._is_open:
+            return
+        excess = self._holding.break_off(part)
+        self._is_pending = self._is_pending or bool(self._events)
+        self._events.clear()
+        self._unread_bytes = 0
+        self._fail(TOO_LONG[part], excess)
 
     async def next_event(self, timeout_s: float) -> ResponseEvent:
         """
@@ -260,9 +320,17 @@
             finally:
                 timer.cancel()
                 self._waiter = None
-        event = self._events.popleft() if self._events else ReadTimeout()
-        if self._is_paused and len(self._events) <= LOW_WATER_EVENTS:
-            self._set_paused(is_paused=False)
+        if not self._events:
+            return ReadTimeout()
+        event = self._events.popleft()
+        if isinstance(event, BodyChunk):
+            self._unread_bytes -= len(event.data)
+            self._count_held()
+        if (
+            len(self._events) <= LOW_WATER_EVENTS
+            and self._unread_bytes <= LOW_WATER_BYTES
+        ):
+            self.hold_up(is_held_up=False)
         return event
 
     async def read_response(
@@ -278,8 +346,7 @@
         deadline_at = monotonic_s() + timeout_s
         max_pause_s = inf
         head = ResponseHead(0, ())
-        chunks = []
-        body_bytes = 0
+        body = bytearray()
         while True:
             remaining_s = deadline_at - monotonic_s()
             event = await self.next_event(min(max_pause_s, remaining_s))
@@ -290,13 +357,13 @@
                         deadline_at += transfer_s
                         max_pause_s = MAX_STALL_S
                 case BodyChunk():
-                    chunks.append(event.data)
-                    body_bytes += len(event.data)
-                    if body_bytes > MAX_BODY_BYTES:
-                        self.close()
-                        return ChannelBroken('the answer is too long')
+                    body += event.data
+                    self.keep(len(body))
+                    if len(body) > MAX_BODY_BYTES:
+                        self.break_off(Part.BODY)
                 case ResponseEnd():
-                    return Response(head, b''.join(chunks))
+                    self.keep(0)
+                    return Response(head, bytes(body))
                 case ChannelBroken() | ReadTimeout():
                     self.close()
                     return event
@@ -307,6 +374,7 @@
         """
         self._is_open = False
         self._keep_alive = False
+        self._holding.resize(0)
         if self._transport:
             self._transport.abort()
 
@@ -320,24 +388,26 @@
 
     def on_header(self, name: bytes, field_value: bytes) -> None:
         """
-        Add a header.
+        Add a header; trailers are left out.
         """
-        self._headers.append((name, field_value))
+        if self._is_in_head:
+            self._headers.append((name, field_value))
 
     def on_headers_complete(self) -> None:
         """
         Emit the head, unless the response is interim or to another request.
         """
-        self._is_in_head = False
         if not self._is_pending:
             return
         status = self._parser.get_status_code()
         if status < 200:
             return
+        self._is_in_head = False
         self._is_skipped = not self._matches(tuple(self._headers))
         if self._is_skipped:
             return
         self._until_close = not _is_framed(self._headers, status)
+        self._unframed_bytes = 0
         self._read_idle_timeout()
         self._emit(ResponseHead(status, tuple(self._headers)))
         if self._head_only:
@@ -346,10 +416,11 @@
 
     def on_body(self, data: bytes) -> None:
         """
-        Emit a part of the body.
+        Add a part of the body to the next event.
         """
+        self._unframed_bytes = 0
         if self._is_pending and not self._is_skipped:
-            self._emit(BodyChunk(data))
+            self._body_parts.append(data)
 
     def on_message_complete(self) -> None:
         """
@@ -364,14 +435,16 @@
     def _begin_head(self) -> None:
         self._headers = []
         self._is_in_head = True
-        self._head_bytes = 0
 
-    def _break_off(self, reason: str) -> None:
+    def _fail(self, reason: str, excess: Excess | None = None) -> None:
         if self._is_pending:
-            self._emit(ChannelBroken(reason))
+            self._emit(ChannelBroken(reason, excess))
         self.close()
 
     def _complete(self) -> None:
+        self._emit_body()
+        self._headers = []
+        self._unframed_bytes = 0
         self._is_pending = False
         self.last_used_at = monotonic_s()
         self._emit(ResponseEnd())
@@ -385,20 +458,35 @@
             if digits.isdigit():
                 self._idle_timeout_s = max(0, int(digits) - IDLE_MARGIN_S)
 
+    def _emit_body(self) -> None:
+        """
+        Emit the parts of the body that came together as one event.
+        """
+        if not self._body_parts:
+            return
+        body = b''.join(self._body_parts)
+        self._body_parts.clear()
+        self._unread_bytes += len(body)
+        self._emit(BodyChunk(body))
+
     def _emit(self, event: ResponseEvent) -> None:
         self._events.append(event)
-        if len(self._events) >= HIGH_WATER_EVENTS and not self._is_paused:
-            self._set_paused(is_paused=True)
+        if (
+            len(self._events) >= HIGH_WATER_EVENTS
+            or self._unread_bytes >= HIGH_WATER_BYTES
+        ):
+            self.hold_up(is_held_up=True)
         self._wake()
 
-    def _set_paused(self, is_paused: bool) -> None:
-        if self._transport is None or not self._is_open:
+    def _count_held(self) -> None:
+        """
+        Count what was received and not passed on.
+        """
+        if not self._is_open:
             return
-        self._is_paused = is_paused
-        if is_paused:
-            self._transport.pause_reading()
-        else:
-            self._transport.resume_reading()
+        body_bytes = self._unread_bytes + self._kept_bytes
+        headers = len(self._headers) * HEADER_OVERHEAD_BYTES
+        self._holding.resize(body_bytes + self._unframed_bytes + headers)
 
     def _wake(self) -> None:
         if self._waiter and not self._waiter.done():
@@ -415,9 +503,12 @@
 class ChannelPool:
     """
     Opens channels and keeps idle ones for later requests.
+
+    :ivar budget: for what they may hold together; their own by default.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, budget: ReceiveBudget | None = None) -> None:
+        self.budget = budget or ReceiveBudget()
         self._idle: dict[Address, list[TargetChannel]] = {}
 
     def take_idle(
@@ -447,7 +538,9 @@
         try:
             async with asyncio.timeout(CONNECT_TIMEOUT_S):
                 _, channel = await loop.create_connection(
-                    lambda: TargetChannel(address), address.ip, address.port
+                    lambda: TargetChannel(address, self.budget),
+                    address.ip,
+                    address.port,
                 )
         except TimeoutError:
             return ConnectFailure(f'no answer in {CONNECT_TIMEOUT_S} s')
--- a/mallowcrank/platform/node_settings.py
+++ b/mallowcrank/platform/node_settings.py
@@ -15,6 +15,7 @@
 )
 
 MS_PER_S = 1000
+BYTES_PER_MB = 1_000_000
 ZONE_PREFIX = 'zones.'
 
 
@@ -50,6 +51,7 @@
             retry_slack=reader.read('bounds.retry_budget_slack', float),
         ),
         is_first_start=reader.read('bootstrap', _parse_flag, 'false'),
+        memory_bytes=reader.read('limits.memory_mb', _parse_mb, '0'),
     )
     return reader.findings or settings
 
@@ -100,6 +102,10 @@
     return float(text) / MS_PER_S
 
 
+def _parse_mb(text: str) -> int:
+    return int(float(text) * BYTES_PER_MB)
+
+
 def _parse_flag(text: str) -> bool:
     if text not in {'true', 'false'}:
         raise ValueError(f'{text!r} is neither true nor false')
--- a/tests/test_caller_channel.py
+++ b/tests/test_caller_channel.py
@@ -11,6 +11,7 @@
 from mallowcrank.gateway.caller_channel import CallerChannels
 from mallowcrank.gateway.clock import monotonic_s
 from mallowcrank.gateway.desired import Limits
+from mallowcrank.gateway.receiving import MEMORY_SHARE
 from tests.utils.fake_transport import FakeTransport
 
 GET = b'GET /a/b?c=d HTTP/1.1\r\nHost: shop.example\r\nX-Own: 1\r\n\r\n'
@@ -120,6 +121,54 @@
         self.assertEqual(self.statuses(), [413])
         self.assertEqual(self.requests, [])
 
+    async def test_header_that_never_ends_is_rejected(self):
+        for part in (b'GET / HTTP/1.1\r\nLong: ', b'GET / HTTP/1.1\r\nLong'):
+            with self.subTest(part=part):
+                self.setUp()
+                await self.feed(part)
+                for _ in range(5):
+                    await self.feed(b'x' * 100)
+                self.assertEqual(self.statuses(), [431])
+                self.assertEqual(self.channels.budget.held_bytes, 0)
+
+    async def test_trailer_that_never_ends_is_rejected(self):
+        await self.feed(post(b'Transfer-Encoding: chunked', b'0\r\nTrailer: '))
+        for _ in range(5):
+            await self.feed(b'x' * 100)
+        self.assertEqual(self.statuses(), [431])
+        self.assertEqual(self.requests, [])
+
+    async def test_caller_that_holds_the_most_of_the_budget_is_refused(self):
+        cases = {
+            413: (post(b'Content-Length: 90', b'x' * 60),),
+            431: (b'GET / HTTP/1.1\r\nLong: ', b'x' * 120),
+        }
+        for status, pieces in cases.items():
+            with self.subTest(status=status):
+                self.setUp()
+                self.channels.budget.limit(100 * MEMORY_SHARE)
+                for piece in pieces:
+                    await self.feed(piece)
+                self.assertEqual(self.statuses(), [status])
+                self.assertEqual(self.channels.budget.held_bytes, 0)
+
+    async def test_answers_that_a_caller_does_not_take_count(self):
+        self.channels.budget.limit(1000 * MEMORY_SHARE)
+        self.channel.pause_writing()
+        await self.feed(GET)
+        self.transport.buffered = 900
+        self.channel.write(b'x')
+        self.assertEqual(self.channels.budget.held_bytes, 900)
+        self.transport.buffered = 1100
+        self.channel.write(b'x')
+        self.assertTrue(self.transport.is_aborted)
+        self.assertEqual(self.channels.budget.held_bytes, 0)
+
+    async def test_served_request_holds_nothing(self):
+        await self.feed(post(b'Content-Length: 50', b'x' * 50))
+        self.assertEqual(self.statuses(), [200])
+        self.assertEqual(self.channels.budget.held_bytes, 0)
+
     async def test_slow_head_is_rejected_and_idle_channel_closed(self):
         self.channel.check_time(monotonic_s() + 14, LIMITS)
         self.assertFalse(self.transport.is_closed)
--- a/tests/test_target_channel.py
+++ b/tests/test_target_channel.py
@@ -5,12 +5,15 @@
 framing says, and must leave the connection reusable only if nothing follows.
 """
 
+import asyncio
 from unittest import IsolatedAsyncioTestCase
 
 from mallowcrank.gateway.clock import monotonic_s
 from mallowcrank.gateway.event_buffer import EventBuffer, count_events
+from mallowcrank.gateway.receiving import MEMORY_SHARE, Part, ReceiveBudget
 from mallowcrank.gateway.settings import Address
 from mallowcrank.gateway.target_channel import (
+    HIGH_WATER_BYTES,
     HIGH_WATER_EVENTS,
     MAX_BODY_BYTES,
     MAX_HEAD_BYTES,
@@ -23,6 +26,9 @@
 )
 from tests.utils.fake_transport import FakeTransport
 
+CAPACITY_BYTES = 400_000
+CHUNKED = b'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n%b'
+
 
 def response(payload=b'whole', request=b'r1', extra_headers=b''):
     return b'HTTP/1.1 200 OK\r\nId: %b\r\nContent-Length: %d\r\n%b\r\n%b' % (
@@ -202,6 +208,143 @@
         self.assertFalse(self.channel.is_usable(used + 4.1))
 
 
+class TestExcessiveAnswers(IsolatedAsyncioTestCase):
+    """
+    A target that sends too much loses its channel, and nobody else's.
+    """
+
+    def setUp(self):
+        self.reports = []
+        self.budget = ReceiveBudget(CAPACITY_BYTES * MEMORY_SHARE)
+        self.budget.report = self.reports.append
+        self.channel = self.ask()
+
+    def ask(self, ip='10.0.0.1'):
+        channel = TargetChannel(Address(ip, 80), self.budget)
+        channel.connection_made(FakeTransport())
+        channel.send(b'GET / HTTP/1.1\r\n\r\n')
+        return channel
+
+    async def check_broken(self, part):
+        broken = await self.channel.next_event(0)
+        while not isinstance(broken, ChannelBroken):
+            broken = await self.channel.next_event(0)
+        self.assertIs(broken.excess.part, part)
+        self.assertEqual(self.reports, [broken.excess])
+        self.assertEqual(self.budget.held_bytes, 0)
+        self.assertFalse(self.channel.is_reusable)
+
+    def flood(self, piece, max_bytes=2 * MAX_HEAD_BYTES):
+        for _ in range(max_bytes // len(piece)):
+            if self.reports:
+                break
+            self.channel.data_received(piece)
+            self.assertLessEqual(self.budget.held_bytes, CAPACITY_BYTES)
+
+    async def test_header_that_never_ends_is_broken_off(self):
+        self.channel.data_received(b'HTTP/1.1 200 OK\r\nLong: ')
+        self.flood(b'x' * 1000)
+        await self.check_broken(Part.HEAD)
+
+    async def test_interim_answers_without_end_are_broken_off(self):
+        self.flood(b'HTTP/1.1 100 Continue\r\n\r\n')
+        await self.check_broken(Part.HEAD)
+
+    async def test_trailers_without_end_are_broken_off(self):
+        self.channel.data_received(CHUNKED % b'5\r\nwhole\r\n0\r\n')
+        self.flood(b'Trailer: y\r\n')
+        await self.check_broken(Part.TRAILERS)
+
+    async def test_trailer_that_never_ends_is_broken_off(self):
+        self.channel.data_received(CHUNKED % b'5\r\nwhole\r\n0\r\nTrailer: ')
+        self.flood(b'x' * 1000)
+        await self.check_broken(Part.TRAILERS)
+
+    async def test_extension_of_a_chunk_without_end_is_broken_off(self):
+        self.channel.data_received(CHUNKED % b'5;')
+        self.flood(b'x' * 1000)
+        await self.check_broken(Part.TRAILERS)
+
+    async def test_trailers_are_no_headers_of_the_next_answer(self):
+        self.channel.data_received(
+            CHUNKED % b'5\r\nwhole\r\n0\r\nId: r1\r\n\r\n'
+        )
+        answer = await self.channel.read_response(0)
+        self.assertEqual(answer.body, b'whole')
+        self.assertTrue(self.channel.is_reusable)
+        self.channel.send(b'GET / HTTP/1.1\r\n\r\n')
+        self.channel.data_received(b'HTTP/1.1 200 OK\r\nId: r2\r\n')
+        self.channel.data_received(b'Content-Length: 0\r\n\r\n')
+        answer = await self.channel.read_response(0)
+        self.assertEqual(dict(answer.head.headers)[b'Id'], b'r2')
+
+    async def test_long_stream_of_small_chunks_is_read_to_its_end(self):
+        self.channel.data_received(CHUNKED % b'')
+        received = b''
+        for _ in range(MAX_HEAD_BYTES):
+            self.channel.data_received(b'1\r\nx\r\n')
+            received += (await self.next_body()).data
+        self.assertEqual(received, b'x' * MAX_HEAD_BYTES)
+        self.assertEqual(self.reports, [])
+
+    async def next_body(self):
+        event = await self.channel.next_event(0)
+        return (
+            event
+            if isinstance(event, BodyChunk)
+            else await self.channel.next_event(0)
+        )
+
+    async def test_small_chunks_that_come_together_are_one_event(self):
+        self.channel.data_received(CHUNKED % (b'1\r\nx\r\n' * 1000))
+        self.assertIsInstance(await self.channel.next_event(0), ResponseHead)
+        event = await self.channel.next_event(0)
+        self.assertEqual(event, BodyChunk(b'x' * 1000))
+        self.assertEqual(await self.channel.next_event(0), ReadTimeout())
+
+    async def test_reading_pauses_at_few_long_events(self):
+        self.channel.data_received(CHUNKED % b'')
+        self.channel.data_received(
+            b'%x\r\n%b' % (HIGH_WATER_BYTES, b'x' * HIGH_WATER_BYTES)
+        )
+        self.assertTrue(self.channel._transport.is_paused)
+        await self.channel.next_event(0)
+        await self.channel.next_event(0)
+        self.assertFalse(self.channel._transport.is_paused)
+
+    async def test_bodies_of_all_channels_together_are_bounded(self):
+        honest = self.ask('10.0.0.2')
+        honest.data_received(
+            b'HTTP/1.1 200 OK\r\nContent-Length: 60000\r\n\r\n'
+        )
+        honest.data_received(b'x' * 50_000)
+        flooding = [self.ask() for _ in range(8)]
+        for channel in flooding:
+            channel.data_received(b'HTTP/1.1 200 OK\r\n\r\n')
+        for _ in range(100):
+            for channel in flooding:
+                channel.data_received(b'x' * 1000)
+                self.assertLessEqual(self.budget.held_bytes, CAPACITY_BYTES)
+        self.assertEqual({each.peer for each in self.reports}, {'10.0.0.1:80'})
+        honest.data_received(b'x' * 10_000)
+        answer = await honest.read_response(0)
+        self.assertEqual(answer.body, b'x' * 60_000)
+
+    async def test_body_that_its_reader_keeps_counts(self):
+        self.channel.data_received(b'HTTP/1.1 200 OK\r\n\r\n')
+        reading = asyncio.create_task(self.channel.read_response(1))
+        for _ in range(CAPACITY_BYTES // 10_000 + 1):
+            await asyncio.sleep(0)
+            self.channel.data_received(b'x' * 10_000)
+        broken = await reading
+        self.assertIs(broken.excess.part, Part.SHARE)
+
+    async def test_ended_answer_holds_nothing(self):
+        self.channel.data_received(response())
+        await self.channel.read_response(0)
+        self.assertEqual(self.budget.held_bytes, 0)
+
+
 class TestEventBuffer(IsolatedAsyncioTestCase):
     def test_only_complete_events_are_returned(self):
         raw = b'id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\nda'
--- a/tests/utils/fake_transport.py
+++ b/tests/utils/fake_transport.py
@@ -13,6 +13,7 @@
         self.is_closed = False
         self.is_aborted = False
         self.is_paused = False
+        self.buffered = 0
 
     def write(self, raw):
         if not self.is_closed:
@@ -25,6 +26,9 @@
         self.is_closed = True
         self.is_aborted = True
 
+    def is_closing(self):
+        return self.is_closed
+
     def pause_reading(self):
         self.is_paused = True
 
@@ -34,6 +38,9 @@
     def set_write_buffer_limits(self, high):
         self.high = high
 
+    def get_write_buffer_size(self):
+        return self.buffered
+
     def get_extra_info(self, name):
         """
         Return nothing: there is no socket.
