Don't take an answer that was too long for a crash of its target

A stream whose engine sent trailers without end was cut after its first event, though three sound engines were there. Its channel was broken off by the gateway, but counted as lost by the engine: the stream went to the same engine again, the fastest, until no attempt was left, and its parts were suspected.

What is broken off for its length is an event of its own now: nothing is suspected, and the engine is avoided by the call and rests as one that refuses.

--- a/mallowcrank/gateway/outcomes.py
+++ b/mallowcrank/gateway/outcomes.py
@@ -16,7 +16,8 @@
 
     :param reason: why.
     :param may_have_run: false if the target certainly did not run the call.
-    :param is_broken: whether the channel broke after the call was sent.
+    :param is_broken: whether the target closed the channel, or the network,
+        after the call was sent.
     :param is_silent: whether the target may still answer.
     """
 
@@ -49,11 +50,13 @@
 
     :param is_broken: whether the channel to the first engine broke.
     :param is_silent: whether the path may still send something.
+    :param is_excessive: whether the first engine has sent too much.
     """
 
     reason: str
     is_broken: bool = False
     is_silent: bool = False
+    is_excessive: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/mallowcrank/gateway/plain_attempts.py
+++ b/mallowcrank/gateway/plain_attempts.py
@@ -155,7 +155,9 @@
             case ChannelBroken():
                 log_broken_channel(self._core, call, target.lifetime, response)
                 return NoResponse(
-                    response.reason, may_have_run=True, is_broken=True
+                    response.reason,
+                    may_have_run=True,
+                    is_broken=response.excess is None,
                 )
             case ReadTimeout():
                 return NoResponse('silent', may_have_run=True, is_silent=True)
--- a/mallowcrank/gateway/streams.py
+++ b/mallowcrank/gateway/streams.py
@@ -185,7 +185,8 @@
         :returns: whether the call has ended.
         """
         if isinstance(outcome, Interrupted) and not self._run.proxy:
-            await self._check_crash(outcome)
+            if not outcome.is_excessive:
+                await self._check_crash(outcome)
         match outcome:
             case Served():
                 record_outcome(
@@ -480,17 +481,26 @@
                 case TimedOut() | Interrupted() | Overtaken():
                     return event
                 case ChannelBroken():
-                    self._log_broken(event)
-                    return Interrupted(event.reason, is_broken=True)
+                    return self._handle_broken(event)
             channel.keep(kept_bytes)
             if kept_bytes > MAX_EVENT_BYTES:
-                self._call.avoided.update(self._run.path.lifetimes[:1])
                 channel.break_off_event()
 
-    def _log_broken(self, broken: ChannelBroken) -> None:
+    def _handle_broken(self, broken: ChannelBroken) -> Interrupted:
+        """
+        Log that the channel broke; avoid an engine that has sent too much.
+        """
         if not self._run.proxy:
             first = self._run.path.segments[0].lifetime
             log_broken_channel(self._core, self._call, first, broken)
+            if broken.excess:
+                self._call.avoided.add(first)
+                self._core.fleet.health.record_refusal(first, monotonic_s())
+        return Interrupted(
+            broken.reason,
+            is_broken=broken.excess is None,
+            is_excessive=broken.excess is not None,
+        )
 
     async def _next(
         self, channel: TargetChannel
