--- a/tests/test_endless_answers.py
+++ b/tests/test_endless_answers.py
@@ -3,9 +3,17 @@
 other callers' answers.
 """
 
+import asyncio
 from unittest import IsolatedAsyncioTestCase
+from unittest.mock import Mock
 
-from tests.utils.flooded_site import FloodedSite
+from mallowcrank.gateway.ports import HttpCall
+from mallowcrank.gateway.receiving import ReceiveBudget
+from mallowcrank.gateway.settings import Address
+from mallowcrank.gateway.store_client import StoreClient, StoreFailure
+from mallowcrank.platform.vocabulary import platform_vocabulary
+from tests.utils.flooded_site import RATE_PER_S, FloodedSite
+from tests.utils.flooding_replica import Flood
 
 LOAD_S = 1.5
 MAX_GROWN_BYTES = 60_000_000
@@ -104,6 +112,41 @@
                 await self.check('stream', part, is_alone=True)
 
 
+class TestEndlessAnswersAtThreeGateways(EndlessAnswersTest):
+    async def test_flood_at_three_gateways_costs_no_other_request(self):
+        for kind, part in (('safe', 'chunks'), ('stream', 'a trailer')):
+            with self.subTest(kind=kind, part=part):
+                site = FloodedSite(has_sound_replicas=False, size=3)
+                try:
+                    await site.start(
+                        kind, (part, CHANNEL_BYTES_PER_S, PIECE_BYTES)
+                    )
+                    site.measure()
+                    await site.load(LOAD_S, kind, 3 * RATE_PER_S)
+                    self.check_others(site)
+                finally:
+                    await site.close()
+
+
+class TestEndlessAnswersOfTheStore(IsolatedAsyncioTestCase):
+    async def test_answer_of_the_store_without_end_fails_its_call(self):
+        for part in PLAIN_PARTS:
+            with self.subTest(part=part):
+                await self.check(Flood(part, LINK_BYTES_PER_S, PIECE_BYTES))
+
+    async def check(self, flood):
+        server = await asyncio.start_server(flood.serve, '127.0.0.1', 0)
+        address = Address(*server.sockets[0].getsockname()[:2])
+        budget = ReceiveBudget()
+        client = StoreClient(
+            address, platform_vocabulary().store, Mock(), Mock(), budget
+        )
+        answer = await client.call('x', HttpCall('GET', '/'))
+        self.assertIsInstance(answer, StoreFailure)
+        self.assertEqual(budget.held_bytes, 0)
+        server.close()
+
+
 class TestEndlessAnswersOnManyChannels(EndlessAnswersTest):
     async def test_flood_on_many_channels_costs_no_other_request(self):
         floods = (
--- a/tests/utils/flooded_site.py
+++ b/tests/utils/flooded_site.py
@@ -49,23 +49,25 @@
 
 class FloodedSite:
     """
-    A gateway before sound replicas of one service, and a service that may
-    have a flooding replica.
+    Gateways before sound replicas of one service, and a service that may have
+    a flooding replica.
 
     :ivar answers: outcomes of requests by service.
-    :ivar max_delay_s: the longest time that the gateway's event loop needed
-        for an answer of its own.
+    :ivar max_delay_s: the longest time that a gateway's event loop needed for an
+        answer of its own.
     :ivar max_answer_s: the longest time until a sound answer.
-    :ivar grown_bytes: how much memory the gateway took beyond what it had.
+    :ivar grown_bytes: how much memory a gateway took beyond what it had, at
+        most.
     """
 
-    def __init__(self, has_sound_replicas=True):
+    def __init__(self, has_sound_replicas=True, size=1):
         self.world = InProcessPlatform()
         self.answers = {'sound': Counter(), 'flooded': Counter()}
         self.max_delay_s = 0
         self.max_answer_s = 0
         self.grown_bytes = 0
-        self.gateway = None
+        self.gateways = []
+        self._size = size
         self._has_sound_replicas = has_sound_replicas
         self._folder = tempfile.TemporaryDirectory()
         self._floods = []
@@ -73,7 +75,7 @@
 
     async def start(self, kind='safe', flood=()):
         """
-        Start the gateway before sound replicas.
+        Start the gateways before sound replicas.
 
         :param kind: of the requests to the service that may be flooded.
         :param flood: what its flooding replica sends, if there is one.
@@ -91,10 +93,17 @@
             # Paths prefer the fastest engine, which will be the flooding one.
             for engine in _engines(self.world):
                 engine.pace = SOUND_PACE
-        self.gateway = GatewayProcess(
-            0, ROOT, self._folder.name, self.world.store.server.address, ()
-        )
-        await self._wait_until_ready()
+        for number in range(self._size):
+            seeds = [f'{each.ip}:{PORTS["control"]}' for each in self.gateways]
+            gateway = GatewayProcess(
+                number,
+                ROOT,
+                self._folder.name,
+                self.world.store.server.address,
+                seeds,
+            )
+            self.gateways.append(gateway)
+            await self._wait_until_ready(gateway)
 
     def start_callers(self, part, count, bytes_per_s, piece_bytes):
         """
@@ -102,7 +111,7 @@
 
         :param count: of their connections.
         """
-        front = self.gateway.front
+        front = self.gateways[0].front
         self._floods.append(
             _start_process(
                 'flooding_caller',
@@ -125,19 +134,22 @@
             process.kill()
             process.wait()
             process.stdout.close()
-        self.gateway.kill()
+        for gateway in self.gateways:
+            gateway.kill()
         await self.world.close()
         self._folder.cleanup()
 
     def measure(self):
         """
-        Begin to measure the gateway's memory and the delay of its loop.
+        Begin to measure the gateways' memory and the delay of their loops.
         """
-        pid = self.gateway.process.pid
-        self._monitors = [
-            asyncio.create_task(self._watch_memory(pid, _resident_bytes(pid))),
-            asyncio.create_task(self._watch_delay()),
-        ]
+        for gateway in self.gateways:
+            before = _resident_bytes(gateway.process.pid)
+            for watching in (
+                self._watch_memory(gateway, before),
+                self._watch_delay(gateway),
+            ):
+                self._monitors.append(asyncio.create_task(watching))
 
     async def load(self, seconds, kind=None, rate_per_s=RATE_PER_S):
         """
@@ -151,10 +163,11 @@
         for number in range(int(seconds * rate_per_s)):
             due_at = started_at + number / rate_per_s
             await asyncio.sleep(max(0, due_at - monotonic_s()))
-            sent.append(asyncio.create_task(self._send('sound', '/calm/x')))
+            gateway = self.gateways[number % self._size]
+            sending = [self._send(gateway, 'sound', '/calm/x')]
             if kind:
-                path = PATHS[kind]
-                sent.append(asyncio.create_task(self._send('flooded', path)))
+                sending.append(self._send(gateway, 'flooded', PATHS[kind]))
+            sent.extend(map(asyncio.create_task, sending))
         await asyncio.gather(*sent)
 
     async def _start_flood(self, kind, flood):
@@ -173,13 +186,13 @@
             'keyed.servers', 'flooding', json.dumps(entry).encode()
         )
 
-    async def _send(self, service, path):
+    async def _send(self, gateway, service, path):
         headers = {'Mallowcrank_Deadline_Ms': str(TIMEOUT_MS)}
         if path == PATHS['stream']:
             headers.update(TOKENS)
         sent_at = monotonic_s()
         try:
-            channel = await self.world.connect(self.gateway.front)
+            channel = await self.world.connect(gateway.front)
         except OSError:
             self.answers[service]['unreached'] += 1
             return
@@ -188,38 +201,40 @@
         if service == 'sound':
             self.max_answer_s = max(self.max_answer_s, monotonic_s() - sent_at)
 
-    async def _watch_memory(self, pid, before):
+    async def _watch_memory(self, gateway, before):
         while True:
-            resident = _resident_bytes(pid)
+            resident = _resident_bytes(gateway.process.pid)
             self.grown_bytes = max(self.grown_bytes, resident - before)
             if resident > MEMORY_LIMIT:
-                self.gateway.kill()
+                gateway.kill()
                 return
             await asyncio.sleep(PROBE_INTERVAL_S)
 
-    async def _watch_delay(self):
+    async def _watch_delay(self, gateway):
         while True:
             asked_at = monotonic_s()
-            await self._ask_ready()
+            await self._ask_ready(gateway)
             self.max_delay_s = max(self.max_delay_s, monotonic_s() - asked_at)
             await asyncio.sleep(PROBE_INTERVAL_S)
 
-    async def _wait_until_ready(self):
+    async def _wait_until_ready(self, gateway):
         async with asyncio.timeout(START_S):
-            while await self._ask_ready() != 200 or not await self._is_served():
+            while await self._ask_ready(gateway) != 200:
+                await asyncio.sleep(PROBE_INTERVAL_S)
+            while not await self._is_served(gateway):
                 await asyncio.sleep(PROBE_INTERVAL_S)
 
-    async def _is_served(self):
-        channel = await self.world.connect(self.gateway.front)
+    async def _is_served(self, gateway):
+        channel = await self.world.connect(gateway.front)
         self.world.send(channel, '/calm/x')
         response = await self.world.read(channel)
         channel.close()
         return response.status == 200
 
-    async def _ask_ready(self):
+    async def _ask_ready(self, gateway):
         try:
             channel = await self.world.connect(
-                Address(self.gateway.ip, PORTS['ready'])
+                Address(gateway.ip, PORTS['ready'])
             )
         except OSError:
             return 0
