Count requests that were read ahead with their heads

Only their bodies counted against the budget: sixteen heads of 16 KB on each connection, and the objects that hold them, did not. The new test failed before.

--- a/mallowcrank/gateway/caller_channel.py
+++ b/mallowcrank/gateway/caller_channel.py
@@ -117,6 +117,17 @@
         """
         return self.target.partition(b'?')[2].decode('latin-1')
 
+    @property
+    def size_bytes(self) -> int:
+        """
+        Return the memory that it takes.
+        """
+        headers = sum(
+            len(name) + len(field_value) + HEADER_OVERHEAD_BYTES
+            for name, field_value in self.headers
+        )
+        return len(self.target) + headers + len(self.body)
+
 
 RequestHandler = Callable[[CallerRequest, 'ResponseWriter'], Awaitable[None]]
 ErrorHandler = Callable[[CallerRequest, Exception], None]
@@ -546,7 +557,7 @@
         if self.is_lost or self._transport is None:
             return
         held_bytes = self._reader.held_bytes
-        held_bytes += sum(len(each.body) for each in self._pending)
+        held_bytes += sum(each.size_bytes for each in self._pending)
         if self._writable:
             held_bytes += self._transport.get_write_buffer_size()
         self._holding.resize(held_bytes)
--- a/tests/test_caller_channel.py
+++ b/tests/test_caller_channel.py
@@ -164,6 +164,13 @@
         self.assertTrue(self.transport.is_aborted)
         self.assertEqual(self.channels.budget.held_bytes, 0)
 
+    async def test_requests_read_ahead_count_with_their_heads(self):
+        self.releases.append(asyncio.get_running_loop().create_future())
+        await self.feed(GET)
+        self.assertEqual(self.channels.budget.held_bytes, 0)
+        await self.feed(GET * 3)
+        self.assertGreater(self.channels.budget.held_bytes, 3 * len(GET))
+
     async def test_served_request_holds_nothing(self):
         await self.feed(post(b'Content-Length: 50', b'x' * 50))
         self.assertEqual(self.statuses(), [200])
