Bound the reports of targets before they are decoded

A target whose report was 7 MB of empty objects, permitted by the bound on bodies of 16 MB, took 215 MB of the gateway's memory and kept its event loop for 0.35 s; one of 12 MB 370 MB and 0.7 s (one trial each, over loopback, within the 60 ms that a report may take).

Cause: a report is decoded as a whole, and what it decodes to isn't bounded by the budget for received bytes.

A report that is longer than 256 KB is broken off, and counts as none. The new test fails without the bound.

--- a/mallowcrank/gateway/prober.py
+++ b/mallowcrank/gateway/prober.py
@@ -27,6 +27,7 @@
 from mallowcrank.gateway.unexpected_errors import UnexpectedErrors
 
 REPORT_TIMEOUT_S = 0.06  # a report takes some milliseconds, more when slow
+MAX_REPORT_BYTES = 262_144
 LATE_ANSWER_GRACE_S = 0.01  # for answers that arrived during a freeze
 RETRY_DELAY_S = 0.025  # before a second request for the same report
 SUSPECT_INTERVAL_S = 0.25
@@ -153,7 +154,12 @@
         call = self._vocabulary.report_call(target.identity)
         sent_at = monotonic_s()
         try:
-            answer = await fetch_over(channel, call, REPORT_TIMEOUT_S)
+            answer = await fetch_over(
+                channel,
+                call,
+                REPORT_TIMEOUT_S,
+                max_body_bytes=MAX_REPORT_BYTES,
+            )
         finally:
             self._pool.release(channel)
         if not isinstance(answer, Response):
--- a/mallowcrank/gateway/target_channel.py
+++ b/mallowcrank/gateway/target_channel.py
@@ -334,7 +334,10 @@
         return event
 
     async def read_response(
-        self, timeout_s: float, transfer_s: float = 0
+        self,
+        timeout_s: float,
+        transfer_s: float = 0,
+        max_body_bytes: int = MAX_BODY_BYTES,
     ) -> Response | ChannelBroken | ReadTimeout:
         """
         Read a complete response; close the channel if that fails.
@@ -342,6 +345,7 @@
         :param timeout_s: for the complete response.
         :param transfer_s: further seconds once the head has come, as long as
             no pause takes more than `MAX_STALL_S`.
+        :param max_body_bytes: at which the channel is broken off.
         """
         deadline_at = monotonic_s() + timeout_s
         max_pause_s = inf
@@ -359,7 +363,7 @@
                 case BodyChunk():
                     body += event.data
                     self.keep(len(body))
-                    if len(body) > MAX_BODY_BYTES:
+                    if len(body) > max_body_bytes:
                         self.break_off(Part.BODY)
                 case ResponseEnd():
                     self.keep(0)
@@ -609,19 +613,21 @@
     call: HttpCall,
     timeout_s: float,
     transfer_s: float = 0,
+    max_body_bytes: int = MAX_BODY_BYTES,
 ) -> Response | ChannelBroken | ReadTimeout:
     """
     Make one call over a channel.
 
     :param timeout_s: for the complete response.
     :param transfer_s: further seconds once its head has come.
+    :param max_body_bytes: of the response; a longer one is broken off.
     """
     host = (b'Host', str(channel.address).encode())
     headers = (host, *call.headers)
     channel.send(
         encode_request(call.method, call.path.encode(), headers, call.body)
     )
-    return await channel.read_response(timeout_s, transfer_s)
+    return await channel.read_response(timeout_s, transfer_s, max_body_bytes)
 
 
 def encode_request(
--- a/tests/test_target_channel.py
+++ b/tests/test_target_channel.py
@@ -7,9 +7,12 @@
 
 import asyncio
 from unittest import IsolatedAsyncioTestCase
+from unittest.mock import Mock, patch
 
 from mallowcrank.gateway.clock import monotonic_s
 from mallowcrank.gateway.event_buffer import EventBuffer, count_events
+from mallowcrank.gateway.ports import HttpCall
+from mallowcrank.gateway.prober import MAX_REPORT_BYTES, Prober
 from mallowcrank.gateway.receiving import MEMORY_SHARE, Part, ReceiveBudget
 from mallowcrank.gateway.settings import Address
 from mallowcrank.gateway.target_channel import (
@@ -19,6 +22,7 @@
     MAX_HEAD_BYTES,
     BodyChunk,
     ChannelBroken,
+    ChannelPool,
     ReadTimeout,
     ResponseEnd,
     ResponseHead,
@@ -231,8 +235,7 @@
             broken = await self.channel.next_event(0)
         self.assertIs(broken.excess.part, part)
         self.assertEqual(self.reports, [broken.excess])
-        self.assertEqual(self.budget.held_bytes, 0)
-        self.assertFalse(self.channel.is_reusable)
+        self.check_ended(part)
 
     def flood(self, piece, max_bytes=2 * MAX_HEAD_BYTES):
         for _ in range(max_bytes // len(piece)):
@@ -339,6 +342,30 @@
         broken = await reading
         self.assertIs(broken.excess.part, Part.SHARE)
 
+    async def test_long_report_is_broken_off_before_it_is_decoded(self):
+        pool = ChannelPool(self.budget)
+        vocabulary = Mock()
+        vocabulary.report_call.return_value = HttpCall('GET', '/report')
+        prober = Prober(Mock(), pool, vocabulary, Mock(), Mock(), Mock())
+        with patch.object(pool, 'take_idle', return_value=self.channel):
+            reading = asyncio.create_task(prober.fetch_report(Mock()))
+            await asyncio.sleep(0)
+        body = b'{"a":[%b{}]}' % (b'{},' * (MAX_REPORT_BYTES // 3))
+        for start in range(0, len(body), MAX_HEAD_BYTES):
+            piece = body[start : start + MAX_HEAD_BYTES]
+            if not start:
+                piece = response(body)[: -len(body)] + piece
+            self.channel.data_received(piece)
+            await asyncio.sleep(0)
+        self.assertIn('no report', await reading)
+        vocabulary.read_report.assert_not_called()
+        self.check_ended(Part.BODY)
+
+    def check_ended(self, part):
+        self.assertEqual([each.part for each in self.reports], [part])
+        self.assertEqual(self.budget.held_bytes, 0)
+        self.assertFalse(self.channel.is_reusable)
+
     async def test_ended_answer_holds_nothing(self):
         self.channel.data_received(response())
         await self.channel.read_response(0)
