Release requests that wait behind another one when they are served

Cause: nothing was counted anew when the next request got to its handler.

The new test fails before. It replaces the one of requests that were read ahead, and checks as well that they count with their heads and bodies.

--- a/mallowcrank/gateway/caller_channel.py
+++ b/mallowcrank/gateway/caller_channel.py
@@ -573,6 +573,7 @@
 
     def _serve_next(self) -> None:
         request = self._pending.popleft()
+        self._count_held()
         response = ResponseWriter(self, request)
         self._serve_task = asyncio.get_running_loop().create_task(
             self._shared.serve(request, response)
--- a/tests/test_caller_channel.py
+++ b/tests/test_caller_channel.py
@@ -11,7 +11,7 @@
 from mallowcrank.gateway.caller_channel import CallerChannels
 from mallowcrank.gateway.clock import monotonic_s
 from mallowcrank.gateway.desired import Limits
-from mallowcrank.gateway.receiving import MEMORY_SHARE
+from mallowcrank.gateway.receiving import HEADER_OVERHEAD_BYTES, MEMORY_SHARE
 from tests.utils.fake_transport import FakeTransport
 
 GET = b'GET /a/b?c=d HTTP/1.1\r\nHost: shop.example\r\nX-Own: 1\r\n\r\n'
@@ -164,18 +164,28 @@
         self.assertTrue(self.transport.is_aborted)
         self.assertEqual(self.channels.budget.held_bytes, 0)
 
-    async def test_requests_read_ahead_count_with_their_heads(self):
-        self.releases.append(asyncio.get_running_loop().create_future())
-        await self.feed(GET)
-        self.assertEqual(self.channels.budget.held_bytes, 0)
-        await self.feed(GET * 3)
-        self.assertGreater(self.channels.budget.held_bytes, 3 * len(GET))
-
     async def test_served_request_holds_nothing(self):
         await self.feed(post(b'Content-Length: 50', b'x' * 50))
         self.assertEqual(self.statuses(), [200])
         self.assertEqual(self.channels.budget.held_bytes, 0)
 
+    async def test_requests_behind_another_one_count_with_their_heads(self):
+        self.releases = [asyncio.get_running_loop().create_future()]
+        release = self.releases[0]
+        await self.feed(GET)
+        self.assertEqual(self.channels.budget.held_bytes, 0)
+        headers = b'%bContent-Length: 50' % (b'A: b\r\n' * 30)
+        await self.feed(2 * post(headers, b'x' * 50))
+        self.assertGreater(
+            self.channels.budget.held_bytes,
+            2 * (50 + 30 * HEADER_OVERHEAD_BYTES),
+        )
+        release.set_result(None)
+        await self.settle()
+        await self.settle()
+        self.assertEqual(self.statuses(), [200, 200, 200])
+        self.assertEqual(self.channels.budget.held_bytes, 0)
+
     async def test_slow_head_is_rejected_and_idle_channel_closed(self):
         self.channel.check_time(monotonic_s() + 14, LIMITS)
         self.assertFalse(self.transport.is_closed)
