Reuse no channel on which more than its answer may have come

A replica or a store that sends a second answer behind one which ends with a full slice had it taken for the answer to the next request on that channel, where nothing matches answers to requests: reports, calls of the store, calls that another gateway sends.

Cause: since connections are read in slices of 16 KB, the second answer is left in the socket, and the channel is taken for idle.

A channel whose answer ends with a full slice isn't reused. The new test fails before.

--- a/mallowcrank/gateway/target_channel.py
+++ b/mallowcrank/gateway/target_channel.py
@@ -433,7 +433,9 @@
         if self._is_skipped:
             self._is_skipped = False
         elif self._is_pending and self._parser.get_status_code() >= 200:
-            self._keep_alive = self._parser.should_keep_alive()
+            # More than a slice may have come: bytes that answer no request.
+            has_more = self._awaits_turn
+            self._keep_alive = self._parser.should_keep_alive() and not has_more
             self._complete()
 
     def _begin_head(self) -> None:
--- a/tests/test_target_channel.py
+++ b/tests/test_target_channel.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+from io import BytesIO
 from unittest import IsolatedAsyncioTestCase
 from unittest.mock import Mock, patch
 
@@ -13,7 +14,12 @@
 from mallowcrank.gateway.event_buffer import EventBuffer, count_events
 from mallowcrank.gateway.ports import HttpCall
 from mallowcrank.gateway.prober import MAX_REPORT_BYTES, Prober
-from mallowcrank.gateway.receiving import MEMORY_SHARE, Part, ReceiveBudget
+from mallowcrank.gateway.receiving import (
+    MEMORY_SHARE,
+    SLICE_BYTES,
+    Part,
+    ReceiveBudget,
+)
 from mallowcrank.gateway.settings import Address
 from mallowcrank.gateway.target_channel import (
     HIGH_WATER_BYTES,
@@ -110,6 +116,20 @@
         self.assertIsInstance((await self.events())[-1], ResponseEnd)
         self.assertFalse(self.channel.is_reusable)
 
+    async def test_channel_that_may_hold_more_bytes_is_not_reusable(self):
+        for more, is_reusable in ((0, False), (-1, True)):
+            with self.subTest(more=more):
+                self.setUp()
+                self.ask()
+                length = SLICE_BYTES + more
+                # As many digits as the length of the whole.
+                head_bytes = len(response(bytes(10_000))) - 10_000
+                raw = response(bytes(length - head_bytes))
+                BytesIO(raw).readinto(self.channel.get_buffer(-1))
+                self.channel.buffer_updated(length)
+                self.assertIsInstance((await self.events())[-1], ResponseEnd)
+                self.assertEqual(self.channel.is_reusable, is_reusable)
+
     async def test_unsolicited_bytes_close_the_channel(self):
         self.ask()
         self.channel.data_received(response())
