Count nothing for idle channels

An engine that refuses a stream, or fails, with a body of 100 KB counted with 100 KB on after that, as long as its channel was idle (one trial): up to 1 MB for each of 32 idle channels, for which others are broken off.

Cause: a stream counts the body of an error as kept by its reader, and nothing releases it when the answer has ended and the channel is given back.

The new test fails before.

--- a/mallowcrank/gateway/target_channel.py
+++ b/mallowcrank/gateway/target_channel.py
@@ -583,6 +583,7 @@
         """
         idle = self._idle.setdefault(channel.address, [])
         if channel.is_reusable and len(idle) < MAX_IDLE:
+            channel.keep(0)
             idle.append(channel)
         else:
             channel.close()
--- a/tests/test_target_channel.py
+++ b/tests/test_target_channel.py
@@ -362,6 +362,17 @@
         broken = await reading
         self.assertIs(broken.excess.part, Part.SHARE)
 
+    async def test_idle_channel_holds_nothing(self):
+        self.channel.data_received(response())
+        while not self.channel.is_reusable:
+            event = await self.channel.next_event(0)
+            if isinstance(event, BodyChunk):
+                self.channel.keep(len(event.data))
+        self.assertEqual(self.budget.held_bytes, len(b'whole'))
+        ChannelPool(self.budget).release(self.channel)
+        self.assertTrue(self.channel.is_reusable)
+        self.assertEqual(self.budget.held_bytes, 0)
+
     async def test_long_report_is_broken_off_before_it_is_decoded(self):
         pool = ChannelPool(self.budget)
         vocabulary = Mock()
