Break a caller with untaken answers off once, and with them

Cause: it was refused with an error behind its answers. Writing that counts what is unsent, which exceeds the budget again; and the connection isn't closed until all is taken.

A caller with unsent answers loses the connection at once. The new test fails before with RecursionError.

--- a/mallowcrank/gateway/caller_channel.py
+++ b/mallowcrank/gateway/caller_channel.py
@@ -460,10 +460,11 @@
     def break_off(self, part: Part) -> None:
         """
         Close the connection, as its caller holds too much; refuse the request
-        that is being read.
+        that is being read, unless answers wait to be taken before.
         """
         self._holding.break_off(part)
-        if self._serve_task or not self._reader.has_begun:
+        is_served = self._serve_task or self._unsent_bytes
+        if is_served or not self._reader.has_begun:
             self.abort()
         elif self._reader.has_head:
             self._send_error(HTTPStatus.REQUEST_ENTITY_TOO_LARGE)
@@ -549,6 +550,10 @@
         if now - self._reader.began_at > timeout_s:
             self._send_error(HTTPStatus.REQUEST_TIMEOUT)
 
+    @property
+    def _unsent_bytes(self) -> int:
+        return self._transport.get_write_buffer_size() if self._transport else 0
+
     def _count_held(self) -> None:
         """
         Count what the caller has sent and isn't served yet, and what it has
@@ -559,7 +564,7 @@
         held_bytes = self._reader.held_bytes
         held_bytes += sum(each.size_bytes for each in self._pending)
         if self._writable:
-            held_bytes += self._transport.get_write_buffer_size()
+            held_bytes += self._unsent_bytes
         self._holding.resize(held_bytes)
 
     def _send_error(self, status: int) -> None:
--- a/tests/test_caller_channel.py
+++ b/tests/test_caller_channel.py
@@ -11,7 +11,11 @@
 from mallowcrank.gateway.caller_channel import CallerChannels
 from mallowcrank.gateway.clock import monotonic_s
 from mallowcrank.gateway.desired import Limits
-from mallowcrank.gateway.receiving import HEADER_OVERHEAD_BYTES, MEMORY_SHARE
+from mallowcrank.gateway.receiving import (
+    HEADER_OVERHEAD_BYTES,
+    MEMORY_SHARE,
+    Part,
+)
 from tests.utils.fake_transport import FakeTransport
 
 GET = b'GET /a/b?c=d HTTP/1.1\r\nHost: shop.example\r\nX-Own: 1\r\n\r\n'
@@ -164,6 +168,19 @@
         self.assertTrue(self.transport.is_aborted)
         self.assertEqual(self.channels.budget.held_bytes, 0)
 
+    async def test_caller_with_untaken_answers_is_broken_off_once(self):
+        reports = []
+        self.channels.budget.report = reports.append
+        self.channels.budget.limit(1000 * MEMORY_SHARE)
+        await self.feed(GET)
+        self.channel.pause_writing()
+        self.transport.buffered = 1001
+        await self.feed(b'GET / HTTP/1.1\r\nLong: ')
+        self.assertEqual([each.part for each in reports], [Part.SHARE])
+        self.assertTrue(self.transport.is_aborted)
+        self.assertEqual(self.statuses(), [200])
+        self.assertEqual(self.channels.budget.held_bytes, 0)
+
     async def test_served_request_holds_nothing(self):
         await self.feed(post(b'Content-Length: 50', b'x' * 50))
         self.assertEqual(self.statuses(), [200])
