Count sends that wait for their channel against the attempts of a route

The route of that test allows three attempts, but the proxy, which may send a call once, had sent it twice.

Cause: a call counts as sent once it is written to its channel. A repeatable call whose target has been silent for 0.35 s goes to another one beside it if the sends counted so far are fewer than the route allows. If the loop is late by so much between the choice of a target and the send over a new channel, the first attempt isn't counted yet, so another target is chosen, and both are sent to. This happens without a proxy, too, at the last attempt of a route.

Fix: attempts in progress that are not sent yet count for whether another may be sent beside them. They are sent or end within the time limit of a connect, 0.25 s; a call whose attempts have all ended is sent on as before.

--- a/mallowcrank/gateway/call.py
+++ b/mallowcrank/gateway/call.py
@@ -127,15 +127,17 @@
         self._digest = digest.hexdigest()
         return self._digest
 
-    def may_retry(self) -> bool:
+    def may_retry(self, unsent: int = 0) -> bool:
         """
         Return whether the deadline and the route allow another send.
+
+        :param unsent: number of sends that are decided and not made yet.
         """
         if self.remaining_s() <= 0 or self.response.has_ended:
             return False
         if self.sends and self.route.repeat is Repeat.ONCE:
             return False
-        return self.sends < self.max_sends
+        return self.sends + unsent < self.max_sends
 
     def record_send(self, now: float) -> None:
         """
--- a/mallowcrank/gateway/plain_attempts.py
+++ b/mallowcrank/gateway/plain_attempts.py
@@ -13,7 +13,7 @@
 from mallowcrank.gateway.core import Core
 from mallowcrank.gateway.desired import Repeat
 from mallowcrank.gateway.outcomes import UNSEALED, NoResponse
-from mallowcrank.gateway.plain_proxying import pass_on
+from mallowcrank.gateway.plain_proxying import open_proxy, pass_on
 from mallowcrank.gateway.ports import ForwardFields
 from mallowcrank.gateway.proxies import Proxy
 from mallowcrank.gateway.target_channel import (
@@ -40,6 +40,7 @@
 
     :param retry: its place in the retry budget; none for the first send.
     :param sent_at: steady time, in seconds.
+    :param is_sent: whether its call counts it as a send.
     :param is_silent: whether no answer has come for so long that the call is
         sent to another target, too.
     """
@@ -47,6 +48,7 @@
     way: ClaimedTarget | Proxy
     retry: SentRequest | None
     sent_at: float = 0
+    is_sent: bool = False
     is_silent: bool = False
 
     @property
@@ -75,14 +77,20 @@
         Send a call, and read the answer until its deadline.
         """
         if isinstance(attempt.way, Proxy):
-            arrivals = call.arrivals
-            result = await pass_on(self._core, call, attempt.way)
-            if call.arrivals == arrivals:
-                self._core.cancel_retry(call.service.name, attempt.retry)
-            return result
+            return await self._attempt_proxy(call, attempt.way, attempt)
         call.avoided.add(attempt.way.target.lifetime)
         return await self._attempt_target(call, attempt.way, attempt)
 
+    async def _attempt_proxy(
+        self, call: Call, proxy: Proxy, attempt: Attempt
+    ) -> Response | NoResponse:
+        channel = await open_proxy(self._core, call, proxy)
+        if isinstance(channel, NoResponse):
+            self._core.cancel_retry(call.service.name, attempt.retry)
+            return channel
+        attempt.is_sent = True
+        return await pass_on(self._core, call, proxy, channel)
+
     async def _attempt_target(
         self, call: Call, claimed: ClaimedTarget, attempt: Attempt
     ) -> Response | NoResponse:
@@ -135,6 +143,7 @@
             ),
         )
         call.record_send(monotonic_s())
+        attempt.is_sent = True
         attempt.sent_at = call.sent_at
         self._core.meters.sends.labels(call.kind, str(call.sends)).inc()
         channel.send(
--- a/mallowcrank/gateway/plain_calls.py
+++ b/mallowcrank/gateway/plain_calls.py
@@ -132,7 +132,7 @@
             )
             if done:
                 return done.pop()
-            if self._may_send_beside(call):
+            if self._may_send_beside(call, attempts):
                 self._handle_silence(last)
                 return None
             pause_s = CHECK_INTERVAL_S
@@ -149,12 +149,15 @@
             self._core.prober.probe((target.lifetime,))
             self._core.pool.close_idle(target.address)
 
-    def _may_send_beside(self, call: Call) -> bool:
+    def _may_send_beside(self, call: Call, attempts: Attempts) -> bool:
         """
         Return whether a call may go to another target beside a silent one.
+
+        An attempt that still waits for its channel may be sent, too.
         """
+        unsent = sum(not each.is_sent for each in attempts.values())
         usage = self._core.retry_usage(call.service.name)
-        if not self._may_retry(call) or not usage.has_room:
+        if not self._may_retry(call, unsent) or not usage.has_room:
             return False
         is_stuck = self._chooser.are_all_unresponsive(call)
         has_proxy = self._core.proxies.find(call, is_stuck) is not None
@@ -207,8 +210,8 @@
             return await self._core.check_crash(call, lifetime, attempt.sent_at)
         return True
 
-    def _may_retry(self, call: Call) -> bool:
-        return call.refusals <= MAX_REFUSALS and call.may_retry()
+    def _may_retry(self, call: Call, unsent: int = 0) -> bool:
+        return call.refusals <= MAX_REFUSALS and call.may_retry(unsent)
 
     def _finish(self, call: Call, result: Response | NoResponse) -> None:
         if isinstance(result, Response):
--- a/mallowcrank/gateway/plain_proxying.py
+++ b/mallowcrank/gateway/plain_proxying.py
@@ -18,14 +18,15 @@
     ConnectFailure,
     ReadTimeout,
     Response,
+    TargetChannel,
 )
 
 
-async def pass_on(
+async def open_proxy(
     core: Core, call: Call, proxy: Proxy
-) -> Response | NoResponse:
+) -> TargetChannel | NoResponse:
     """
-    Let another gateway send a call.
+    Return a channel to another gateway, over which a call can be passed on.
     """
     may_repeat = call.route.repeat is Repeat.ANY
     channel = await core.proxies.open(call, proxy, may_reuse=may_repeat)
@@ -33,6 +34,15 @@
         call.refusals += 1
         reason = f'unreached: {proxy.host}: {channel.reason}'
         return NoResponse(reason, may_have_run=False)
+    return channel
+
+
+async def pass_on(
+    core: Core, call: Call, proxy: Proxy, channel: TargetChannel
+) -> Response | NoResponse:
+    """
+    Let another gateway send a call.
+    """
     try:
         core.proxies.send(call, channel)
         response = await channel.read_response(call.remaining_s())
