Count a send beside one that waits for its channel as a retry

Seen: nothing by callers; beside a load targets may get more repeated calls than the retry budget allows.

Cause: a send counts as a retry if its call has been sent before. A first send that still waits for its channel after 0.35 s, as the loop is late, isn't counted yet, so that the send beside it is taken for the first one. Then both are made, and none counts as a retry.

Evidence: test_sends_beside_late_ones_do_not_exceed_the_budget makes six calls whose channels take 0.5 s, where one retry is allowed: 12 sends before, 7 now.

Fix: a send beside an attempt in progress counts as a retry. If the first attempt gets no channel then, one retry too many is counted; a connect that ends in time, within 0.25 s, ends before another attempt is made beside it.

--- a/mallowcrank/gateway/plain_calls.py
+++ b/mallowcrank/gateway/plain_calls.py
@@ -94,7 +94,7 @@
                 attempts[task] = claimed
             ended = await self._next_ended(call, attempts, may_resend)
             if ended is None:
-                claimed = await self._claim_attempt(call)
+                claimed = await self._claim_attempt(call, is_beside=True)
                 continue
             claimed = None
             attempt = attempts.pop(ended)
@@ -163,12 +163,17 @@
         has_proxy = self._core.proxies.find(call, is_stuck) is not None
         return has_proxy or self._chooser.has_ready(call)
 
-    async def _claim_attempt(self, call: Call) -> Attempt | Denial | None:
+    async def _claim_attempt(
+        self, call: Call, is_beside: bool = False
+    ) -> Attempt | Denial | None:
         """
         Choose where to send a call next, if the retry budget allows it.
+
+        :param is_beside: whether another attempt is in progress, which may
+            still wait for its channel.
         """
         retry: SentRequest | None = None
-        if call.arrivals:
+        if call.arrivals or is_beside:
             retry = self._core.claim_retry(call.service.name)
             if retry is None:
                 return None
--- a/tests/test_gateway_retries.py
+++ b/tests/test_gateway_retries.py
@@ -27,6 +27,7 @@
 from mallowcrank.gateway.targets import Lifetime, Target
 
 CALLS = 6
+LATE_S = 0.5  # longer than a target may be silent
 # A fifth is kept back, so that one retry is allowed.
 BOUNDS = Bounds(
     grace_s=8,
@@ -74,6 +75,7 @@
     def setUp(self):
         self.sent = []
         self.is_reachable = True
+        self.connect_s = 0.01
         fleet = Mock(entries_read_at=0)
         fleet.accepting_targets.return_value = [replica(1), replica(2)]
         fleet.health.unresponsive.return_value = {}
@@ -105,7 +107,7 @@
         self.service = PlainCalls(self.core)
 
     async def connect(self, address):
-        await asyncio.sleep(0.01)
+        await asyncio.sleep(self.connect_s)
         if not self.is_reachable:
             return ConnectFailure('refused', is_refused=True)
         return BrokenChannel(self.sent)
@@ -146,6 +148,12 @@
         await self.serve_all()
         self.assertEqual(len(self.sent), CALLS + 1)
 
+    async def test_sends_beside_late_ones_do_not_exceed_the_budget(self):
+        self.connect_s = LATE_S
+        await self.serve_all()
+        self.assertEqual(len(self.sent), CALLS + 1)
+        self.assertEqual(self.core.retry_usage('stock').retries, 1)
+
     async def test_request_that_had_run_for_long_is_not_suspected(self):
         self.core.prober.verify_loss.return_value = True
         call = self.call()
