Count all that callers haven't taken of their answers

Cause: what is unsent was counted only while it exceeds the level at which relaying pauses, since nothing tells when less than that has been taken.

It counts from the first byte. The new test fails before.

--- a/mallowcrank/gateway/caller_channel.py
+++ b/mallowcrank/gateway/caller_channel.py
@@ -364,12 +364,14 @@
         super().__init__(shared.budget)
         self._shared = shared
         self._holding = self._budget.open(self.break_off)
+        self._holding.measure = self._measure_held
         self._reader = _RequestReader(self)
         self._pending: deque[CallerRequest] = deque()
         self._serve_task: asyncio.Task[None] | None = None
         self._idle_since = monotonic_s()
         self._writable: asyncio.Future[None] | None = None
         self._is_closing = False
+        self._is_aborted = False
         self._error_status = 0
         self.has_announced_close = False
         self.is_lost = False
@@ -487,8 +489,7 @@
         """
         if self._transport and not self.is_lost:
             self._transport.write(data)
-            if self._writable:
-                self._count_held()
+            self._count_held()
 
     def close_after_answer(self) -> None:
         """
@@ -503,6 +504,7 @@
         Reset the connection and discard what is not sent.
         """
         self._is_closing = True
+        self._is_aborted = True
         self.set_linger(RESET_ON_CLOSE)
         if self._transport:
             self._transport.abort()
@@ -540,6 +542,7 @@
 
         :param now: monotonic time in seconds.
         """
+        self._count_held()
         if self._serve_task or self._pending:
             return
         if not self._reader.has_begun:
@@ -555,17 +558,18 @@
         return self._transport.get_write_buffer_size() if self._transport else 0
 
     def _count_held(self) -> None:
+        if not self.is_lost:
+            self._holding.resize(self._measure_held())
+
+    def _measure_held(self) -> int:
         """
-        Count what the caller has sent and isn't served yet, and what it has
-        not taken of the answers.
+        Return the size of what the caller has sent and isn't served yet, and
+        of what it has not taken of the answers.
         """
-        if self.is_lost or self._transport is None:
-            return
-        held_bytes = self._reader.held_bytes
-        held_bytes += sum(each.size_bytes for each in self._pending)
-        if self._writable:
-            held_bytes += self._unsent_bytes
-        self._holding.resize(held_bytes)
+        if self._is_aborted:
+            return 0
+        waiting_bytes = sum(each.size_bytes for each in self._pending)
+        return self._reader.held_bytes + waiting_bytes + self._unsent_bytes
 
     def _send_error(self, status: int) -> None:
         self._reader.discard()
--- a/mallowcrank/gateway/receiving.py
+++ b/mallowcrank/gateway/receiving.py
@@ -52,11 +52,14 @@
 
     :ivar peer: who has sent them, see `Excess`.
     :ivar held_bytes: how many there are.
+    :ivar measure: returns how many there are now, if some may have gone without
+        a word.
     """
 
     def __init__(
         self, budget: 'ReceiveBudget', end: Callable[[Part], None]
     ) -> None:
+        self.measure: Callable[[], int] | None = None
         self.peer = ''
         self.held_bytes = 0
         self._budget = budget
@@ -72,6 +75,19 @@
             self.held_bytes = held_bytes
             self._budget.count(self, grown)
 
+    def update(self) -> int:
+        """
+        Measure anew how many bytes are held.
+
+        :returns: by how many they have grown, or shrunk if negative.
+        """
+        if self.measure is None:
+            return 0
+        held_bytes = self.measure()
+        grown = held_bytes - self.held_bytes
+        self.held_bytes = held_bytes
+        return grown
+
     def break_off(self, part: Part) -> Excess:
         """
         Report what the peer has sent, and release the bytes that are held.
@@ -154,9 +170,17 @@
             asyncio.get_running_loop().call_soon(self._take_turns)
 
     def _enforce(self) -> None:
+        if self._held_bytes > self._capacity_bytes:
+            self._update_all()
         while self._holdings and self._held_bytes > self._capacity_bytes:
             self._find_largest().exhaust()
 
+    def _update_all(self) -> None:
+        for holding in tuple(self._holdings):
+            self._held_bytes += holding.update()
+            if not holding.held_bytes:
+                self._holdings.discard(holding)
+
     def _find_largest(self) -> Holding:
         """
         Return the largest holding of the peer that holds the most.
--- a/tests/test_caller_channel.py
+++ b/tests/test_caller_channel.py
@@ -168,6 +168,26 @@
         self.assertTrue(self.transport.is_aborted)
         self.assertEqual(self.channels.budget.held_bytes, 0)
 
+    async def test_few_untaken_bytes_count_until_they_are_taken(self):
+        self.channels.budget.limit(1000 * MEMORY_SHARE)
+        self.transport.buffered = 600
+        await self.feed(GET)
+        self.assertEqual(self.channels.budget.held_bytes, 600)
+        self.transport.buffered = 0
+        other = self.channels.new_channel()
+        other.connection_made(FakeTransport())
+        other._transport.buffered = 700
+        other.write(b'x')
+        self.assertEqual(self.channels.budget.held_bytes, 700)
+        self.transport.buffered = 600
+        self.channel.write(b'x')
+        self.assertTrue(other._transport.is_aborted)
+        self.assertFalse(self.transport.is_aborted)
+        self.assertEqual(self.channels.budget.held_bytes, 600)
+        self.transport.buffered = 0
+        self.channels.sweep()
+        self.assertEqual(self.channels.budget.held_bytes, 0)
+
     async def test_caller_with_untaken_answers_is_broken_off_once(self):
         reports = []
         self.channels.budget.report = reports.append
