Go on with a silent run whose event is long, or ends in two parts

Cause: reading pauses at 64 KB while nobody takes them, so that the end of a longer event never comes; and ends were searched in each part by itself.

Events are counted in all that is unread; a run of which no more is read goes on. The new test fails before.

--- a/mallowcrank/gateway/stream_run.py
+++ b/mallowcrank/gateway/stream_run.py
@@ -9,6 +9,7 @@
 from mallowcrank.gateway.event_buffer import count_events
 from mallowcrank.gateway.proxies import Proxy
 from mallowcrank.gateway.target_channel import (
+    HIGH_WATER_BYTES,
     BodyChunk,
     ChannelBroken,
     ResponseEnd,
@@ -58,12 +59,13 @@
         head = unread[0] if isinstance(unread[0], ResponseHead) else self.head
         if head is None or not begins_stream(head):
             return False
-        events = sum(
-            count_events(each.data)
-            for each in unread
-            if isinstance(each, BodyChunk)
+        body = b''.join(
+            each.data for each in unread if isinstance(each, BodyChunk)
         )
-        return events >= min_events or isinstance(unread[-1], ResponseEnd)
+        # No more is read of a run than that.
+        is_full = len(body) >= HIGH_WATER_BYTES
+        is_complete = isinstance(unread[-1], ResponseEnd)
+        return is_full or is_complete or count_events(body) >= min_events
 
 
 def begins_stream(head: ResponseHead) -> bool:
--- a/tests/test_target_channel.py
+++ b/tests/test_target_channel.py
@@ -21,6 +21,7 @@
     ReceiveBudget,
 )
 from mallowcrank.gateway.settings import Address
+from mallowcrank.gateway.stream_run import StreamRun
 from mallowcrank.gateway.target_channel import (
     HIGH_WATER_BYTES,
     HIGH_WATER_EVENTS,
@@ -397,6 +398,19 @@
         self.assertEqual(self.budget.held_bytes, 0)
         self.assertFalse(self.channel.is_reusable)
 
+    async def test_silent_run_goes_on_with_an_event_in_many_parts(self):
+        run = StreamRun(channel=self.channel)
+        self.channel.data_received(b'HTTP/1.1 200 OK\r\n\r\n')
+        self.channel.data_received(b'id: 1\n')
+        self.assertFalse(run.goes_on(1))
+        self.channel.data_received(b'\nid: 2')
+        self.assertTrue(run.goes_on(1))
+        self.assertFalse(run.goes_on(2))
+        while not self.channel._transport.is_paused:
+            self.assertFalse(run.goes_on(2))
+            self.channel.data_received(b'x' * 10_000)
+        self.assertTrue(run.goes_on(2))
+
     async def test_ended_answer_holds_nothing(self):
         self.channel.data_received(response())
         await self.channel.read_response(0)
