Refuse a request for its share of the memory as one that may be sent again

Of five proper uploads of 4 MB at once, each from an address of its own, one got 413 (one trial, 300 MB of memory and default limits), and was not told to try again. Another gateway whose connection was broken off for its share passed that 413, or 431, on to its caller as the target's answer.

Cause: a request for which the shared budget has no room got the status of one that exceeds its own bounds.

The test of both statuses asserts the new one, the Retry-After and that nothing was served; it fails before.

--- a/mallowcrank/gateway/caller_channel.py
+++ b/mallowcrank/gateway/caller_channel.py
@@ -41,8 +41,9 @@
     b'HTTP/1.1 %d %b\r\nContent-Length: 0\r\nConnection: close\r\n\r\n'
 )
 
-# To requests that were read after a response had said `Connection: close`; a
-# caller may send them again elsewhere, so they don't run here.
+# To requests that were read after a response had said `Connection: close`, or
+# for which there is no memory; a caller may send them again, here or elsewhere,
+# so they don't run here.
 UNSERVED_RESPONSE = (
     b'HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n'
     b'Retry-After: 0.05\r\nConnection: close\r\n\r\n'
@@ -468,10 +469,10 @@
         is_served = self._serve_task or self._unsent_bytes
         if is_served or not self._reader.has_begun:
             self.abort()
-        elif self._reader.has_head:
-            self._send_error(HTTPStatus.REQUEST_ENTITY_TOO_LARGE)
         else:
-            self._send_error(HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE)
+            self._reader.discard()
+            self.write(UNSERVED_RESPONSE)
+            self.close_after_answer()
 
     def accept(self, request: CallerRequest) -> None:
         """
--- a/tests/test_caller_channel.py
+++ b/tests/test_caller_channel.py
@@ -144,16 +144,20 @@
 
     async def test_caller_that_holds_the_most_of_the_budget_is_refused(self):
         cases = {
-            413: (post(b'Content-Length: 90', b'x' * 60),),
-            431: (b'GET / HTTP/1.1\r\nLong: ', b'x' * 120),
+            'body': (post(b'Content-Length: 90', b'x' * 60),),
+            'head': (b'GET / HTTP/1.1\r\nLong: ', b'x' * 120),
         }
-        for status, pieces in cases.items():
-            with self.subTest(status=status):
+        for part, pieces in cases.items():
+            with self.subTest(part=part):
                 self.setUp()
                 self.channels.budget.limit(100 * MEMORY_SHARE)
                 for piece in pieces:
                     await self.feed(piece)
-                self.assertEqual(self.statuses(), [status])
+                # Within its own bounds, it may be sent again.
+                self.assertEqual(self.statuses(), [503])
+                self.assertIn(b'Retry-After', self.transport.written)
+                self.assertTrue(self.transport.is_closed)
+                self.assertEqual(self.requests, [])
                 self.assertEqual(self.channels.budget.held_bytes, 0)
 
     async def test_answers_that_a_caller_does_not_take_count(self):
