Bound answers that HttpCaller reads as a whole

An answer is at most 16 MiB (a page of the log 64 MiB), whatever part of it its bytes belong to, and after decoding. A call's timeout is also its deadline; it was one without progress only. At a bound the call fails with an unknown outcome, and the connection is closed.

A peer that ends after 64 MB: all 64 MB were taken of a body without a length (kept and returned), a body in chunks, trailers and interim answers (the thread held for 2.1 s and 6.2 s); a length or a chunk size that is too large raised MemoryError; 62 KB of gzip became a body of 64 MB. A dribble held the thread for all of its 3 s, at a timeout of 0.5 s. Single headers and trailers, and many headers, were bounded before by http.client.

--- a/mallowcrank/calls.py
+++ b/mallowcrank/calls.py
@@ -6,15 +6,23 @@
 import time
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass, field
+from http.client import HTTPException
 from typing import Any
 
 from urllib3 import BaseHTTPResponse, HTTPConnectionPool, Timeout
+from urllib3.connection import HTTPConnection
 from urllib3.exceptions import (
     ConnectTimeoutError,
     HTTPError,
     NewConnectionError,
 )
 
+from mallowcrank.bounded_reading import (
+    MAX_ANSWER_BYTES,
+    BoundedAnswers,
+    Bounds,
+    read_body,
+)
 from mallowcrank.ports import Failure
 from mallowcrank.refusals import Ran
 
@@ -93,6 +101,12 @@
         self._response.close()
 
 
+class BoundedConnection(BoundedAnswers, HTTPConnection):
+    """
+    A connection whose answers are bounded.
+    """
+
+
 class HttpCaller:
     """
     An HTTP client for one address with persistent connections.
@@ -102,6 +116,8 @@
     :param max_idle_s: seconds without a response after which a call opens a
         new connection, because idle ones may be dead without notice.
     :param steady: returns monotonic time in seconds.
+    :param max_answer_bytes: the size of the longest answer that is read as a
+        whole.
     """
 
     def __init__(
@@ -110,7 +126,9 @@
         connections: int = 4,
         max_idle_s: float = 5,
         steady: Callable[[], float] = time.monotonic,
+        max_answer_bytes: int = MAX_ANSWER_BYTES,
     ) -> None:
+        self._max_answer_bytes = max_answer_bytes
         self._address = address
         self._connections = connections
         self._max_idle_s = max_idle_s
@@ -136,19 +154,24 @@
         """
         Send one request, without retries, and read the whole response.
 
-        :param timeout_s: seconds without progress until the call fails.
+        An answer that is too long has an unknown outcome.
+
+        :param timeout_s: seconds until the call fails; sending the request and
+            waiting for the head of the answer take up to as long each.
         """
+        deadline = time.monotonic() + timeout_s
         if self._steady() - self._last_active > self._max_idle_s:
             self.reset()
         try:
             response = self._request(method, path, body, headers, timeout_s)
+            received = self._read(response, deadline)
         except (NewConnectionError, ConnectTimeoutError) as connect_error:
             return Failure(f'can not connect: {connect_error}', Ran.NO)
-        except (HTTPError, OSError) as read_error:
+        except (HTTPError, HTTPException, OSError) as read_error:
             self.reset()
             return Failure(f'no answer: {read_error}', Ran.UNKNOWN)
         self._last_active = self._steady()
-        return Reply(response.status, response.data, dict(response.headers))
+        return Reply(response.status, received, dict(response.headers))
 
     def open(
         self,
@@ -168,7 +191,6 @@
                 body,
                 headers,
                 limits.response_timeout_s,
-                preload=False,
             )
         except (NewConnectionError, ConnectTimeoutError) as connect_error:
             return Failure(f'can not connect: {connect_error}', Ran.NO)
@@ -185,11 +207,32 @@
         self._last_active = self._steady()
         old_pool.close()
 
+    def _read(self, response: BaseHTTPResponse, deadline: float) -> bytes:
+        """
+        Read the whole body of an answer.
+
+        :raises HTTPError: if the answer is malformed or truncated.
+        :raises HTTPException: if it is too long.
+        """
+        max_bytes = self._max_answer_bytes
+        connection = response.connection
+        if isinstance(connection, BoundedConnection):
+            connection.reader.bounds = Bounds(max_bytes, deadline)
+        try:
+            received = read_body(response, max_bytes)
+        except (HTTPError, HTTPException):
+            response.close()
+            raise
+        response.release_conn()
+        return received
+
     def _new_pool(self) -> HTTPConnectionPool:
         host, _, port = self._address.rpartition(':')
-        return HTTPConnectionPool(
+        pool = HTTPConnectionPool(
             host, int(port), maxsize=self._connections, retries=False
         )
+        pool.ConnectionCls = BoundedConnection
+        return pool
 
     def _request(
         self,
@@ -198,8 +241,6 @@
         body: bytes | None,
         headers: Mapping[str, str] | None,
         timeout_s: float,
-        *,
-        preload: bool = True,
     ) -> BaseHTTPResponse:
         return self._pool.urlopen(
             method,
@@ -208,7 +249,7 @@
             headers=headers,
             retries=False,
             redirect=False,
-            preload_content=preload,
+            preload_content=False,
             timeout=Timeout(
                 connect=min(CONNECT_TIMEOUT_S, timeout_s), read=timeout_s
             ),
@@ -220,7 +261,7 @@
     Fetch a JSON document with one request on a new connection.
 
     :param address: `IP:PORT`.
-    :param timeout_s: seconds without progress until the call fails.
+    :param timeout_s: seconds until the call fails.
     :returns: the parsed document, or a `Failure`.
     """
     reply = HttpCaller(address, connections=1).call(
--- a/mallowcrank/platform/log.py
+++ b/mallowcrank/platform/log.py
@@ -11,6 +11,7 @@
 from mallowcrank.refusals import Ran
 
 APPEND_TIMEOUT_S = 5
+MAX_PAGE_BYTES = 64 * 1024 * 1024  # a record may hold a whole snapshot
 READ_MARGIN_S = 5  # added to the time for which the service may wait
 OK = 200
 # Statuses that guarantee that the record was not written.
@@ -26,7 +27,7 @@
 
     def __init__(self, address: str) -> None:
         self._writer = HttpCaller(address)
-        self._reader = HttpCaller(address)
+        self._reader = HttpCaller(address, max_answer_bytes=MAX_PAGE_BYTES)
 
     def read(self, offset: int, limit: int, wait_s: float) -> LogPage | Failure:
         """
--- /dev/null
+++ b/tests/test_endless_replies.py
@@ -0,0 +1,86 @@
+"""
+Answers without end to the calls that threads make: they hold neither memory
+nor the thread.
+"""
+
+import time
+from unittest import TestCase
+
+from mallowcrank.calls import HttpCaller
+from mallowcrank.ports import Failure
+from mallowcrank.refusals import Ran
+from mallowcrank.web import Response, WebServer
+from tests.utils.flooding_peer import (
+    DRIBBLE_PAUSE_S,
+    DRIBBLES,
+    FLOODS,
+    INFLATING_ANSWER,
+    MB,
+    Flood,
+    FloodingPeer,
+)
+
+LONG_TIMEOUT_S = 30
+SHORT_TIMEOUT_S = 0.5
+MAX_TAKEN_BYTES = 32 * MB  # the longest answer, and buffers of the sockets
+MAX_DURATION_S = 1.5
+LONG_ANSWER = b'x' * (15 * MB)
+
+
+class EndlessReplies:
+    """
+    Checks one way of calling a peer.
+    """
+
+    def call(self, address, timeout_s):
+        """
+        Call a peer that floods, and return the reply.
+        """
+        raise NotImplementedError
+
+    def test_flood_ends_at_the_longest_answer(self):
+        for kind, flood in FLOODS.items():
+            with self.subTest(kind):
+                peer = FloodingPeer(flood)
+                self.addCleanup(peer.stop)
+                self.check_failure(self.call(peer.address, LONG_TIMEOUT_S))
+                self.assertLess(peer.sent_bytes, MAX_TAKEN_BYTES)
+
+    def test_dribble_ends_at_the_timeout(self):
+        for kind, flood in DRIBBLES.items():
+            with self.subTest(kind):
+                peer = FloodingPeer(flood, DRIBBLE_PAUSE_S)
+                self.addCleanup(peer.stop)
+                started = time.monotonic()
+                self.check_failure(self.call(peer.address, SHORT_TIMEOUT_S))
+                duration_s = time.monotonic() - started
+                self.assertLess(duration_s, MAX_DURATION_S)
+
+    def test_long_answer_is_whole(self):
+        server = WebServer('127.0.0.1:0', lambda _: Response(200, LONG_ANSWER))
+        server.start()
+        self.addCleanup(server.stop)
+        reply = self.call(server.address, LONG_TIMEOUT_S)
+        self.assertEqual(len(reply.body), len(LONG_ANSWER))
+
+    def check_failure(self, reply):
+        self.assertIs(type(reply), Failure)
+        self.assertIs(reply.ran, Ran.UNKNOWN)
+
+
+class TestHttpCaller(EndlessReplies, TestCase):
+    def call(self, address, timeout_s):
+        return HttpCaller(address).call('GET', '/', timeout_s=timeout_s)
+
+    def test_connection_of_a_flood_is_not_reused(self):
+        peer = FloodingPeer(FLOODS['trailers'])
+        self.addCleanup(peer.stop)
+        caller = HttpCaller(peer.address, connections=1)
+        for _ in range(2):
+            self.check_failure(caller.call('GET', '/'))
+        self.assertEqual(peer.accepted, 2)
+
+    def test_inflated_answer_is_bounded(self):
+        peer = FloodingPeer(Flood(INFLATING_ANSWER, b''))
+        self.addCleanup(peer.stop)
+        self.check_failure(self.call(peer.address, LONG_TIMEOUT_S))
