Bound answers of engines

An answer is at most 16 MiB in all its parts, and a request's timeout is also its deadline. At a bound the request fails with an unknown outcome, and its connection is closed.

tests.test_endless_replies.TestEngineLink failed before: of a body without a length, a body in chunks, trailers and interim answers all 64 MB of a flood were taken (interim answers held the thread for 6.1 s), large lengths raised MemoryError, and dribbles held the thread for all of their 3 s at a timeout of 0.5 s. Now 17 to 21 MB are taken, and dribbles end after 0.5 s.

--- a/mallowcrank/streams/engine_link.py
+++ b/mallowcrank/streams/engine_link.py
@@ -16,6 +16,12 @@
 from urllib3.connection import HTTPConnection
 from urllib3.exceptions import HTTPError
 
+from mallowcrank.bounded_reading import (
+    MAX_ANSWER_BYTES,
+    BoundedSocket,
+    Bounds,
+    read_body,
+)
 from mallowcrank.calls import CONNECT_TIMEOUT_S, Reply
 from mallowcrank.ports import Failure
 from mallowcrank.refusals import Ran
@@ -67,14 +73,19 @@
         """
         Send one request, without retries.
 
-        :param timeout_s: seconds without progress until the request fails.
+        An answer that is too long has an unknown outcome.
+
+        :param timeout_s: seconds until the request fails.
         """
+        deadline = time.monotonic() + timeout_s
         try:
             connection = self._connect(timeout_s)
         except (HTTPError, OSError) as connect_error:
             return Failure(f'can not connect: {connect_error}', Ran.NO)
         try:
-            return self._exchange(connection, self._request(path, body))
+            return self._exchange(
+                connection, self._request(path, body), deadline
+            )
         except (HTTPException, HTTPError, OSError) as error:
             connection.close()
             self._close_idle()
@@ -114,19 +125,24 @@
             idle.connection.close()
         return None
 
-    def _exchange(self, connection: HTTPConnection, request: bytes) -> Reply:
+    def _exchange(
+        self, connection: HTTPConnection, request: bytes, deadline: float
+    ) -> Reply:
         """
         Send a request and read its answer.
 
-        :raises HTTPException: if the answer is malformed or truncated.
+        :param deadline: monotonic time in seconds.
+        :raises HTTPException: if the answer is malformed, truncated or too
+            long.
         :raises OSError: if the connection breaks or times out.
         """
         connection.send(request)
-        with HTTPResponse(connection.sock, method=POST) as response:
+        bounds = Bounds(MAX_ANSWER_BYTES, deadline)
+        answer = BoundedSocket(connection.sock, bounds)
+        with HTTPResponse(answer, method=POST) as response:  # type: ignore[arg-type]
             response.begin()
-            reply = Reply(
-                response.status, response.read(), dict(response.headers)
-            )
+            received = read_body(response, MAX_ANSWER_BYTES)
+            reply = Reply(response.status, received, dict(response.headers))
             is_last = response.will_close
         if is_last:
             connection.close()
--- a/tests/test_endless_replies.py
+++ b/tests/test_endless_replies.py
@@ -9,6 +9,7 @@
 from mallowcrank.calls import HttpCaller
 from mallowcrank.ports import Failure
 from mallowcrank.refusals import Ran
+from mallowcrank.streams.engine_link import EngineLink
 from mallowcrank.web import Response, WebServer
 from tests.utils.flooding_peer import (
     DRIBBLE_PAUSE_S,
@@ -22,6 +23,7 @@
 
 LONG_TIMEOUT_S = 30
 SHORT_TIMEOUT_S = 0.5
+MAX_IDLE_S = 2
 MAX_TAKEN_BYTES = 32 * MB  # the longest answer, and buffers of the sockets
 MAX_DURATION_S = 1.5
 LONG_ANSWER = b'x' * (15 * MB)
@@ -84,3 +86,17 @@
         peer = FloodingPeer(Flood(INFLATING_ANSWER, b''))
         self.addCleanup(peer.stop)
         self.check_failure(self.call(peer.address, LONG_TIMEOUT_S))
+
+
+class TestEngineLink(EndlessReplies, TestCase):
+    def call(self, address, timeout_s):
+        link = EngineLink(address, 'text/plain', MAX_IDLE_S)
+        return link.post('/steps', b'steps', timeout_s)
+
+    def test_connection_of_a_flood_is_not_reused(self):
+        peer = FloodingPeer(FLOODS['trailers'])
+        self.addCleanup(peer.stop)
+        link = EngineLink(peer.address, 'text/plain', MAX_IDLE_S)
+        for _ in range(2):
+            self.check_failure(link.post('/steps', b'steps', LONG_TIMEOUT_S))
+        self.assertEqual(peer.accepted, 2)
