Bound answers to probes

An answer is at most 1 MiB in all its parts, and a probe ends at its timeout, however slowly its answer comes. At a bound the probe fails with an unknown outcome, and the connection is closed.

tests.test_endless_replies.TestProbe failed before: 64 MB of a flood were taken of a body without a length, a body in chunks, trailers and interim answers (these held one of eight threads for 6.3 s), large lengths raised MemoryError, which no result followed, and dribbles held the thread for all of their 3 s at a timeout of 0.6 s. Now 1 to 5 MB are taken, and dribbles end after 0.6 s.

--- a/mallowcrank/membership/prober.py
+++ b/mallowcrank/membership/prober.py
@@ -6,8 +6,9 @@
 import time
 from collections.abc import Callable
 from concurrent.futures import ThreadPoolExecutor
-from http.client import HTTPConnection, HTTPException
+from http.client import HTTPConnection, HTTPException, HTTPResponse
 
+from mallowcrank.bounded_reading import BoundedAnswers, Bounds, read_body
 from mallowcrank.calls import Reply
 from mallowcrank.membership.events import StartProbe
 from mallowcrank.membership.probing import PROBE_TIMEOUT_S
@@ -21,11 +22,20 @@
 
 PROBE_THREADS = 8
 MAX_IDLE_CONNECTIONS = 1024  # more than the targets that one agent probes
+MAX_STATUS_BYTES = 1024 * 1024  # of an answer
 MAX_IDLE_S = 5  # an older connection may be dead and is reopened
 OK = 200
 PARSE_ERRORS = (KeyError, TypeError, ValueError, AttributeError)
 
 
+class ProbeConnection(BoundedAnswers, HTTPConnection):
+    """
+    A connection whose answers are bounded.
+    """
+
+    max_answer_bytes = MAX_STATUS_BYTES
+
+
 class PersistentConnection:
     """
     A persistent HTTP connection to one target.
@@ -41,7 +51,7 @@
         self, address: str, steady: Callable[[], float] = time.monotonic
     ) -> None:
         host, _, port = address.rpartition(':')
-        self._connection = HTTPConnection(
+        self._connection = ProbeConnection(
             host, int(port), timeout=PROBE_TIMEOUT_S
         )
         self._steady = steady
@@ -50,13 +60,15 @@
     def get(self, path: str) -> Reply | Failure:
         """
         Send one request, without retries.
+
+        It fails after `PROBE_TIMEOUT_S`, or at an answer that is too long.
         """
+        deadline = time.monotonic() + PROBE_TIMEOUT_S
         if self._steady() - self._last_success > MAX_IDLE_S:
             self._connection.close()
         try:
-            self._connection.request('GET', path)
-            response = self._connection.getresponse()
-            body = response.read()
+            response = self._request(path, deadline)
+            body = read_body(response, MAX_STATUS_BYTES)
         except (HTTPException, OSError) as error:
             self._connection.close()
             return Failure(f'no answer: {error!r}', Ran.UNKNOWN)
@@ -69,6 +81,20 @@
         """
         self._connection.close()
 
+    def _request(self, path: str, deadline: float) -> HTTPResponse:
+        """
+        Send a request and read the head of its answer.
+
+        :raises HTTPException: if the answer is malformed or too long.
+        :raises OSError: if the connection breaks or times out.
+        """
+        if self._connection.sock is not None:
+            self._connection.sock.settimeout(PROBE_TIMEOUT_S)
+        self._connection.request('GET', path)
+        response = self._connection.getresponse()
+        self._connection.reader.bounds = Bounds(MAX_STATUS_BYTES, deadline)
+        return response
+
 
 class HttpProber:
     """
