Bound requests to the server with threads

A head is at most 64 KiB, a request 64 MiB with what is discarded of it, and one in chunks 16 MiB, as cheroot keeps a chunk until it is whole. A request is received within 60 s, however steadily it comes. Beyond these sizes it is refused and its connection is closed; after that time it gets 408.

tests.test_endless_posts failed before. Trailers were bounded: cheroot doesn't read them.

--- a/mallowcrank/bounded_reading.py
+++ b/mallowcrank/bounded_reading.py
@@ -72,6 +72,17 @@
         """
         return self._raw.fileno()
 
+    def read(self, size: int = -1) -> bytes | None:
+        """
+        Wait for up to so many bytes.
+
+        A peer's length must not make this process allocate memory.
+
+        :raises MessageTooLongError: if the message is too long.
+        :raises TimeoutError: if none come in time.
+        """
+        return super().read(min(size, PIECE_BYTES))
+
     def readinto(self, buffer: Any) -> int | None:
         """
         Wait for bytes.
@@ -85,10 +96,13 @@
             raise TimeoutError('timed out')
         self._sock.settimeout(min(left_s, bounds.idle_timeout_s))
         count = self._raw.readinto(buffer)
+        was_too_long = self._taken_bytes > bounds.max_bytes
         self._taken_bytes += count or 0
-        if self._taken_bytes > bounds.max_bytes:
-            self._refuse()
-        return count
+        if self._taken_bytes <= bounds.max_bytes:
+            return count
+        if not was_too_long:
+            self._log_excess()
+        raise MessageTooLongError(f'more than {bounds.max_bytes} bytes came')
 
     def close(self) -> None:
         """
@@ -97,16 +111,13 @@
         self._raw.close()
         super().close()
 
-    def _refuse(self) -> None:
+    def _log_excess(self) -> None:
         host, port = self._sock.getpeername()[:2]
         log.say(
             'A message was too long; its connection is closed.',
             peer=f'{host}:{port}',
             max_bytes=self.bounds.max_bytes,
         )
-        raise MessageTooLongError(
-            f'more than {self.bounds.max_bytes} bytes were sent'
-        )
 
 
 class BoundedSocket:
@@ -156,7 +167,7 @@
     A body that is read in pieces.
     """
 
-    def read(self, amt: int) -> bytes:
+    def read(self, amt: int, /) -> bytes:
         """
         Return up to so many bytes; none at the end.
         """
--- a/mallowcrank/web.py
+++ b/mallowcrank/web.py
@@ -6,22 +6,30 @@
 import select
 import socket
 import threading
-import time
+from collections import deque
 from collections.abc import Callable, Iterable, Mapping
 from dataclasses import dataclass, field
+from functools import partial
 from http import HTTPStatus
 from typing import Any, BinaryIO
 from urllib.parse import parse_qsl, urlsplit
 
-from cheroot.server import HTTPConnection
-from cheroot.wsgi import Gateway_10, Server
+from cheroot.wsgi import Gateway_10
+
+from mallowcrank.bounded_reading import MessageTooLongError, read_body
+from mallowcrank.bounded_server import (
+    MAX_HEAD_BYTES,
+    QueuedConnection,
+    QueueingServer,
+    ReadLimits,
+)
 
 MAX_BODY_BYTES = 4 * 1024 * 1024
-MAX_DISCARDED_BYTES = 64 * 1024 * 1024  # per body over the limit
 DISCARD_CHUNK_BYTES = 64 * 1024
 JSON_TYPE = ('Content-Type', 'application/json')
 SOCKET_KEY = 'mallowcrank.connection'
 HTTP_1_1 = 'HTTP/1.1'
+REQUEST_KEY = 'mallowcrank.request'
 WAITED_S_KEY = 'mallowcrank.waited_s'
 # Show that the caller closed its side without reading from the socket.
 CLOSE_EVENTS = select.POLLRDHUP | select.POLLHUP | select.POLLERR
@@ -158,38 +166,6 @@
     return path == prefix
 
 
-class QueuedConnection(HTTPConnection):
-    """
-    A connection that measures how long it waited for a thread.
-
-    :param queued_at: monotonic time in seconds when it began to wait.
-    :param waited_s: seconds that it waited last.
-    """
-
-    queued_at: float = 0
-    waited_s: float = 0
-
-    def communicate(self) -> bool:
-        """
-        Read a request and answer it in a thread of the pool.
-        """
-        self.waited_s = time.monotonic() - self.queued_at
-        return bool(super().communicate())
-
-
-class QueueingServer(Server):
-    """
-    A server that records when a connection begins to wait for a thread.
-    """
-
-    def process_conn(self, conn: QueuedConnection) -> None:
-        """
-        Queue a connection with a readable socket.
-        """
-        conn.queued_at = time.monotonic()
-        super().process_conn(conn)
-
-
 class ConnectionGateway(Gateway_10):
     """
     Adds the connection's socket and waiting time to the WSGI environment.
@@ -198,6 +174,7 @@
     def __init__(self, request: Any) -> None:
         super().__init__(request)
         self.env[SOCKET_KEY] = request.conn.socket
+        self.env[REQUEST_KEY] = request
         self.env[WAITED_S_KEY] = request.conn.waited_s
 
 
@@ -209,6 +186,7 @@
     :param handler: answers requests in any thread of the pool.
     :param threads: the maximum of concurrent requests.
     :param max_body_bytes: the size of the largest body that is read.
+    :param limits: of a request, whether its body is read or discarded.
     """
 
     def __init__(
@@ -217,6 +195,7 @@
         handler: Handler,
         threads: int = 16,
         max_body_bytes: int = MAX_BODY_BYTES,
+        limits: ReadLimits = ReadLimits(),
     ) -> None:
         self._handler = handler
         self._max_body_bytes = max_body_bytes
@@ -228,6 +207,8 @@
             server_name='mallowcrank',
             request_queue_size=512,
         )
+        self._server.max_request_header_size = MAX_HEAD_BYTES
+        self._server.read_limits = limits
         self._server.gateway = ConnectionGateway
         self._server.ConnectionClass = QueuedConnection
         self._thread: threading.Thread | None = None
@@ -273,21 +254,14 @@
         return response.body
 
     def _read_request(self, environ: dict[str, Any]) -> Request:
-        length = int(environ.get('CONTENT_LENGTH') or 0)
-        stream = environ['wsgi.input']
-        body = b''
-        if length <= self._max_body_bytes:
-            body = stream.read(self._max_body_bytes + 1)
-        too_large = max(length, len(body)) > self._max_body_bytes
-        if too_large:
-            _discard(stream)
+        body = self._read_body(environ)
         return Request(
             method=environ['REQUEST_METHOD'],
             path=environ['PATH_INFO'],
             query=dict(parse_qsl(environ.get('QUERY_STRING', ''))),
             headers=_headers(environ),
-            body=b'' if too_large else body,
-            too_large=too_large,
+            body=body or b'',
+            too_large=body is None,
             target=_target(environ),
             peer=f'{environ["REMOTE_ADDR"]}:{environ["REMOTE_PORT"]}',
             caller=CallerConnection(
@@ -298,20 +272,49 @@
             waited_s=environ[WAITED_S_KEY],
         )
 
+    def _read_body(self, environ: dict[str, Any]) -> bytes | None:
+        """
+        Return a request's body, or `None` if it is too large.
+
+        :raises OSError: if it doesn't come in time.
+        """
+        length = int(environ.get('CONTENT_LENGTH') or 0)
+        request, stream = environ[REQUEST_KEY], environ['wsgi.input']
+        if request.chunked_read:
+            request.conn.limit_chunks()
+        body = None
+        if length <= self._max_body_bytes:
+            body = _read_within(stream, self._max_body_bytes)
+        if body is None and not _discard(stream):
+            request.close_connection = True
+        request.conn.restore_timeout()
+        return body
+
 
 def _target(environ: Mapping[str, Any]) -> str:
     parts = urlsplit(environ.get('REQUEST_URI', ''))
     return f'{parts.path}?{parts.query}' if parts.query else parts.path
 
 
-def _discard(stream: BinaryIO) -> None:
+def _read_within(stream: BinaryIO, max_bytes: int) -> bytes | None:
+    try:
+        return read_body(stream, max_bytes)
+    except MessageTooLongError:
+        return None
+
+
+def _discard(stream: BinaryIO) -> bool:
     """
     Read the body, as closing the connection earlier would reset it before the
     caller reads the answer.
+
+    :returns: whether it has ended within the limits of a request.
     """
-    remaining_bytes = MAX_DISCARDED_BYTES
-    while remaining_bytes > 0 and stream.read(DISCARD_CHUNK_BYTES):
-        remaining_bytes -= DISCARD_CHUNK_BYTES
+    try:
+        deque(iter(partial(stream.read, DISCARD_CHUNK_BYTES), b''), maxlen=0)
+    except MessageTooLongError:
+        return False
+    return True
 
 
 def _headers(environ: Mapping[str, Any]) -> dict[str, str]:
