--- a/mallowcrank/load/scenarios.py
+++ b/mallowcrank/load/scenarios.py
@@ -16,6 +16,7 @@
 MODEL = 'assistant'
 FAULT_AT_S = 8
 MAX_CONFIG_DELAY_S = 9  # the limit required by users
+FLOOD_BYTES_PER_S = 10_000_000  # on each connection
 SLOW_BYTES_PER_S = 2000  # a call of 2 KB takes 1 s instead of 10 ms
 CONFIG_RECORD_TEXT = '"config"'  # occurs in records of published settings
 QUOTE_PREFIX = 'You draft custom hat quotes for franchise milliners. Quote for '
@@ -270,6 +271,25 @@
         ),
         config_within_s=MAX_CONFIG_DELAY_S,
     ),
+    Scenario(
+        'endless-answers',
+        'An engine and a service replica answer without end.',
+        ALL_GROUPS,
+        (
+            _fault_order(
+                'engine-a1',
+                'flood',
+                path='/steps',
+                bytes_per_s=FLOOD_BYTES_PER_S,
+            ),
+            _fault_order(
+                'stock-1',
+                'flood',
+                path='/calls',
+                bytes_per_s=FLOOD_BYTES_PER_S,
+            ),
+        ),
+    ),
     Scenario(
         'two-faults',
         'An engine crashes, and a second later a router does.',
--- a/mallowcrank/standins/faults.py
+++ b/mallowcrank/standins/faults.py
@@ -6,7 +6,7 @@
 import os
 import threading
 from collections import Counter
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 from dataclasses import dataclass, replace
 from enum import StrEnum, unique
 
@@ -20,6 +20,7 @@
 SILENCED_CALL_TIMEOUT_S = 60
 PAUSE_POLL_S = 0.01
 CRASH_EXIT_STATUS = 137
+FLOOD_PIECE = bytes(65_536)
 OUTAGE_RESPONSE = json_response({'error': 'outage'}, 503)
 
 
@@ -42,6 +43,7 @@
     SLOW_LINK = 'slow_link'
     CROSS = 'cross'
     LEAVE = 'leave'
+    FLOOD = 'flood'
 
 
 @dataclass(frozen=True)
@@ -55,7 +57,7 @@
         number of reads that were waiting when the outage began and are still
         answered.
     :param path: the fault affects only calls whose path has this prefix.
-    :param bytes_per_s: rate of a slow link.
+    :param bytes_per_s: rate of a slow link, or of an answer without end.
     :param offset: offset of the first log record to keep.
     :param after: if not empty, the fault begins after a request whose body
         contains this text has been handled.
@@ -124,6 +126,11 @@
         if self.triggers(Fault.LOSE_ANSWER, request.path):
             raise _connection_reset_error()
         self._delay_response(request, response)
+        flood = self._trigger(Fault.FLOOD, request.path)
+        if flood:
+            return replace(
+                response, body=_flood(self._clock, flood.bytes_per_s)
+            )
         return response
 
     def apply(self, order: FaultOrder) -> None:
@@ -239,6 +246,16 @@
             self._clock.sleep(size / max(1, slow_link.bytes_per_s))
 
 
+def _flood(clock: Clock, bytes_per_s: float) -> Iterator[bytes]:
+    """
+    Yield the pieces of an answer without end.
+    """
+    pause_s = len(FLOOD_PIECE) / max(1, bytes_per_s)
+    while True:
+        yield FLOOD_PIECE
+        clock.sleep(pause_s)
+
+
 def _connection_reset_error() -> OSError:
     # cheroot closes the connection without a response on this error.
     return OSError(errno.ECONNRESET, 'the answer is lost')
