Let the route in the tests of cut answers allow the two runs they expect

These tests expect exactly two runs of a repeatable call, on a route that allows three attempts. A third run breaks no rule there: in a trial whose second run took 1.05 s, the first gateway sent the call to a third proxy after 1.0 s in 9 of 9 calls, (200, 3), and each proxy sent it once. So beside a load the test could fail without a fault.

The route allows two attempts now; what is checked stays as it was. A third run breaks the rule for attempts now, and a call that needs three sends fails, as before.

--- a/tests/test_cut_answers.py
+++ b/tests/test_cut_answers.py
@@ -81,7 +81,7 @@
 
     def routes(self):
         return [
-            route_row('lookup', max_attempts=3),
+            route_row('lookup', max_attempts=2),
             route_row('claim', kind='unsafe', max_attempts=1),
             stream_row('draft', timeout_ms=3000, max_attempts=3),
         ]
