Resume as many connections in a turn as their slices leave time for

Two connections went on in a turn, whatever their slices cost. Chunks of one byte on many channels still pass their test.

--- a/mallowcrank/gateway/receiving.py
+++ b/mallowcrank/gateway/receiving.py
@@ -12,11 +12,16 @@
 from dataclasses import dataclass
 from enum import Enum, unique
 
+from mallowcrank.gateway.clock import monotonic_s
+
 MAX_CAPACITY_BYTES = 16_777_216
 MEMORY_SHARE = 8  # the budget is that part of the memory, if it is less
 HEADER_OVERHEAD_BYTES = 150  # of the objects that hold a header
 SLICE_BYTES = 16_384  # read from a connection before others get their turn
-RESUMED_PER_TURN = 2  # connections that had more than a slice
+# Of connections that had more than a slice, by how long a slice takes.
+TURN_S = 0.002
+MIN_RESUMED_PER_TURN = 2
+MAX_RESUMED_PER_TURN = 64
 
 
 @unique
@@ -121,6 +126,7 @@
         self._held_bytes = 0
         self._holdings: set[Holding] = set()
         self._waiting: deque[Callable[[], None]] = deque()
+        self._slowest_s: float = 0  # slice of late, halved each turn
 
     @property
     def held_bytes(self) -> int:
@@ -155,16 +161,23 @@
             self._holdings.discard(holding)
         self._enforce()
 
-    def wait_turn(self, resume: Callable[[], None]) -> None:
+    def wait_turn(self, resume: Callable[[], None], slice_s: float) -> None:
         """
         Call back when the connections that wait already had their turn.
+
+        :param slice_s: seconds that the last slice took.
         """
+        self._slowest_s = max(self._slowest_s, slice_s)
         if not self._waiting:
             asyncio.get_running_loop().call_soon(self._take_turns)
         self._waiting.append(resume)
 
     def _take_turns(self) -> None:
-        for _ in range(min(RESUMED_PER_TURN, len(self._waiting))):
+        fastest_s = TURN_S / MAX_RESUMED_PER_TURN
+        fitting = int(TURN_S / max(self._slowest_s, fastest_s))
+        resumed = max(fitting, MIN_RESUMED_PER_TURN)
+        self._slowest_s /= 2
+        for _ in range(min(resumed, len(self._waiting))):
             self._waiting.popleft()()
         if self._waiting:
             asyncio.get_running_loop().call_soon(self._take_turns)
@@ -215,11 +228,14 @@
         """
         Handle a slice; let other connections go first if there may be more.
         """
-        if nbytes == len(self._budget.buffer) and not self._awaits_turn:
-            self._awaits_turn = True
-            self._update_reading()
-            self._budget.wait_turn(self._go_on)
+        if nbytes < len(self._budget.buffer):
+            self.data_received(self._budget.buffer[:nbytes])
+            return
+        self._awaits_turn = True
+        self._update_reading()
+        began_at = monotonic_s()
         self.data_received(self._budget.buffer[:nbytes])
+        self._budget.wait_turn(self._go_on, monotonic_s() - began_at)
 
     def data_received(self, data: bytes | memoryview) -> None:
         """
--- a/tests/test_receiving.py
+++ b/tests/test_receiving.py
@@ -3,6 +3,7 @@
 """
 
 import asyncio
+import time
 from unittest import IsolatedAsyncioTestCase, TestCase
 
 from hypothesis import given
@@ -10,8 +11,9 @@
 
 from mallowcrank.gateway.receiving import (
     MEMORY_SHARE,
-    RESUMED_PER_TURN,
+    MIN_RESUMED_PER_TURN,
     SLICE_BYTES,
+    TURN_S,
     Excess,
     Part,
     ReceiveBudget,
@@ -93,9 +95,10 @@
     A connection that records the sizes of its slices.
     """
 
-    def __init__(self, budget):
+    def __init__(self, budget, slice_s=0):
         super().__init__(budget)
         self.slices = []
+        self._slice_s = slice_s
         self._transport = FakeTransport()
 
     @property
@@ -104,6 +107,7 @@
 
     def data_received(self, data):
         self.slices.append(len(data))
+        time.sleep(self._slice_s)
 
     def receive(self, received_bytes):
         self.get_buffer(-1)
@@ -114,16 +118,29 @@
     async def asyncSetUp(self):
         self.budget = ReceiveBudget()
 
-    async def test_connections_with_more_than_a_slice_take_turns(self):
-        readers = [Reader(self.budget) for _ in range(3 * RESUMED_PER_TURN)]
+    async def count_paused(self, slice_s, turns):
+        """
+        Return how many of some connections, which all had a slice, are paused
+        before each turn.
+        """
+        size = 3 * MIN_RESUMED_PER_TURN
+        readers = [Reader(self.budget, slice_s) for _ in range(size)]
         for reader in readers:
             reader.receive(SLICE_BYTES)
         paused = []
-        for _ in range(4):
+        for _ in range(turns):
             paused.append(sum(each.is_paused for each in readers))
             await asyncio.sleep(0)
+        return paused
+
+    async def test_connections_whose_slices_take_long_go_on_in_turns(self):
+        paused = await self.count_paused(TURN_S, turns=4)
         self.assertEqual(paused, [6, 4, 2, 0])
 
+    async def test_connections_whose_slices_are_fast_go_on_together(self):
+        paused = await self.count_paused(0, turns=2)
+        self.assertEqual(paused, [6, 0])
+
     async def test_short_message_waits_for_no_turn(self):
         reader = Reader(self.budget)
         reader.receive(SLICE_BYTES - 1)
