Bound streamed answers, and what a keeper's answer may hold

A streamed answer is read in pieces of 64 KB at most. A piece comes within the idle timeout and 16 MiB, whatever comes before it, and the answer of a keeper within the caller's deadline and 2 s. An answer of a keeper that isn't a stream is at most 16 MiB; beyond, its outcome is unknown.

--- a/mallowcrank/calls.py
+++ b/mallowcrank/calls.py
@@ -3,6 +3,7 @@
 """
 
 import json
+import math
 import time
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass, field
@@ -19,6 +20,7 @@
 
 from mallowcrank.bounded_reading import (
     MAX_ANSWER_BYTES,
+    PIECE_BYTES,
     BoundedAnswers,
     Bounds,
     read_body,
@@ -48,10 +50,18 @@
 
     :param response_timeout_s: seconds until the response begins.
     :param idle_timeout_s: seconds without a byte of the body.
+    :param total_timeout_s: seconds until all of it is received.
     """
 
     response_timeout_s: float
     idle_timeout_s: float
+    total_timeout_s: float = math.inf
+
+
+class BoundedConnection(BoundedAnswers, HTTPConnection):
+    """
+    A connection whose answers are bounded.
+    """
 
 
 class StreamedReply:
@@ -59,15 +69,20 @@
     An HTTP response whose body is still being received.
 
     :param idle_timeout_s: seconds without a byte of the body.
+    :param deadline: monotonic time in seconds.
     """
 
     def __init__(
-        self, response: BaseHTTPResponse, idle_timeout_s: float
+        self,
+        response: BaseHTTPResponse,
+        idle_timeout_s: float,
+        deadline: float = math.inf,
     ) -> None:
         self._response = response
-        connection = response.connection
-        if connection is not None and connection.sock is not None:
-            connection.sock.settimeout(idle_timeout_s)
+        self._idle_timeout_s = idle_timeout_s
+        self._deadline = deadline
+        # The response gives its connection up at its end.
+        self._connection = response.connection
 
     @property
     def status(self) -> int:
@@ -87,11 +102,20 @@
         """
         Wait for the next chunk of the body.
 
+        A chunk comes within the idle timeout, even if bytes that belong to no
+        chunk come before it.
+
         :returns: the chunk; empty at the end of the body.
         """
+        if isinstance(self._connection, BoundedConnection):
+            chunk_deadline = time.monotonic() + self._idle_timeout_s
+            self._connection.reader.restart(
+                Bounds(MAX_ANSWER_BYTES, min(chunk_deadline, self._deadline))
+            )
         try:
-            return self._response.read1()
-        except (HTTPError, OSError) as read_error:
+            return self._response.read1(PIECE_BYTES)
+        except (HTTPError, HTTPException, OSError) as read_error:
+            self.close()
             return Failure(f'the answer broke off: {read_error}', Ran.UNKNOWN)
 
     def close(self) -> None:
@@ -101,12 +125,6 @@
         self._response.close()
 
 
-class BoundedConnection(BoundedAnswers, HTTPConnection):
-    """
-    A connection whose answers are bounded.
-    """
-
-
 class HttpCaller:
     """
     An HTTP client for one address with persistent connections.
@@ -184,6 +202,7 @@
         """
         Send one request, without retries, and stream the response's body.
         """
+        deadline = time.monotonic() + limits.total_timeout_s
         try:
             response = self._request(
                 method,
@@ -196,7 +215,7 @@
             return Failure(f'can not connect: {connect_error}', Ran.NO)
         except (HTTPError, OSError) as read_error:
             return Failure(f'no answer: {read_error}', Ran.UNKNOWN)
-        return StreamedReply(response, limits.idle_timeout_s)
+        return StreamedReply(response, limits.idle_timeout_s, deadline)
 
     def reset(self) -> None:
         """
--- a/mallowcrank/router/forwarding.py
+++ b/mallowcrank/router/forwarding.py
@@ -8,6 +8,7 @@
 from collections.abc import Iterator
 from dataclasses import replace
 
+from mallowcrank.bounded_reading import MAX_ANSWER_BYTES
 from mallowcrank.calls import HttpCaller, StreamedReply, StreamLimits
 from mallowcrank.ports import Failure
 from mallowcrank.refusals import Ran, Refused
@@ -98,7 +99,10 @@
         request.target,
         request.body,
         headers,
-        StreamLimits(answer_s, MAX_STREAM_SILENCE_S),
+        # The keeper itself ends its answer at the deadline.
+        StreamLimits(
+            answer_s, MAX_STREAM_SILENCE_S, left_s + MAX_STREAM_SILENCE_S
+        ),
     )
 
 
@@ -141,14 +145,16 @@
 
 
 def _read_all(reply: StreamedReply) -> bytes | Failure:
-    pieces: list[bytes] = []
-    while True:
+    whole = bytearray()
+    while len(whole) <= MAX_ANSWER_BYTES:
         piece = reply.read_chunk()
         if isinstance(piece, Failure):
             return piece
         if not piece:
-            return b''.join(pieces)
-        pieces.append(piece)
+            return bytes(whole)
+        whole += piece
+    reply.close()
+    return Failure('the answer is too long', Ran.UNKNOWN)
 
 
 def _refuse(failure: Failure) -> Refused:
--- a/tests/test_endless_replies.py
+++ b/tests/test_endless_replies.py
@@ -6,7 +6,7 @@
 import time
 from unittest import TestCase
 
-from mallowcrank.calls import HttpCaller
+from mallowcrank.calls import HttpCaller, StreamLimits
 from mallowcrank.membership.prober import (
     MAX_STATUS_BYTES,
     PersistentConnection,
@@ -123,3 +123,47 @@
         for _ in range(2):
             self.check_failure(connection.get('/status'))
         self.assertEqual(peer.accepted, 2)
+
+
+class TestStreamedReply(TestCase):
+    """
+    A stream may be long; what comes between two of its pieces may not.
+    """
+
+    def read(self, flood, total_timeout_s, pause_s=0):
+        """
+        Read a stream to its end, and return that end and the duration.
+        """
+        peer = FloodingPeer(flood, pause_s)
+        self.addCleanup(peer.stop)
+        limits = StreamLimits(LONG_TIMEOUT_S, SHORT_TIMEOUT_S, total_timeout_s)
+        started = time.monotonic()
+        reply = HttpCaller(peer.address).open('GET', '/', None, {}, limits)
+        piece = reply.read_chunk()
+        while piece and not isinstance(piece, Failure):
+            piece = reply.read_chunk()
+        return piece, time.monotonic() - started, peer.sent_bytes
+
+    def test_flood_of_trailers_ends(self):
+        piece, _, sent_bytes = self.read(FLOODS['trailers'], LONG_TIMEOUT_S)
+        self.assertIs(piece.ran, Ran.UNKNOWN)
+        self.assertLess(sent_bytes, MAX_TAKEN_BYTES)
+
+    def test_long_chunk_is_read_in_pieces(self):
+        piece, _, sent_bytes = self.read(FLOODS['one chunk'], LONG_TIMEOUT_S)
+        self.assertIs(piece.ran, Ran.UNKNOWN)
+        self.assertGreater(sent_bytes, MAX_TAKEN_BYTES)
+
+    def test_dribble_of_trailers_ends_at_the_idle_timeout(self):
+        piece, duration_s, _ = self.read(
+            DRIBBLES['trailers'], LONG_TIMEOUT_S, DRIBBLE_PAUSE_S
+        )
+        self.assertIs(piece.ran, Ran.UNKNOWN)
+        self.assertLess(duration_s, MAX_DURATION_S)
+
+    def test_dribble_of_pieces_ends_at_the_total_timeout(self):
+        piece, duration_s, _ = self.read(
+            DRIBBLES['a body in chunks'], SHORT_TIMEOUT_S, DRIBBLE_PAUSE_S
+        )
+        self.assertIs(piece.ran, Ran.UNKNOWN)
+        self.assertLess(duration_s, MAX_DURATION_S)
--- a/tests/test_request_forwarding.py
+++ b/tests/test_request_forwarding.py
@@ -9,9 +9,11 @@
 from unittest import TestCase
 from unittest.mock import patch
 
+from mallowcrank.bounded_reading import MAX_ANSWER_BYTES
 from mallowcrank.view import Peer
 from mallowcrank.web import Routes, WebServer, json_response
 from tests.utils.fake_engine import FakeEngine
+from tests.utils.flooding_peer import FLOODS, FloodingPeer
 from tests.utils.local_router import (
     LIMIT_S,
     WORKSPACE,
@@ -142,3 +144,14 @@
                 last = json.loads(body.split(b'data: ')[-1])
                 self.assertEqual(last['error']['code'], 'keeper_gone')
                 self.assertEqual(last['error']['ran'], 'unknown')
+
+    def test_answer_of_the_keeper_that_is_too_long_is_unknown(self):
+        keeper = FloodingPeer(FLOODS['a body in chunks'])
+        self.addCleanup(keeper.stop)
+        peer = Peer('keeper', keeper.address, 'a', 'a' * 16)
+        other = self.start('other', peers=[peer])
+        answer = self.ask(other, f'mc1.keeper.{"a" * 16}.99999999999.a')
+        error = json.loads(answer.read())['error']
+        self.assertEqual(error['code'], 'keeper_gone')
+        self.assertEqual(error['ran'], 'unknown')
+        self.assertLess(keeper.sent_bytes, 2 * MAX_ANSWER_BYTES)
