End a question to another agent at its timeout

It was a timeout without progress: an agent that sends a frame byte by byte held the thread of the one that asked.

tests.test_endless_replies.TestAnswerOfAnAgent failed before: 3.05 s, as long as the dribble lasted, at a timeout of 0.5 s.

--- a/mallowcrank/framing.py
+++ b/mallowcrank/framing.py
@@ -2,9 +2,11 @@
 Connections that carry frames between the system's own processes.
 """
 
+import math
 import queue
 import socket
 import threading
+import time
 from collections.abc import Iterator, Mapping
 from typing import Any
 
@@ -14,16 +16,19 @@
 END_OF_QUEUE: bytes = b''  # ends the sending thread
 
 
-def read_bodies(sock: socket.socket, keys: KeyRing) -> Iterator[dict[str, Any]]:
+def read_bodies(
+    sock: socket.socket, keys: KeyRing, deadline: float = math.inf
+) -> Iterator[dict[str, Any]]:
     """
     Yield the peer's messages until the connection ends.
 
+    :param deadline: monotonic time in seconds at which reading ends.
     :raises BadFrameError: when a frame is malformed or not authentic.
     """
     reader = FrameReader(keys)
     while True:
         try:
-            received = sock.recv(READ_BYTES)
+            received = _receive(sock, deadline)
         except OSError:
             return
         if not received:
@@ -31,6 +36,20 @@
         yield from reader.feed(received)
 
 
+def _receive(sock: socket.socket, deadline: float) -> bytes:
+    """
+    Wait for bytes.
+
+    :raises OSError: if the connection breaks, or at the deadline.
+    """
+    if deadline < math.inf:
+        left_s = deadline - time.monotonic()
+        if left_s <= 0:
+            raise TimeoutError('timed out')
+        sock.settimeout(left_s)
+    return sock.recv(READ_BYTES)
+
+
 class FramedSocket:
     """
     An open connection whose frames are sent by a thread of its own.
--- a/mallowcrank/membership/streams.py
+++ b/mallowcrank/membership/streams.py
@@ -5,6 +5,7 @@
 import itertools
 import socket
 import threading
+import time
 from collections.abc import Callable
 from dataclasses import dataclass
 
@@ -144,23 +145,26 @@
     """
     Send a request to one agent on a new connection.
 
-    :param timeout_s: seconds without progress after which the request fails.
+    :param timeout_s: seconds after which the request fails.
     :returns: the answer, or `None` if the request failed.
     """
+    deadline = time.monotonic() + timeout_s
     try:
         with socket.create_connection(
             _socket_address(address), timeout_s
         ) as sock:
             sock.sendall(pack_frame(to_body(question), keys))
-            return _first_answer(sock, keys)
+            return _first_answer(sock, keys, deadline)
     except (OSError, BadFrameError, BadMessageError):
         return None
 
 
-def _first_answer(sock: socket.socket, keys: KeyRing) -> Answer | None:
+def _first_answer(
+    sock: socket.socket, keys: KeyRing, deadline: float
+) -> Answer | None:
     answers = (
         message
-        for message in map(from_body, read_bodies(sock, keys))
+        for message in map(from_body, read_bodies(sock, keys, deadline))
         if isinstance(message, Answer)
     )
     return next(answers, None)
--- a/tests/test_endless_replies.py
+++ b/tests/test_endless_replies.py
@@ -7,14 +7,17 @@
 from unittest import TestCase
 
 from mallowcrank.calls import HttpCaller, StreamLimits
+from mallowcrank.membership.messages import Ask
 from mallowcrank.membership.prober import (
     MAX_STATUS_BYTES,
     PersistentConnection,
 )
+from mallowcrank.membership.streams import ask_peer
 from mallowcrank.ports import Failure
 from mallowcrank.refusals import Ran
 from mallowcrank.streams.engine_link import EngineLink
 from mallowcrank.web import Response, WebServer
+from mallowcrank.wire import KeyRing
 from tests.utils.flooding_peer import (
     DRIBBLE_PAUSE_S,
     DRIBBLES,
@@ -167,3 +170,16 @@
         )
         self.assertIs(piece.ran, Ran.UNKNOWN)
         self.assertLess(duration_s, MAX_DURATION_S)
+
+
+class TestAnswerOfAnAgent(TestCase):
+    def test_dribble_of_a_frame_ends_at_the_timeout(self):
+        # A frame whose body never ends.
+        begin = b'\x93\x00\xc4\x10%s\xc6\x03\xff\x00\x00' % bytes(16)
+        peer = FloodingPeer(Flood(begin, b'x'), DRIBBLE_PAUSE_S)
+        self.addCleanup(peer.stop)
+        started = time.monotonic()
+        question = Ask(1, 'topic')
+        answer = ask_peer(peer.address, question, KeyRing(), SHORT_TIMEOUT_S)
+        self.assertIsNone(answer)
+        self.assertLess(time.monotonic() - started, MAX_DURATION_S)
