Count replicas that crash at once as one crash of a request that was answered before

Equal requests of several callers were in flight at each of three replicas, and a digest counted the lifetimes of targets, so that one crash of the service looked like one request that had crashed three targets in a row.

Targets that end within half a second are one crash now for a whole request that was answered before, unless the same request, by its id, was sent to several of them.

--- a/mallowcrank/chains/crash_evidence.py
+++ b/mallowcrank/chains/crash_evidence.py
@@ -121,14 +121,19 @@
         return self._requests if trait.is_whole else self._parts
 
 
-def count_crashes(trait: Trait, lost: Collection[LostRequest]) -> int:
+def count_crashes(
+    trait: Trait, lost: Collection[LostRequest], was_sound: bool = True
+) -> int:
     """
     Return the number of crashes in which requests were lost.
 
-    Targets that end at once, as in a loss of power, count as one crash for a
-    part of many requests, but not for a request that was sent to each of them.
+    Targets that end at once, as in a loss of power, count as one crash, but not
+    for a request that was sent to each of them. A whole request that was never
+    answered has few callers, so each target that it ended with counts.
+
+    :param was_sound: whether requests with the trait were answered before.
     """
-    if trait.is_whole:
+    if trait.is_whole and not was_sound:
         return len({each.lifetime for each in lost})
     count = 0
     crashed_at = -inf
--- a/mallowcrank/chains/suspect_traits.py
+++ b/mallowcrank/chains/suspect_traits.py
@@ -107,7 +107,8 @@
         """
         Return the number of crashes that speak against a trait.
         """
-        return count_crashes(trait, self._lost_by_trait().get(trait, ()))
+        lost = self._lost_by_trait().get(trait, ())
+        return count_crashes(trait, lost, was_sound(trait, lost, self.answers))
 
     def most_telling(self, limit: int) -> list[LostRequest]:
         """
@@ -118,7 +119,9 @@
         longer, or what crashed their target is known.
         """
         crashes = {
-            trait: count_crashes(trait, lost)
+            trait: count_crashes(
+                trait, lost, was_sound(trait, lost, self.answers)
+            )
             for trait, lost in self._lost_by_trait().items()
         }
 
@@ -275,7 +278,9 @@
         self, by_trait: Mapping[Trait, Sequence[LostRequest]]
     ) -> None:
         crashes = {
-            trait: count_crashes(trait, lost)
+            trait: count_crashes(
+                trait, lost, was_sound(trait, lost, self._answers)
+            )
             for trait, lost in by_trait.items()
         }
         for trait in sorted(by_trait, key=crashes.__getitem__, reverse=True):
@@ -325,7 +330,7 @@
             return True
         crashes = crashes_by_trait[trait]
         min_crashes, min_answers = MIN_CRASHES, 1
-        if self._was_sound(trait, lost):
+        if was_sound(trait, lost, self._answers):
             min_crashes, min_answers = SOUND_CRASHES, SOUND_ANSWERS
         elif trait.is_whole:
             min_crashes, min_answers = MIN_CRASHES_WHOLE, 0
@@ -347,7 +352,7 @@
         Crashes in which a request was lost that had been lost in another crash
         don't speak against a part that was sound.
         """
-        if not self._was_sound(trait, lost):
+        if not was_sound(trait, lost, self._answers):
             return True
         if not trait.is_whole:
             lost = [
@@ -355,12 +360,15 @@
             ]
         return count_crashes(trait, lost) > 1
 
-    def _was_sound(self, trait: Trait, lost: Collection[LostRequest]) -> bool:
-        """
-        Return whether a trait was answered shortly before it was first lost.
-        """
-        first_at = min(each.at for each in lost)
-        return first_at - self._answers.last_at(trait) < RECENT_ANSWER_S
+
+def was_sound(
+    trait: Trait, lost: Collection[LostRequest], answers: AnswerRecords
+) -> bool:
+    """
+    Return whether a trait was answered shortly before it was first lost.
+    """
+    first_at = min((each.at for each in lost), default=inf)
+    return first_at - answers.last_at(trait) < RECENT_ANSWER_S
 
 
 def _says(lost: LostRequest, answers: AnswerRecords, now: float) -> bool:
