Find kept channels that died while they were idle

A path may be lost without a sign while its connections are open. A request that was sent over a kept channel then got neither an answer nor a refusal: with one target, or where no retry was left, until its caller left. Nothing but silence shows it to the process; the kernel, however, sees that nothing is acknowledged.

Idle channels are probed by TCP keep-alive after 1 s, and a short request on a kept channel breaks off if it isn't acknowledged within 0.5 s (TCP_USER_TIMEOUT). Requests in flight aren't probed, so that a path that is lost for a moment ends none of them. A channel that breaks so says nothing against the request or its target: it isn't recorded as lost in a crash, the other idle channels to the target are closed, and a repeatable call may go to the same target again.

--- a/mallowcrank/gateway/streams.py
+++ b/mallowcrank/gateway/streams.py
@@ -185,7 +185,7 @@
         :returns: whether the call has ended.
         """
         if isinstance(outcome, Interrupted) and not self._run.proxy:
-            if not outcome.is_excessive:
+            if not (outcome.is_excessive or outcome.is_unacknowledged):
                 await self._check_crash(outcome)
         match outcome:
             case Served():
@@ -490,6 +490,8 @@
         """
         Log that the channel broke; avoid an engine that has sent too much.
         """
+        if broken.is_unacknowledged and self._run.channel:
+            self._core.pool.close_idle(self._run.channel.address)
         if not self._run.proxy:
             first = self._run.path.segments[0].lifetime
             log_broken_channel(self._core, self._call, first, broken)
@@ -500,6 +502,7 @@
             broken.reason,
             is_broken=broken.excess is None,
             is_excessive=broken.excess is not None,
+            is_unacknowledged=broken.is_unacknowledged,
         )
 
     async def _next(
--- a/mallowcrank/gateway/target_channel.py
+++ b/mallowcrank/gateway/target_channel.py
@@ -15,6 +15,11 @@
 import httptools
 
 from mallowcrank.gateway.clock import monotonic_s
+from mallowcrank.gateway.dead_peers import (
+    is_unacknowledged,
+    watch_idle,
+    watch_request,
+)
 from mallowcrank.gateway.ports import Headers, HttpCall
 from mallowcrank.gateway.receiving import (
     HEADER_OVERHEAD_BYTES,
@@ -73,10 +78,13 @@
 
     :param reason: why.
     :param excess: what the peer has sent, if it was too much.
+    :param is_unacknowledged: whether the peer has acknowledged nothing, so
+        that the request hasn't reached it as far as this side can tell.
     """
 
     reason: str
     excess: Excess | None = None
+    is_unacknowledged: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -170,6 +178,7 @@
         self._is_in_head = False
         self._unframed_bytes = 0
         self._keep_alive = False
+        self._is_unanswered = False
         self._idle_timeout_s: float = IDLE_TIMEOUT_S
 
     @property
@@ -215,7 +224,8 @@
         self._is_open = False
         if self._is_pending:
             reason = f'reset: {exc}' if exc else 'closed'
-            self._emit(ChannelBroken(reason))
+            is_unanswered = self._is_unanswered and is_unacknowledged(exc)
+            self._emit(ChannelBroken(reason, is_unacknowledged=is_unanswered))
 
     def eof_received(self) -> bool:
         """
@@ -246,8 +256,11 @@
         self._head_only = head_only
         self._until_close = False
         self._unframed_bytes = 0
+        self._is_unanswered = True
         self._begin_head()
         if self._transport and self._is_open:
+            if self.request_count > 1:
+                watch_request(self._transport, len(data))
             self._transport.write(data)
         else:
             self._emit(ChannelBroken('closed before the request'))
@@ -262,6 +275,7 @@
             # Unsolicited bytes belong to no request.
             self.close()
             return
+        self._is_unanswered = False
         self._unframed_bytes += len(data)
         try:
             self._parser.feed_data(data)
@@ -285,6 +299,14 @@
         self._kept_bytes = taken_bytes
         self._count_held()
 
+    def rest(self) -> None:
+        """
+        Keep the channel for another request; it closes if its peer is lost.
+        """
+        self.keep(0)
+        if self._transport:
+            watch_idle(self._transport)
+
     def break_off_event(self) -> None:
         """
         Close the channel, as an event or error is too long for its reader.
@@ -583,7 +605,7 @@
         """
         idle = self._idle.setdefault(channel.address, [])
         if channel.is_reusable and len(idle) < MAX_IDLE:
-            channel.keep(0)
+            channel.rest()
             idle.append(channel)
         else:
             channel.close()
