Probe a sample first where several targets turn silent

Each gateway probed all other targets whenever a further one had turned silent, to learn whether it was cut off itself. That is gateways times targets for each crash: 40,000 probes at 195 gateways and 210 targets, twice a second at most.

A sample of eight is probed now, and all others at once if half of it is silent.

Probes are counted by cause (mallowcrank_probe_causes_total).

--- a/mallowcrank/gateway/gossip.py
+++ b/mallowcrank/gateway/gossip.py
@@ -9,6 +9,7 @@
 from mallowcrank.gateway.latest_desired import LatestDesired
 from mallowcrank.gateway.leadership import Leadership, should_take_over
 from mallowcrank.gateway.peers import is_isolated
+from mallowcrank.gateway.prober import ProbeCause
 from mallowcrank.gateway.targets import Target
 from mallowcrank.gateway.targets_follower import TargetsFollower
 
@@ -157,12 +158,15 @@
             fleet.record_leaving(lifetime, status.host)
         if status.suspects:
             self._core.prober.probe(
-                self._core.suspects.apply(status.suspects, self._core.has_ended)
+                self._core.suspects.apply(
+                    status.suspects, self._core.has_ended
+                ),
+                ProbeCause.PEER,
             )
         for identity in status.unresponsive_targets:
             target = fleet.find(identity)
             if target and self._should_verify(status.host, target):
-                self._core.prober.probe((target.lifetime,))
+                self._core.prober.probe((target.lifetime,), ProbeCause.PEER)
 
     def is_silence_confirmed(self, identity: str) -> bool:
         """
--- a/mallowcrank/gateway/meters.py
+++ b/mallowcrank/gateway/meters.py
@@ -65,6 +65,9 @@
         self.probes = self._counter(
             'probes', 'Reports asked of targets.', ('outcome',)
         )
+        self.probe_causes = self._counter(
+            'probe_causes', 'Probes of targets by their cause.', ('cause',)
+        )
         self.orders = self._counter(
             'orders', 'Orders to engines.', ('outcome',)
         )
--- a/mallowcrank/gateway/placing.py
+++ b/mallowcrank/gateway/placing.py
@@ -22,6 +22,7 @@
     EngineRule,
     ServiceRule,
 )
+from mallowcrank.gateway.prober import ProbeCause
 from mallowcrank.gateway.target_channel import Response
 from mallowcrank.gateway.targets import (
     HeldLayers,
@@ -102,7 +103,7 @@
         targets = self._fleet.accepting_targets(service.name)
         self._drop_settled(targets, now)
         if len(self._pending) <= MAX_PROBED_ORDERS:
-            self._prober.probe(self._pending)
+            self._prober.probe(self._pending, ProbeCause.ORDER)
         found = [self._card(rule, target, now) for target in targets]
         cards = [card for card in found if card]
         if not self._may_plan(cards, now):
--- a/mallowcrank/gateway/prober.py
+++ b/mallowcrank/gateway/prober.py
@@ -8,6 +8,7 @@
 
 import asyncio
 from collections.abc import Callable, Iterable, Sequence
+from enum import Enum, unique
 from http import HTTPStatus
 from random import Random
 
@@ -45,6 +46,22 @@
 CHECK_INTERVAL_S = 0.25
 
 
+@unique
+class ProbeCause(Enum):
+    """
+    Why a target is probed.
+    """
+
+    SILENT_REQUEST = 'silent request'
+    UNREACHED = 'unreached'
+    LOST_REQUEST = 'lost request'
+    PEER = 'word of another gateway'
+    SWEEP = 'several silent targets'
+    RETURN = 'silent target'
+    ORDER = 'order'
+    PACE = 'pace'
+
+
 class Prober:
     """
     Probes targets, and records the results in their health.
@@ -72,14 +89,18 @@
         self._random = Random()
         self._is_cut_off = False
 
-    def probe(self, lifetimes: Iterable[Lifetime]) -> None:
+    def probe(
+        self,
+        lifetimes: Iterable[Lifetime],
+        cause: ProbeCause = ProbeCause.SILENT_REQUEST,
+    ) -> None:
         """
         Probe targets in the background, unless they were probed just now.
         """
         for lifetime in lifetimes:
             target = self._fleet.find(lifetime.identity)
             if target and is_current(self._fleet, lifetime):
-                self._start_probe(target, SUSPECT_INTERVAL_S)
+                self._start_probe(target, SUSPECT_INTERVAL_S, cause)
 
     async def verify_loss(self, lifetime: Lifetime) -> bool:
         """
@@ -93,6 +114,9 @@
             # Many requests are lost in one crash.
             probe = self._verifying.get(lifetime)
             if probe is None:
+                self._meters.probe_causes.labels(
+                    ProbeCause.LOST_REQUEST.value
+                ).inc()
                 probe = asyncio.create_task(self._probe_target(target))
                 self._verifying[lifetime] = probe
                 probe.add_done_callback(lambda _: self._verifying.pop(lifetime))
@@ -133,7 +157,7 @@
                 lifetime, failure.reason, monotonic_s()
             )
         else:
-            self.probe((lifetime,))
+            self.probe((lifetime,), ProbeCause.UNREACHED)
 
     async def fetch_report(
         self, target: Target, may_reuse: bool = True
@@ -197,7 +221,9 @@
             for service in service_names():
                 for target in self._fleet.all_targets(service):
                     if self._assignment.host_for(target.identity) == mine:
-                        self._start_probe(target, PACE_INTERVAL_S)
+                        self._start_probe(
+                            target, PACE_INTERVAL_S, ProbeCause.PACE
+                        )
 
     def _probe_unresponsive(
         self, is_silence_confirmed: Callable[[str], bool]
@@ -211,6 +237,7 @@
                     CONFIRMED_INTERVAL_S
                     if is_confirmed
                     else UNRESPONSIVE_INTERVAL_S,
+                    ProbeCause.RETURN,
                 )
 
     def _select_unresponsive(self) -> list[Lifetime]:
@@ -227,11 +254,14 @@
         size = RETURN_SAMPLE if is_back else CUT_OFF_SAMPLE
         return self._random.sample(unresponsive, min(size, len(unresponsive)))
 
-    def _start_probe(self, target: Target, interval_s: float) -> None:
+    def _start_probe(
+        self, target: Target, interval_s: float, cause: ProbeCause
+    ) -> None:
         now = monotonic_s()
         if now - self._probed_at.get(target.lifetime, 0) < interval_s:
             return
         self._probed_at[target.lifetime] = now
+        self._meters.probe_causes.labels(cause.value).inc()
         if len(self._probed_at) > 2 * len(self._fleet) + 100:
             self._probed_at.clear()
         task = asyncio.get_running_loop().create_task(
--- a/mallowcrank/gateway/reachability.py
+++ b/mallowcrank/gateway/reachability.py
@@ -3,12 +3,13 @@
 
 Targets that are silent for this gateway alone are the fault of its own links;
 targets that are silent for all have failed. So when several targets turn silent,
-the others are probed at once, and the result is compared with what the other
+others are probed at once, and the result is compared with what the other
 gateways report.
 """
 
 import asyncio
 from collections.abc import Callable
+from random import Random
 
 from mallowcrank.gateway.clock import monotonic_s
 from mallowcrank.gateway.datagrams import GatewayStatus
@@ -16,11 +17,11 @@
 from mallowcrank.gateway.journal import Journal
 from mallowcrank.gateway.meters import Meters
 from mallowcrank.gateway.peers import Peers
-from mallowcrank.gateway.prober import Prober
+from mallowcrank.gateway.prober import ProbeCause, Prober
+from mallowcrank.gateway.target_sweep import TargetSweep
 
 CHECK_INTERVAL_S = 0.1
-SWEEP_INTERVAL_S = 0.5
-MIN_SILENT = 3  # targets that turn silent before the others are probed
+MIN_SILENT = 3  # targets that turn silent before others are probed
 # Hysteresis: a gateway counts as cut off until it reaches half of the targets.
 CUT_OFF_SHARE = 0.9
 RETURN_SHARE = 0.5
@@ -56,8 +57,7 @@
         self._meters = meters
         self._on_cut_off = on_cut_off
         self._is_cut_off = False
-        self._swept_at = monotonic_s()
-        self._swept_silent = 0
+        self._target_sweep = TargetSweep(Random(), monotonic_s())
         self._silent = 0
         self._in_doubt_until = 0
         self._better_off_at = monotonic_s()
@@ -110,7 +110,7 @@
         min_silent = max(1, min(MIN_SILENT, len(self._fleet)))
         if not self._is_cut_off and silent < min_silent:
             self._silent = silent
-            self._swept_silent = 0
+            self._target_sweep.reset()
             self._better_off = ()
             return
         now = monotonic_s()
@@ -127,8 +127,8 @@
                 self._change(is_cut_off=False)
         elif self._better_off and silent >= CUT_OFF_SHARE * len(self._fleet):
             self._change(is_cut_off=True)
-        elif silent > self._swept_silent:
-            self._sweep(now, silent)
+        else:
+            self._sweep(now)
 
     def _find_better_off(self) -> tuple[GatewayStatus, ...]:
         unresponsive = self._fleet.health.unresponsive()
@@ -142,21 +142,20 @@
             < len(silent)
         )
 
-    def _sweep(self, now: float, silent: int) -> None:
+    def _sweep(self, now: float) -> None:
         """
-        Probe the targets that aren't known to be silent.
+        Probe some targets that aren't known to be silent, or all of them.
         """
-        if now - self._swept_at < SWEEP_INTERVAL_S:
-            return
-        self._swept_at = now
-        self._swept_silent = silent
         unresponsive = self._fleet.health.unresponsive()
         targets = map(self._fleet.find, self._fleet.raw_entries)
-        self._prober.probe(
+        answering = [
             target.lifetime
             for target in targets
             if target and target.lifetime not in unresponsive
-        )
+        ]
+        chosen = self._target_sweep.choose(answering, unresponsive, now)
+        if chosen:
+            self._prober.probe(chosen, ProbeCause.SWEEP)
 
     def _change(self, is_cut_off: bool) -> None:
         self._is_cut_off = is_cut_off
