--- a/mallowcrank/gateway/outcomes.py
+++ b/mallowcrank/gateway/outcomes.py
@@ -17,7 +17,7 @@
     :param reason: why.
     :param may_have_run: false if the target certainly did not run the call.
     :param is_broken: whether the target closed the channel, or the network,
-        after the call had reached the target.
+        after the call was sent.
     :param is_silent: whether the target may still answer.
     """
 
@@ -51,15 +51,12 @@
     :param is_broken: whether the channel to the first engine broke.
     :param is_silent: whether the path may still send something.
     :param is_excessive: whether the first engine has sent too much.
-    :param is_unacknowledged: whether the request reached no engine, as far as
-        this side can tell.
     """
 
     reason: str
     is_broken: bool = False
     is_silent: bool = False
     is_excessive: bool = False
-    is_unacknowledged: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/mallowcrank/gateway/plain_attempts.py
+++ b/mallowcrank/gateway/plain_attempts.py
@@ -166,9 +166,10 @@
                 if response.is_unacknowledged:
                     self._core.pool.close_idle(target.address)
                     call.avoided.discard(target.lifetime)
-                is_crash = not (response.excess or response.is_unacknowledged)
                 return NoResponse(
-                    response.reason, may_have_run=True, is_broken=is_crash
+                    response.reason,
+                    may_have_run=True,
+                    is_broken=response.excess is None,
                 )
             case ReadTimeout():
                 return NoResponse('silent', may_have_run=True, is_silent=True)
--- a/mallowcrank/gateway/streams.py
+++ b/mallowcrank/gateway/streams.py
@@ -185,7 +185,7 @@
         :returns: whether the call has ended.
         """
         if isinstance(outcome, Interrupted) and not self._run.proxy:
-            if not (outcome.is_excessive or outcome.is_unacknowledged):
+            if not outcome.is_excessive:
                 await self._check_crash(outcome)
         match outcome:
             case Served():
@@ -502,7 +502,6 @@
             broken.reason,
             is_broken=broken.excess is None,
             is_excessive=broken.excess is not None,
-            is_unacknowledged=broken.is_unacknowledged,
         )
 
     async def _next(
