Compare addresses of targets only where one is new, and parse each address once

Entries change with each heartbeat, and are applied as a whole where another gateway has read them: each one compared its address with those of all targets. A target that keeps its address shares it with no other.

--- a/mallowcrank/gateway/addresses.py
+++ b/mallowcrank/gateway/addresses.py
@@ -3,10 +3,12 @@
 """
 
 import re
+from functools import lru_cache
 from ipaddress import IPv4Address
 
 from mallowcrank.gateway.settings import Address
 
+MAX_KNOWN_ADDRESSES = 4096  # which aren't parsed again
 MAX_PORT = 65_535
 MAX_PORT_DIGITS = 5
 MAX_HOST_NAME = 253  # characters (RFC 1035)
@@ -15,6 +17,7 @@
 _HOST_NAME = re.compile(rf'{_LABEL}(\.{_LABEL})*')
 
 
+@lru_cache(MAX_KNOWN_ADDRESSES)
 def parse_address(text: str) -> Address:
     """
     Parse `IP:PORT`, or a host name in place of the IP address.
--- a/mallowcrank/gateway/fleet.py
+++ b/mallowcrank/gateway/fleet.py
@@ -109,9 +109,10 @@
             )
             return
         self._displaced.pop(identity, None)
-        if self.raw_entries.get(identity) != raw:
-            self._displace_others(target, now)
         before = self._targets.get(identity)
+        # A target that keeps its address shares it with no other.
+        if before is None or before.address != target.address:
+            self._displace_others(target, now)
         target = self.health.with_reported_layers(target, now)
         if target.lifetime in self.said_leaving:
             target = replace(target, leaving=True)
