Bound the probes of a target that is known to be silent

Each gateway probed each silent target every 2 s, twice over, while the one that probes it regularly found it silent: at 195 gateways 200 probes a second for each target. They probe it together 12 times a second now, once each, over a new channel, as kept ones may be dead; up to 24 gateways the interval is as before. A status of the regular prober without the target still makes all ask at once.

Another gateway's word of silence isn't verified where the target has just sent something to this one.

--- a/mallowcrank/gateway/gossip.py
+++ b/mallowcrank/gateway/gossip.py
@@ -13,6 +13,8 @@
 from mallowcrank.gateway.targets import Target
 from mallowcrank.gateway.targets_follower import TargetsFollower
 
+ACTIVE_S = 0.1  # since an event that came through a target, which isn't silent
+
 
 class Gossip:
     """
@@ -215,9 +217,13 @@
         Return whether to probe a target that another gateway finds silent.
 
         Where no request of this gateway uses the target, its regular prober
-        verifies the report first: most reports are of a stalled gateway.
+        verifies the report first: most reports are of a stalled gateway. What
+        the target has just sent to this gateway answers the question.
         """
-        if target.lifetime in self._core.fleet.health.unresponsive():
+        health = self._core.fleet.health
+        if target.lifetime in health.unresponsive():
+            return False
+        if not health.idle_since((target.lifetime,), monotonic_s() - ACTIVE_S):
             return False
         prober = self._core.prober.host_for(target.identity)
         return prober in {
--- a/mallowcrank/gateway/prober.py
+++ b/mallowcrank/gateway/prober.py
@@ -33,8 +33,10 @@
 RETRY_DELAY_S = 0.025  # before a second request for the same report
 SUSPECT_INTERVAL_S = 0.25
 UNRESPONSIVE_INTERVAL_S = 0.5
-# While the gateway that probes the target regularly finds it silent, too.
+# While the gateway that probes the target regularly finds it silent, too. The
+# others probe it together as often as so many gateways do.
 CONFIRMED_INTERVAL_S = 2.0
+CONFIRMING_GATEWAYS = 24
 # A probe ends within its timeouts unless this process was stalled.
 MAX_PROBE_S = 0.1
 MAX_STALLED_PROBES = 3
@@ -215,8 +217,8 @@
         """
         while True:
             await asyncio.sleep(CHECK_INTERVAL_S)
-            self._probe_unresponsive(is_silence_confirmed)
             mine, hosts = probing_hosts()
+            self._probe_unresponsive(is_silence_confirmed, len(hosts))
             self._assignment.update_hosts(hosts)
             for service in service_names():
                 for target in self._fleet.all_targets(service):
@@ -226,15 +228,16 @@
                         )
 
     def _probe_unresponsive(
-        self, is_silence_confirmed: Callable[[str], bool]
+        self, is_silence_confirmed: Callable[[str], bool], gateways: int
     ) -> None:
+        confirmed_interval_s = confirmed_silence_interval_s(gateways)
         for lifetime in self._select_unresponsive():
             target = self._fleet.find(lifetime.identity)
             if target and is_current(self._fleet, lifetime):
                 is_confirmed = is_silence_confirmed(target.identity)
                 self._start_probe(
                     target,
-                    CONFIRMED_INTERVAL_S
+                    confirmed_interval_s
                     if is_confirmed
                     else UNRESPONSIVE_INTERVAL_S,
                     ProbeCause.RETURN,
@@ -265,16 +268,21 @@
         if len(self._probed_at) > 2 * len(self._fleet) + 100:
             self._probed_at.clear()
         task = asyncio.get_running_loop().create_task(
-            self._probe_target(target)
+            self._probe_target(target, cause)
         )
         self._tasks.add(task)
         self._errors.watch(task, 'probe')
         task.add_done_callback(self._tasks.discard)
 
-    async def _probe_target(self, target: Target) -> None:
+    async def _probe_target(
+        self, target: Target, cause: ProbeCause = ProbeCause.LOST_REQUEST
+    ) -> None:
         for _ in range(MAX_STALLED_PROBES):
             started_at = monotonic_s()
-            if target.is_engine:
+            if target.is_engine and cause is ProbeCause.RETURN:
+                # Nothing waits for the result, and kept channels may be dead.
+                answer = await self.fetch_report(target, may_reuse=False)
+            elif target.is_engine:
                 answer = await self._first_report(target)
             else:
                 answer = await _try_connect(self._pool, target)
@@ -315,6 +323,17 @@
             self._fleet.health.record_silence(target.lifetime, answer, now)
 
 
+def confirmed_silence_interval_s(gateways: int) -> float:
+    """
+    Return how often a gateway probes a target that is known to be silent by
+    the one that probes it regularly, so that the cost of a silent target
+    doesn't grow with the gateways.
+
+    That one's statuses tell the others at once when the target is back.
+    """
+    return CONFIRMED_INTERVAL_S * max(1, gateways / CONFIRMING_GATEWAYS)
+
+
 async def _try_connect(pool: ChannelPool, target: Target) -> str:
     """
     Open a channel to a target that gives no reports.
--- a/tests/test_gateway_peers.py
+++ b/tests/test_gateway_peers.py
@@ -16,6 +16,7 @@
 from mallowcrank.chains.budget import RetryWindow
 from mallowcrank.chains.memory import MemoryLedger
 from mallowcrank.chains.paths import PathSegment
+from mallowcrank.gateway.clock import monotonic_s
 from mallowcrank.gateway.datagrams import (
     ADDRESSES_FORMAT,
     pack_addresses,
@@ -24,7 +25,7 @@
 from mallowcrank.gateway.fleet import Fleet
 from mallowcrank.gateway.gossip import Gossip
 from mallowcrank.gateway.peers import MAX_ADDRESSES
-from mallowcrank.gateway.prober import Prober
+from mallowcrank.gateway.prober import Prober, confirmed_silence_interval_s
 from mallowcrank.gateway.settings import Address, Bounds
 from mallowcrank.gateway.status_rounds import plan_rounds
 from mallowcrank.gateway.targets import Lifetime, TargetReport
@@ -215,6 +216,18 @@
         self.ledger.reserve((PathSegment(self.lifetime, 0, 8),), 500)
         self.assertTrue(self.report('other'))
 
+    def test_report_on_a_target_that_has_just_sent_is_not_verified(self):
+        self.ledger.reserve((PathSegment(self.lifetime, 0, 8),), 500)
+        self.fleet.health.record_progress((self.lifetime,), monotonic_s())
+        self.assertFalse(self.report('other'))
+
+    def test_cost_of_a_silent_target_does_not_grow_with_the_gateways(self):
+        for gateways in (24, 84, 195, 385):
+            with self.subTest(gateways=gateways):
+                interval_s = confirmed_silence_interval_s(gateways)
+                self.assertLessEqual(gateways / interval_s, 12)
+        self.assertEqual(confirmed_silence_interval_s(8), 2)
+
     def test_silence_is_confirmed_by_the_regular_prober_only(self):
         for host, is_confirmed in (('other', False), ('prober', True)):
             with self.subTest(host=host):
