Let the silence that counts follow the pace of events

A stream without an event for 0.06 s made its gateway ask all engines of the path. The time follows the mean pause and its deviation now, between 0.06 and 0.12 s.

--- a/mallowcrank/gateway/stream_run.py
+++ b/mallowcrank/gateway/stream_run.py
@@ -29,6 +29,7 @@
     :param sent_at: steady time, in seconds.
     :param remainder: bytes of its last event, which isn't complete yet.
     :param is_accepted: whether its engines have accepted it.
+    :param last_event_at: steady time of its last event, in seconds; 0 before.
     """
 
     path: ChainPath = NO_PATH
@@ -39,6 +40,7 @@
     body: list[bytes] = field(default_factory=list)
     remainder: bytes = b''
     is_accepted: bool = False
+    last_event_at: float = 0
 
     @property
     def is_success(self) -> bool:
--- a/mallowcrank/gateway/streams.py
+++ b/mallowcrank/gateway/streams.py
@@ -8,9 +8,9 @@
 """
 
 import asyncio
-from collections.abc import Sequence
 
 from mallowcrank.chains.budget import SentRequest
+from mallowcrank.chains.event_pace import EventPace, EventPaces
 from mallowcrank.chains.paths import ChainPath, NoPath
 from mallowcrank.gateway.call import Call, answer_matcher
 from mallowcrank.gateway.call_log import log_broken_channel, record_outcome
@@ -63,7 +63,6 @@
 MILLISECONDS = 1000
 CHECK_INTERVAL_S = 0.015
 FIRST_EVENT_SILENCE_S = 0.15  # before engines are probed
-EVENT_SILENCE_S = 0.06  # streams have 20 events per second or more
 MAX_SILENCE_S = 0.9  # then a stream moves, even if all engines answer
 # Of a run that was silent; a single one may be the last before a crash.
 EVENTS_TO_GO_ON = 3
@@ -90,13 +89,15 @@
     def __init__(self, core: Core, wait_queue: WaitQueue) -> None:
         self._core = core
         self._wait_queue = wait_queue
+        self._paces = EventPaces()
 
     async def serve(self, call: Call, rule: EngineRule) -> None:
         """
         Serve one call.
         """
         finder = PathFinder(self._core, call, rule)
-        await _Stream(self._core, self._wait_queue, call, finder).run()
+        pace = self._paces.for_service(call.service.name)
+        await _Stream(self._core, self._wait_queue, call, finder, pace).run()
 
 
 class _Stream:
@@ -105,7 +106,12 @@
     """
 
     def __init__(
-        self, core: Core, wait_queue: WaitQueue, call: Call, finder: PathFinder
+        self,
+        core: Core,
+        wait_queue: WaitQueue,
+        call: Call,
+        finder: PathFinder,
+        pace: EventPace,
     ) -> None:
         self._core = core
         self._wait_queue = wait_queue
@@ -113,6 +119,7 @@
         self._finder = finder
         self._pieces = EventBuffer()
         self._window = core.retry_windows.for_service(call.service.name)
+        self._pace = pace
         self._tries = 0
         self._retry: SentRequest | None = None
         self._detours = 0
@@ -517,7 +524,9 @@
                 return TimedOut()
             silence_s = monotonic_s() - started_at
             # Nothing is decided before the shortest silence that counts.
-            pause_s = max(CHECK_INTERVAL_S, EVENT_SILENCE_S - silence_s)
+            pause_s = max(
+                CHECK_INTERVAL_S, self._pace.max_silence_s - silence_s
+            )
             event = await channel.next_event(min(pause_s, left_s))
             if not isinstance(event, ReadTimeout):
                 return self._check(event)
@@ -549,7 +558,7 @@
         lost = self._lost_engines()
         if (
             not lost
-            or silence_s < EVENT_SILENCE_S
+            or silence_s < self._pace.max_silence_s
             or not self._pieces.event_count
         ):
             return False
@@ -594,7 +603,7 @@
         :returns: why it moves to another path, if it does.
         """
         allowed_s = (
-            EVENT_SILENCE_S
+            self._pace.max_silence_s
             if self._pieces.event_count
             else FIRST_EVENT_SILENCE_S
         )
@@ -633,7 +642,7 @@
             f'silent for {silence_s:.3f} s at {proxy.host}', is_silent=True
         )
 
-    def _can_move(self, avoided: Sequence[Lifetime]) -> bool:
+    def _can_move(self, avoided: tuple[Lifetime, ...]) -> bool:
         if not self._may_retry() or not self._has_budget():
             return False
         proxies = self._core.proxies
@@ -702,7 +711,11 @@
         self._end_silent_run()
         lifetimes = self._run.path.lifetimes
         target_health = self._core.fleet.health
-        target_health.record_progress(lifetimes, monotonic_s())
+        now = monotonic_s()
+        target_health.record_progress(lifetimes, now)
+        if self._run.last_event_at:
+            self._pace.record(now - self._run.last_event_at)
+        self._run.last_event_at = now
         if not self._run.is_accepted:
             self._run.is_accepted = True
             target_health.record_acceptance(lifetimes)
