Renew memberships that own no partition less often, and read members as often as few gateways

Each gateway renewed its lease once a second, and read the members each 10 s while the group changed. The group has eight partitions: at 195 gateways 187 members can't lead before a partition is given to them, and cost 187 renewals a second and up to 20 reads a second of the same eight rows. They renew each 4 s now, with a lease of 12 s; all gateways together read the members as often as eight did. Until a spare member learns that it owns the first partition, a gateway acts for the missing leader, as before.

--- a/mallowcrank/gateway/leadership.py
+++ b/mallowcrank/gateway/leadership.py
@@ -26,8 +26,15 @@
 GROUP = 'mallowcrank'
 RENEWAL_INTERVAL_S = 1.0
 LEASE_S = 3.0  # three renewals
+# Of members that own no partition, as there are more members than partitions:
+# none of them leads before its next renewal.
+SPARE_RENEWAL_INTERVAL_S = 4.0
+SPARE_LEASE_S = 12.0
 MIN_TAKEOVER_DELAY_S = 1.2
-MEMBERS_INTERVAL_S = 10  # between reads of the members, unless isolated
+# Between reads of the members, unless isolated; more of them read less often,
+# as they tell each other whom they know.
+MEMBERS_INTERVAL_S = 10
+MEMBERS_READERS = 8
 OUTAGE_LEASE_S = 20  # the last leader goes on during a store outage
 LEADER_PARTITION = 0
 SEPARATOR = '/'
@@ -100,7 +107,8 @@
         self._renewed_at = -OUTAGE_LEASE_S
         self._known_generation = -1
         self._members_read_at = -inf
-        self._lease_s = max(LEASE_S, settings.min_lease_s)
+        self._min_lease_s = settings.min_lease_s
+        self._is_spare = False
 
     @property
     def leader_generation(self) -> int:
@@ -111,10 +119,27 @@
             return 0
         renewed_ago_s = monotonic_s() - self._renewed_at
         allowed_s = (
-            OUTAGE_LEASE_S if self._link.unavailable_since else self._lease_s
+            OUTAGE_LEASE_S if self._link.unavailable_since else self.lease_s
         )
         return self._generation if renewed_ago_s < allowed_s else 0
 
+    @property
+    def renewal_interval_s(self) -> float:
+        """
+        Return the seconds until the next renewal.
+        """
+        return (
+            SPARE_RENEWAL_INTERVAL_S if self._is_spare else RENEWAL_INTERVAL_S
+        )
+
+    @property
+    def lease_s(self) -> float:
+        """
+        Return the seconds after which the membership lapses.
+        """
+        lease_s = SPARE_LEASE_S if self._is_spare else LEASE_S
+        return max(lease_s, self._min_lease_s)
+
     def handle_status(self, status: GatewayStatus) -> None:
         """
         Step down if another gateway leads in a later generation.
@@ -134,7 +159,7 @@
         while not self._has_left:
             if await self.renew():
                 self._backoff.reset()
-                await asyncio.sleep(RENEWAL_INTERVAL_S)
+                await asyncio.sleep(self.renewal_interval_s)
             else:
                 await self._backoff.wait()
 
@@ -166,7 +191,7 @@
             self._store_calls.join(
                 GROUP,
                 self._member,
-                int(self._lease_s * 1000),
+                int(self.lease_s * 1000),
                 self._generation,
             ),
         )
@@ -178,6 +203,7 @@
         self._generation = joined.generation
         self._era = answer.era
         self._renewed_at = sent_at
+        self._is_spare = not joined.owned
         owns_leadership = any(
             part == LEADER_PARTITION for _, part in joined.owned
         )
@@ -216,7 +242,10 @@
         if generation == self._known_generation:
             return False
         read_ago_s = monotonic_s() - self._members_read_at
-        return read_ago_s > MEMBERS_INTERVAL_S or is_isolated(self._peers)
+        interval_s = MEMBERS_INTERVAL_S * max(
+            1, self._peers.count() / MEMBERS_READERS
+        )
+        return read_ago_s > interval_s or is_isolated(self._peers)
 
     async def _read_members(self, generation: int) -> None:
         answer = await self._link.call(
--- a/tests/test_gateway_beliefs.py
+++ b/tests/test_gateway_beliefs.py
@@ -35,7 +35,13 @@
 from mallowcrank.gateway.gossip import Gossip
 from mallowcrank.gateway.journal import Importance, Journal
 from mallowcrank.gateway.latest_desired import LatestDesired
-from mallowcrank.gateway.leadership import Leadership, should_take_over
+from mallowcrank.gateway.leadership import (
+    RENEWAL_INTERVAL_S,
+    SPARE_LEASE_S,
+    SPARE_RENEWAL_INTERVAL_S,
+    Leadership,
+    should_take_over,
+)
 from mallowcrank.gateway.ports import HttpCall, LogPosition
 from mallowcrank.gateway.settings import Address
 from mallowcrank.gateway.status_parts import (
@@ -865,7 +871,10 @@
         self.link = SteadyLink(membership_body(4))
         self.peers = Mock(count=Mock(return_value=3))
         self.peers.live.return_value = [Mock(), Mock()]
-        self.leadership = Leadership(
+        self.leadership = self.make_leadership()
+
+    def make_leadership(self):
+        return Leadership(
             settings=Mock(min_lease_s=3),
             member='h1/abcd/10.0.0.1:1',
             link=self.link,
@@ -878,6 +887,44 @@
         await self.renew_in_generations(range(4, 9))
         self.assertEqual(self.link.names.count('owners'), 1)
 
+    async def test_many_gateways_read_the_members_as_often_as_few(self):
+        reads_per_s = {}
+        for count in (8, 24, 195):
+            self.peers.count.return_value = count
+            self.peers.live.return_value = [Mock() for _ in range(count)]
+            with self.subTest(gateways=count):
+                reads = await self.reads_within(600)
+                reads_per_s[count] = count * (reads - 1) / 600
+        self.assertLessEqual(max(reads_per_s.values()), 0.8)
+        self.assertGreater(reads_per_s[195], 0.3)
+
+    async def reads_within(self, seconds):
+        """
+        Renew each second while the group changes with each renewal.
+        """
+        self.link.names.clear()
+        self.leadership = self.make_leadership()
+        now = 1000.0
+        with patch('mallowcrank.gateway.leadership.monotonic_s', lambda: now):
+            for generation in range(seconds):
+                self.link.body = membership_body(generation + 1)
+                await self.leadership.renew()
+                now += 1
+        return self.link.names.count('owners')
+
+    async def test_member_without_a_partition_renews_less_often(self):
+        self.link.body = b'{"generation": 4, "ttl_ms": 3000, "parts": []}'
+        await self.leadership.renew()
+        interval_s = self.leadership.renewal_interval_s
+        self.assertEqual(interval_s, SPARE_RENEWAL_INTERVAL_S)
+        self.assertGreaterEqual(self.leadership.lease_s, 3 * interval_s)
+        self.link.body = membership_body(5)
+        await self.leadership.renew()
+        self.assertEqual(self.leadership.leader_generation, 5)
+        interval_s = self.leadership.renewal_interval_s
+        self.assertEqual(interval_s, RENEWAL_INTERVAL_S)
+        self.assertLess(self.leadership.lease_s, SPARE_LEASE_S)
+
     async def test_isolated_gateway_reads_the_members_of_each_generation(self):
         self.peers.live.return_value = []
         await self.renew_in_generations(range(4, 9))
@@ -897,14 +944,7 @@
 
     async def lead_in_era(self, era):
         self.link.era = era
-        self.leadership = Leadership(
-            settings=Mock(min_lease_s=3),
-            member='h1/abcd/10.0.0.1:1',
-            link=self.link,
-            vocabulary=VOCABULARY,
-            peers=self.peers,
-            journal=quiet_journal(),
-        )
+        self.leadership = self.make_leadership()
         await self.leadership.renew()
         self.assertEqual(self.leadership.leader_generation, 4)
 
