Let only as many requests cross between availability zones as their links carry

Callers' streams got no first event for seconds, long after the lost engines were back. Where no zone covers the model, or has memory, paths go over several zones. The activations of a whole prompt (16 to 45 MB) cross the link at each hop between zones, one transfer after another, and nothing bounded how many prompts do. Beyond its capacity each caller leaves after two seconds and asks again, while the prompt that it left is still being transferred.

A path also crosses as rarely as it can: the search for it knew the price of each engine in another zone, but not of the hop between two zones.

--- a/mallowcrank/chains/event_pace.py
+++ b/mallowcrank/chains/event_pace.py
@@ -8,8 +8,6 @@
 its mean deviation.
 """
 
-from collections import defaultdict
-
 MIN_SILENCE_S = 0.06  # most streams have 20 events per second or more
 MAX_SILENCE_S = 0.12  # later, a detour is too late for the next event
 MEAN_WEIGHT = 1 / 8
@@ -49,18 +47,3 @@
             abs(pause_s - self._mean_s) - self._deviation_s
         )
         self._mean_s += MEAN_WEIGHT * (pause_s - self._mean_s)
-
-
-class EventPaces:
-    """
-    Paces by service.
-    """
-
-    def __init__(self) -> None:
-        self._paces: defaultdict[str, EventPace] = defaultdict(EventPace)
-
-    def for_service(self, service: str) -> EventPace:
-        """
-        Return the pace of a service, which is created if missing.
-        """
-        return self._paces[service]
--- a/mallowcrank/chains/paths.py
+++ b/mallowcrank/chains/paths.py
@@ -11,6 +11,7 @@
 from collections.abc import Collection, Iterable, Sequence
 from dataclasses import dataclass, replace
 from enum import Enum, unique
+from itertools import pairwise
 from math import inf
 
 from mallowcrank.chains.engines import (
@@ -19,6 +20,7 @@
     RequestTokens,
     layer_ms,
 )
+from mallowcrank.chains.zone_link import ZonePair, crossing_seconds
 from mallowcrank.gateway.desired import EngineRule
 from mallowcrank.gateway.targets import Lifetime
 from mallowcrank.routing.path import (
@@ -28,13 +30,13 @@
 )
 
 HOP_MS_PER_TOKEN = 0.15  # between two engines in one zone
+CROSSING_MS_PER_TOKEN = 0.5  # more between two availability zones
 REMOTE_ZONE_FACTOR = 1.03  # on the cost of a path outside the router's zone
 # Added to it for each second by which reservations of routers in other zones
 # are known later. Otherwise all routers choose the same paths meanwhile.
 REMOTE_ZONE_FACTOR_PER_S = 0.3
 FULL_MEMORY_FACTOR = 2.5  # added to an engine's times as its memory fills
 SHARED_LINK_FACTOR = 4  # on transfers, as other requests use the link too
-BITS_PER_BYTE = 8
 MIN_LAYER_SHARE = 0.3  # of an engine's layers that a path usually runs
 MAX_SEGMENTS = 32  # engines refuse longer paths
 MAX_SEARCHES = 4  # for a path that fits into memory
@@ -68,11 +70,13 @@
 
     :param version: model version of all its engines.
     :param cost_ms: expected time of the whole request, in milliseconds.
+    :param crossings: the availability zones of each hop between two of them.
     """
 
     segments: tuple[PathSegment, ...]
     version: int
     cost_ms: float
+    crossings: tuple[ZonePair, ...] = ()
 
     @property
     def lifetimes(self) -> tuple[Lifetime, ...]:
@@ -90,6 +94,7 @@
 
     UNCOVERED = 'no engines cover all layers'
     FULL = 'the engines have no memory for it'
+    LINK_BUSY = 'the link between availability zones has no room for it'
 
 
 @dataclass(frozen=True, slots=True)
@@ -196,7 +201,7 @@
             continue
         candidates.append(
             replace(
-                _candidate(request, engine, 0),
+                _candidate(request, engine),
                 first_layer=first - segment.first,
                 last_layer=end - segment.first - 1,
             )
@@ -265,7 +270,7 @@
 ) -> CostedPath | None:
     by_zone: dict[str, list[Candidate]] = defaultdict(list)
     for engine in engines:
-        by_zone[engine.zone].append(_candidate(request, engine, 0))
+        by_zone[engine.zone].append(_candidate(request, engine))
     best = None
     best_ms = inf
     for zone, candidates in by_zone.items():
@@ -280,34 +285,35 @@
 def _across_zones(
     request: PathRequest, engines: Iterable[ChainEngine]
 ) -> CostedPath | None:
-    transfer_ms = _zone_transfer_ms(request)
-    candidates = []
-    for engine in engines:
-        extra_ms = 0 if engine.zone == request.zone else transfer_ms
-        candidates.append(_candidate(request, engine, extra_ms))
+    crossing_ms = _crossing_ms(request)
+    candidates = [
+        replace(
+            _candidate(request, engine),
+            zone=engine.zone,
+            crossing_ms=crossing_ms,
+        )
+        for engine in engines
+    ]
     way = cheapest_path_with_cost(request.rule.layers, candidates)
     return way if way.stages else None
 
 
-def _zone_transfer_ms(request: PathRequest) -> float:
+def _crossing_ms(request: PathRequest) -> float:
     """
-    Return the time of a prompt to cross the link between zones and back.
+    Return the time that one hop between availability zones takes in all.
 
-    :returns: milliseconds; 0 if no speed of the link is set.
+    :returns: milliseconds.
     """
     rule = request.rule
+    tokens = request.token_counts
+    delay_ms = tokens.output * CROSSING_MS_PER_TOKEN
     if not rule.pipe_mbps:
-        return 0
-    megabits = (
-        request.token_counts.prompt * rule.hop_bytes * BITS_PER_BYTE / 1_000_000
-    )
-    seconds = 2 * megabits / rule.pipe_mbps
-    return seconds * MS_PER_S * SHARED_LINK_FACTOR
+        return delay_ms
+    seconds = crossing_seconds(rule, tokens)
+    return delay_ms + seconds * MS_PER_S * SHARED_LINK_FACTOR
 
 
-def _candidate(
-    request: PathRequest, engine: ChainEngine, extra_ms: float
-) -> Candidate:
+def _candidate(request: PathRequest, engine: ChainEngine) -> Candidate:
     tokens = request.token_counts
     memory_factor = 1 + engine.used_share * FULL_MEMORY_FACTOR
     idle_layer_ms = layer_ms(request.rule, engine.kind, tokens)
@@ -320,7 +326,7 @@
         incarnation=engine.lifetime.born_ms,
         first_layer=first,
         last_layer=engine.held.end - 1,
-        enter_ms=tokens.output * HOP_MS_PER_TOKEN + extra_ms,
+        enter_ms=tokens.output * HOP_MS_PER_TOKEN,
         layer_ms=idle_layer_ms * max(1, engine.slowdown) * memory_factor,
     )
 
@@ -336,4 +342,9 @@
         )
         for stage in way.stages
     )
-    return ChainPath(segments, version, way.cost_ms)
+    zone_by_engine = {each.lifetime: each.zone for each in engines}
+    zones = [zone_by_engine[each.lifetime] for each in segments]
+    crossings = tuple(
+        (min(hop), max(hop)) for hop in pairwise(zones) if hop[0] != hop[1]
+    )
+    return ChainPath(segments, version, way.cost_ms, crossings)
--- a/mallowcrank/gateway/path_finder.py
+++ b/mallowcrank/gateway/path_finder.py
@@ -2,7 +2,8 @@
 Paths for one call over the engines that are usable now.
 """
 
-from collections.abc import Collection, Iterable
+from collections import Counter
+from collections.abc import Collection, Iterable, Mapping
 from dataclasses import replace
 
 from mallowcrank.chains.engines import (
@@ -17,6 +18,7 @@
     choose_path,
     detour,
 )
+from mallowcrank.chains.zone_link import ZonePair, crossing_seconds
 from mallowcrank.gateway.call import Call
 from mallowcrank.gateway.clock import monotonic_s
 from mallowcrank.gateway.core import Core
@@ -48,6 +50,16 @@
         """
         return self._need.total
 
+    def crossings(self, path: ChainPath) -> Mapping[ZonePair, float]:
+        """
+        Return for how many seconds the call occupies each link between
+        availability zones on a path.
+        """
+        hop_s = crossing_seconds(self._rule, self._need)
+        return {
+            link: hops * hop_s for link, hops in Counter(path.crossings).items()
+        }
+
     def choose(self, avoided: Iterable[Lifetime] = ()) -> ChainPath | NoPath:
         """
         Return the best path, or why there is none.
--- a/mallowcrank/gateway/streams.py
+++ b/mallowcrank/gateway/streams.py
@@ -10,7 +10,6 @@
 import asyncio
 
 from mallowcrank.chains.budget import SentRequest
-from mallowcrank.chains.event_pace import EventPace, EventPaces
 from mallowcrank.chains.paths import ChainPath, NoPath
 from mallowcrank.gateway.call import Call, answer_matcher
 from mallowcrank.gateway.call_log import log_broken_channel, record_outcome
@@ -45,6 +44,7 @@
     is_proxy_failure,
     is_proxy_refusal,
 )
+from mallowcrank.gateway.service_streams import ServiceStreams, StreamServices
 from mallowcrank.gateway.stream_run import StreamRun, begins_stream
 from mallowcrank.gateway.target_channel import (
     BodyChunk,
@@ -89,15 +89,15 @@
     def __init__(self, core: Core, wait_queue: WaitQueue) -> None:
         self._core = core
         self._wait_queue = wait_queue
-        self._paces = EventPaces()
+        self._services = StreamServices()
 
     async def serve(self, call: Call, rule: EngineRule) -> None:
         """
         Serve one call.
         """
         finder = PathFinder(self._core, call, rule)
-        pace = self._paces.for_service(call.service.name)
-        await _Stream(self._core, self._wait_queue, call, finder, pace).run()
+        shared = self._services.find(call.service.name)
+        await _Stream(self._core, self._wait_queue, call, finder, shared).run()
 
 
 class _Stream:
@@ -111,7 +111,7 @@
         wait_queue: WaitQueue,
         call: Call,
         finder: PathFinder,
-        pace: EventPace,
+        shared: ServiceStreams,
     ) -> None:
         self._core = core
         self._wait_queue = wait_queue
@@ -119,7 +119,8 @@
         self._finder = finder
         self._pieces = EventBuffer()
         self._window = core.retry_windows.for_service(call.service.name)
-        self._pace = pace
+        self._pace = shared.pace
+        self._link_shares = shared.link_shares
         self._tries = 0
         self._retry: SentRequest | None = None
         self._detours = 0
@@ -284,10 +285,23 @@
             candidate = self._finder.choose()
             if isinstance(candidate, NoPath):
                 return await self._claim_denied_path(candidate, left_s)
+            if not self._may_cross(candidate):
+                return NoPath.LINK_BUSY.value
             answer = await self._claim(candidate)
             if not isinstance(answer, Denial):
                 return answer
 
+    def _may_cross(self, path: ChainPath) -> bool:
+        """
+        Decide whether the call may use a path, which may cross between
+        availability zones.
+        """
+        return not path.crossings or self._link_shares.may_cross(
+            self._finder.crossings(path),
+            1 + len(self._core.peers.live()),
+            monotonic_s(),
+        )
+
     def _claim_proxy(self, proxy: Proxy) -> Proxy | str:
         """
         Count the next send through another gateway, if the budget allows it.
--- a/mallowcrank/routing/path.py
+++ b/mallowcrank/routing/path.py
@@ -6,7 +6,7 @@
 candidate's range begins or ends. O(borders * candidates).
 """
 
-from collections.abc import Sequence
+from collections.abc import Iterable, Sequence
 from dataclasses import dataclass
 from math import inf
 
@@ -21,6 +21,8 @@
     :param enter_ms: milliseconds to enter the engine: the link and the part
         of the prompt that it has to compute.
     :param layer_ms: milliseconds for each layer.
+    :param zone: availability zone; not needed if all candidates share one.
+    :param crossing_ms: added to enter it from another availability zone.
     """
 
     target: str
@@ -29,6 +31,8 @@
     last_layer: int
     enter_ms: float
     layer_ms: float
+    zone: str = ''
+    crossing_ms: float = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -85,11 +89,16 @@
     """
     borders = _borders(layers, candidates)
     best = _PartialPath(0)
+    zone_bests = [best]
     running: dict[str, _PartialPath] = {}
     for start, end in zip(borders, borders[1:], strict=False):
         running = {
             candidate.target: _advance(
-                candidate, best, running.get(candidate.target), start, end
+                candidate,
+                _predecessor(candidate, zone_bests),
+                running.get(candidate.target),
+                start,
+                end,
             )
             for candidate in candidates
             if candidate.first_layer <= start
@@ -97,7 +106,8 @@
         }
         if not running:
             return CostedPath((), inf)
-        best = min(running.values(), key=_cost)
+        zone_bests = _best_by_zone(running.values())
+        best = min(zone_bests, key=_cost)
     return CostedPath(_stages_of(best, layers), best.cost_ms)
 
 
@@ -113,6 +123,38 @@
     return path.cost_ms
 
 
+def _best_by_zone(paths: Iterable[_PartialPath]) -> list[_PartialPath]:
+    """
+    Return the cheapest path that ends in each availability zone.
+    """
+    bests: dict[str, _PartialPath] = {}
+    for path in paths:
+        zone = path.candidate.zone if path.candidate else ''
+        known = bests.get(zone)
+        if known is None or path.cost_ms < known.cost_ms:
+            bests[zone] = path
+    return list(bests.values())
+
+
+def _predecessor(
+    candidate: Candidate, paths: Sequence[_PartialPath]
+) -> _PartialPath:
+    """
+    Return the path from which a candidate is entered most cheaply.
+    """
+    if len(paths) == 1:
+        return paths[0]
+    return min(
+        paths, key=lambda path: path.cost_ms + _crossing_ms(path, candidate)
+    )
+
+
+def _crossing_ms(path: _PartialPath, candidate: Candidate) -> float:
+    before = path.candidate
+    is_crossing = before is not None and before.zone != candidate.zone
+    return candidate.crossing_ms if is_crossing else 0
+
+
 def _advance(
     candidate: Candidate,
     best: _PartialPath,
@@ -121,7 +163,9 @@
     end: int,
 ) -> _PartialPath:
     layers_ms = (end - start) * candidate.layer_ms
-    entry_cost_ms = best.cost_ms + candidate.enter_ms
+    entry_cost_ms = (
+        best.cost_ms + candidate.enter_ms + _crossing_ms(best, candidate)
+    )
     if running and _visits(best, candidate.target):
         entry_cost_ms = inf
     continue_cost_ms = running.cost_ms if running else inf
--- a/tests/test_chain_paths.py
+++ b/tests/test_chain_paths.py
@@ -200,6 +200,41 @@
         self.assertEqual(request_memory(RULE, FAST, 60), 0)
 
 
+class TestCrossings(TestCase):
+    def test_path_crosses_between_zones_as_rarely_as_it_can(self):
+        engines = [
+            engine('b1', 0, 50, zone='b'),
+            engine('b2', 55, 60, zone='b'),
+            engine('c1', 20, 25, zone='c', kind=FAST),
+            engine('c2', 45, 80, zone='c'),
+            engine('d1', 48, 56, zone='d'),
+        ]
+        path = choose(engines)
+        self.assertEqual(path.crossings, (('b', 'c'),))
+        self.assertEqual(names(path), ['b1', 'c2'])
+        self.assertTrue(covers_once(path))
+
+    def test_path_inside_a_zone_crosses_nothing(self):
+        engines = [
+            engine('b1', 0, 40, zone='b'),
+            engine('b2', 40, 80, zone='b'),
+        ]
+        self.assertEqual(choose(engines).crossings, ())
+
+    def test_path_does_not_start_in_its_own_zone_for_the_price_of_a_crossing(
+        self,
+    ):
+        engines = [
+            engine('a1', 0, 10),
+            engine('b1', 0, 50, zone='b'),
+            engine('b2', 50, 70, zone='b'),
+            engine('c1', 65, 80, zone='c'),
+        ]
+        path = choose(engines)
+        self.assertEqual(names(path), ['b1', 'b2', 'c1'])
+        self.assertEqual(path.crossings, (('b', 'c'),))
+
+
 class TestDetours(TestCase):
     def setUp(self):
         self.path = ChainPath(
