End a probe for the return of a target in time

A target that takes no connections held the probe for 0.25 s, which then counted as stalled by the gateway itself and was repeated twice. It ends after 0.06 s, as the other probes do.

--- a/mallowcrank/gateway/prober.py
+++ b/mallowcrank/gateway/prober.py
@@ -281,7 +281,10 @@
             started_at = monotonic_s()
             if target.is_engine and cause is ProbeCause.RETURN:
                 # Nothing waits for the result, and kept channels may be dead.
-                answer = await self.fetch_report(target, may_reuse=False)
+                request = self.fetch_report(target, may_reuse=False)
+                answer = await _first_report_of(
+                    {asyncio.create_task(request)}, REPORT_TIMEOUT_S
+                )
             elif target.is_engine:
                 answer = await self._first_report(target)
             else:
--- a/tests/test_gateway_peers.py
+++ b/tests/test_gateway_peers.py
@@ -25,7 +25,11 @@
 from mallowcrank.gateway.fleet import Fleet
 from mallowcrank.gateway.gossip import Gossip
 from mallowcrank.gateway.peers import MAX_ADDRESSES
-from mallowcrank.gateway.prober import Prober, confirmed_silence_interval_s
+from mallowcrank.gateway.prober import (
+    ProbeCause,
+    Prober,
+    confirmed_silence_interval_s,
+)
 from mallowcrank.gateway.settings import Address, Bounds
 from mallowcrank.gateway.status_rounds import plan_rounds
 from mallowcrank.gateway.targets import Lifetime, TargetReport
@@ -277,6 +281,22 @@
         found = await self.probe([(0.15, 'no report'), (0, report)])
         self.assertEqual(found, set())
 
+    async def test_probe_for_the_return_of_a_dark_target_ends_in_time(self):
+        fleet = Fleet(Mock())
+        raw = json.dumps(entry_body(kind='l4')).encode()
+        fleet.apply_entry(read_entry('i-1', raw), raw, 0)
+        prober = Prober(fleet, Mock(), Mock(), Mock(), Mock(), Mock())
+        requests = []
+
+        async def fetch_report(target, may_reuse=True):
+            requests.append(may_reuse)
+            await asyncio.sleep(1)
+
+        with patch.object(prober, 'fetch_report', fetch_report):
+            async with asyncio.timeout(0.2):
+                await prober._probe_target(fleet.find('i-1'), ProbeCause.RETURN)
+        self.assertEqual(requests, [False])
+
     async def test_silent_target_is_found_by_one_probe(self):
         found = await self.probe([(0, 'no report')])
         self.assertEqual(len(found), 1)
