--- a/mallowcrank/chains/paths.py
+++ b/mallowcrank/chains/paths.py
@@ -106,12 +106,26 @@
     :param zone: availability zone of the router.
     :param zone_delay_s: seconds by which reservations of routers in other
         zones are known later than those of its own.
+    :param busy_links: between availability zones, that paths don't use.
     """
 
     rule: EngineRule
     token_counts: RequestTokens
     zone: str
     zone_delay_s: float = 0
+    busy_links: frozenset[ZonePair] = frozenset()
+
+    def closed_zones(self, zone: str) -> frozenset[str]:
+        """
+        Return the availability zones from which paths don't enter a zone.
+        """
+        return frozenset(
+            other
+            for link in self.busy_links
+            if zone in link
+            for other in link
+            if other != zone
+        )
 
     def zone_factor(self, zone: str) -> float:
         """
@@ -283,14 +297,17 @@
 
 
 def _across_zones(
-    request: PathRequest, engines: Iterable[ChainEngine]
+    request: PathRequest, engines: Sequence[ChainEngine]
 ) -> CostedPath | None:
     crossing_ms = _crossing_ms(request)
+    zones = {engine.zone for engine in engines}
+    closed_zones = {zone: request.closed_zones(zone) for zone in zones}
     candidates = [
         replace(
             _candidate(request, engine),
             zone=engine.zone,
             crossing_ms=crossing_ms,
+            closed_zones=closed_zones[engine.zone],
         )
         for engine in engines
     ]
--- a/mallowcrank/chains/zone_link.py
+++ b/mallowcrank/chains/zone_link.py
@@ -50,24 +50,24 @@
         self._random = random
         self._asked_at: dict[ZonePair, float] = {}
 
-    def may_cross(
+    def find_busy(
         self, crossings: Mapping[ZonePair, float], gateways: int, now: float
-    ) -> bool:
+    ) -> list[ZonePair]:
         """
         Decide whether a request may cross.
 
         :param crossings: seconds for which it occupies each link that it uses.
         :param gateways: that share the links.
         :param now: steady time, in seconds.
+        :returns: the links that have no room for it; it may cross if there are
+            none.
         """
-        share = min(
-            (
-                self._claim(link, seconds, gateways, now)
-                for link, seconds in crossings.items()
-            ),
-            default=1,
-        )
-        return self._random.random() < share
+        drawn = self._random.random()
+        return [
+            link
+            for link, seconds in crossings.items()
+            if drawn >= self._claim(link, seconds, gateways, now)
+        ]
 
     def _claim(
         self, link: ZonePair, seconds: float, gateways: int, now: float
--- a/mallowcrank/gateway/path_finder.py
+++ b/mallowcrank/gateway/path_finder.py
@@ -60,7 +60,11 @@
             link: hops * hop_s for link, hops in Counter(path.crossings).items()
         }
 
-    def choose(self, avoided: Iterable[Lifetime] = ()) -> ChainPath | NoPath:
+    def choose(
+        self,
+        avoided: Iterable[Lifetime] = (),
+        busy_links: Iterable[ZonePair] = (),
+    ) -> ChainPath | NoPath:
         """
         Return the best path, or why there is none.
 
@@ -69,8 +73,10 @@
         engine, and not from a gateway.
 
         :param avoided: engines not to use, in addition to the call's.
+        :param busy_links: between availability zones, not to use.
         """
-        return choose_path(self._choosing(), self._usable(avoided))
+        request = replace(self._choosing(), busy_links=frozenset(busy_links))
+        return choose_path(request, self._usable(avoided))
 
     def choose_denied(self) -> ChainPath | None:
         """
--- a/mallowcrank/gateway/streams.py
+++ b/mallowcrank/gateway/streams.py
@@ -281,22 +281,29 @@
         proxy = self._core.proxies.find(self._call)
         if proxy:
             return self._claim_proxy(proxy)
+        busy_links: set[tuple[str, str]] = set()
         while True:
-            candidate = self._finder.choose()
+            candidate = self._finder.choose(busy_links=busy_links)
+            if isinstance(candidate, NoPath) and busy_links:
+                return NoPath.LINK_BUSY.value
             if isinstance(candidate, NoPath):
                 return await self._claim_denied_path(candidate, left_s)
-            if not self._may_cross(candidate):
-                return NoPath.LINK_BUSY.value
+            newly_busy = self._find_busy_links(candidate)
+            if newly_busy:
+                busy_links.update(newly_busy)
+                continue
             answer = await self._claim(candidate)
             if not isinstance(answer, Denial):
                 return answer
 
-    def _may_cross(self, path: ChainPath) -> bool:
+    def _find_busy_links(self, path: ChainPath) -> list[tuple[str, str]]:
         """
-        Decide whether the call may use a path, which may cross between
-        availability zones.
+        Return the links between availability zones on a path that have no room
+        for the call.
         """
-        return not path.crossings or self._link_shares.may_cross(
+        if not path.crossings:
+            return []
+        return self._link_shares.find_busy(
             self._finder.crossings(path),
             1 + len(self._core.peers.live()),
             monotonic_s(),
--- a/mallowcrank/routing/path.py
+++ b/mallowcrank/routing/path.py
@@ -23,6 +23,7 @@
     :param layer_ms: milliseconds for each layer.
     :param zone: availability zone; not needed if all candidates share one.
     :param crossing_ms: added to enter it from another availability zone.
+    :param closed_zones: availability zones from which it can't be entered.
     """
 
     target: str
@@ -33,6 +34,7 @@
     layer_ms: float
     zone: str = ''
     crossing_ms: float = 0
+    closed_zones: frozenset[str] = frozenset()
 
 
 @dataclass(frozen=True, slots=True)
@@ -108,6 +110,8 @@
             return CostedPath((), inf)
         zone_bests = _best_by_zone(running.values())
         best = min(zone_bests, key=_cost)
+    if best.cost_ms == inf:
+        return CostedPath((), inf)
     return CostedPath(_stages_of(best, layers), best.cost_ms)
 
 
@@ -151,8 +155,10 @@
 
 def _crossing_ms(path: _PartialPath, candidate: Candidate) -> float:
     before = path.candidate
-    is_crossing = before is not None and before.zone != candidate.zone
-    return candidate.crossing_ms if is_crossing else 0
+    if before is None or before.zone == candidate.zone:
+        return 0
+    is_closed = before.zone in candidate.closed_zones
+    return inf if is_closed else candidate.crossing_ms
 
 
 def _advance(
--- a/tests/test_chain_paths.py
+++ b/tests/test_chain_paths.py
@@ -214,6 +214,26 @@
         self.assertEqual(names(path), ['b1', 'c2'])
         self.assertTrue(covers_once(path))
 
+    def test_path_leaves_out_busy_links(self):
+        engines = [
+            engine('b1', 0, 50, zone='b'),
+            engine('c1', 50, 80, zone='c'),
+            engine('d1', 50, 80, zone='d', slowdown=3),
+        ]
+        self.assertEqual(names(choose(engines)), ['b1', 'c1'])
+        busy = {('b', 'c')}
+        found = choose_path(
+            PathRequest(RULE, TOKENS, 'a', 0, frozenset(busy)), engines
+        )
+        self.assertEqual(names(found), ['b1', 'd1'])
+        busy.add(('b', 'd'))
+        self.assertIs(
+            choose_path(
+                PathRequest(RULE, TOKENS, 'a', 0, frozenset(busy)), engines
+            ),
+            NoPath.UNCOVERED,
+        )
+
     def test_path_inside_a_zone_crosses_nothing(self):
         engines = [
             engine('b1', 0, 40, zone='b'),
