--- a/mallowcrank/gateway/reachability.py
+++ b/mallowcrank/gateway/reachability.py
@@ -153,6 +153,7 @@
             for target in targets
             if target and target.lifetime not in unresponsive
         ]
+        self._target_sweep.gateways = 1 + len(self.live_statuses())
         chosen = self._target_sweep.choose(answering, unresponsive, now)
         if chosen:
             self._prober.probe(chosen, ProbeCause.SWEEP)
--- a/mallowcrank/gateway/target_sweep.py
+++ b/mallowcrank/gateway/target_sweep.py
@@ -2,8 +2,10 @@
 Decides which targets a gateway probes when several have turned silent.
 
 Answers the question whether the gateway itself is cut off, which others can't
-answer for it, at a cost that doesn't grow with the fleet: in a fleet of hundreds
-of targets some are lost all the time, and each gateway asks.
+answer for it, and which other targets were lost at the same moment. In a fleet
+of hundreds of targets some are lost all the time, and each gateway asks. So all
+gateways together send a limited number of probes: few gateways probe all
+targets, many a sample each.
 """
 
 from collections.abc import Collection, Sequence
@@ -11,7 +13,8 @@
 
 from mallowcrank.gateway.targets import Lifetime
 
-SAMPLE_SIZE = 8
+SWEEP_PROBES = 1000  # of all gateways together
+MIN_SAMPLE = 8  # of each
 MAX_SILENT_SHARE = 0.5  # of a sample, from which on all others are probed
 SWEEP_INTERVAL_S = 0.5
 
@@ -19,9 +22,12 @@
 class TargetSweep:
     """
     Probes a sample of the targets first, and all of them if it is silent.
+
+    :ivar gateways: that ask, with this one.
     """
 
     def __init__(self, random: Random, now: float) -> None:
+        self.gateways = 1
         self._random = random
         self._swept_at = now
         self._swept_silent = 0
@@ -54,9 +60,8 @@
         is_due = now - self._swept_at >= SWEEP_INTERVAL_S
         if not is_due or len(silent) <= self._swept_silent:
             return ()
-        sample = self._random.sample(
-            answering, min(SAMPLE_SIZE, len(answering))
-        )
+        size = max(MIN_SAMPLE, SWEEP_PROBES // self.gateways)
+        sample = self._random.sample(answering, min(size, len(answering)))
         self._sample = frozenset(sample)
         self._record(silent, now)
         return sample
--- a/tests/test_gateway_reachability.py
+++ b/tests/test_gateway_reachability.py
@@ -2,6 +2,7 @@
 How a gateway tells its own cut from an outage of targets, in virtual time.
 """
 
+from random import Random
 from types import SimpleNamespace
 from unittest import TestCase
 from unittest.mock import Mock, patch
@@ -15,7 +16,11 @@
     Reachability,
 )
 from mallowcrank.gateway.settings import Address
-from mallowcrank.gateway.target_sweep import SAMPLE_SIZE, SWEEP_INTERVAL_S
+from mallowcrank.gateway.target_sweep import (
+    MIN_SAMPLE,
+    SWEEP_PROBES,
+    TargetSweep,
+)
 from mallowcrank.gateway.targets import Lifetime, Target
 
 TARGETS = 40
@@ -151,44 +156,13 @@
         self.assertEqual(self.cut_off_count(gateways), 0)
         self.assertFalse(gateways[0].reachability.is_in_doubt)
 
-    def test_some_targets_are_probed_once_where_few_are_silent(self):
+    def test_targets_that_are_silent_for_one_gateway_are_probed_once(self):
         gateways = self.start(6)
         gateways[0].lose(range(3))
         self.run_all(gateways, 3)
         probe = gateways[0].prober.probe
         probe.assert_called_once()
-        probed = set(probe.call_args.args[0])
-        self.assertEqual(len(probed), SAMPLE_SIZE)
-        self.assertFalse(probed & set(map(lifetime, range(3))))
-
-    def test_all_targets_are_probed_at_once_where_the_sample_is_silent(self):
-        gateways = self.start(6)
-        gateways[0].lose(range(3))
-        self.run_all(gateways, SWEEP_INTERVAL_S)
-        probe = gateways[0].prober.probe
-        sample = set(probe.call_args.args[0])
-        for each in sample:
-            gateways[0].fleet.health.record_silence(each, 'silent', 0)
-        self.run_all(gateways, CHECK_INTERVAL_S)
-        others = set(map(lifetime, range(3, TARGETS))) - sample
-        self.assertEqual(set(probe.call_args.args[0]), others)
-        self.run_all(gateways, 3)
-        self.assertEqual(probe.call_count, 2)
-
-    def test_probes_after_a_crash_do_not_grow_with_the_fleet(self):
-        for targets in (40, 210):
-            with self.subTest(targets=targets):
-                gateways = [FakeGateway(number, targets) for number in range(6)]
-                self.run_all(gateways, 0.3)
-                for crashed in range(0, 30, 3):
-                    for gateway in gateways:
-                        gateway.lose(range(crashed, crashed + 3))
-                    self.run_all(gateways, 1)
-                probes = sum(
-                    len(tuple(call.args[0]))
-                    for call in gateways[0].prober.probe.call_args_list
-                )
-                self.assertLessEqual(probes, 10 * SAMPLE_SIZE)
+        self.assertEqual(len(tuple(probe.call_args.args[0])), TARGETS - 3)
 
     def test_gateway_that_knows_no_target_yet_is_not_cut_off(self):
         gateways = self.start(6)
@@ -228,6 +202,44 @@
         self.assertEqual(self.cut_off_count(gateways), 0)
 
 
+class TestTargetSweep(TestCase):
+    def setUp(self):
+        self.targets = list(map(lifetime, range(210)))
+        self.silent = set(self.targets[:3])
+        self.sweep = TargetSweep(Random(1), 0)
+
+    def choose(self, now):
+        answering = [each for each in self.targets if each not in self.silent]
+        return self.sweep.choose(answering, self.silent, now)
+
+    def test_many_gateways_probe_a_sample(self):
+        self.sweep.gateways = 195
+        sample = self.choose(1)
+        self.assertEqual(len(set(sample)), MIN_SAMPLE)
+        self.assertFalse(self.silent.intersection(sample))
+        self.assertFalse(self.choose(5))
+
+    def test_few_gateways_probe_all_targets(self):
+        self.sweep.gateways = 4
+        self.assertEqual(len(set(self.choose(1))), 207)
+
+    def test_all_targets_are_probed_at_once_where_the_sample_is_silent(self):
+        self.sweep.gateways = 195
+        sample = self.choose(1)
+        self.silent.update(sample[: MIN_SAMPLE // 2])
+        others = set(self.targets) - self.silent
+        self.assertEqual(set(self.choose(1.1)), others)
+        self.assertFalse(self.choose(5))
+
+    def test_probes_after_a_crash_do_not_grow_with_the_gateways(self):
+        for gateways in (24, 84, 125):
+            with self.subTest(gateways=gateways):
+                sweep = TargetSweep(Random(1), 0)
+                sweep.gateways = gateways
+                chosen = sweep.choose(self.targets[3:], self.silent, 1)
+                self.assertLessEqual(len(chosen) * gateways, SWEEP_PROBES)
+
+
 class TestProbesOfCutOffGateway(TestCase):
     def setUp(self):
         self.view = FakeGateway(0)
