--- a/tests/test_dead_channels.py
+++ b/tests/test_dead_channels.py
@@ -23,7 +23,7 @@
 )
 from mallowcrank.platform.standins.bodies import route_row
 from mallowcrank.platform.standins.in_process import InProcessPlatform
-from tests.utils.deaf_peer import DeafPeer
+from tests.utils.raw_replica import DEAF, RawReplica, answer
 
 BODY = bytes(3500)
 NOTICE_S = 1.5  # under the time for which callers wait
@@ -31,10 +31,17 @@
 REQUEST = encode_request('POST', b'/x', ((b'Host', b'a'),), BODY)
 
 
+def answer_once(number, fields):
+    """
+    Answer a request, after which the channel is dead; new channels work.
+    """
+    return DEAF, answer(fields, body=b'whole')
+
+
 class TestDeadChannel(IsolatedAsyncioTestCase):
     async def asyncSetUp(self):
-        self.peer = DeafPeer()
-        await self.peer.start()
+        self.peer = RawReplica('i-deaf', 'stock', answer_once)
+        await self.peer.listen(is_deaf=True)
         self.addCleanup(self.peer.stop)
         self.pool = ChannelPool()
         self.channel = await self.pool.connect(self.peer.address)
@@ -98,8 +105,8 @@
         self.world = InProcessPlatform()
         self.addAsyncCleanup(self.world.close)
         await self.world.start_store(routes=[route_row('lookup')])
-        self.peer = DeafPeer('i-deaf')
-        await self.peer.start(self.world)
+        self.peer = RawReplica('i-deaf', 'stock', answer_once)
+        await self.peer.start(self.world, is_deaf=True)
         self.addCleanup(self.peer.stop)
         self.gateway = await self.world.start_gateway()
 
@@ -124,7 +131,7 @@
         status, took_s = await self.call()
         self.assertEqual(status, 200)
         self.assertLess(took_s, NOTICE_S)
-        self.assertEqual(self.peer.request_count, 2)
+        self.assertEqual(len(self.peer.requests), 2)
 
     async def test_dead_channels_are_no_evidence_against_a_request(self):
         record_lost = Mock()
--- a/tests/utils/raw_replica.py
+++ b/tests/utils/raw_replica.py
@@ -12,6 +12,8 @@
 from mallowcrank.platform.standins.bodies import entry_body
 
 RESET = object()  # a piece of an answer that resets the channel
+DEAF = object()  # a piece after which no more is read of the channel
+MIN_BUFFER_BYTES = 1  # the kernel takes its smallest receive buffer instead
 NO_LINGER = struct.pack('ii', 1, 0)  # closing sends RST
 
 
@@ -21,7 +23,8 @@
 
     :param script: takes the number of a request on its channel, from 1, and
         its headers by name; returns the pieces of the answer. A piece of None
-        closes the channel, `RESET` resets it; a number is a pause in seconds.
+        closes the channel, `RESET` resets it; after `DEAF` no more is read, and
+        little is acknowledged; a number is a pause in seconds.
     """
 
     def __init__(self, identity, service, script, **fields):
@@ -34,14 +37,27 @@
         self._server = None
         self._writers = []
 
-    async def start(self, world):
+    async def listen(self, is_deaf=False):
         """
-        Listen, and write an entry to the store.
+        Listen.
+
+        :param is_deaf: whether receive buffers are the smallest possible.
         """
+        listener = socket.create_server(('127.0.0.1', 0))
+        if is_deaf:
+            listener.setsockopt(
+                socket.SOL_SOCKET, socket.SO_RCVBUF, MIN_BUFFER_BYTES
+            )
         self._server = await asyncio.start_server(
-            self._serve, '127.0.0.1', 0, limit=2**20
+            self._serve, sock=listener, limit=2**20
         )
-        self.address = Address(*self._server.sockets[0].getsockname()[:2])
+        self.address = Address(*listener.getsockname()[:2])
+
+    async def start(self, world, is_deaf=False):
+        """
+        Listen, and write an entry to the store.
+        """
+        await self.listen(is_deaf)
         entry = entry_body(
             service=self._service, address=str(self.address), **self._fields
         )
@@ -77,7 +93,9 @@
                     if piece is RESET:
                         await _reset(writer)
                         return
-                    if isinstance(piece, bytes):
+                    if piece is DEAF:
+                        writer.transport.pause_reading()
+                    elif isinstance(piece, bytes):
                         writer.write(piece)
                     else:
                         await writer.drain()
