--- a/mallowcrank/gateway/target_channel.py
+++ b/mallowcrank/gateway/target_channel.py
@@ -78,8 +78,8 @@
 
     :param reason: why.
     :param excess: what the peer has sent, if it was too much.
-    :param is_unacknowledged: whether the peer has acknowledged nothing, so
-        that the request hasn't reached it as far as this side can tell.
+    :param is_unacknowledged: whether the peer has acknowledged nothing in time;
+        it may have ended, or the channel may have died while it was idle.
     """
 
     reason: str
