Hold traits under weak evidence for a while, instead of refusing them for good

Answers of a plain service counted as answers meanwhile, and answers of other gateways were heard only for losses of their own.

- Crashes are recorded with all that was lost in them.
Where more targets of the service crashed in the last minute without a trait than with it, a trait that is to blame is held, not confirmed: refused with 503 and a Retry-After of its own, for 8 s after two targets and four times as long for each further one.
Then one request tells.
- Only answers of the same service count as answers meanwhile.
- A gateway tells its own answers since a loss, of whatever gateway the loss was; answers that it has heard are not told again as its own.

--- a/mallowcrank/chains/crash_evidence.py
+++ b/mallowcrank/chains/crash_evidence.py
@@ -3,7 +3,7 @@
 """
 
 from collections import deque
-from collections.abc import Collection
+from collections.abc import Callable, Collection
 from dataclasses import dataclass
 from math import inf
 from operator import attrgetter
@@ -14,6 +14,8 @@
 MAX_ANSWERED_PARTS = 4096
 MAX_ANSWERED_REQUESTS = 1024
 MAX_LAST_ANSWERS = 8
+CRASH_MEMORY_S = 60.0
+MAX_CRASHES = 128
 
 
 class Trait(NamedTuple):
@@ -72,6 +74,19 @@
         return self.request, *self.lifetime
 
 
+class _Crash(NamedTuple):
+    """
+    The crash of a target.
+
+    :param at: steady time at which its first request was lost, in seconds.
+    :param traits: of the requests that were lost with it.
+    """
+
+    service: str
+    at: float
+    traits: set[Trait]
+
+
 class AnswerRecords:
     """
     When requests with each trait were last answered.
@@ -80,7 +95,7 @@
     def __init__(self) -> None:
         self._parts: dict[Trait, float] = {}
         self._requests: dict[Trait, float] = {}
-        self._last: deque[float] = deque(maxlen=MAX_LAST_ANSWERS)
+        self._last: dict[str, deque[float]] = {}  # by service
 
     def last_at(self, trait: Trait) -> float:
         """
@@ -88,21 +103,23 @@
         """
         return self._of_kind(trait).get(trait, -inf)
 
-    def count_since(self, moment: float) -> int:
+    def count_since(self, service: str, moment: float) -> int:
         """
-        Return the number of answers since a moment, as far as it is known.
+        Return the number of a service's answers since a moment, as far as it is
+        known.
 
         :param moment: steady time, in seconds.
         """
-        return sum(at > moment for at in self._last)
+        return sum(at > moment for at in self._last.get(service, ()))
 
-    def record_answer(self, at: float) -> None:
+    def record_answer(self, service: str, at: float) -> None:
         """
-        Record an answer to any request.
+        Record an answer to any request to a service.
 
         :param at: steady time, in seconds.
         """
-        self._last.append(at)
+        last = self._last.setdefault(service, deque(maxlen=MAX_LAST_ANSWERS))
+        last.append(at)
 
     def record(self, trait: Trait, at: float) -> None:
         """
@@ -121,6 +138,57 @@
         return self._requests if trait.is_whole else self._parts
 
 
+class CrashRecords:
+    """
+    Lifetimes of targets that crashed lately, and what was lost with them.
+    """
+
+    def __init__(self) -> None:
+        self._crashes: dict[tuple[str, int], _Crash] = {}
+
+    def count_without(self, trait: Trait, now: float) -> int:
+        """
+        Return the number of recent crashes of targets of a trait's service in
+        which no request with the trait was lost.
+
+        :param now: steady time, in seconds.
+        """
+        return sum(
+            crash.service == trait.service
+            and trait not in crash.traits
+            and now - crash.at < CRASH_MEMORY_S
+            for crash in self._crashes.values()
+        )
+
+    def record(self, lost: LostRequest) -> None:
+        """
+        Record the crash in which a request was lost.
+        """
+        if not lost.traits:
+            return
+        crash = self._crashes.get(lost.lifetime)
+        if crash is None:
+            crash = _Crash(lost.traits[0].service, lost.at, set())
+            self._crashes[lost.lifetime] = crash
+        crash.traits.update(lost.traits)
+        if len(self._crashes) > MAX_CRASHES:
+            self._crashes.pop(next(iter(self._crashes)))
+
+    def drop(
+        self, is_dropped: Callable[[tuple[str, int], float], bool]
+    ) -> None:
+        """
+        Drop some crashes.
+
+        :param is_dropped: whether to drop the crash of a lifetime at a moment.
+        """
+        self._crashes = {
+            lifetime: crash
+            for lifetime, crash in self._crashes.items()
+            if not is_dropped(lifetime, crash.at)
+        }
+
+
 def count_crashes(
     trait: Trait, lost: Collection[LostRequest], was_sound: bool = True
 ) -> int:
--- a/mallowcrank/chains/suspect_traits.py
+++ b/mallowcrank/chains/suspect_traits.py
@@ -18,7 +18,9 @@
 from operator import attrgetter
 
 from mallowcrank.chains.crash_evidence import (
+    CRASH_MEMORY_S,
     AnswerRecords,
+    CrashRecords,
     LostRequest,
     Trait,
     count_crashes,
@@ -33,6 +35,9 @@
 # doubles with each further crash.
 HOLD_S = 120
 MAX_HOLD_S = 3600
+# The same where most crashes aren't explained by the trait; the hold is four
+# times as long for each further target.
+CHANCE_HOLD_S = 8
 MEMORY_S = 3600
 EXCHANGE_S = 5  # within which gateways hear of a loss and of answers since
 MAX_LOST = 128
@@ -48,8 +53,9 @@
     """
 
     NONE = 0
-    DOUBTFUL = 1
-    CONFIRMED = 2
+    DOUBTFUL = 1  # one request at a time is sent
+    HELD = 2  # none is sent for some time; targets crash without it, too
+    CONFIRMED = 3  # refused for good
 
 
 class SuspectTraits:
@@ -59,10 +65,12 @@
 
     def __init__(self) -> None:
         self.answers = AnswerRecords()
+        self._crashes = CrashRecords()
         self._lost: dict[tuple[str, str, int], LostRequest] = {}
         self._confirmed_by_others: dict[Trait, float] = {}
         self._bystanders: set[tuple[str, str, int]] = set()
         self._verdicts: Mapping[Trait, Suspicion] | None = None
+        self._held_until: Mapping[Trait, float] = {}
         self._decided_at = -inf
 
     # Queries
@@ -87,8 +95,11 @@
                 for trait, at in self._confirmed_by_others.items()
                 if now - at < EXCHANGE_S
             }
-            decision = _Decision(self.answers, confirmed_by_others, now)
+            decision = _Decision(
+                self.answers, self._crashes, confirmed_by_others, now
+            )
             self._verdicts = decision.decide(self._lost_by_trait())
+            self._held_until = decision.held_until
             self._bystanders = {
                 each.key
                 for each in self._lost.values()
@@ -97,6 +108,17 @@
             self._decided_at = now
         return self._verdicts
 
+    def held_until(self, traits: Iterable[Trait], now: float) -> float:
+        """
+        Return when requests with some traits may be sent again.
+
+        :param now: steady time, in seconds.
+        :returns: steady time, in seconds.
+        """
+        return max(
+            (self._held_until.get(trait, now) for trait in traits), default=now
+        )
+
     def is_known(self, lost: LostRequest) -> bool:
         """
         Return whether a loss is recorded.
@@ -145,6 +167,7 @@
         if self.is_known(lost) or now - lost.at > MEMORY_S:
             return False
         self._lost[lost.key] = lost
+        self._crashes.record(lost)
         self._verdicts = None
         if len(self._lost) > MAX_LOST:
             self._keep(
@@ -159,7 +182,10 @@
 
         :param at: steady time, in seconds.
         """
-        self.answers.record_answer(at)
+        traits = tuple(traits)
+        services = {trait.service for trait in traits}
+        for service in services:
+            self.answers.record_answer(service, at)
         for trait in traits:
             self.clear(trait, at)
 
@@ -201,6 +227,12 @@
             if _says(each, self.answers, now)
             and (now - each.at < SURVIVED_S or not is_alive(*each.lifetime))
         )
+        self._crashes.drop(
+            lambda lifetime, at: (
+                now - at > CRASH_MEMORY_S
+                or (now - at >= SURVIVED_S and is_alive(*lifetime))
+            )
+        )
 
     def drop_since(self, moment: float) -> None:
         """
@@ -209,6 +241,7 @@
         :param moment: steady time, in seconds.
         """
         self._keep(each for each in self.lost if each.at < moment)
+        self._crashes.drop(lambda _, at: at >= moment)
 
     def _keep(self, kept: Iterable[LostRequest]) -> None:
         by_time = sorted(kept, key=attrgetter('at'))
@@ -232,10 +265,13 @@
     def __init__(
         self,
         answers: AnswerRecords,
+        recent_crashes: CrashRecords,
         confirmed_by_others: Collection[Trait],
         now: float,
     ) -> None:
+        self.held_until: dict[Trait, float] = {}
         self._answers = answers
+        self._recent_crashes = recent_crashes
         self._confirmed_by_others = confirmed_by_others
         self._now = now
         self._found: dict[Trait, Suspicion] = {}
@@ -298,11 +334,36 @@
                         self._explained.setdefault(
                             each.lifetime, crashes[trait]
                         )
-                is_held = self._now < _held_until(lost, crashes[trait])
-                self._found[trait] = Suspicion(Suspicion.DOUBTFUL + is_held)
+                self._hold(trait, lost, crashes[trait])
             elif self._is_in_doubt(trait, lost):
                 self._found[trait] = Suspicion.DOUBTFUL
 
+    def _hold(
+        self, trait: Trait, lost: Collection[LostRequest], crashes: int
+    ) -> None:
+        """
+        Decide for how long a trait that is to blame is held, and how.
+
+        :param crashes: those that speak against it.
+        """
+        targets = len({each.lifetime for each in lost})
+        others = self._recent_crashes.count_without(trait, self._now)
+        is_by_chance = others > targets
+        hold_s = (
+            CHANCE_HOLD_S * 4 ** max(0, targets - MIN_CRASHES)
+            if is_by_chance
+            else HOLD_S * 2 ** max(0, crashes - MIN_CRASHES)
+        )
+        last_at = max(each.at for each in lost)
+        until = last_at + min(MAX_HOLD_S, hold_s)
+        if self._now >= until:
+            self._found[trait] = Suspicion.DOUBTFUL
+        elif is_by_chance:
+            self._found[trait] = Suspicion.HELD
+            self.held_until[trait] = until
+        else:
+            self._found[trait] = Suspicion.CONFIRMED
+
     def _explains(self, lost: LostRequest, least: int) -> bool:
         """
         Return whether what is to blame so far explains a loss.
@@ -337,7 +398,7 @@
         elif crashes >= MANY_CRASHES:
             return True
         first_at = min(each.at for each in lost)
-        answers = self._answers.count_since(first_at)
+        answers = self._answers.count_since(trait.service, first_at)
         if crashes < min_crashes or answers < min_answers:
             return False
         others = {other for each in lost for other in each.traits} - {trait}
@@ -381,8 +442,3 @@
     return age_s < MEMORY_S and any(
         answers.last_at(trait) < lost.at for trait in lost.traits
     )
-
-
-def _held_until(lost: Collection[LostRequest], crashes: int) -> float:
-    hold_s = HOLD_S * 2 ** max(0, crashes - MIN_CRASHES)
-    return max(each.at for each in lost) + min(MAX_HOLD_S, hold_s)
--- a/mallowcrank/gateway/endings.py
+++ b/mallowcrank/gateway/endings.py
@@ -98,9 +98,10 @@
     """
     End a call that crashes targets, or may do so; it was not sent.
     """
-    if suspicion is Suspicion.DOUBTFUL:
+    if suspicion is not Suspicion.CONFIRMED:
+        min_s = max(TRIAL_S, core.suspects.hold_s(call.traits()))
         retry_after_s = core.retry_after.assign_delay_s(
-            monotonic_s(), TRIAL_S, TRIALS_PER_S
+            monotonic_s(), min_s, TRIALS_PER_S
         )
         _refuse(core, call, 'the request may crash targets', retry_after_s)
         return
--- a/mallowcrank/gateway/suspects.py
+++ b/mallowcrank/gateway/suspects.py
@@ -9,8 +9,13 @@
 
 import asyncio
 from collections.abc import Callable, Collection, Iterable
+from heapq import nsmallest
 
-from mallowcrank.chains.crash_evidence import LostRequest, Trait
+from mallowcrank.chains.crash_evidence import (
+    AnswerRecords,
+    LostRequest,
+    Trait,
+)
 from mallowcrank.chains.suspect_traits import (
     MAX_LOST,
     MEMORY_S,
@@ -32,6 +37,7 @@
 CHECK_INTERVAL_S = 0.02
 MAX_RUN_S = 2.0  # a request that a target ran for longer didn't crash it
 MAX_REPORTED = 24  # lost requests in a status, the most telling ones
+MAX_REPORTED_ANSWERS = 64  # the latest ones
 
 
 class Suspects:
@@ -46,6 +52,7 @@
         self._logged: dict[Trait, Suspicion] = {}
         self._trials: dict[Trait, str] = {}
         self._own: set[tuple[str, str, int]] = set()  # keys of own losses
+        self._own_answers = AnswerRecords()
 
     # Queries
 
@@ -75,12 +82,19 @@
         if any(self._traits.crash_count(whole) > 1 for whole in wholes):
             return False
         if has_begun:
-            return self.suspicion(traits) is not Suspicion.CONFIRMED
+            return self.suspicion(traits) < Suspicion.HELD
         known_since = monotonic_s() - MEMORY_S
         return not self.suspicion(parts) and all(
             self._traits.answers.last_at(part) > known_since for part in parts
         )
 
+    def hold_s(self, traits: Iterable[Trait]) -> float:
+        """
+        Return how long no request with some traits is sent, in seconds.
+        """
+        now = monotonic_s()
+        return self._traits.held_until(traits, now) - now
+
     def known(self) -> list[dict[str, object]]:
         """
         Return all traits in doubt, with the crashes that speak against them.
@@ -104,7 +118,8 @@
         Return what other gateways should know; `None` if there is nothing.
 
         Each gateway reports its own losses, and the others only those that
-        show what is to blame, for gateways that have just started.
+        show what is to blame, for gateways that have just started. It reports
+        its own answers since, of whatever gateway the loss was.
         """
         now = monotonic_s()
         confirmed = {
@@ -117,13 +132,14 @@
             for lost in self._traits.most_telling(MAX_LOST)
             if lost.key in self._own or confirmed.intersection(lost.traits)
         ][-MAX_REPORTED:]
-        if not reported:
+        answered = _latest_answers(
+            self._traits.lost,
+            {each.key for each in reported},
+            self._own_answers,
+            now,
+        )
+        if not reported and not answered:
             return None
-        answered = {
-            trait: now - self._traits.answers.last_at(trait)
-            for lost in reported
-            for trait in lost.traits
-        }
         return SuspectsReport(
             tuple(
                 LostReport(
@@ -135,11 +151,7 @@
                 )
                 for lost in reported
             ),
-            tuple(
-                AnsweredTrait(trait, age_s)
-                for trait, age_s in answered.items()
-                if age_s < RECENT_ANSWER_S
-            ),
+            answered,
             tuple(confirmed),
         )
 
@@ -222,6 +234,9 @@
         :param is_first: false if its answer was recorded for other traits.
         """
         now = monotonic_s()
+        traits = tuple(traits)
+        for trait in traits:
+            self._own_answers.record(trait, now)
         if is_first:
             self._traits.record_answered(traits, now)
             return
@@ -284,7 +299,9 @@
         """
         Drop what is held against a trait, here and at all other gateways.
         """
-        self._traits.clear(trait, monotonic_s())
+        now = monotonic_s()
+        self._own_answers.record(trait, now)
+        self._traits.clear(trait, now)
         self._journal.say(
             'suspects: cleared by the operator', **_described(trait)
         )
@@ -312,7 +329,7 @@
                     **_format_lost(trait, self._traits.lost),
                 )
         self._logged = known
-        for level in (Suspicion.DOUBTFUL, Suspicion.CONFIRMED):
+        for level in (Suspicion.DOUBTFUL, Suspicion.HELD, Suspicion.CONFIRMED):
             of_level = [each for each in known if known[each] is level]
             whole_count = sum(each.is_whole for each in of_level)
             label = level.name.lower()
@@ -322,6 +339,32 @@
             )
 
 
+def _latest_answers(
+    losses: Iterable[LostRequest],
+    reported: Collection[tuple[str, str, int]],
+    answers: AnswerRecords,
+    now: float,
+) -> tuple[AnsweredTrait, ...]:
+    """
+    Return the traits of reported losses that were answered lately, and those of
+    other losses that were answered since.
+
+    :param reported: keys of the reported losses.
+    """
+    ages = {
+        trait: now - answers.last_at(trait)
+        for lost in losses
+        for trait in lost.traits
+        if lost.key in reported or answers.last_at(trait) > lost.at
+    }
+    latest = nsmallest(MAX_REPORTED_ANSWERS, ages, key=ages.__getitem__)
+    return tuple(
+        AnsweredTrait(trait, ages[trait])
+        for trait in latest
+        if ages[trait] < RECENT_ANSWER_S
+    )
+
+
 def _is_first_loss(trait: Trait, losses: Iterable[LostRequest]) -> bool:
     """
     Return whether nothing but one loss speaks against a whole request: each
--- a/tests/utils/crashing_fleet.py
+++ b/tests/utils/crashing_fleet.py
@@ -147,6 +147,8 @@
         if suspicion is Suspicion.CONFIRMED:
             self.statuses['denied'] += 1
             self.denied.update(traits)
+        elif suspicion is Suspicion.HELD:
+            self.statuses['held'] += 1
         elif suspicion and trials.intersection(traits):
             self.statuses['refused'] += 1
         else:
