Count crashes without a trait as they happen, and tell heard answers as before

A gateway whose own lost requests had been answered at others didn't tell so any more, so that parts of prompts were in doubt for longer than before. The crashes without a trait were counted anew for each trait to blame.

--- a/mallowcrank/chains/crash_evidence.py
+++ b/mallowcrank/chains/crash_evidence.py
@@ -2,7 +2,7 @@
 What was lost in crashes of targets, and what was answered.
 """
 
-from collections import deque
+from collections import Counter, deque
 from collections.abc import Callable, Collection
 from dataclasses import dataclass
 from math import inf
@@ -14,7 +14,6 @@
 MAX_ANSWERED_PARTS = 4096
 MAX_ANSWERED_REQUESTS = 1024
 MAX_LAST_ANSWERS = 8
-CRASH_MEMORY_S = 60.0
 MAX_CRASHES = 128
 
 
@@ -145,20 +144,15 @@
 
     def __init__(self) -> None:
         self._crashes: dict[tuple[str, int], _Crash] = {}
+        self._by_service: Counter[str] = Counter()
+        self._by_trait: Counter[Trait] = Counter()
 
-    def count_without(self, trait: Trait, now: float) -> int:
+    def count_without(self, trait: Trait) -> int:
         """
-        Return the number of recent crashes of targets of a trait's service in
-        which no request with the trait was lost.
-
-        :param now: steady time, in seconds.
+        Return the number of crashes of targets of a trait's service in which
+        no request with the trait was lost.
         """
-        return sum(
-            crash.service == trait.service
-            and trait not in crash.traits
-            and now - crash.at < CRASH_MEMORY_S
-            for crash in self._crashes.values()
-        )
+        return self._by_service[trait.service] - self._by_trait[trait]
 
     def record(self, lost: LostRequest) -> None:
         """
@@ -170,9 +164,11 @@
         if crash is None:
             crash = _Crash(lost.traits[0].service, lost.at, set())
             self._crashes[lost.lifetime] = crash
+            self._by_service[crash.service] += 1
+        self._by_trait.update(set(lost.traits) - crash.traits)
         crash.traits.update(lost.traits)
         if len(self._crashes) > MAX_CRASHES:
-            self._crashes.pop(next(iter(self._crashes)))
+            self._drop(next(iter(self._crashes)))
 
     def drop(
         self, is_dropped: Callable[[tuple[str, int], float], bool]
@@ -182,11 +178,17 @@
 
         :param is_dropped: whether to drop the crash of a lifetime at a moment.
         """
-        self._crashes = {
-            lifetime: crash
-            for lifetime, crash in self._crashes.items()
-            if not is_dropped(lifetime, crash.at)
-        }
+        for lifetime, crash in list(self._crashes.items()):
+            if is_dropped(lifetime, crash.at):
+                self._drop(lifetime)
+
+    def _drop(self, lifetime: tuple[str, int]) -> None:
+        crash = self._crashes.pop(lifetime)
+        self._by_service -= Counter((crash.service,))
+        for trait in crash.traits:
+            self._by_trait[trait] -= 1
+            if not self._by_trait[trait]:
+                self._by_trait.pop(trait)
 
 
 def count_crashes(
--- a/mallowcrank/chains/suspect_traits.py
+++ b/mallowcrank/chains/suspect_traits.py
@@ -18,7 +18,6 @@
 from operator import attrgetter
 
 from mallowcrank.chains.crash_evidence import (
-    CRASH_MEMORY_S,
     AnswerRecords,
     CrashRecords,
     LostRequest,
@@ -42,6 +41,7 @@
 EXCHANGE_S = 5  # within which gateways hear of a loss and of answers since
 MAX_LOST = 128
 RECENT_ANSWER_S = 30
+CRASH_MEMORY_S = 60  # for which a crash speaks for chance
 SURVIVED_S = 3  # after which a target that still answers hasn't crashed
 CACHE_S = 0.05  # for which the verdicts are kept if no loss is recorded
 
@@ -347,7 +347,7 @@
         :param crashes: those that speak against it.
         """
         targets = len({each.lifetime for each in lost})
-        others = self._recent_crashes.count_without(trait, self._now)
+        others = self._recent_crashes.count_without(trait)
         is_by_chance = others > targets
         hold_s = (
             CHANCE_HOLD_S * 4 ** max(0, targets - MIN_CRASHES)
--- a/mallowcrank/gateway/suspects.py
+++ b/mallowcrank/gateway/suspects.py
@@ -9,7 +9,7 @@
 
 import asyncio
 from collections.abc import Callable, Collection, Iterable
-from heapq import nsmallest
+from heapq import nlargest
 
 from mallowcrank.chains.crash_evidence import (
     AnswerRecords,
@@ -132,12 +132,7 @@
             for lost in self._traits.most_telling(MAX_LOST)
             if lost.key in self._own or confirmed.intersection(lost.traits)
         ][-MAX_REPORTED:]
-        answered = _latest_answers(
-            self._traits.lost,
-            {each.key for each in reported},
-            self._own_answers,
-            now,
-        )
+        answered = self._latest_answers(reported, now)
         if not reported and not answered:
             return None
         return SuspectsReport(
@@ -338,31 +333,33 @@
                 len(of_level) - whole_count
             )
 
-
-def _latest_answers(
-    losses: Iterable[LostRequest],
-    reported: Collection[tuple[str, str, int]],
-    answers: AnswerRecords,
-    now: float,
-) -> tuple[AnsweredTrait, ...]:
-    """
-    Return the traits of reported losses that were answered lately, and those of
-    other losses that were answered since.
-
-    :param reported: keys of the reported losses.
-    """
-    ages = {
-        trait: now - answers.last_at(trait)
-        for lost in losses
-        for trait in lost.traits
-        if lost.key in reported or answers.last_at(trait) > lost.at
-    }
-    latest = nsmallest(MAX_REPORTED_ANSWERS, ages, key=ages.__getitem__)
-    return tuple(
-        AnsweredTrait(trait, ages[trait])
-        for trait in latest
-        if ages[trait] < RECENT_ANSWER_S
-    )
+    def _latest_answers(
+        self, reported: Collection[LostRequest], now: float
+    ) -> tuple[AnsweredTrait, ...]:
+        """
+        Return the traits of reported losses that were answered lately, and
+        those of other losses that were answered here since.
+        """
+        answered_at = {
+            trait: self._traits.answers.last_at(trait)
+            for lost in reported
+            for trait in lost.traits
+        }
+        answered_at |= {
+            trait: self._own_answers.last_at(trait)
+            for lost in self._traits.lost
+            for trait in lost.traits
+            if trait not in answered_at
+            and self._own_answers.last_at(trait) > lost.at
+        }
+        latest = nlargest(
+            MAX_REPORTED_ANSWERS, answered_at, key=answered_at.__getitem__
+        )
+        return tuple(
+            AnsweredTrait(trait, now - answered_at[trait])
+            for trait in latest
+            if now - answered_at[trait] < RECENT_ANSWER_S
+        )
 
 
 def _is_first_loss(trait: Trait, losses: Iterable[LostRequest]) -> bool:
