Revert "Tell other gateways which orders engines are still carrying out"

Suspected, not shown: while engines are known to load, plans move nothing else, and engines that load unknown layers are left out, so that others load what they will hold; loads slow each other down.

--- a/mallowcrank/gateway/assembly.py
+++ b/mallowcrank/gateway/assembly.py
@@ -85,7 +85,7 @@
         checks=checks,
         targets=targets,
         duty=duty,
-        placer=Placer(core, gossip.orders),
+        placer=Placer(core),
         handover=PeerSync(core, known, checks, targets),
         gossip=gossip,
     )
--- a/mallowcrank/gateway/datagrams.py
+++ b/mallowcrank/gateway/datagrams.py
@@ -30,11 +30,8 @@
 )
 from mallowcrank.gateway.settings import Address
 from mallowcrank.gateway.status_parts import (
-    OrderReport,
     SuspectsReport,
-    decode_orders,
     decode_suspects,
-    encode_orders,
     encode_suspects,
 )
 from mallowcrank.gateway.targets import HeldLayers, Lifetime
@@ -82,7 +79,6 @@
     :param view: what it has read of the targets' entries; none if it has read
         nothing lately, or is of an earlier build.
     :param suspects: requests that may crash targets; none if there are none.
-    :param orders: to engines that may be loading, if it places layers.
     """
 
     host: str
@@ -105,7 +101,6 @@
     leaving: tuple[Lifetime, ...] = ()
     desired: DesiredStatus | None = None
     view: EntriesView | None = None
-    orders: tuple[OrderReport, ...] = ()
 
     @property
     def desired_mark(self) -> DesiredMark:
@@ -240,7 +235,6 @@
         leaving=_decode_optional(fields, 18, _decode_lifetimes) or (),
         desired=_decode_optional(fields, 19, decode_desired),
         view=_decode_optional(fields, 20, decode_view),
-        orders=_decode_optional(fields, 21, decode_orders) or (),
     )
 
 
@@ -258,7 +252,6 @@
         [list(lifetime) for lifetime in status.leaving] or None,
         status.desired and encode_desired(status.desired),
         status.view and encode_view(status.view),
-        encode_orders(status.orders) or None,
     ]
     while encoded and encoded[-1] is None:
         encoded.pop()
--- a/mallowcrank/gateway/gossip.py
+++ b/mallowcrank/gateway/gossip.py
@@ -9,7 +9,6 @@
 from mallowcrank.gateway.latest_desired import LatestDesired
 from mallowcrank.gateway.leadership import Leadership, should_take_over
 from mallowcrank.gateway.peers import is_isolated
-from mallowcrank.gateway.pending_orders import PendingOrders
 from mallowcrank.gateway.prober import ProbeCause
 from mallowcrank.gateway.targets import Target
 from mallowcrank.gateway.targets_follower import TargetsFollower
@@ -20,8 +19,6 @@
 class Gossip:
     """
     Exchange of statuses with the other gateways.
-
-    :ivar orders: what the gateway that places layers has ordered.
     """
 
     def __init__(
@@ -40,7 +37,6 @@
         self._leader_seen_at = monotonic_s()
         self._logged_view = (0, 0)
         self.is_stopping = False
-        self.orders = PendingOrders()
 
     @property
     def is_ready(self) -> bool:
@@ -132,7 +128,6 @@
             leaving=tuple(self._core.fleet.said_leaving),
             desired=self._desired.status(),
             view=self._targets.knowledge.view(),
-            orders=self.orders.reports(now) if self.leader_generation else (),
         )
 
     def handle_status(self, status: GatewayStatus) -> None:
@@ -151,8 +146,16 @@
         self._leadership.handle_status(status)
         if status.leader_generation:
             self._leader_seen_at = now
-        self.orders.apply(status.orders, now)
-        self._apply_target_reports(status, now)
+        for identity, pace in status.paces.items():
+            target = fleet.find(identity)
+            if target:
+                fleet.health.record_peer_pace(
+                    target.lifetime, pace, now + repeated_within_s
+                )
+        for identity, layers in status.layers.items():
+            fleet.update_layers(identity, layers, now, is_direct=False)
+        for lifetime, limit in (status.limits or {}).items():
+            self._core.limits.apply_report(lifetime, limit)
         for lifetime in status.leaving:
             fleet.record_leaving(lifetime, status.host)
         if status.suspects:
@@ -209,23 +212,6 @@
         services = known.services.values() if known else ()
         return [service.name for service in services if service.engine]
 
-    def _apply_target_reports(self, status: GatewayStatus, now: float) -> None:
-        """
-        Apply what targets have said of themselves to another gateway.
-
-        :param now: steady time, in seconds.
-        """
-        fleet = self._core.fleet
-        until = now + self._core.peers.liveness_timeout_s
-        for identity, pace in status.paces.items():
-            target = fleet.find(identity)
-            if target:
-                fleet.health.record_peer_pace(target.lifetime, pace, until)
-        for identity, layers in status.layers.items():
-            fleet.update_layers(identity, layers, now, is_direct=False)
-        for lifetime, limit in (status.limits or {}).items():
-            self._core.limits.apply_report(lifetime, limit)
-
     def _should_verify(self, reporter: str, target: Target) -> bool:
         """
         Return whether to probe a target that another gateway finds silent.
--- a/mallowcrank/gateway/placing.py
+++ b/mallowcrank/gateway/placing.py
@@ -4,7 +4,7 @@
 
 import asyncio
 from collections.abc import Callable
-from dataclasses import replace
+from dataclasses import dataclass, replace
 from http import HTTPStatus
 
 from mallowcrank.chains.engines import layer_capacity, request_memory
@@ -22,7 +22,6 @@
     EngineRule,
     ServiceRule,
 )
-from mallowcrank.gateway.pending_orders import PendingOrders
 from mallowcrank.gateway.prober import ProbeCause
 from mallowcrank.gateway.target_channel import Response
 from mallowcrank.gateway.targets import (
@@ -37,6 +36,7 @@
 ORDER_TIMEOUT_S = 0.5  # an answer usually takes some milliseconds
 MAX_PROBED_ORDERS = 8  # with more pending orders, no engine is probed
 MAX_ORDER_TRIES = 3  # an unanswered order is repeated unchanged
+PENDING_TIMEOUT_S = 14  # an unanswered order may take effect until then
 # An order without an answer (status 0) may still take effect.
 POSSIBLY_ACCEPTED = frozenset((0, HTTPStatus.OK, HTTPStatus.ACCEPTED))
 SLOW_PACE = 2.0  # factor on an engine's times from which others do better
@@ -45,12 +45,24 @@
 UNRESPONSIVE_GRACE_S = 0.8  # after it, plans leave a silent target out
 
 
+@dataclass(frozen=True, slots=True)
+class PendingOrder:
+    """
+    An order that was sent, and that the target's entry doesn't show yet.
+
+    :param at: steady time, in seconds.
+    """
+
+    placing: PlacementOrder
+    at: float
+
+
 class Placer:
     """
     Places layers while this gateway is the leader.
     """
 
-    def __init__(self, core: Core, orders: PendingOrders) -> None:
+    def __init__(self, core: Core) -> None:
         self._fleet = core.fleet
         self._ledger = core.ledger
         self._limits = core.limits
@@ -59,9 +71,8 @@
         self._vocabulary = core.vocabulary
         self._journal = core.journal
         self._meters = core.meters
-        self._orders = orders
+        self._pending: dict[Lifetime, PendingOrder] = {}
         self._accepted_orders: dict[Lifetime, int] = {}
-        self._conflicts: set[Lifetime] = set()  # whose count is to be read
         self._has_seen_layers = False
         self._logged_gaps: dict[str, dict[str, list[tuple[int, int]]]] = {}
 
@@ -81,9 +92,7 @@
             await asyncio.sleep(PLANNING_INTERVAL_S)
             known = desired()
             if not leader_generation():
-                # Whoever places layers now gives further orders.
-                self._accepted_orders.clear()
-                self._conflicts.clear()
+                self._pending.clear()
             elif known:
                 for service in known.services.values():
                     if service.engine:
@@ -93,9 +102,8 @@
         now = monotonic_s()
         targets = self._fleet.accepting_targets(service.name)
         self._drop_settled(targets, now)
-        pending = self._orders.pending
-        if len(pending) <= MAX_PROBED_ORDERS:
-            self._prober.probe(tuple(pending), ProbeCause.ORDER)
+        if len(self._pending) <= MAX_PROBED_ORDERS:
+            self._prober.probe(self._pending, ProbeCause.ORDER)
         found = [self._card(rule, target, now) for target in targets]
         cards = [card for card in found if card]
         if not self._may_plan(cards, now):
@@ -127,12 +135,12 @@
         return self._has_seen_layers or now - self._fleet.changed_at > SETTLE_S
 
     def _drop_settled(self, targets: list[Target], now: float) -> None:
-        self._orders.drop_expired(now)
         known = {target.lifetime: target for target in targets}
-        for lifetime, pending in tuple(self._orders.pending.items()):
+        for lifetime, pending in list(self._pending.items()):
             target = known.get(lifetime)
-            if target is None or _has_placing(target, pending.placing):
-                self._orders.drop(lifetime)
+            is_done = target is None or _has_placing(target, pending.placing)
+            if is_done or now - pending.at > PENDING_TIMEOUT_S:
+                self._pending.pop(lifetime)
 
     def _card(
         self, rule: EngineRule, target: Target, now: float
@@ -156,16 +164,15 @@
             layer_capacity(rule, kind),
             kind.pace * slowness,
         )
-        pending = self._orders.pending.get(target.lifetime)
-        is_busy = self._orders.is_busy(target.lifetime, now)
+        pending = self._pending.get(target.lifetime)
         shown = pending.placing if pending else target.layers
         if shown is None:
-            return None if is_busy else card
+            return card
         return replace(
             card,
             first=shown.first,
             end=shown.end,
-            is_loading=pending is not None or is_busy,
+            is_loading=pending is not None,
             is_used=self._is_used(rule, kind, target, now),
         )
 
@@ -180,36 +187,14 @@
         target = self._fleet.find(placing.lifetime.identity)
         if target is None or target.lifetime != placing.lifetime:
             return
-        self._orders.record(placing, monotonic_s())
-        status = await self._order(target, placing)
-        if status not in POSSIBLY_ACCEPTED:
-            self._orders.drop(placing.lifetime)
-
-    async def _order(self, target: Target, placing: PlacementOrder) -> int:
-        """
-        Send an order, once the engine's number of orders is known.
-
-        An engine that holds layers, or refused an order, has taken others.
-
-        :returns: the status of the answer, or 0 without one.
-        """
-        lifetime = target.lifetime
-        is_known = lifetime in self._accepted_orders or (
-            target.layers is None and lifetime not in self._conflicts
-        )
-        status: int = HTTPStatus.CONFLICT
-        if is_known:
-            status = await self._send_until_answered(target, placing)
+        self._pending[placing.lifetime] = PendingOrder(placing, monotonic_s())
+        status = await self._send_until_answered(target, placing)
         if status == HTTPStatus.CONFLICT and await self._read_order_count(
             target
         ):
             status = await self._send_until_answered(target, placing)
-        if status == HTTPStatus.CONFLICT:
-            # Its report may be older than the order that it carries out.
-            self._accepted_orders.pop(lifetime, None)
-            self._conflicts.add(lifetime)
-            self._orders.record_busy(lifetime, monotonic_s())
-        return status
+        if status not in POSSIBLY_ACCEPTED:
+            self._pending.pop(placing.lifetime, None)
 
     async def _send_until_answered(
         self, target: Target, placing: PlacementOrder
@@ -240,10 +225,10 @@
         """
         Read from a target how many orders it has accepted.
 
-        :returns: whether the target reported it, and takes another one.
+        :returns: whether the target reported it.
         """
         report = await self._prober.fetch_report(target)
-        if not isinstance(report, TargetReport) or report.is_busy:
+        if not isinstance(report, TargetReport):
             return False
         self._accepted_orders[target.lifetime] = report.orders
         return True
--- a/mallowcrank/gateway/status_parts.py
+++ b/mallowcrank/gateway/status_parts.py
@@ -1,6 +1,5 @@
 """
-Parts of a gateway's status: what it knows of requests that may crash targets,
-and what it has ordered of engines.
+Part of a gateway's status: what it knows of requests that may crash targets.
 """
 
 from collections.abc import Sequence
@@ -57,60 +56,6 @@
     confirmed: tuple[Trait, ...]
 
 
-@dataclass(frozen=True, slots=True)
-class OrderReport:
-    """
-    An order to an engine to hold some layers, which it may be loading.
-
-    :param first: first layer.
-    :param end: end of the layers, exclusive.
-    :param age_s: seconds since it was sent.
-    """
-
-    lifetime: Lifetime
-    first: int
-    end: int
-    age_s: float
-
-
-def encode_orders(orders: Sequence[OrderReport]) -> list[Any]:
-    """
-    Encode reports of orders as a part of a datagram.
-    """
-    return [
-        [
-            *order.lifetime,
-            order.first,
-            order.end,
-            round(order.age_s * MS_PER_S),
-        ]
-        for order in orders
-    ]
-
-
-def decode_orders(rows: Sequence[Any]) -> tuple[OrderReport, ...]:
-    """
-    Decode reports of orders.
-
-    :raises ValueError: if an age is negative or not a number, or layers are no
-        range.
-    """
-    return tuple(_decode_order(*row) for row in rows)
-
-
-def _decode_order(
-    identity: Any, born_ms: Any, first: Any, end: Any, age_ms: Any
-) -> OrderReport:
-    if not 0 <= int(first) < int(end):
-        raise ValueError('no layers')
-    return OrderReport(
-        Lifetime(str(identity), int(born_ms)),
-        int(first),
-        int(end),
-        decode_age_s(age_ms),
-    )
-
-
 def encode_suspects(report: SuspectsReport) -> list[Any]:
     """
     Encode a report of suspects as a part of a datagram.
--- a/mallowcrank/platform/standins/placing.py
+++ b/mallowcrank/platform/standins/placing.py
@@ -2,8 +2,6 @@
 Placement orders as a stand-in engine handles them.
 """
 
-import asyncio
-from collections.abc import Callable
 from dataclasses import dataclass, replace
 from http import HTTPStatus
 
@@ -28,44 +26,6 @@
     held: tuple[int, int] | None = None
 
 
-class LayerLoader:
-    """
-    Loads the layers of an engine.
-
-    :ivar load_s: seconds that it takes.
-    :ivar is_loading: whether it does so now.
-    """
-
-    def __init__(self) -> None:
-        self.load_s: float = 0
-        self.is_loading = False
-
-    def load(
-        self,
-        layers: tuple[int, int] | None,
-        hold: Callable[[tuple[int, int] | None], None],
-    ) -> None:
-        """
-        Load layers.
-
-        :param hold: is called with them once they are loaded.
-        """
-        if self.load_s:
-            self.is_loading = True
-            loop = asyncio.get_running_loop()
-            loop.call_later(self.load_s, self._end, layers, hold)
-        else:
-            hold(layers)
-
-    def _end(
-        self,
-        layers: tuple[int, int] | None,
-        hold: Callable[[tuple[int, int] | None], None],
-    ) -> None:
-        self.is_loading = False
-        hold(layers)
-
-
 def names_other_replica(identity: str, headers: Headers) -> bool:
     """
     Return whether a call is meant for another replica.
--- a/mallowcrank/platform/standins/replica.py
+++ b/mallowcrank/platform/standins/replica.py
@@ -8,7 +8,6 @@
 
 import asyncio
 from dataclasses import dataclass, field
-from functools import partial
 from http import HTTPStatus
 
 import orjson
@@ -19,7 +18,6 @@
 from mallowcrank.gateway.ports import Headers
 from mallowcrank.gateway.settings import Address
 from mallowcrank.platform.standins.placing import (
-    LayerLoader,
     PlacementState,
     apply_place_order,
     names_other_replica,
@@ -101,9 +99,6 @@
     :param all_replicas: all replicas by address, to look up paths.
     :param held: first and end of the held layers.
     :param orders: number of accepted placement orders.
-    :param loader: loads the layers that it is ordered to hold.
-    :param refused_orders: those that it got while it loaded, or with another
-        number of orders than its own.
     :param writes: number of times that it has written its entry.
     :param misdirected: number of orders meant for another replica.
     :param cancelled_requests: ids of streams whose caller has left.
@@ -138,7 +133,6 @@
     state: str = 'ready'
     held: tuple[int, int] | None = None
     orders: int = 0
-    refused_orders: int = 0
     writes: int = 0
     misdirected: int = 0
     pace: float = 1
@@ -161,7 +155,6 @@
     event_interval_s: float = EVENT_INTERVAL_S
     work_s: float = 0
     running: asyncio.Event = field(default_factory=asyncio.Event)
-    loader: LayerLoader = field(default_factory=LayerLoader)
 
     def __post_init__(self) -> None:
         """
@@ -232,7 +225,7 @@
             'born': self.born,
             'pace': self.pace,
             'layers': _layers_row(self.held),
-            'busy': self.loader.is_loading,
+            'busy': False,
         }
         headers: Headers = (JSON_HEADER,)
         if self.names_limit_in_reports:
@@ -257,12 +250,8 @@
             request.headers,
             request.body,
         )
-        if status == HTTPStatus.ACCEPTED and self.loader.is_loading:
-            status = HTTPStatus.CONFLICT
-        elif status == HTTPStatus.ACCEPTED:
-            self.loader.load(placed.held, partial(setattr, self, 'held'))
-            self.orders = placed.orders
-        self.refused_orders += status == HTTPStatus.CONFLICT
+        self.held = placed.held
+        self.orders = placed.orders
         self.misdirected += status == HTTPStatus.MISDIRECTED_REQUEST
         if status == HTTPStatus.ACCEPTED and self.faults.consume('late_orders'):
             await asyncio.sleep(FOREVER_S)
